--- /dev/null
+++ b/faker/generate.go
@@ -0,0 +1,213 @@
+package faker
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sardineward/sardineward/planner"
+	"github.com/sardineward/sardineward/streamer"
+)
+
+// loadEvery is how often frames carry reports.
+const loadEvery = 250 * time.Millisecond
+
+// Generate implements streamer.Engine in memory.
+func (f *Fleet) Generate(ctx context.Context, address string, g *streamer.Generate) (streamer.Frames, error) {
+	e := f.at(address)
+	if e == nil || e.Dead() {
+		return nil, streamer.ErrNotSent
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	s := &memoryFrames{frames: make(chan *streamer.Frame, 1), ctx: ctx, cancel: cancel}
+	go func() {
+		defer close(s.frames)
+		s.err = e.generate(ctx, g, func(fr *streamer.Frame) error {
+			select {
+			case s.frames <- fr:
+				return nil
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		})
+	}()
+	return s, nil
+}
+
+func (f *Fleet) at(address string) *Engine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.byAddress[address]
+}
+
+type memoryFrames struct {
+	frames chan *streamer.Frame
+	ctx    context.Context
+	cancel context.CancelFunc
+	err    error
+}
+
+func (m *memoryFrames) Next() (*streamer.Frame, error) {
+	select {
+	case fr, ok := <-m.frames:
+		if !ok {
+			return nil, errors.Join(io.ErrUnexpectedEOF, m.err)
+		}
+		return fr, nil
+	case <-m.ctx.Done():
+		return nil, m.ctx.Err()
+	}
+}
+
+func (m *memoryFrames) Buffered() bool { return len(m.frames) > 0 }
+
+func (m *memoryFrames) Close() error {
+	m.cancel()
+	return nil
+}
+
+var errDied = errors.New("engine died")
+
+// generate is the first stage's work: it has each token run through all stages
+// and emits a frame for it.
+func (e *Engine) generate(ctx context.Context, g *streamer.Generate, emit func(*streamer.Frame) error) error {
+	e.fleet.mu.Lock()
+	e.fleet.started[g.RequestID]++
+	e.fleet.mu.Unlock()
+	stages := make([]*Engine, len(g.Route))
+	for i, s := range g.Route {
+		if stages[i] = e.fleet.at(s.Address); stages[i] != nil {
+			stages[i].count(1)
+			defer stages[i].count(-1)
+		}
+	}
+	e.mu.Lock()
+	dead := e.dead
+	e.mu.Unlock()
+	var told time.Time
+	for i := len(g.Delivered); i < g.MaxTokens; i++ {
+		fr, refusal := e.token(ctx, g, stages, i)
+		select {
+		case <-dead:
+			return errDied
+		default:
+		}
+		if refusal != nil {
+			return emit(&streamer.Frame{RequestID: g.RequestID, Attempt: g.Attempt, Index: i, Error: refusal})
+		}
+		if now := time.Now(); now.Sub(told) >= loadEvery {
+			told = now
+			for n, s := range stages {
+				fr.Loads = append(fr.Loads, streamer.StageLoad{Upstream: g.Route[n].Upstream, Load: s.Load()})
+			}
+		}
+		if i == g.MaxTokens-1 {
+			fr.Finish = "length"
+		}
+		if err := emit(fr); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *Engine) token(ctx context.Context, g *streamer.Generate, stages []*Engine, i int) (*streamer.Frame, *streamer.EngineError) {
+	fr := &streamer.Frame{RequestID: g.RequestID, Attempt: g.Attempt, Index: i, Text: Token(g.Prompt, i)}
+	first := i == len(g.Delivered)
+	at := e.Upstream.DataCentre
+	for n, s := range g.Route {
+		next := stages[n]
+		if next == nil {
+			return nil, &streamer.EngineError{Kind: streamer.KindDown, Upstream: s.Upstream, Text: "no such engine"}
+		}
+		wait(ctx, e.fleet.latency(at, next.Upstream.DataCentre))
+		if refusal := next.run(ctx, g, s, first); refusal != nil {
+			refusal.NotRun = first && n == 0
+			return nil, refusal
+		}
+		at = next.Upstream.DataCentre
+		sp := s.Span
+		if next.MidRange {
+			sp.First++
+		}
+		fr.Spans = append(fr.Spans, sp)
+	}
+	wait(ctx, e.fleet.latency(at, e.Upstream.DataCentre))
+	return fr, nil
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// Handler serves one engine over HTTP.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/generate", e.serveGenerate)
+	mux.HandleFunc("GET /v1/load", e.guard(func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(e.Load()) }))
+	mux.HandleFunc("GET /v1/loaded", e.guard(func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(e.Loaded()) }))
+	mux.HandleFunc("POST /v1/order", e.guard(func(w http.ResponseWriter, r *http.Request) {
+		var o planner.Order
+		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		if err := e.Order(o); err != nil {
+			w.WriteHeader(http.StatusPreconditionFailed)
+		}
+	}))
+	return mux
+}
+
+// guard makes a paused engine silent and a dead one break the connection.
+func (e *Engine) guard(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if e.thaw(r.Context()) != nil || e.Dead() {
+			panic(http.ErrAbortHandler)
+		}
+		h(w, r)
+	}
+}
+
+func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	g := new(streamer.Generate)
+	if err := json.NewDecoder(r.Body).Decode(g); err != nil || g.Check() != nil {
+		refuse(w, http.StatusBadRequest, &streamer.EngineError{Kind: streamer.KindInvalid, NotRun: true})
+		return
+	}
+	if e.thaw(r.Context()) != nil || e.Dead() {
+		panic(http.ErrAbortHandler)
+	}
+	if refusal := e.check(g, g.Route[0], true); refusal != nil {
+		refusal.NotRun = true
+		refuse(w, http.StatusServiceUnavailable, refusal)
+		return
+	}
+	enc := json.NewEncoder(w)
+	ctl := http.NewResponseController(w)
+	err := e.generate(r.Context(), g, func(fr *streamer.Frame) error {
+		if err := enc.Encode(fr); err != nil {
+			return err
+		}
+		return ctl.Flush()
+	})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func refuse(w http.ResponseWriter, status int, e *streamer.EngineError) {
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(e)
+}
--- /dev/null
+++ b/faker/platform.go
@@ -0,0 +1,331 @@
+package faker
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sardineward/sardineward/storer"
+)
+
+// Platform is the key-value service. The zero value is ready; faults are set
+// while it runs.
+type Platform struct {
+	mu      sync.Mutex
+	entries map[string]storer.Entry
+	leases  map[int64]*lease
+	// byLease is the lease that a key goes with.
+	byLease  map[string]int64
+	revision int64
+	ids      int64
+	changed  chan struct{}
+	calls    int64
+	faults   Faults
+	old      map[string]storer.Entry
+}
+
+// Faults are what a Platform does wrong.
+type Faults struct {
+	// Out refuses every call.
+	Out bool
+	// Delay is added to every call.
+	Delay time.Duration
+	// LoseAnswer reports whether the answer to a write that took effect is
+	// lost.
+	LoseAnswer func(w storer.Write) bool
+	// Stale answers reads from the copy that Remember made.
+	Stale bool
+}
+
+type lease struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+// SetFaults replaces the faults.
+func (p *Platform) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+	p.wakeLocked()
+}
+
+// Remember keeps a copy of everything for Faults.Stale.
+func (p *Platform) Remember() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.old = make(map[string]storer.Entry, len(p.entries))
+	for k, e := range p.entries {
+		p.old[k] = e
+	}
+}
+
+// Calls returns how many calls were made, a waiting watch as one.
+func (p *Platform) Calls() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
+// Keys returns how many keys have a value, and how many bytes they are.
+func (p *Platform) Keys() (keys, bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.entries {
+		bytes += len(e.Value)
+	}
+	return len(p.entries), bytes
+}
+
+var errLost = errors.New("answer lost")
+
+// enter counts a call and applies the faults that come before it.
+func (p *Platform) enter(ctx context.Context) error {
+	p.mu.Lock()
+	p.calls++
+	f := p.faults
+	p.mu.Unlock()
+	if f.Delay > 0 {
+		select {
+		case <-time.After(f.Delay):
+		case <-ctx.Done():
+			return storer.ErrUncertain
+		}
+	}
+	if f.Out {
+		return storer.ErrUnavailable
+	}
+	return nil
+}
+
+func (p *Platform) init() {
+	if p.entries == nil {
+		p.entries = make(map[string]storer.Entry)
+		p.leases = make(map[int64]*lease)
+		p.byLease = make(map[string]int64)
+		p.changed = make(chan struct{})
+	}
+}
+
+func (p *Platform) wakeLocked() {
+	p.init()
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// lapse drops leases that are over.
+func (p *Platform) lapse() {
+	now := time.Now()
+	for id, l := range p.leases {
+		if !l.until.After(now) {
+			p.end(id)
+		}
+	}
+}
+
+func (p *Platform) end(id int64) {
+	delete(p.leases, id)
+	for k, l := range p.byLease {
+		if l == id {
+			delete(p.byLease, k)
+			delete(p.entries, k)
+			p.wakeLocked()
+		}
+	}
+}
+
+// Get implements storer.Store.
+func (p *Platform) Get(ctx context.Context, key string) (storer.Entry, error) {
+	if err := p.enter(ctx); err != nil {
+		return storer.Entry{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.get(key)
+}
+
+func (p *Platform) get(key string) (storer.Entry, error) {
+	p.init()
+	p.lapse()
+	from := p.entries
+	if p.faults.Stale && p.old != nil {
+		from = p.old
+	}
+	e, ok := from[key]
+	if !ok {
+		return storer.Entry{}, storer.ErrNotFound
+	}
+	return e, nil
+}
+
+// Swap implements storer.Store.
+func (p *Platform) Swap(ctx context.Context, w storer.Write) (int64, error) {
+	if err := p.enter(ctx); err != nil {
+		return 0, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rev, err := p.swap(w)
+	if err == nil && p.faults.LoseAnswer != nil && p.faults.LoseAnswer(w) {
+		return 0, storer.ErrUncertain
+	}
+	return rev, err
+}
+
+func (p *Platform) swap(w storer.Write) (int64, error) {
+	p.init()
+	p.lapse()
+	switch {
+	case len(w.Value) > storer.MaxValue:
+		return 0, storer.ErrTooLarge
+	case p.entries[w.Key].Revision != w.Expect:
+		return 0, storer.ErrConflict
+	case w.Lease != 0 && p.leases[w.Lease] == nil:
+		return 0, storer.ErrLease
+	}
+	defer p.wakeLocked()
+	delete(p.byLease, w.Key)
+	if w.Delete {
+		delete(p.entries, w.Key)
+		return 0, nil
+	}
+	p.revision++
+	p.entries[w.Key] = storer.Entry{Key: w.Key, Value: w.Value, Revision: p.revision}
+	if w.Lease != 0 {
+		p.byLease[w.Key] = w.Lease
+	}
+	return p.revision, nil
+}
+
+// Watch implements storer.Store.
+func (p *Platform) Watch(ctx context.Context, key string, after int64) (storer.Entry, error) {
+	if err := p.enter(ctx); err != nil {
+		return storer.Entry{}, err
+	}
+	for {
+		p.mu.Lock()
+		if p.faults.Out {
+			p.mu.Unlock()
+			return storer.Entry{}, storer.ErrUnavailable
+		}
+		e, err := p.get(key)
+		changed := p.changed
+		p.mu.Unlock()
+		if err == nil && e.Revision > after || err != nil && after > 0 {
+			return e, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return storer.Entry{}, storer.ErrUnavailable
+		}
+	}
+}
+
+// Grant implements storer.Store.
+func (p *Platform) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	if err := p.enter(ctx); err != nil {
+		return 0, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.init()
+	p.ids++
+	p.leases[p.ids] = &lease{ttl, time.Now().Add(ttl)}
+	return p.ids, nil
+}
+
+// KeepAlive implements storer.Store.
+func (p *Platform) KeepAlive(ctx context.Context, id int64) error {
+	if err := p.enter(ctx); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.init()
+	p.lapse()
+	l := p.leases[id]
+	if l == nil {
+		return storer.ErrLease
+	}
+	l.until = time.Now().Add(l.ttl)
+	return nil
+}
+
+// Revoke implements storer.Store.
+func (p *Platform) Revoke(ctx context.Context, id int64) error {
+	if err := p.enter(ctx); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.init()
+	p.end(id)
+	return nil
+}
+
+// Handler serves the platform to storer.Client.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	serve := func(method string, f func(ctx context.Context, in storer.Request) (storer.Response, error)) {
+		mux.HandleFunc("POST /v1/kv/"+method, func(w http.ResponseWriter, r *http.Request) {
+			var in storer.Request
+			if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+				w.WriteHeader(http.StatusBadRequest)
+				return
+			}
+			out, err := f(r.Context(), in)
+			if err != nil {
+				w.WriteHeader(platformStatus(err))
+				return
+			}
+			json.NewEncoder(w).Encode(out)
+		})
+	}
+	serve("get", func(ctx context.Context, in storer.Request) (storer.Response, error) {
+		e, err := p.Get(ctx, in.Key)
+		return storer.Response{Entry: &e}, err
+	})
+	serve("watch", func(ctx context.Context, in storer.Request) (storer.Response, error) {
+		e, err := p.Watch(ctx, in.Key, in.After)
+		return storer.Response{Entry: &e}, err
+	})
+	serve("swap", func(ctx context.Context, in storer.Request) (storer.Response, error) {
+		if in.Write == nil {
+			return storer.Response{}, errLost
+		}
+		rev, err := p.Swap(ctx, *in.Write)
+		return storer.Response{Revision: rev}, err
+	})
+	serve("grant", func(ctx context.Context, in storer.Request) (storer.Response, error) {
+		id, err := p.Grant(ctx, time.Duration(in.TTLMs)*time.Millisecond)
+		return storer.Response{Lease: id}, err
+	})
+	serve("keepAlive", func(ctx context.Context, in storer.Request) (storer.Response, error) {
+		return storer.Response{}, p.KeepAlive(ctx, in.Lease)
+	})
+	serve("revoke", func(ctx context.Context, in storer.Request) (storer.Response, error) {
+		return storer.Response{}, p.Revoke(ctx, in.Lease)
+	})
+	return mux
+}
+
+func platformStatus(err error) int {
+	switch {
+	case errors.Is(err, storer.ErrNotFound):
+		return http.StatusNotFound
+	case errors.Is(err, storer.ErrConflict):
+		return http.StatusConflict
+	case errors.Is(err, storer.ErrLease):
+		return http.StatusGone
+	case errors.Is(err, storer.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, storer.ErrUnavailable):
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusInternalServerError
+	}
+}
--- /dev/null
+++ b/planner/client.go
@@ -0,0 +1,53 @@
+package planner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// Client gives orders over HTTP.
+type Client struct {
+	HTTP *http.Client
+}
+
+// Loaded implements Orderer.
+func (c *Client) Loaded(ctx context.Context, address string) (Target, error) {
+	var t Target
+	err := c.do(ctx, http.MethodGet, "http://"+address+"/v1/loaded", nil, &t)
+	return t, err
+}
+
+// Order implements Orderer.
+func (c *Client) Order(ctx context.Context, address string, o Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return fmt.Errorf("encoding order: %w", err)
+	}
+	return c.do(ctx, http.MethodPost, "http://"+address+"/v1/order", body, nil)
+}
+
+func (c *Client) do(ctx context.Context, method, url string, body []byte, into any) error {
+	const most = 1 << 20
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("making order: %w", err)
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	switch {
+	case resp.StatusCode == http.StatusPreconditionFailed:
+		return ErrFenced
+	case resp.StatusCode != http.StatusOK:
+		return fmt.Errorf("engine answered status %d", resp.StatusCode)
+	case into == nil:
+		return nil
+	}
+	return json.NewDecoder(io.LimitReader(resp.Body, most)).Decode(into)
+}
--- /dev/null
+++ b/runner/bench_test.go
@@ -0,0 +1,376 @@
+package runner_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/sardineward/sardineward/builder"
+	"github.com/sardineward/sardineward/checker"
+	"github.com/sardineward/sardineward/faker"
+	"github.com/sardineward/sardineward/loader"
+	"github.com/sardineward/sardineward/runner"
+	"github.com/sardineward/sardineward/server"
+	"github.com/sardineward/sardineward/watcher"
+)
+
+// bench is a set of entry hosts before a faker.World, all in memory.
+type bench struct {
+	t     *testing.T
+	net   *faker.Network
+	world *faker.World
+	hosts []*entry
+	log   *lines
+	seed  uint64
+}
+
+// entry is one entry host of a bench.
+type entry struct {
+	*runner.Host
+	name, dataCentre string
+	checker          *checker.Checker
+	stop             context.CancelFunc
+	done             chan error
+	client           *http.Client
+}
+
+var centres = []string{"north", "port", "road"}
+
+const (
+	platformPlace = "platform"
+	key           = "key-a"
+	otherKey      = "key-b"
+	adminKey      = "admin"
+)
+
+// configuration is two rows of engines that overlap, over three data centres,
+// and a desk with an instance in each.
+func configuration() *builder.Configuration {
+	cfg := &builder.Configuration{
+		Models:       []builder.Model{{Name: "m", Version: "1", Layers: 12}},
+		Accelerators: []builder.Accelerator{{Name: "big", StepMs: 2, LayerMs: 0.05, Batch: 8}, {Name: "small", StepMs: 3, LayerMs: 0.2, Batch: 4}},
+		Links:        []builder.Link{{From: "north", To: "port", LatencyMs: 0.8}, {From: "north", To: "road", LatencyMs: 0.7}, {From: "port", To: "road", LatencyMs: 0.4}},
+	}
+	var engines, desk []builder.Upstream
+	for i, dc := range centres {
+		next := 100 * i
+		address := func(int) string {
+			next++
+			return fmt.Sprintf("10.1.0.%d:%d", i+1, 1000+next)
+		}
+		add := func(name, kind string, n, first, last int) {
+			u := builder.Upstream{DataCentre: dc, Model: "m", Accelerator: kind, FirstLayer: first, LastLayer: last, ChecksFence: i == 0}
+			engines = append(engines, builder.Range(dc+"-"+name, n, address, u)...)
+		}
+		add("front", "big", 2, 0, 5)
+		add("back", "big", 2, 6, 11)
+		add("mid", "small", 1, 3, 8)
+		add("whole", "small", 1, 0, 11)
+		desk = append(desk, builder.Range(dc+"-desk", 1, address, builder.Upstream{DataCentre: dc})...)
+	}
+	cfg.Upstreams = append(append([]builder.Upstream{}, engines...), desk...)
+	cfg.Pipelines = []builder.Pipeline{{Name: "draft", Model: "m", Upstreams: builder.Names(engines), TokenGapMs: 48}}
+	cfg.Services = []builder.Service{{Name: "desk", Upstreams: builder.Names(desk), Calls: []builder.Call{
+		{Method: "POST", Path: "/bookings", KeyPointer: "/id"},
+		{Method: "POST", Path: "/once", SingleShot: true},
+		{Method: "POST", Path: "/search", Idempotent: true},
+	}}}
+	cfg.Workspaces = []builder.Workspace{
+		{Name: "a", KeyHashes: []string{builder.HashKey(key)}, Priority: 5, Pipelines: []string{"draft"}, Services: []string{"desk"}},
+		{Name: "b", KeyHashes: []string{builder.HashKey(otherKey)}, Priority: 5, RequestsPerSecond: 2, Pipelines: []string{"draft"}},
+	}
+	return cfg
+}
+
+// run makes a bench of four hosts in three data centres, waits until they are
+// ready, and runs f in virtual time.
+func run(t *testing.T, seed uint64, f func(b *bench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, seed, configuration())
+		defer b.close()
+		for i := range 4 {
+			b.start(i)
+		}
+		b.submit(0, configuration())
+		b.await(10*time.Second, func() bool { return b.allReady() })
+		time.Sleep(2 * time.Second)
+		f(b)
+	})
+}
+
+func newBench(t *testing.T, seed uint64, cfg *builder.Configuration) *bench {
+	b := &bench{t: t, net: faker.NewNetwork(), seed: seed, log: new(lines), hosts: make([]*entry, 4)}
+	for _, u := range cfg.Upstreams {
+		b.net.Place(u.Address, u.DataCentre)
+	}
+	b.net.Place("10.9.0.1:1", platformPlace)
+	b.net.Place("10.9.0.1:2", platformPlace)
+	b.world = &faker.World{
+		Configuration: cfg, Listen: b.net.Listen,
+		PlatformAddress: "10.9.0.1:1", HostListAddress: "10.9.0.1:2",
+	}
+	is.New(t).NoErr(b.world.Start())
+	return b
+}
+
+func (b *bench) settings(i int) *loader.Settings {
+	at := func(port int) string { return fmt.Sprintf("10.0.0.%d:%d", i+1, port) }
+	cfg := &loader.Settings{
+		Host: fmt.Sprintf("h%d", i), DataCentre: centres[i%len(centres)],
+		Callers: loader.Endpoint{Listen: at(80)}, Peer: loader.Endpoint{Listen: at(81)}, Admin: loader.Endpoint{Listen: at(82)},
+		AdminKeyHash: builder.HashKey(adminKey),
+		Platform:     "10.9.0.1:1", HostList: "10.9.0.1:2",
+		Peers: []string{"10.0.0.1:81", "10.0.0.2:81", "10.0.0.3:81", "10.0.0.4:81"},
+	}
+	is.New(b.t).NoErr(cfg.Fill())
+	return cfg
+}
+
+// start runs a host; one that ran before must have ended.
+func (b *bench) start(i int) *entry {
+	cfg := b.settings(i)
+	e := &entry{name: cfg.Host, dataCentre: cfg.DataCentre, done: make(chan error, 1)}
+	log := zerolog.New(b.log).With().Str("at", cfg.Host).Timestamp().Logger()
+	e.checker = &checker.Checker{Log: log, Fail: func(v checker.Violation) { b.t.Errorf("violation on %s: %v", cfg.Host, v) }}
+	e.Host = &runner.Host{
+		Settings: cfg, Log: log, Checker: e.checker, Listen: b.net.Listen, Dial: b.net.Dialer(cfg.DataCentre),
+		Seed: b.seed*100 + uint64(i) + 1,
+	}
+	for _, ep := range []loader.Endpoint{cfg.Callers, cfg.Peer, cfg.Admin} {
+		b.net.Place(ep.Listen, cfg.DataCentre)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stop = cancel
+	go func() { e.done <- e.Run(ctx, nil) }()
+	e.client = &http.Client{Transport: &http.Transport{
+		DialContext:       b.net.Dialer("caller"),
+		DisableKeepAlives: true,
+	}}
+	b.hosts[i] = e
+	return e
+}
+
+// kill ends a host as SIGKILL would.
+func (b *bench) kill(i int) {
+	b.hosts[i].Kill()
+	<-b.hosts[i].done
+	b.hosts[i].stop()
+	b.hosts[i] = nil
+}
+
+func (b *bench) close() {
+	for i, e := range b.hosts {
+		if e != nil {
+			b.kill(i)
+		}
+	}
+	b.world.Close()
+	if b.t.Failed() && testing.Verbose() {
+		b.t.Log(b.log.String())
+	}
+}
+
+func (b *bench) allReady() bool {
+	for _, e := range b.hosts {
+		if e != nil && !e.Ready() {
+			return false
+		}
+	}
+	return true
+}
+
+// await checks a condition ten times a second for at most d of virtual time.
+func (b *bench) await(d time.Duration, ok func() bool) {
+	b.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	b.t.Fatalf("condition not reached in %v", d)
+}
+
+func (b *bench) submit(base int64, cfg *builder.Configuration) int64 {
+	b.t.Helper()
+	src, err := builder.Canonical(cfg)
+	is.New(b.t).NoErr(err)
+	rev, err := watcher.Submit(context.Background(), b.world.Platform, src, base, fmt.Sprint("s", base, rand.Int()), "test")
+	is.New(b.t).NoErr(err)
+	return rev
+}
+
+// reply is a whole answer, or how far it came.
+type reply struct {
+	status int
+	text   string
+	whole  bool
+	refuse *server.ErrorDetail
+	body   string
+	took   time.Duration
+	err    error
+}
+
+// generate asks host i for a stream of tokens.
+func (b *bench) generate(ctx context.Context, i int, prompt string, tokens int) reply {
+	body, _ := json.Marshal(server.Completion{Model: "draft", Prompt: prompt, MaxTokens: tokens, Stream: true})
+	return b.send(ctx, i, http.MethodPost, "/v1/completions", string(body), nil)
+}
+
+func (b *bench) post(i int, path, body string, header map[string]string) reply {
+	return b.send(context.Background(), i, http.MethodPost, path, body, header)
+}
+
+func (b *bench) send(ctx context.Context, i int, method, path, body string, header map[string]string) reply {
+	start := time.Now()
+	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://10.0.0.%d:80%s", i+1, path), strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	client := &http.Client{Transport: &http.Transport{DialContext: b.net.Dialer("caller"), DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{err: err, took: time.Since(start)}
+	}
+	defer resp.Body.Close()
+	out := readReply(resp)
+	out.took = time.Since(start)
+	return out
+}
+
+func readReply(resp *http.Response) reply {
+	out := reply{status: resp.StatusCode}
+	if resp.Header.Get("Content-Type") == "text/event-stream" {
+		readEvents(resp.Body, &out)
+		return out
+	}
+	src, err := io.ReadAll(resp.Body)
+	out.body, out.err = string(src), err
+	var fail server.ErrorBody
+	if json.Unmarshal(src, &fail) == nil && fail.Error.Reason != "" {
+		out.refuse = &fail.Error
+	}
+	out.whole = err == nil && out.refuse == nil
+	return out
+}
+
+func readEvents(r io.Reader, out *reply) {
+	scan := bufio.NewScanner(r)
+	failed := false
+	for scan.Scan() {
+		line := scan.Text()
+		data, ok := strings.CutPrefix(line, "data: ")
+		switch {
+		case line == "event: error":
+			failed = true
+		case !ok:
+		case failed:
+			var fail server.ErrorBody
+			_ = json.Unmarshal([]byte(data), &fail)
+			out.refuse = &fail.Error
+		case data == "[DONE]":
+			out.whole = true
+		default:
+			var chunk struct {
+				Choices []struct {
+					Text string `json:"text"`
+				} `json:"choices"`
+			}
+			_ = json.Unmarshal([]byte(data), &chunk)
+			out.text += chunk.Choices[0].Text
+		}
+	}
+	out.err = scan.Err()
+}
+
+// assertWhole checks that a reply is the whole answer to its own request.
+func (b *bench) assertWhole(r reply, prompt string, tokens int) {
+	b.t.Helper()
+	if r.err != nil || r.refuse != nil || !r.whole {
+		b.t.Errorf("answer to %q not whole: status %d, %+v, %v", prompt, r.status, r.refuse, r.err)
+		return
+	}
+	if want := faker.Answer(prompt, tokens); r.text != want {
+		b.t.Errorf("answer to %q is another: %q", prompt, r.text)
+	}
+}
+
+// assertRefused checks a refusal's reason, that "not run" is as told, and that
+// no engine started what was not run.
+func (b *bench) assertRefused(r reply, reason string, notRun bool) {
+	b.t.Helper()
+	if r.refuse == nil {
+		b.t.Errorf("want refusal %s, have status %d, body %q, text %q, %v", reason, r.status, r.body, r.text, r.err)
+		return
+	}
+	is := is.New(b.t)
+	is.Equal(r.refuse.Reason, reason)
+	is.Equal(r.refuse.NotRun, notRun)
+	if notRun {
+		is.Equal(b.world.Fleet.Started(r.refuse.RequestID), 0)
+		is.Equal(b.world.Services["desk"].Requests(r.refuse.RequestID), 0)
+	}
+}
+
+// load sends generations to all hosts, n at a time each, until stop is called.
+// Every answer is checked.
+func (b *bench) load(n, tokens int, each func(reply)) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i := range b.hosts {
+		for j := range n {
+			wg.Go(func() {
+				for k := 0; ctx.Err() == nil; k++ {
+					prompt := fmt.Sprintf("load %d %d %d", i, j, k)
+					r := b.generate(context.Background(), i, prompt, tokens)
+					if r.whole && r.text != faker.Answer(prompt, tokens) {
+						b.t.Errorf("answer to %q is another: %q", prompt, r.text)
+					}
+					each(r)
+					if !r.whole {
+						time.Sleep(100 * time.Millisecond)
+					}
+				}
+			})
+		}
+	}
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+// lines keeps the log of a bench.
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
--- /dev/null
+++ b/runner/handlers.go
@@ -0,0 +1,265 @@
+package runner
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/pprof"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/sardineward/sardineward/builder"
+	"github.com/sardineward/sardineward/gossiper"
+	"github.com/sardineward/sardineward/peer"
+	"github.com/sardineward/sardineward/tracker"
+	"github.com/sardineward/sardineward/watcher"
+)
+
+// peerService answers other hosts: gossip by the gossiper, the rest here.
+type peerService struct {
+	*gossiper.Gossiper
+	h *Host
+}
+
+// Configuration implements peer.Peer.
+func (p peerService) Configuration(_ context.Context, req *peer.ConfigurationRequest) (*peer.ConfigurationResponse, error) {
+	body, rev := p.h.watch.Serve(req.Part)
+	return &peer.ConfigurationResponse{Body: body, Revision: rev}, nil
+}
+
+// Record implements peer.Peer.
+func (p peerService) Record(_ context.Context, req *peer.RecordRequest) (*peer.RecordResponse, error) {
+	running, abandoned := p.h.dedup.Answer(req.Incarnation, req.Nonce)
+	return &peer.RecordResponse{Running: running, Abandoned: abandoned}, nil
+}
+
+// Status implements peer.Peer.
+func (p peerService) Status(context.Context, *peer.StatusRequest) (*peer.StatusResponse, error) {
+	return &peer.StatusResponse{
+		Host:       p.h.Settings.Host,
+		Revision:   p.h.watch.Revision(),
+		Ready:      p.h.Ready(),
+		Leaving:    p.h.leaving(),
+		Violations: p.h.Checker.Total(),
+	}, nil
+}
+
+func (h *Host) peerHandler() http.Handler {
+	return peer.NewPeerServer(peerService{h.gossip, h})
+}
+
+// HostStatus is one entry host as operators see it.
+type HostStatus struct {
+	Host       string `json:"host"`
+	DataCentre string `json:"dataCentre"`
+	// State is alive, leaving, suspect or dead.
+	State string `json:"state"`
+	// Revision is the one in force there; -1 when it did not answer.
+	Revision   int64 `json:"revision"`
+	Violations int64 `json:"violations"`
+}
+
+// Status is what an operator asks for.
+type Status struct {
+	Host     string `json:"host"`
+	Revision int64  `json:"revision"`
+	// LowestRevision is the lowest in force on any host that answered, and
+	// LowestHost where.
+	LowestRevision int64            `json:"lowestRevision"`
+	LowestHost     string           `json:"lowestHost"`
+	Hosts          []HostStatus     `json:"hosts"`
+	Upstreams      []tracker.Status `json:"upstreams"`
+	// Waiting is how many requests wait on this host, by pipeline or service.
+	Waiting map[string]int `json:"waiting"`
+	// Bounds are in tokens a second, by pipeline: what is declared, and what
+	// of it is up.
+	Bounds map[string]BoundStatus `json:"bounds"`
+}
+
+// BoundStatus is a pipeline's throughput bound, in tokens a second.
+type BoundStatus struct {
+	Declared float64 `json:"declared"`
+	Up       float64 `json:"up"`
+}
+
+// SubmitBody is the body of a submission.
+type SubmitBody struct {
+	// Base is the revision that the operator reviewed.
+	Base int64 `json:"base"`
+	// ID is the same for every try of one submission.
+	ID string `json:"id"`
+	// By says who submits.
+	By string `json:"by"`
+	// Configuration is the text, JSON with comments.
+	Configuration string `json:"configuration"`
+}
+
+// SubmitAnswer is the answer to a submission.
+type SubmitAnswer struct {
+	Revision int64  `json:"revision,omitempty"`
+	Error    string `json:"error,omitempty"`
+	// Have and By tell who won a race.
+	Have int64  `json:"have,omitempty"`
+	By   string `json:"by,omitempty"`
+}
+
+func (h *Host) adminHandler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", h.readyz)
+	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(h.meter.Registry, promhttp.HandlerOpts{})))
+	e.GET("/admin/v1/status", func(c echo.Context) error { return c.JSONPretty(http.StatusOK, h.Status(c.Request().Context()), "  ") })
+	e.GET("/admin/v1/configuration", h.configuration)
+	e.POST("/admin/v1/submit", h.submit, h.authorised)
+	e.POST("/admin/v1/drain/:upstream", h.drain, h.authorised)
+	e.GET("/debug/pprof/", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
+	e.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
+	e.GET("/debug/pprof/:name", func(c echo.Context) error {
+		pprof.Handler(c.Param("name")).ServeHTTP(c.Response(), c.Request())
+		return nil
+	})
+	return e
+}
+
+// authorised lets a change pass only with the administration key.
+func (h *Host) authorised(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		key, _ := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+		want := h.Settings.AdminKeyHash
+		if want == "" || subtle.ConstantTimeCompare([]byte(builder.HashKey(key)), []byte(want)) != 1 {
+			return c.JSON(http.StatusUnauthorized, SubmitAnswer{Error: "want Authorization: Bearer with the administration key"})
+		}
+		return next(c)
+	}
+}
+
+func (h *Host) readyz(c echo.Context) error {
+	if !h.Ready() {
+		return c.String(http.StatusServiceUnavailable, "not ready\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+func (h *Host) configuration(c echo.Context) error {
+	cfg := h.watch.Current()
+	if cfg == nil {
+		return c.JSON(http.StatusNotFound, SubmitAnswer{Error: "no configuration in force"})
+	}
+	src, err := builder.Canonical(cfg)
+	if err != nil {
+		return err
+	}
+	return c.Blob(http.StatusOK, "application/json", src)
+}
+
+func (h *Host) submit(c echo.Context) error {
+	const most = 64 << 20
+	var in SubmitBody
+	dec := json.NewDecoder(io.LimitReader(c.Request().Body, most))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&in); err != nil || in.ID == "" {
+		return c.JSON(http.StatusBadRequest, SubmitAnswer{Error: "want base, id, by and configuration"})
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), 30*time.Second)
+	defer cancel()
+	rev, err := watcher.Submit(ctx, h.store, []byte(in.Configuration), in.Base, in.ID, in.By)
+	var conflict *watcher.Conflict
+	switch {
+	case errors.As(err, &conflict):
+		return c.JSON(http.StatusConflict, SubmitAnswer{Error: err.Error(), Have: conflict.Have, By: conflict.By})
+	case ctx.Err() != nil:
+		return c.JSON(http.StatusServiceUnavailable, SubmitAnswer{Error: "the platform did not settle the submission in time; submit again with the same id"})
+	case err != nil:
+		return c.JSON(http.StatusUnprocessableEntity, SubmitAnswer{Error: err.Error()})
+	}
+	h.gossip.Publish(true, &peer.Item{Kind: peer.ItemKind_ITEM_KIND_REVISION, Incarnation: rev})
+	return c.JSON(http.StatusOK, SubmitAnswer{Revision: rev})
+}
+
+// drain marks an upstream as leaving on all hosts, until it has a newer
+// incarnation.
+func (h *Host) drain(c echo.Context) error {
+	name := c.Param("upstream")
+	if _, ok := h.track.Upstream(name); !ok {
+		return c.JSON(http.StatusNotFound, SubmitAnswer{Error: "no upstream " + name})
+	}
+	inc := h.track.Incarnation(name)
+	h.track.Leave(name, inc)
+	news{h}.Leaving(name, inc)
+	h.Log.Info().Str("upstream", name).Int64("incarnation", inc).Msg("runner: upstream drained by an operator")
+	return c.JSON(http.StatusOK, struct{}{})
+}
+
+// Status asks every host for its revision; it is for operators, and its cost
+// grows with the fleet only when one asks.
+func (h *Host) Status(ctx context.Context) Status {
+	now := time.Now()
+	st := Status{
+		Host:      h.Settings.Host,
+		Revision:  h.watch.Revision(),
+		Hosts:     h.hostStatuses(ctx),
+		Upstreams: h.track.Statuses(now),
+		Waiting:   h.admit.Waiting(),
+		Bounds:    make(map[string]BoundStatus),
+	}
+	st.LowestRevision = -1
+	for _, one := range st.Hosts {
+		if one.Revision >= 0 && (st.LowestRevision < 0 || one.Revision < st.LowestRevision) {
+			st.LowestRevision, st.LowestHost = one.Revision, one.Host
+		}
+	}
+	if cfg := h.watch.Current(); cfg != nil {
+		for _, p := range cfg.Pipelines {
+			declared, _ := h.track.Bound(now, p.Name, true)
+			up, _ := h.track.Bound(now, p.Name, false)
+			st.Bounds[p.Name] = BoundStatus{Declared: declared, Up: up}
+		}
+	}
+	return st
+}
+
+func (h *Host) hostStatuses(ctx context.Context) []HostStatus {
+	const atOnce = 64
+	items := h.gossip.All(peer.ItemKind_ITEM_KIND_HOST)
+	out := make([]HostStatus, len(items))
+	gate := make(chan struct{}, atOnce)
+	var wg sync.WaitGroup
+	for i, it := range items {
+		out[i] = HostStatus{Host: it.Key, DataCentre: it.Host.GetDataCentre(), State: stateName(it.State), Revision: -1}
+		if it.State == gossiper.HostDead {
+			continue
+		}
+		gate <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-gate }()
+			one, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			if resp, err := h.gossip.Dial(it.Host.GetAddress()).Status(one, &peer.StatusRequest{}); err == nil {
+				out[i].Revision, out[i].Violations = resp.Revision, resp.Violations
+			}
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+func stateName(s int32) string {
+	switch s {
+	case gossiper.HostAlive:
+		return "alive"
+	case gossiper.HostLeaving:
+		return "leaving"
+	case gossiper.HostSuspect:
+		return "suspect"
+	default:
+		return "dead"
+	}
+}
--- /dev/null
+++ b/runner/path_test.go
@@ -0,0 +1,26 @@
+package runner_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestPath sends one of each kind of request through every host.
+func TestPath(t *testing.T) {
+	run(t, 1, func(b *bench) {
+		for i := range b.hosts {
+			prompt := fmt.Sprint("quote ", i)
+			b.assertWhole(b.generate(context.Background(), i, prompt, 10), prompt, 10)
+			id := fmt.Sprintf(`{"id":"b-%d"}`, i)
+			first := b.post(i, "/services/desk/bookings", id, nil)
+			again := b.post((i+1)%4, "/services/desk/bookings", id, nil)
+			is := is.New(t)
+			is.Equal(first.status, 200)
+			is.Equal(again.body, first.body)
+			is.Equal(b.world.Services["desk"].Runs(fmt.Sprint("b-", i)), 1)
+		}
+	})
+}
--- /dev/null
+++ b/server/caller.go
@@ -0,0 +1,129 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/sardineward/sardineward/checker"
+	"github.com/sardineward/sardineward/streamer"
+)
+
+// ServiceRequest is a call of a plain service.
+type ServiceRequest struct {
+	Method, Path, Query, ContentType string
+	// Key is the idempotency key; empty for calls that may be repeated.
+	Key       string
+	RequestID string
+	Workspace string
+	Body      []byte
+}
+
+// ServiceResponse is its whole answer.
+type ServiceResponse struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Caller is the seam to plain services.
+type Caller interface {
+	// Call wraps streamer.ErrNotSent when the instance certainly did not start
+	// the call. once forbids that anything below sends it a second time.
+	Call(ctx context.Context, address string, req *ServiceRequest, once bool) (*ServiceResponse, error)
+}
+
+// DeclinedError is an instance's word that it did not start a call.
+type DeclinedError struct {
+	Status int
+}
+
+// Error gives the status.
+func (e *DeclinedError) Error() string {
+	return fmt.Sprintf("instance declined with status %d", e.Status)
+}
+
+// Unwrap makes it an ErrNotSent.
+func (e *DeclinedError) Unwrap() error { return streamer.ErrNotSent }
+
+const (
+	// notRunHeader is set by an instance that declines a call it didn't start.
+	notRunHeader = "Not-Run"
+	// maxResponse bounds an instance's answer, in bytes.
+	maxResponse = 16 << 20
+)
+
+// HTTPCaller calls plain services over HTTP.
+type HTTPCaller struct {
+	// Shared is for calls that may be repeated. Once makes a new connection for
+	// every call: net/http sends a request again by itself when a kept
+	// connection turns out closed and the request has an Idempotency-Key header
+	// and no body, so a booking could be sent twice with no retry of ours.
+	Shared, Once *http.Client
+}
+
+// Call implements Caller.
+func (c *HTTPCaller) Call(ctx context.Context, address string, in *ServiceRequest, once bool) (*ServiceResponse, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) {
+			if connected.CompareAndSwap(false, true) {
+				checker.Sent(ctx)
+			}
+		},
+	})
+	req, err := newRequest(ctx, address, in)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", streamer.ErrNotSent, err)
+	}
+	client := c.Shared
+	if once {
+		client = c.Once
+	}
+	resp, err := client.Do(req)
+	if err != nil && !connected.Load() {
+		return nil, fmt.Errorf("%w: %w", streamer.ErrNotSent, err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(notRunHeader) == "true" {
+		checker.Declined(ctx)
+		return nil, &DeclinedError{resp.StatusCode}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse+1))
+	if err != nil {
+		return nil, fmt.Errorf("reading answer: %w", err)
+	}
+	if len(body) > maxResponse {
+		return nil, errors.New("answer is too large")
+	}
+	return &ServiceResponse{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
+
+func newRequest(ctx context.Context, address string, in *ServiceRequest) (*http.Request, error) {
+	url := "http://" + address + in.Path
+	if in.Query != "" {
+		url += "?" + in.Query
+	}
+	req, err := http.NewRequestWithContext(ctx, in.Method, url, bytes.NewReader(in.Body))
+	if err != nil {
+		return nil, err
+	}
+	h := req.Header
+	if in.ContentType != "" {
+		h.Set("Content-Type", in.ContentType)
+	}
+	if in.Key != "" {
+		h.Set(keyHeader, in.Key)
+	}
+	h.Set("X-Request-Id", in.RequestID)
+	h.Set("X-Workspace", in.Workspace)
+	return req, nil
+}
--- /dev/null
+++ b/server/services.go
@@ -0,0 +1,347 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sardineward/sardineward/admitter"
+	"github.com/sardineward/sardineward/builder"
+	"github.com/sardineward/sardineward/deduplicator"
+	"github.com/sardineward/sardineward/picker"
+	"github.com/sardineward/sardineward/streamer"
+	"github.com/sardineward/sardineward/tracker"
+)
+
+// serviceAttempts bounds the instances that one idempotent call is sent to.
+const serviceAttempts = 3
+
+// keyHeader carries a caller's idempotency key.
+const keyHeader = "Idempotency-Key"
+
+// service answers a call of a plain service.
+func (s *Server) service(k *call) error {
+	svc := k.catalogue.services[k.serviceName]
+	if svc == nil {
+		return refusal(admitter.ReasonUnknown, "no service "+k.serviceName)
+	}
+	if !slices.Contains(k.workspace.Services, svc.Name) {
+		return refusal(admitter.ReasonForbidden, "workspace may not call service "+svc.Name)
+	}
+	decl, ok := declared(svc, k.r.Method, k.path)
+	if !ok {
+		return refusal(admitter.ReasonUnknown, "service "+svc.Name+" declares no "+k.r.Method+" "+k.path)
+	}
+	p := &passage{call: k, svc: svc, decl: decl}
+	p.fingerprint = xxhash.Sum64String(strings.Join([]string{k.workspace.Name, svc.Name, k.r.Method, k.path, string(k.body)}, "\x00"))
+	if decl.Idempotent {
+		return p.idempotent()
+	}
+	return p.once()
+}
+
+// declared finds the declaration of a call. GET and HEAD are idempotent unless
+// declared otherwise; of any other call nothing is assumed.
+func declared(svc *builder.Service, method, path string) (builder.Call, bool) {
+	for _, c := range svc.Calls {
+		if string(c.Method) != method {
+			continue
+		}
+		prefix, open := strings.CutSuffix(c.Path, "*")
+		if c.Path == path || open && strings.HasPrefix(path, prefix) {
+			return c, true
+		}
+	}
+	safe := method == http.MethodGet || method == http.MethodHead
+	return builder.Call{Method: builder.CallMethod(method), Path: path, Idempotent: true}, safe
+}
+
+// passage is one call of a plain service under way.
+type passage struct {
+	*call
+	svc         *builder.Service
+	decl        builder.Call
+	fingerprint uint64
+	avoid       []string
+	attempts    int
+}
+
+// group names what the call waits for.
+func (p *passage) group() string { return "service/" + p.svc.Name }
+
+// enter waits for an instance. The name of this passage differs by attempt, so
+// that one attempt's end isn't taken for another's.
+func (p *passage) enter(ctx context.Context) (instance, flight string, err error) {
+	p.attempts++
+	flight = p.id + "/" + strconv.Itoa(p.attempts)
+	tk := admitter.Ticket{Workspace: p.workspace.Name, Group: p.group(), Priority: p.workspace.Priority, Cost: 1, Deadline: p.deadline}
+	req := tracker.Request{ID: flight, Fingerprint: p.fingerprint, Avoid: p.avoid}
+	route, refused := p.Router.Admitter.Acquire(ctx, time.Now(), tk, func() (picker.Route, bool) {
+		name := p.Router.Tracker.AcquireOne(time.Now(), p.svc.Upstreams, req)
+		return picker.Route{{Upstream: name}}, name != ""
+	})
+	if refused != nil {
+		return "", "", refused
+	}
+	return route[0].Upstream, flight, nil
+}
+
+func (p *passage) leave(instance, flight string, cause streamer.Cause) {
+	if cause != streamer.CauseNone {
+		p.Router.Lost(instance, cause)
+	}
+	p.Router.Tracker.Release([]string{instance}, flight)
+	p.Router.Admitter.Wake(time.Now(), p.group())
+}
+
+func (p *passage) request(key string) *ServiceRequest {
+	return &ServiceRequest{
+		Method:      p.r.Method,
+		Path:        p.path,
+		Query:       p.r.URL.RawQuery,
+		ContentType: p.r.Header.Get("Content-Type"),
+		Key:         key,
+		RequestID:   p.id,
+		Workspace:   p.workspace.Name,
+		Body:        p.body,
+	}
+}
+
+// idempotent sends the call, again to another instance when one fails.
+func (p *passage) idempotent() error {
+	if refused := p.Router.Admit(p.workspace.Name, p.fingerprint); refused != nil {
+		return refused
+	}
+	ctx, cancel := context.WithDeadline(p.r.Context(), p.deadline)
+	defer cancel()
+	for {
+		instance, flight, err := p.enter(ctx)
+		if err != nil {
+			return err
+		}
+		resp, err := p.send(ctx, instance, "")
+		cause := causeOf(ctx, err)
+		p.leave(instance, flight, cause)
+		if err == nil {
+			p.Router.Budget.Earn()
+			return p.answer(resp)
+		}
+		if err := p.again(ctx, instance, cause, err); err != nil {
+			return err
+		}
+	}
+}
+
+// again reports why an idempotent call is not sent once more.
+func (p *passage) again(ctx context.Context, instance string, cause streamer.Cause, err error) error {
+	switch {
+	case p.r.Context().Err() != nil:
+		return &admitter.Refusal{Reason: admitter.ReasonCanceled}
+	case ctx.Err() != nil:
+		return &admitter.Refusal{Reason: admitter.ReasonDeadline, RetryAfter: p.Router.Admitter.RetryAfter(p.group())}
+	case p.attempts >= serviceAttempts:
+		return &admitter.Refusal{Reason: admitter.ReasonUpstream, RetryAfter: time.Second, NotRun: true, Detail: err.Error()}
+	case cause != streamer.CauseConnect && cause != streamer.CauseLeaving && !p.Router.Budget.Spend():
+		return &admitter.Refusal{Reason: admitter.ReasonRetryBudget, RetryAfter: time.Second, Detail: err.Error()}
+	}
+	p.Meter.Retries.WithLabelValues(cause.String()).Inc()
+	p.avoid = append(p.avoid, instance)
+	return nil
+}
+
+// once runs a call that may not be repeated.
+func (p *passage) once() error {
+	key, err := p.key()
+	if err != nil {
+		return err
+	}
+	if refused := p.Router.Admit(p.workspace.Name, p.fingerprint); refused != nil {
+		return refused
+	}
+	// The context outlives the caller: a call that was sent is seen to its end,
+	// so that its outcome can be recorded for the repeat.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(p.r.Context()), p.deadline)
+	defer cancel()
+	if key == "" {
+		out, sent, known := p.dispatch(ctx, "")
+		return p.conclude(out, sent, known)
+	}
+	c := deduplicator.Call{RequestID: p.id, Key: p.keyHash(key), Digest: p.digest()}
+	out, _, err := p.Deduplicator.Do(ctx, c, func(ctx context.Context) (deduplicator.Outcome, bool, bool) {
+		return p.dispatch(ctx, key)
+	})
+	if err != nil {
+		return onceRefusal(err)
+	}
+	return p.answer(&ServiceResponse{Status: out.Status, ContentType: out.ContentType, Body: out.Body})
+}
+
+// key finds the idempotency key. It is empty only for a single-shot call.
+func (p *passage) key() (string, error) {
+	if key := p.r.Header.Get(keyHeader); key != "" {
+		return key, nil
+	}
+	if p.decl.KeyPointer != "" {
+		if key, ok := lookUp(p.body, p.decl.KeyPointer); ok {
+			return key, nil
+		}
+	}
+	if p.decl.SingleShot {
+		return "", nil
+	}
+	where := "want header " + keyHeader
+	if p.decl.KeyPointer != "" {
+		where += " or " + p.decl.KeyPointer + " in the body"
+	}
+	return "", refusal(admitter.ReasonNoKey, where)
+}
+
+func (p *passage) keyHash(key string) string {
+	return hashAll(p.workspace.Name, p.svc.Name, p.r.Method, p.decl.Path, key)
+}
+
+func (p *passage) digest() string {
+	return hashAll(p.r.Method, p.path, p.r.URL.RawQuery, string(p.body))
+}
+
+func hashAll(parts ...string) string {
+	h := sha256.New()
+	for _, s := range parts {
+		h.Write([]byte(strconv.Itoa(len(s)) + ":" + s))
+	}
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
+
+// dispatch sends a call that may not be repeated. It goes on to another
+// instance only while no byte was sent.
+func (p *passage) dispatch(ctx context.Context, key string) (out deduplicator.Outcome, sent, known bool) {
+	for p.attempts < serviceAttempts {
+		instance, flight, err := p.enter(ctx)
+		if err != nil {
+			return out, false, false
+		}
+		resp, err := p.send(ctx, instance, key)
+		cause := causeOf(ctx, err)
+		p.leave(instance, flight, cause)
+		if err == nil {
+			return deduplicator.Outcome{Status: resp.Status, ContentType: resp.ContentType, Body: resp.Body}, true, true
+		}
+		if !errors.Is(err, streamer.ErrNotSent) {
+			return out, true, false
+		}
+		p.Meter.Retries.WithLabelValues(cause.String()).Inc()
+		p.avoid = append(p.avoid, instance)
+	}
+	return out, false, false
+}
+
+func (p *passage) send(ctx context.Context, instance, key string) (*ServiceResponse, error) {
+	u, ok := p.Router.Tracker.Upstream(instance)
+	if !ok {
+		return nil, streamer.ErrNotSent
+	}
+	resp, err := p.Services.Call(ctx, u.Address, p.request(key), !p.decl.Idempotent)
+	p.started = p.started || !errors.Is(err, streamer.ErrNotSent)
+	return resp, err
+}
+
+func (p *passage) conclude(out deduplicator.Outcome, sent, known bool) error {
+	switch {
+	case !sent:
+		return &admitter.Refusal{Reason: admitter.ReasonNoRoute, NotRun: true, RetryAfter: time.Second}
+	case !known:
+		return onceRefusal(deduplicator.ErrUnknown)
+	}
+	return p.answer(&ServiceResponse{Status: out.Status, ContentType: out.ContentType, Body: out.Body})
+}
+
+func onceRefusal(err error) *admitter.Refusal {
+	switch {
+	case errors.Is(err, deduplicator.ErrRunning):
+		return &admitter.Refusal{Reason: admitter.ReasonRunning, RetryAfter: time.Second, Detail: "an earlier call with this key is running"}
+	case errors.Is(err, deduplicator.ErrUnknown):
+		return &admitter.Refusal{Reason: admitter.ReasonOutcomeUnknown, Detail: "the call was sent and its outcome is not known; it is never sent again"}
+	case errors.Is(err, deduplicator.ErrKeyReused):
+		return &admitter.Refusal{Reason: admitter.ReasonKeyReused, NotRun: true, Detail: "the key came before with another request"}
+	case errors.Is(err, deduplicator.ErrNotDispatched):
+		return &admitter.Refusal{Reason: admitter.ReasonNoRoute, NotRun: true, RetryAfter: time.Second, Detail: "no instance could take it"}
+	default:
+		return &admitter.Refusal{
+			Reason: admitter.ReasonPlatform, NotRun: true, RetryAfter: time.Second,
+			Detail: "this request was not run; whether an earlier one with its key was can't be told now",
+		}
+	}
+}
+
+func causeOf(ctx context.Context, err error) streamer.Cause {
+	var declined *DeclinedError
+	switch {
+	case err == nil:
+		return streamer.CauseNone
+	case errors.As(err, &declined):
+		return streamer.CauseLeaving
+	case errors.Is(err, streamer.ErrNotSent):
+		return streamer.CauseConnect
+	case ctx.Err() != nil:
+		return streamer.CauseDeadline
+	default:
+		return streamer.CauseBroken
+	}
+}
+
+func (p *passage) answer(resp *ServiceResponse) error {
+	p.Meter.Requests.WithLabelValues(p.workspace.Name, "service").Inc()
+	p.limitWrite()
+	if resp.ContentType != "" {
+		p.w.Header().Set("Content-Type", resp.ContentType)
+	}
+	p.w.WriteHeader(resp.Status)
+	p.begun = true
+	if _, err := p.w.Write(resp.Body); err != nil {
+		p.Log.Info().Str("requestId", p.id).Err(err).Msg("server: caller went away at the end")
+	}
+	return nil
+}
+
+// lookUp finds a string or number at a JSON pointer.
+func lookUp(body []byte, pointer string) (string, bool) {
+	var at any
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.UseNumber()
+	if dec.Decode(&at) != nil {
+		return "", false
+	}
+	for _, token := range strings.Split(pointer, "/")[1:] {
+		token = strings.NewReplacer("~1", "/", "~0", "~").Replace(token)
+		switch v := at.(type) {
+		case map[string]any:
+			at = v[token]
+		case []any:
+			i, err := strconv.Atoi(token)
+			if err != nil || i < 0 || i >= len(v) {
+				return "", false
+			}
+			at = v[i]
+		default:
+			return "", false
+		}
+	}
+	switch v := at.(type) {
+	case string:
+		return v, v != ""
+	case json.Number:
+		return v.String(), true
+	default:
+		return "", false
+	}
+}
