watcher: pull a revision again until it is in force

Cause: a host that joined heard of a revision in its first exchange, before it knew any peer to ask; the one pull failed and nothing tried again. Seen in TestStalePlatform: a fresh host beside a platform answering from an old copy stayed at revision 1 for good while its peers had 2. Ruled out: the peers' answer (they had the parts) and gossip (the item was there).

Change: the highest revision heard of is kept as a target and pulled each period until it is reached; a host behind its target is not ready.

Before: TestStalePlatform 'condition not reached in 20s'.

--- a/faker/engine.go
+++ b/faker/engine.go
@@ -151,9 +151,26 @@
 	// Hits and Misses count prompts by whether their prefix was cached, Crashes
 	// how often it died of a prompt, Loads the orders it followed.
 	Hits, Misses, Crashes, Loads int
-	// MidRange makes it answer with other layers than asked, as one reloaded
-	// in mid-stream does.
-	MidRange bool
+	// midRange is until when it answers with other layers than asked.
+	midRange time.Time
+}
+
+// MidRangeFor makes it run other layers than asked for a while, as one that is
+// reloaded in mid-stream does.
+func (e *Engine) MidRangeFor(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.midRange = time.Now().Add(d)
+}
+
+// ran is the span it runs when asked for s.
+func (e *Engine) ran(s streamer.Span) streamer.Span {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if time.Now().Before(e.midRange) {
+		s.First++
+	}
+	return s
 }
 
 type step struct {
--- a/faker/generate.go
+++ b/faker/generate.go
@@ -129,11 +129,7 @@
 			return nil, refusal
 		}
 		at = next.Upstream.DataCentre
-		sp := s.Span
-		if next.MidRange {
-			sp.First++
-		}
-		fr.Spans = append(fr.Spans, sp)
+		fr.Spans = append(fr.Spans, next.ran(s.Span))
 	}
 	wait(ctx, e.fleet.latency(at, e.Upstream.DataCentre))
 	return fr, nil
--- a/faker/network.go
+++ b/faker/network.go
@@ -9,10 +9,15 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
+	"time"
 )
 
+// dialTimeout is how long a dial over a cut link hangs.
+const dialTimeout = 2 * time.Second
+
 // Network connects listeners and dialers in memory, so that whole hosts run in
 // virtual time. Places (hosts, data centres) can be cut off from each other.
 type Network struct {
@@ -93,8 +98,8 @@
 	l := n.listeners[address]
 	n.mu.Unlock()
 	if cut {
-		<-ctx.Done()
-		return nil, ctx.Err()
+		wait(ctx, dialTimeout)
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
 	}
 	if l == nil {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
--- a/runner/bench_test.go
+++ b/runner/bench_test.go
@@ -153,6 +153,7 @@
 	for _, ep := range []loader.Endpoint{cfg.Callers, cfg.Peer, cfg.Admin} {
 		b.net.Place(ep.Listen, cfg.DataCentre)
 	}
+	is.New(b.t).NoErr(e.Build())
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop = cancel
 	go func() { e.done <- e.Run(ctx, nil) }()
--- a/runner/build.go
+++ b/runner/build.go
@@ -36,8 +36,15 @@
 	patience = 5 * time.Second
 )
 
-// build makes all parts and joins them. Nothing runs yet.
+// Build makes all parts and joins them. Nothing runs yet, but every other
+// method may be called. Run does it where it wasn't done.
+func (h *Host) Build() error {
+	h.buildOnce.Do(func() { h.buildErr = h.build() })
+	return h.buildErr
+}
+
 func (h *Host) build() error {
+	h.killed = make(chan struct{})
 	h.defaults()
 	if err := h.loadPeerTLS(); err != nil {
 		return err
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -79,21 +79,21 @@
 	store   *storer.Client
 	peerTLS *tls.Config
 
-	killed             chan struct{}
-	initOnce, killOnce sync.Once
-	mu                 sync.Mutex
-	clients            map[string]peer.Peer
-	servers            []*http.Server
-	conns              *http.Transport
-	peerConns          *http.Transport
+	killed              chan struct{}
+	buildOnce, killOnce sync.Once
+	buildErr            error
+	mu                  sync.Mutex
+	clients             map[string]peer.Peer
+	servers             []*http.Server
+	conns               *http.Transport
+	peerConns           *http.Transport
 }
 
 // Run answers until ctx ends, then stops gracefully. cut ends the stop early;
 // nil never does. The error tells of an address that can't be listened on, or
 // of requests that were cut off.
 func (h *Host) Run(ctx context.Context, cut <-chan struct{}) error {
-	h.init()
-	if err := h.build(); err != nil {
+	if err := h.Build(); err != nil {
 		return err
 	}
 	work, endWork := context.WithCancel(context.WithoutCancel(ctx))
@@ -122,14 +122,9 @@
 
 // Kill makes Run end at once and tell nobody, as a crash would.
 func (h *Host) Kill() {
-	h.init()
 	h.killOnce.Do(func() { close(h.killed) })
 }
 
-func (h *Host) init() {
-	h.initOnce.Do(func() { h.killed = make(chan struct{}) })
-}
-
 func (h *Host) close() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -290,7 +285,7 @@
 
 // Ready reports whether the host can answer callers.
 func (h *Host) Ready() bool {
-	return h.watch.Revision() > 0 && !h.leaving()
+	return !h.watch.Behind() && !h.leaving()
 }
 
 func (h *Host) leaving() bool {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -86,7 +86,9 @@
 	Log     zerolog.Logger
 
 	revision atomic.Int64
-	wake     chan int64
+	// target is the highest revision heard of.
+	target atomic.Int64
+	wake   chan struct{}
 	mu       sync.Mutex
 	head     []byte
 	parts    map[string][]byte
@@ -94,7 +96,7 @@
 }
 
 // Start makes the watcher ready; call it before any other method.
-func (w *Watcher) Start() { w.wake = make(chan int64, 1) }
+func (w *Watcher) Start() { w.wake = make(chan struct{}, 1) }
 
 // Revision is the one in force; 0 means none yet.
 func (w *Watcher) Revision() int64 { return w.revision.Load() }
@@ -108,16 +110,31 @@
 
 // Heard tells that a revision exists somewhere.
 func (w *Watcher) Heard(revision int64) {
-	if revision <= w.Revision() {
-		return
+	for {
+		old := w.target.Load()
+		if revision <= old {
+			return
+		}
+		if w.target.CompareAndSwap(old, revision) {
+			break
+		}
 	}
 	select {
-	case w.wake <- revision:
+	case w.wake <- struct{}{}:
 	default:
 	}
 }
 
-// Run keeps the configuration in force until ctx ends.
+// Behind reports whether a higher revision than the one in force exists, or
+// none is in force yet.
+func (w *Watcher) Behind() bool {
+	rev := w.Revision()
+	return rev == 0 || rev < w.target.Load()
+}
+
+// Run keeps the configuration in force until ctx ends. A pull that failed is
+// tried again each period: a host that joins hears of the revision before it
+// knows a peer to ask.
 func (w *Watcher) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -126,12 +143,11 @@
 		select {
 		case <-ctx.Done():
 			return
-		case rev := <-w.wake:
-			w.pull(ctx, rev)
+		case <-w.wake:
 		case <-time.After(w.Period):
-			if w.Revision() == 0 {
-				w.pull(ctx, 1)
-			}
+		}
+		if w.Behind() {
+			w.pull(ctx, max(1, w.target.Load()))
 		}
 	}
 }
