router: tell a request that crashes engines from those beside it

Cause, found by TestPoison and TestDataCentreLost (seen red first): 1. Innocent requests struck by the first crash were retried by other hosts onto the engine where the cause was retried too; both had two strikes and both were refused (422 quarantined). 2. When a data centre went, several engines of one route fell within milliseconds, and each counted as a crash against what was in flight. 3. Bookings with other keys and equal bodies shared a fingerprint. Ruled out: strikes from an old incarnation (keys name it), lapsed ones.

Change: one strike a route; strikes are left out when two other upstreams fell with it where the request was not; two strikes refuse only a fingerprint that no other shares, three in any case, after 100 ms for other hosts' news; suspects are scattered over engines by hash; the key is part of the fingerprint.

deduplicator: a repeat that came as its first call ended was told 'outcome unknown' (TestRepeatsAtOnce): the host was asked twice, and in between the call had ended. It is asked once. An answer waits up to 250 ms for its record.

--- a/deduplicator/bucket.go
+++ b/deduplicator/bucket.go
@@ -125,7 +125,7 @@
 		if !errors.Is(err, storer.ErrConflict) {
 			b.stale()
 			b.d.Log.Debug().Int("bucket", b.id).Err(err).Msg("deduplicator: commit failed")
-			time.Sleep(retryPause)
+			b.d.sleep(retryPause)
 		}
 	}
 }
@@ -134,7 +134,7 @@
 	now := time.Now()
 	kept := batch[:0]
 	for _, op := range batch {
-		if op.until.After(now) {
+		if op.until.After(now) && !b.d.stopped() {
 			kept = append(kept, op)
 			continue
 		}
--- a/deduplicator/deduplicator.go
+++ b/deduplicator/deduplicator.go
@@ -82,11 +82,13 @@
 	// dispatched, or whose outcome isn't recorded.
 	live map[string]bool
 	wg   sync.WaitGroup
+	done chan struct{}
 }
 
 // Start makes the buckets; call it before any other method.
 func (d *Deduplicator) Start() {
 	d.live = make(map[string]bool)
+	d.done = make(chan struct{})
 	for i := range d.Buckets {
 		d.buckets = append(d.buckets, &bucket{d: d, id: i})
 	}
@@ -95,12 +97,33 @@
 // Wait blocks until every outcome of this process is recorded or given up on.
 func (d *Deduplicator) Wait() { d.wg.Wait() }
 
+// Stop gives up what is not recorded yet; repeats of those calls will be told
+// that the outcome is unknown.
+func (d *Deduplicator) Stop() { close(d.done) }
+
+func (d *Deduplicator) stopped() bool {
+	select {
+	case <-d.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// sleep waits, or ends early at Stop.
+func (d *Deduplicator) sleep(t time.Duration) {
+	select {
+	case <-d.done:
+	case <-time.After(t):
+	}
+}
+
 // Do runs a call, or returns the recorded outcome of an earlier run. ran is
 // false when this call sent no byte.
 func (d *Deduplicator) Do(ctx context.Context, c Call, dispatch Dispatch) (out Outcome, ran bool, err error) {
 	nonce := rand.Text()
 	d.hold(nonce)
-	rec, err := d.claim(ctx, c, nonce)
+	rec, running, err := d.claim(ctx, c, nonce)
 	if err != nil || rec.Nonce != nonce {
 		// Whether or not the record got written, this nonce is never dispatched;
 		// once it isn't live, a repeat that asks is told so and takes over.
@@ -108,23 +131,24 @@
 		if err != nil {
 			return Outcome{}, false, fmt.Errorf("%w: %w", ErrUnsettled, err)
 		}
-		out, err = d.replay(ctx, c, rec)
+		out, err = d.replay(ctx, c, rec, running)
 		return out, false, err
 	}
 	return d.dispatch(ctx, c, rec, dispatch)
 }
 
 // claim returns the record that holds the key. It has the nonce when this call
-// may be dispatched.
-func (d *Deduplicator) claim(ctx context.Context, c Call, nonce string) (Record, error) {
+// may be dispatched. running tells that the host which claimed it says it runs.
+func (d *Deduplicator) claim(ctx context.Context, c Call, nonce string) (rec Record, running bool, err error) {
 	takeOver := ""
 	for {
-		rec, err := d.insert(ctx, c, nonce, takeOver)
+		rec, err = d.insert(ctx, c, nonce, takeOver)
 		if err != nil || rec.Nonce == nonce || rec.State != StateClaimed || rec.Digest != c.Digest {
-			return rec, err
+			return rec, false, err
 		}
-		if !d.abandoned(ctx, rec) {
-			return rec, nil
+		running, abandoned := d.ask(ctx, rec)
+		if !abandoned {
+			return rec, running, nil
 		}
 		takeOver = rec.Nonce
 	}
@@ -146,17 +170,18 @@
 	return op.result, err
 }
 
-func (d *Deduplicator) abandoned(ctx context.Context, rec Record) bool {
-	running, abandoned, err := d.ask(ctx, rec)
-	return err == nil && !running && abandoned
-}
-
-func (d *Deduplicator) ask(ctx context.Context, rec Record) (running, abandoned bool, err error) {
+// ask is Answer of the host that wrote a record. One that can't be asked says
+// neither.
+func (d *Deduplicator) ask(ctx context.Context, rec Record) (running, abandoned bool) {
 	if rec.Host == d.Host {
-		running, abandoned = d.Answer(rec.Incarnation, rec.Nonce)
-		return running, abandoned, nil
+		return d.Answer(rec.Incarnation, rec.Nonce)
 	}
-	return d.Asker.Ask(ctx, rec.Host, rec.Incarnation, rec.Nonce)
+	running, abandoned, err := d.Asker.Ask(ctx, rec.Host, rec.Incarnation, rec.Nonce)
+	if err != nil {
+		d.Log.Info().Str("host", rec.Host).Err(err).Msg("deduplicator: host of a record can't be asked")
+		return false, false
+	}
+	return running, abandoned
 }
 
 // Answer tells another host what became of a nonce of this one. A nonce that
@@ -173,7 +198,7 @@
 }
 
 // replay answers a repeat from the record of the first.
-func (d *Deduplicator) replay(ctx context.Context, c Call, rec Record) (Outcome, error) {
+func (d *Deduplicator) replay(ctx context.Context, c Call, rec Record, running bool) (Outcome, error) {
 	if rec.Digest != c.Digest {
 		return Outcome{}, ErrKeyReused
 	}
@@ -184,8 +209,7 @@
 		return Outcome{}, ErrUnknown
 	case StateClaimed, StateAbandoned:
 	}
-	running, _, err := d.ask(ctx, rec)
-	if err == nil && running {
+	if running {
 		return Outcome{}, ErrRunning
 	}
 	return Outcome{}, ErrUnknown
@@ -231,14 +255,25 @@
 }
 
 // finish records what became of a call, and keeps trying when the platform is
-// out. The nonce stays live until then, so a repeat is told that it runs.
+// out. The nonce stays live until then, so a repeat is told that it runs. The
+// caller's answer waits a moment for the record, so that a repeat that follows
+// it finds the outcome, and the loss of this host doesn't make it unknown.
 func (d *Deduplicator) finish(rec Record, st State, out *Outcome) {
+	const moment = 250 * time.Millisecond
+	recorded := make(chan struct{})
+	defer func() {
+		select {
+		case <-recorded:
+		case <-time.After(moment):
+		}
+	}()
 	d.wg.Go(func() {
+		defer close(recorded)
 		if out != nil && len(out.Body) > inlineBytes {
 			out = d.storeApart(rec, *out)
 		}
-		for !d.record(rec, st, out) {
-			time.Sleep(time.Second)
+		for !d.stopped() && !d.record(rec, st, out) {
+			d.sleep(time.Second)
 		}
 		d.drop(rec.Nonce)
 	})
@@ -271,7 +306,7 @@
 		if err == nil || errors.Is(err, storer.ErrConflict) {
 			break
 		}
-		time.Sleep(time.Second)
+		d.sleep(time.Second)
 	}
 	return &out
 }
--- a/faker/engine.go
+++ b/faker/engine.go
@@ -151,6 +151,7 @@
 	// Hits and Misses count prompts by whether their prefix was cached, Crashes
 	// how often it died of a prompt, Loads the orders it followed.
 	Hits, Misses, Crashes, Loads int
+	begun                        int
 	// midRange is until when it answers with other layers than asked.
 	midRange time.Time
 }
@@ -367,7 +368,7 @@
 	defer e.mu.Unlock()
 	switch {
 	case e.isDead():
-		return e.errorf(streamer.KindDown, "not there")
+		return e.errorf(streamer.KindUnreachable, "not there")
 	case e.leaving && first:
 		return e.errorf(streamer.KindLeaving, "leaving")
 	case e.loaded.Model != g.Model || e.loaded.Version != g.Version || s.First < e.loaded.First || s.Last > e.loaded.Last:
@@ -383,6 +384,7 @@
 	if !first {
 		return 1
 	}
+	e.begun++
 	prompt := float64(len(g.Prompt)) / promptWeight
 	if len(g.Prompt) >= prefixBytes && e.cached(xxhash.Sum64String(g.Prompt[:prefixBytes])) {
 		prompt *= cachedPart
@@ -415,6 +417,20 @@
 	e.running = max(0, e.running+n)
 }
 
+// Running is how many sequences it holds.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
+// Begun is how many sequences ran a layer here.
+func (e *Engine) Begun() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.begun
+}
+
 // Loaded returns what it holds.
 func (e *Engine) Loaded() planner.Target {
 	e.mu.Lock()
--- a/faker/generate.go
+++ b/faker/generate.go
@@ -121,7 +121,7 @@
 	for n, s := range g.Route {
 		next := stages[n]
 		if next == nil {
-			return nil, &streamer.EngineError{Kind: streamer.KindDown, Upstream: s.Upstream, Text: "no such engine"}
+			return nil, &streamer.EngineError{Kind: streamer.KindUnreachable, Upstream: s.Upstream, Text: "no such engine"}
 		}
 		wait(ctx, e.fleet.latency(at, next.Upstream.DataCentre))
 		if refusal := next.run(ctx, g, s, first); refusal != nil {
--- a/faker/network.go
+++ b/faker/network.go
@@ -23,10 +23,11 @@
 type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*listener
-	// place is where an address stands; unlisted ones can't be cut off.
-	place map[string]string
-	cut   map[[2]string]bool
-	conns map[*conn]bool
+	// place is where an address stands, alias a second name of that place;
+	// unlisted ones can't be cut off.
+	place, alias map[string]string
+	cut          map[[2]string]bool
+	conns        map[*conn]bool
 }
 
 // NewNetwork returns an empty network.
@@ -34,6 +35,7 @@
 	return &Network{
 		listeners: make(map[string]*listener),
 		place:     make(map[string]string),
+		alias:     make(map[string]string),
 		cut:       make(map[[2]string]bool),
 		conns:     make(map[*conn]bool),
 	}
@@ -46,6 +48,13 @@
 	n.place[address] = place
 }
 
+// Alias gives an address a second place, so that it can be cut off alone.
+func (n *Network) Alias(address, place string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.alias[address] = place
+}
+
 // Cut takes the link between two places away: what is open breaks, what is
 // dialled hangs until its context ends. Mend brings it back.
 func (n *Network) Cut(a, b string) {
@@ -54,7 +63,7 @@
 	n.cut[[2]string{b, a}] = true
 	var broken []*conn
 	for c := range n.conns {
-		if n.cut[[2]string{c.from, c.to}] {
+		if n.isCut(c.from, c.to) {
 			broken = append(broken, c)
 		}
 	}
@@ -64,6 +73,18 @@
 	}
 }
 
+// isCut reports whether any name of one end is cut off from any of the other's.
+func (n *Network) isCut(from, to []string) bool {
+	for _, a := range from {
+		for _, b := range to {
+			if n.cut[[2]string{a, b}] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Mend undoes Cut.
 func (n *Network) Mend(a, b string) {
 	n.mu.Lock()
@@ -84,17 +105,17 @@
 	return l, nil
 }
 
-// Dialer dials from a place.
-func (n *Network) Dialer(from string) func(ctx context.Context, network, address string) (net.Conn, error) {
+// Dialer dials from a place, which may have several names.
+func (n *Network) Dialer(from ...string) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		return n.dial(ctx, from, address)
 	}
 }
 
-func (n *Network) dial(ctx context.Context, from, address string) (net.Conn, error) {
+func (n *Network) dial(ctx context.Context, from []string, address string) (net.Conn, error) {
 	n.mu.Lock()
-	to := n.place[address]
-	cut := n.cut[[2]string{from, to}]
+	to := []string{n.place[address], n.alias[address]}
+	cut := n.isCut(from, to)
 	l := n.listeners[address]
 	n.mu.Unlock()
 	if cut {
@@ -123,7 +144,7 @@
 type conn struct {
 	net.Conn
 	n        *Network
-	from, to string
+	from, to []string
 }
 
 // Close closes both ends, as a pipe does.
--- a/faker/service.go
+++ b/faker/service.go
@@ -13,10 +13,9 @@
 
 // Service is a plain service: its instances share one ledger of what ran.
 type Service struct {
-	// Delay is how long a call takes.
-	Delay time.Duration
-
 	mu sync.Mutex
+	// delay is how long a call takes.
+	delay time.Duration
 	// runs counts calls that may not be repeated, by their key.
 	runs map[string]int
 	// requests counts all calls by request id.
@@ -24,6 +23,13 @@
 	fail     func(r *http.Request) bool
 }
 
+// SetDelay sets how long a call takes.
+func (s *Service) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
 // Runs returns how often a call ran under a key.
 func (s *Service) Runs(key string) int {
 	s.mu.Lock()
@@ -49,6 +55,17 @@
 	return s.requests[id]
 }
 
+// Total returns how many calls arrived.
+func (s *Service) Total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, k := range s.requests {
+		n += k
+	}
+	return n
+}
+
 // FailWhen breaks the connection after the call ran, when f says so.
 func (s *Service) FailWhen(f func(r *http.Request) bool) {
 	s.mu.Lock()
@@ -81,9 +98,9 @@
 	if r.Method != http.MethodGet {
 		s.runs[key]++
 	}
-	fail := s.fail
+	fail, delay := s.fail, s.delay
 	s.mu.Unlock()
-	time.Sleep(s.Delay)
+	time.Sleep(delay)
 	if fail != nil && fail(r) {
 		panic(http.ErrAbortHandler)
 	}
--- a/picker/cheapest.go
+++ b/picker/cheapest.go
@@ -82,7 +82,7 @@
 			out[i] = math.Inf(1)
 			continue
 		}
-		out[i] = math.Pow(1-c.Utilisation(), -steep)
+		out[i] = math.Pow(1-c.Utilisation(), -steep) * (1 + c.Bias)
 		if p.Spread > 0 {
 			out[i] *= 1 + p.Spread*rnd.Float64()
 		}
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -31,6 +31,8 @@
 	Slots float64
 	// Excluded keeps new work off it.
 	Excluded bool
+	// Bias makes it dearer to this request: its cost is times 1+Bias.
+	Bias float64
 	// Preferred marks where the request's prompt prefix is likely cached.
 	Preferred bool
 }
--- a/router/router.go
+++ b/router/router.go
@@ -69,14 +69,10 @@
 // Admit checks what can be told before a request waits: its workspace's limit
 // and quarantine.
 func (r *Router) Admit(workspace string, fingerprint uint64) *admitter.Refusal {
-	now := time.Now()
-	if wait, ok := r.Suspects.Quarantined(now, fingerprint); ok {
-		return &admitter.Refusal{
-			Reason: admitter.ReasonQuarantined, RetryAfter: wait, NotRun: true,
-			Detail: "it was in flight when two upstreams crashed",
-		}
+	if refusal := r.quarantine(fingerprint); refusal != nil {
+		return refusal
 	}
-	if wait, ok := r.Limits.Allow(now, workspace); !ok {
+	if wait, ok := r.Limits.Allow(time.Now(), workspace); !ok {
 		return &admitter.Refusal{Reason: admitter.ReasonRateLimit, RetryAfter: wait, NotRun: true}
 	}
 	return nil
@@ -84,6 +80,11 @@
 
 // Route implements streamer.Router.
 func (r *Router) Route(ctx context.Context, job *streamer.Job, attempt int) ([]streamer.Stage, time.Duration, error) {
+	if attempt > 1 {
+		if refusal := r.reconsider(ctx, job); refusal != nil {
+			return nil, 0, refusal
+		}
+	}
 	now := time.Now()
 	tk := admitter.Ticket{
 		Workspace: job.Workspace,
@@ -104,6 +105,32 @@
 	return r.stages(job, route), r.Tracker.Expect(time.Now(), job.Pipeline, route, r.DataCentre), nil
 }
 
+// reconsider refuses a job that has crashed what runs it. It first waits for
+// what other hosts have to say of the last crash: others may have been struck
+// by the same ones.
+func (r *Router) reconsider(ctx context.Context, job *streamer.Job) *admitter.Refusal {
+	const hearsay = 100 * time.Millisecond
+	if !r.Suspects.Doubtful(time.Now(), job.Fingerprint) {
+		return nil
+	}
+	select {
+	case <-time.After(hearsay):
+	case <-ctx.Done():
+	}
+	return r.quarantine(job.Fingerprint)
+}
+
+func (r *Router) quarantine(fingerprint uint64) *admitter.Refusal {
+	wait, ok := r.Suspects.Quarantined(time.Now(), fingerprint)
+	if !ok {
+		return nil
+	}
+	return &admitter.Refusal{
+		Reason: admitter.ReasonQuarantined, RetryAfter: wait, NotRun: true,
+		Detail: "upstreams crashed while it was in flight, each time",
+	}
+}
+
 // try picks a route now. One that failed the job before is passed over, unless
 // it merely stalled and there is no other.
 func (r *Router) try(job *streamer.Job) (picker.Route, bool) {
@@ -202,12 +229,16 @@
 // Whichever request is the cause was in flight there, so a second crash tells.
 func (r *Router) crashed(now time.Time, upstream string) {
 	inc := r.Tracker.Incarnation(upstream)
-	for _, fp := range r.Tracker.InFlight(upstream) {
+	for _, fp := range r.Tracker.Struck(upstream) {
 		s := tracker.NewStrike(now, fp, upstream, inc)
 		r.Suspects.Add(s)
 		r.News.Strike(s)
 	}
 	r.down(now, upstream)
+	// Whether others fell with it tells a request that crashes engines from a
+	// rack that lost its power.
+	const sample = 6
+	r.News.Doubt(r.Tracker.Beside(upstream, sample))
 }
 
 // Lost draws what a failed call says of an instance of a plain service.
@@ -248,7 +279,6 @@
 }
 
 func (r *Router) verdict(job *streamer.Job, f *streamer.Failure) *admitter.Refusal {
-	now := time.Now()
 	switch f.Cause {
 	case streamer.CauseCaller:
 		return &admitter.Refusal{Reason: admitter.ReasonCanceled}
@@ -258,9 +288,6 @@
 		return &admitter.Refusal{Reason: admitter.ReasonMalformed, NotRun: true, Detail: "the engine can't take it"}
 	default:
 	}
-	if wait, ok := r.Suspects.Quarantined(now, job.Fingerprint); ok {
-		return &admitter.Refusal{Reason: admitter.ReasonQuarantined, RetryAfter: wait, Detail: "it was in flight when two upstreams crashed"}
-	}
 	if f.Attempt >= maxAttempts {
 		return &admitter.Refusal{Reason: admitter.ReasonUpstream, RetryAfter: comeBack, Detail: "too many attempts"}
 	}
--- a/runner/bench_test.go
+++ b/runner/bench_test.go
@@ -99,6 +99,7 @@
 // ready, and runs f in virtual time.
 func run(t *testing.T, seed uint64, f func(b *bench)) {
 	t.Helper()
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, seed, configuration())
 		defer b.close()
@@ -147,12 +148,13 @@
 	log := zerolog.New(b.log).With().Str("at", cfg.Host).Timestamp().Logger()
 	e.checker = &checker.Checker{Log: log, Fail: func(v checker.Violation) { b.t.Errorf("violation on %s: %v", cfg.Host, v) }}
 	e.Host = &runner.Host{
-		Settings: cfg, Log: log, Checker: e.checker, Listen: b.net.Listen, Dial: b.net.Dialer(cfg.DataCentre),
+		Settings: cfg, Log: log, Checker: e.checker, Listen: b.net.Listen, Dial: b.net.Dialer(cfg.DataCentre, fmt.Sprint("peer", i)),
 		Seed: b.seed*100 + uint64(i) + 1,
 	}
 	for _, ep := range []loader.Endpoint{cfg.Callers, cfg.Peer, cfg.Admin} {
 		b.net.Place(ep.Listen, cfg.DataCentre)
 	}
+	b.net.Alias(cfg.Peer.Listen, fmt.Sprint("peer", i))
 	is.New(b.t).NoErr(e.Build())
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop = cancel
@@ -180,6 +182,8 @@
 		}
 	}
 	b.world.Close()
+	// What the services still work on ends by itself.
+	time.Sleep(10 * time.Second)
 	if b.t.Failed() && testing.Verbose() {
 		b.t.Log(b.log.String())
 	}
@@ -235,9 +239,18 @@
 	return b.send(context.Background(), i, http.MethodPost, path, body, header)
 }
 
+// admin asks the administration address of host i for a change.
+func (b *bench) admin(i int, path, body string) reply {
+	return b.sendTo(context.Background(), fmt.Sprintf("10.0.0.%d:82", i+1), http.MethodPost, path, body, map[string]string{"Authorization": "Bearer " + adminKey})
+}
+
 func (b *bench) send(ctx context.Context, i int, method, path, body string, header map[string]string) reply {
+	return b.sendTo(ctx, fmt.Sprintf("10.0.0.%d:80", i+1), method, path, body, header)
+}
+
+func (b *bench) sendTo(ctx context.Context, address, method, path, body string, header map[string]string) reply {
 	start := time.Now()
-	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://10.0.0.%d:80%s", i+1, path), strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		return reply{err: err}
 	}
--- a/runner/build.go
+++ b/runner/build.go
@@ -128,7 +128,7 @@
 		Sharers: func() int { return len(h.gossip.Live()) },
 	}
 	h.track.Configure(&builder.Configuration{})
-	h.susp = new(tracker.Suspects)
+	h.susp = &tracker.Suspects{WentDown: h.track.WentDown}
 	h.admit = &admitter.Admitter[picker.Route]{Queued: h.Settings.Limits.Queued}
 	h.limits = new(admitter.Limits)
 	h.route = &router.Router{
--- a/runner/random_test.go
+++ b/runner/random_test.go
@@ -29,7 +29,6 @@
 	for i := range *seeds {
 		seed := uint64(*from + i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
 			run(t, seed, func(b *bench) {
 				c := &chaos{
 					bench: b, rnd: rand.New(rand.NewPCG(seed, 0)), lostRnd: rand.New(rand.NewPCG(seed, 99)),
--- /dev/null
+++ b/runner/refusal_test.go
@@ -0,0 +1,229 @@
+package runner_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/faker"
+)
+
+// TestRefusals provokes each refusal and checks its reason, that "not run" is
+// as told, and that no upstream started what was not run.
+func TestRefusals(t *testing.T) {
+	run(t, 40, func(b *bench) {
+		for _, row := range []struct {
+			name, reason, path, body string
+			header                   map[string]string
+		}{
+			{"no key", "unauthorised", "/v1/completions", `{}`, map[string]string{"Authorization": ""}},
+			{"wrong key", "unauthorised", "/v1/completions", `{}`, map[string]string{"Authorization": "Bearer x"}},
+			{"no JSON", "malformed", "/v1/completions", `{`, nil},
+			{"no prompt", "malformed", "/v1/completions", `{"model":"draft"}`, nil},
+			{"negative tokens", "malformed", "/v1/completions", `{"model":"draft","prompt":"p","max_tokens":-1}`, nil},
+			{"deadline no number", "malformed", "/v1/completions", `{"model":"draft","prompt":"p"}`, map[string]string{"Deadline-Ms": "soon"}},
+			{"too large", "tooLarge", "/v1/completions", strings.Repeat("x", 1<<20+1), nil},
+			{"no such pipeline", "unknown", "/v1/completions", `{"model":"other","prompt":"p"}`, nil},
+			{"no such path", "unknown", "/v2/completions", `{}`, nil},
+			{"no such service", "unknown", "/services/other/x", ``, nil},
+			{"undeclared call", "unknown", "/services/desk/other", ``, nil},
+			{"other workspace", "forbidden", "/services/desk/search", `{}`, map[string]string{"Authorization": "Bearer " + otherKey}},
+			{"booking without key", "noKey", bookings, `{}`, nil},
+		} {
+			t.Run(row.name, func(*testing.T) {
+				b.assertRefused(b.post(0, row.path, row.body, row.header), row.reason, true)
+			})
+		}
+	})
+}
+
+// TestRefusedKeyReused sends another booking under a key that was used.
+func TestRefusedKeyReused(t *testing.T) {
+	run(t, 41, func(b *bench) {
+		is.New(t).Equal(b.post(0, bookings, `{"id":"k","lot":1}`, nil).status, 200)
+		b.assertRefused(b.post(1, bookings, `{"id":"k","lot":2}`, nil), "keyReused", true)
+		b.assertOnce("k")
+	})
+}
+
+// TestRefusedRateLimit. A workspace is limited to 2 requests a second over all
+// hosts; a burst through all of them is refused at once, with the time to come
+// back.
+func TestRefusedRateLimit(t *testing.T) {
+	run(t, 42, func(b *bench) {
+		body := `{"model":"draft","prompt":"p","max_tokens":1}`
+		refused := 0
+		for n := range 40 {
+			r := b.post(n%4, "/v1/completions", body, map[string]string{"Authorization": "Bearer " + otherKey})
+			if r.refuse != nil {
+				refused++
+				b.assertRefused(r, "rateLimit", true)
+				is.New(t).True(r.refuse.RetryAfter >= 1)
+				is.New(t).Equal(r.took, time.Duration(0))
+			}
+		}
+		is.New(t).True(refused >= 30)
+	})
+}
+
+// TestRefusedDeadline. All engines that hold the first layers are down. The
+// request waits for one, and gets its final answer when it can no longer be met.
+func TestRefusedDeadline(t *testing.T) {
+	run(t, 43, func(b *bench) {
+		for _, e := range b.world.Fleet.Engines() {
+			if e.Upstream.FirstLayer == 0 {
+				b.world.Kill(e.Upstream.Name)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		r := b.send(context.Background(), 0, http.MethodPost, "/v1/completions", `{"model":"draft","prompt":"p"}`, map[string]string{"Deadline-Ms": "700"})
+		b.assertRefused(r, "deadline", true)
+		is.New(t).True(r.took <= 700*time.Millisecond)
+	})
+}
+
+// TestRefusedQueueFull. More requests wait than a host lets.
+func TestRefusedQueueFull(t *testing.T) {
+	run(t, 44, func(b *bench) {
+		for _, e := range b.world.Fleet.Engines() {
+			b.world.Kill(e.Upstream.Name)
+		}
+		time.Sleep(3 * time.Second)
+		most := b.settings(0).Limits.Queued
+		replies := make(chan reply, most+1)
+		for n := range most + 1 {
+			go func() {
+				replies <- b.send(context.Background(), 0, http.MethodPost, "/v1/completions", fmt.Sprintf(`{"model":"draft","prompt":"p%d"}`, n), map[string]string{"Deadline-Ms": "5000"})
+			}()
+		}
+		first := <-replies
+		b.assertRefused(first, "queueFull", true)
+		for range most {
+			<-replies
+		}
+	})
+}
+
+// TestRefusedNotReady asks a host that has no configuration yet.
+func TestRefusedNotReady(t *testing.T) {
+	run(t, 45, func(b *bench) {
+		for i := range b.hosts {
+			b.kill(i)
+		}
+		b.world.Platform.SetFaults(faker.Faults{Out: true})
+		e := b.start(0)
+		time.Sleep(time.Second)
+		is.New(t).True(!e.Ready())
+		b.assertRefused(b.post(0, "/v1/completions", `{}`, nil), "notReady", true)
+	})
+}
+
+// TestRefusedStopping asks a host that no longer takes requests while it
+// finishes others.
+func TestRefusedStopping(t *testing.T) {
+	run(t, 46, func(b *bench) {
+		done := make(chan reply)
+		go func() { done <- b.generate(context.Background(), 0, "long", 1500) }()
+		time.Sleep(time.Second)
+		b.hosts[0].stop()
+		time.Sleep(4 * time.Second)
+		b.assertRefused(b.post(0, "/v1/completions", `{"model":"draft","prompt":"p"}`, nil), "stopping", true)
+		b.assertWhole(<-done, "long", 1500)
+	})
+}
+
+// TestPoison. One request crashes each engine that runs it, and its caller sends
+// it again through every host, several times. It used to take down engine after
+// engine. After two crashes, three where others were struck by both, it is refused
+// everywhere, and requests that were batched with it are answered.
+func TestPoison(t *testing.T) {
+	run(t, 47, func(b *bench) {
+		stop := b.load(2, 30, func(r reply) {
+			if !r.whole {
+				t.Errorf("innocent request not answered: %+v %v", r.refuse, r.err)
+			}
+		})
+		time.Sleep(time.Second)
+		for n := range 12 {
+			r := b.generate(context.Background(), n%4, "a quote "+faker.Poison, 10)
+			is.New(t).Equal(r.refuse.Reason, "quarantined")
+			time.Sleep(300 * time.Millisecond)
+		}
+		stop()
+		crashes := 0
+		for _, e := range b.world.Fleet.Engines() {
+			crashes += e.Crashes
+		}
+		t.Logf("%d engines crashed", crashes)
+		is.New(t).True(crashes <= 3)
+	})
+}
+
+// TestRetryBudget. Every instance of a service breaks each call. Idempotent
+// calls are retried, but only from the budget: the load on the service must stay
+// near what callers send.
+func TestRetryBudget(t *testing.T) {
+	run(t, 48, func(b *bench) {
+		b.world.Services["desk"].FailWhen(func(*http.Request) bool { return true })
+		sent := 0
+		for n := range 300 {
+			r := b.post(n%4, "/services/desk/search", fmt.Sprintf(`{"n":%d}`, n), map[string]string{"Deadline-Ms": "3000"})
+			is.New(t).True(r.refuse != nil)
+			sent++
+			time.Sleep(200 * time.Millisecond)
+		}
+		reached := b.world.Services["desk"].Total()
+		t.Logf("%d calls came to the service from %d requests", reached, sent)
+		is.New(t).True(reached <= sent+4*20)
+	})
+}
+
+// TestCallerGone. A caller goes away in mid-answer; its run must end upstream.
+func TestCallerGone(t *testing.T) {
+	run(t, 49, func(b *bench) {
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		b.generate(ctx, 0, "gone", 10000)
+		time.Sleep(time.Second)
+		for _, e := range b.world.Fleet.Engines() {
+			is.New(t).Equal(e.Running(), 0)
+		}
+	})
+}
+
+// TestSlowReader. A caller reads nothing of its stream. Its write deadline ends
+// it, and other callers' streams go on.
+func TestSlowReader(t *testing.T) {
+	run(t, 50, func(b *bench) {
+		conn, err := b.net.Dialer("caller")(context.Background(), "tcp", "10.0.0.1:80")
+		is.New(t).NoErr(err)
+		defer conn.Close()
+		body := `{"model":"draft","prompt":"slow","max_tokens":10000,"stream":true}`
+		fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", key, len(body), body)
+		time.Sleep(time.Second)
+		b.assertWhole(b.generate(context.Background(), 0, "fast", 50), "fast", 50)
+		time.Sleep(15 * time.Second)
+		is.New(t).Equal(b.hosts[0].InFlight(), int64(0))
+	})
+}
+
+// TestSlowBody. A caller sends its body a byte now and then; it gets an error
+// and holds nothing.
+func TestSlowBody(t *testing.T) {
+	run(t, 51, func(b *bench) {
+		conn, err := b.net.Dialer("caller")(context.Background(), "tcp", "10.0.0.1:80")
+		is.New(t).NoErr(err)
+		defer conn.Close()
+		fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", key)
+		time.Sleep(15 * time.Second)
+		answer := make([]byte, 1000)
+		n, _ := conn.Read(answer)
+		is.New(t).True(strings.HasPrefix(string(answer[:n]), "HTTP/1.1 400"))
+		is.New(t).Equal(b.hosts[0].InFlight(), int64(0))
+	})
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -115,6 +115,7 @@
 	}
 	endOrders()
 	endWork()
+	h.dedup.Stop()
 	h.close()
 	wg.Wait()
 	return err
@@ -293,6 +294,9 @@
 	return it != nil && it.State == gossiper.HostLeaving
 }
 
+// InFlight is how many requests are being answered.
+func (h *Host) InFlight() int64 { return h.serve.InFlight() }
+
 // isRefused reports whether nobody listens where a connection went.
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
--- a/server/services.go
+++ b/server/services.go
@@ -43,7 +43,7 @@
 		return refusal(admitter.ReasonUnknown, "service "+svc.Name+" declares no "+k.r.Method+" "+k.path)
 	}
 	p := &passage{call: k, svc: svc, decl: decl}
-	p.fingerprint = xxhash.Sum64String(strings.Join([]string{k.workspace.Name, svc.Name, k.r.Method, k.path, string(k.body)}, "\x00"))
+	p.fingerprint = xxhash.Sum64String(strings.Join([]string{k.workspace.Name, svc.Name, k.r.Method, k.path, k.r.Header.Get(keyHeader), string(k.body)}, "\x00"))
 	if decl.Idempotent {
 		return p.idempotent()
 	}
--- a/streamer/messages.go
+++ b/streamer/messages.go
@@ -78,8 +78,10 @@
 
 // Kinds of EngineError.
 const (
-	// KindDown: a stage can't be reached or broke off.
+	// KindDown: a stage broke off while it had the request.
 	KindDown = "down"
+	// KindUnreachable: a stage can't be reached; it never had the request.
+	KindUnreachable = "unreachable"
 	// KindLeaving: a stage takes no new work.
 	KindLeaving = "leaving"
 	// KindNotLoaded: a stage doesn't hold the model, version or layers.
--- a/streamer/streamer.go
+++ b/streamer/streamer.go
@@ -305,6 +305,8 @@
 	switch e.Kind {
 	case KindDown:
 		fail.Cause = CauseStage
+	case KindUnreachable:
+		fail.Cause = CauseConnect
 	case KindLeaving:
 		fail.Cause = CauseLeaving
 	case KindNotLoaded:
--- a/tracker/events.go
+++ b/tracker/events.go
@@ -63,6 +63,9 @@
 		return
 	}
 	u.renew(now, incarnation)
+	if down && !u.heardDown && u.state != StateDown {
+		u.downAt = now
+	}
 	u.heardDown = down
 	if !down && u.state == StateDown {
 		u.state = StateUp
@@ -101,9 +104,45 @@
 	}
 	changed := u.state != want
 	u.state, u.since = want, now
+	if down && changed {
+		u.downAt = now
+	}
 	return changed
 }
 
+// WentDown lists the upstreams that went down at about a time.
+func (t *Tracker) WentDown(at time.Time, within time.Duration) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for name, u := range t.ups {
+		if !u.downAt.IsZero() && u.downAt.Sub(at).Abs() <= within {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Beside lists up to n upstreams that stand in the same data centre as one,
+// drawn at random.
+func (t *Tracker) Beside(name string, n int) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.ups[name]
+	if u == nil {
+		return nil
+	}
+	var out []string
+	for other, o := range t.ups {
+		if other != name && o.cfg.DataCentre == u.cfg.DataCentre && o.state != StateDown {
+			out = append(out, other)
+		}
+	}
+	slices.Sort(out)
+	t.Rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(n, len(out))]
+}
+
 // Leave marks an upstream as leaving in an incarnation; 0 means the one known
 // now. Leaving wins over everything until a newer incarnation.
 func (t *Tracker) Leave(name string, incarnation int64) bool {
@@ -145,8 +184,13 @@
 	return StateDown
 }
 
-// InFlight returns the fingerprints this host has in flight on an upstream.
-func (t *Tracker) InFlight(name string) []uint64 {
+// Struck returns the fingerprints that a crash of an upstream is held against:
+// those this host has in flight there. A rack or a data centre was lost, and
+// all upstreams of a route with it; each of them counted as a crash, and
+// requests that had done nothing were refused for good. So only the first crash
+// on a route is held against its request: what crashes upstreams does so again
+// on the next route, and what was merely hit does not.
+func (t *Tracker) Struck(name string) []uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.ups[name]
@@ -154,7 +198,11 @@
 		return nil
 	}
 	var out []uint64
-	for _, f := range u.requests {
+	for id, f := range u.requests {
+		if f.struck {
+			continue
+		}
+		t.strike(id)
 		if !slices.Contains(out, f.fingerprint) {
 			out = append(out, f.fingerprint)
 		}
@@ -163,6 +211,16 @@
 	return out
 }
 
+// strike marks a request on all upstreams of its route.
+func (t *Tracker) strike(requestID string) {
+	for _, u := range t.ups {
+		if f, ok := u.requests[requestID]; ok {
+			f.struck = true
+			u.requests[requestID] = f
+		}
+	}
+}
+
 // AcquireOne counts a request of a plain service in flight on the least
 // utilised of two drawn instances, and returns its name; empty means none has
 // room.
--- a/tracker/suspects.go
+++ b/tracker/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -11,10 +12,11 @@
 const (
 	// strikeFor is how long a crash is held against a request.
 	strikeFor = 10 * time.Minute
-	// quarantineAt is how many crashes a request must have been in flight for.
-	// One may be chance; a second one on another upstream, with the other
-	// suspects kept apart, hardly is.
-	quarantineAt = 2
+	// doubtAt is the number of crashes that a request is refused for when no
+	// other one was in flight at all of them.
+	doubtAt = 2
+	// sureAt is the number it is refused for in any case.
+	sureAt = 3
 )
 
 // Strike is a crash that a request was in flight for.
@@ -60,6 +62,10 @@
 
 // Suspects keeps the strikes of each fingerprint. Safe for concurrent use.
 type Suspects struct {
+	// WentDown lists the upstreams that went down at about a time; set before
+	// use. nil means none but the struck ones.
+	WentDown func(at time.Time, within time.Duration) []string
+
 	mu      sync.Mutex
 	strikes map[uint64]map[string]Strike
 }
@@ -105,8 +111,8 @@
 
 // Quarantined reports whether a fingerprint is to be refused, and until when.
 func (s *Suspects) Quarantined(now time.Time, fingerprint uint64) (time.Duration, bool) {
-	strikes := s.Of(now, fingerprint)
-	if len(strikes) < quarantineAt {
+	strikes := s.counted(s.Of(now, fingerprint))
+	if len(strikes) < doubtAt || len(strikes) < sureAt && s.shared(now, fingerprint, strikes) {
 		return 0, false
 	}
 	var last time.Time
@@ -118,6 +124,69 @@
 	return last.Sub(now), true
 }
 
+// counted leaves out strikes that befell the request. A rack or a data centre
+// was lost, and requests in flight there were moved to engines that fell a
+// moment later; two crashes made them look guilty. What crashes engines is in
+// flight at each that falls, so when others fall beside, it is not the cause.
+func (s *Suspects) counted(strikes []Strike) []Strike {
+	const (
+		window = 2 * time.Second
+		others = 2
+	)
+	if s.WentDown == nil {
+		return strikes
+	}
+	return slices.DeleteFunc(strikes, func(st Strike) bool {
+		n := 0
+		for _, name := range s.WentDown(st.Expires.Add(-strikeFor), window) {
+			if !slices.ContainsFunc(strikes, func(o Strike) bool { return o.Upstream == name }) {
+				n++
+			}
+		}
+		return n >= others
+	})
+}
+
+// Doubtful reports whether a fingerprint has enough strikes to be refused, so
+// that news of others which share them is worth a moment's wait.
+func (s *Suspects) Doubtful(now time.Time, fingerprint uint64) bool {
+	return len(s.Of(now, fingerprint)) >= doubtAt
+}
+
+// shared reports whether another fingerprint was in flight at the same crashes.
+// A request that crashes engines was retried and met an innocent one, struck by
+// the same first crash and retried by another host, on its second engine: both
+// had two strikes, and both were refused. While two explain the same crashes,
+// neither is refused; they part ways, and the innocent one's answer clears it.
+func (s *Suspects) shared(now time.Time, fingerprint uint64, strikes []Strike) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for other, of := range s.strikes {
+		if other != fingerprint && holdsAll(now, of, strikes) {
+			return true
+		}
+	}
+	return false
+}
+
+func holdsAll(now time.Time, of map[string]Strike, strikes []Strike) bool {
+	for _, st := range strikes {
+		if !holds(now, of, st) {
+			return false
+		}
+	}
+	return true
+}
+
+func holds(now time.Time, of map[string]Strike, want Strike) bool {
+	for _, st := range of {
+		if st.Upstream == want.Upstream && st.Incarnation == want.Incarnation && !st.Cleared && st.Expires.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Sweep forgets what has lapsed.
 func (s *Suspects) Sweep(now time.Time) {
 	s.mu.Lock()
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -69,6 +69,8 @@
 	incarnation int64
 	state       State
 	since       time.Time
+	// downAt is when it last went down.
+	downAt time.Time
 	// heardDown is set while its probers say that it is down.
 	heardDown bool
 	// leavingAt is the incarnation that is leaving; 0 is none.
@@ -90,6 +92,8 @@
 type flight struct {
 	fingerprint uint64
 	suspect     bool
+	// struck is set once a crash on the request's route was held against it.
+	struck bool
 }
 
 // Tracker is safe for concurrent use.
@@ -252,7 +256,7 @@
 		return
 	}
 	u.own++
-	u.requests[r.ID] = flight{r.Fingerprint, r.Suspect}
+	u.requests[r.ID] = flight{fingerprint: r.Fingerprint, suspect: r.Suspect}
 }
 
 // Release ends what Acquire or AcquireOne began for a request.
@@ -282,6 +286,9 @@
 		if slices.Contains(r.Avoid, u.cfg.Name) || r.Suspect && t.holdsSuspect(u, r.Fingerprint) {
 			c.Excluded = true
 		}
+		if r.Suspect {
+			c.Bias = scatter(r.Fingerprint, u.cfg.Name)
+		}
 		t.scratch = append(t.scratch, c)
 	}
 	if r.Prefix != 0 {
@@ -290,6 +297,15 @@
 	return t.scratch
 }
 
+// scatter sends each suspect to upstreams of its own. Hosts don't see each
+// other's suspects, so two that were struck together would likely meet again on
+// what both find cheapest, and be struck together once more.
+func scatter(fingerprint uint64, upstream string) float64 {
+	const most = 8.0
+	h := mix(xxhash.Sum64String(upstream) ^ fingerprint)
+	return most * float64(h>>11) / (1 << 53)
+}
+
 func (t *Tracker) sharers(p *pipeline) float64 {
 	n := 1.0
 	if t.Sharers != nil {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -87,12 +87,12 @@
 
 	revision atomic.Int64
 	// target is the highest revision heard of.
-	target atomic.Int64
-	wake   chan struct{}
-	mu       sync.Mutex
-	head     []byte
-	parts    map[string][]byte
-	current  *builder.Configuration
+	target  atomic.Int64
+	wake    chan struct{}
+	mu      sync.Mutex
+	head    []byte
+	parts   map[string][]byte
+	current *builder.Configuration
 }
 
 // Start makes the watcher ready; call it before any other method.
