--- a/deduplicator/bucket.go
+++ b/deduplicator/bucket.go
@@ -64,6 +64,8 @@
 	number   int
 	revision int64
 	doc      *document
+	// size is the bytes of doc as last written.
+	size int
 	// fresh is false when doc is a cached copy.
 	fresh bool
 }
@@ -215,14 +217,15 @@
 
 func (b *bucket) write(ctx context.Context, g *generation, doc *document) error {
 	if doc.StartedAt == 0 {
-		doc.StartedAt = time.Now().UnixMilli()
+		doc.StartedAt = b.d.Clock().UnixMilli()
 	}
-	rev, err := b.d.Store.Swap(ctx, storer.Write{Key: b.key(g.number), Value: encode(doc), Expect: g.revision})
+	value := encode(doc)
+	rev, err := b.d.Store.Swap(ctx, storer.Write{Key: b.key(g.number), Value: value, Expect: g.revision})
 	if err != nil {
 		delete(b.sealed, g.number)
 		return err
 	}
-	g.revision, g.doc = rev, doc
+	g.revision, g.doc, g.size = rev, doc, len(value)
 	return nil
 }
 
@@ -230,13 +233,13 @@
 // past their retention. Its failures are left to the next commit.
 func (b *bucket) turn(ctx context.Context) {
 	doc := b.current.doc
-	full := len(doc.Records) >= sealRecords || len(encode(doc)) >= sealBytes
-	old := doc.StartedAt != 0 && time.Since(time.UnixMilli(doc.StartedAt)) > b.d.Retention/2
+	full := len(doc.Records) >= sealRecords || b.current.size >= sealBytes
+	old := doc.StartedAt != 0 && b.d.age(doc.StartedAt) > b.d.Retention/2
 	if !full && !old {
 		return
 	}
 	next := doc.clone()
-	next.Sealed, next.SealedAt = true, time.Now().UnixMilli()
+	next.Sealed, next.SealedAt = true, b.d.Clock().UnixMilli()
 	b.loaded = false
 	if err := b.write(ctx, &b.current, next); err == nil {
 		b.expire(ctx)
@@ -255,7 +258,7 @@
 	next := pointer{Oldest: at.Oldest, Current: max(at.Current, b.current.number+1)}
 	for n := at.Oldest; n < b.current.number; n++ {
 		g := b.sealed[n]
-		if g != nil && time.Since(time.UnixMilli(g.doc.SealedAt)) < b.d.Retention {
+		if g != nil && b.d.age(g.doc.SealedAt) < b.d.Retention {
 			break
 		}
 		if g != nil {
@@ -327,6 +330,11 @@
 	return storer.ErrConflict
 }
 
+// age is how long ago a stamp was, by this host's wall clock.
+func (d *Deduplicator) age(unixMilli int64) time.Duration {
+	return d.Clock().Sub(time.UnixMilli(unixMilli))
+}
+
 // refresh reads a generation; one that is absent is empty.
 func (b *bucket) refresh(ctx context.Context, g *generation) error {
 	e, err := b.d.Store.Get(ctx, b.key(g.number))
--- a/deduplicator/deduplicator.go
+++ b/deduplicator/deduplicator.go
@@ -75,6 +75,9 @@
 	Retention time.Duration
 	// Patience is how long a caller waits for a record to be written.
 	Patience time.Duration
+	// Clock is this host's wall clock, which may be wrong; nil means time.Now.
+	// Only the expiry of records goes by it.
+	Clock func() time.Time
 
 	buckets []*bucket
 	mu      sync.Mutex
@@ -89,6 +92,9 @@
 func (d *Deduplicator) Start() {
 	d.live = make(map[string]bool)
 	d.done = make(chan struct{})
+	if d.Clock == nil {
+		d.Clock = time.Now
+	}
 	for i := range d.Buckets {
 		d.buckets = append(d.buckets, &bucket{d: d, id: i})
 	}
--- /dev/null
+++ b/deduplicator/deduplicator_test.go
@@ -0,0 +1,272 @@
+package deduplicator_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/checker"
+	"github.com/sardineward/sardineward/deduplicator"
+	"github.com/sardineward/sardineward/faker"
+	"github.com/sardineward/sardineward/storer"
+)
+
+const retention = 10 * time.Minute
+
+// fleet is some deduplicators that ask each other.
+type fleet struct {
+	t     *testing.T
+	store storer.Store
+	// buckets is set before start.
+	buckets int
+	mu      sync.Mutex
+	hosts   map[string]*deduplicator.Deduplicator
+	runs    map[string]int
+}
+
+func newFleet(t *testing.T, store storer.Store) *fleet {
+	return &fleet{t: t, store: store, buckets: 2, hosts: make(map[string]*deduplicator.Deduplicator), runs: make(map[string]int)}
+}
+
+// start makes a host, in place of one that is thought to have died.
+func (f *fleet) start(name string, incarnation int64, skew time.Duration) *deduplicator.Deduplicator {
+	d := &deduplicator.Deduplicator{
+		Store: f.store, Host: name, Incarnation: incarnation, Asker: f, Buckets: f.buckets, Retention: retention, Patience: 3 * time.Second,
+		Checker: &checker.Checker{Fail: func(v checker.Violation) { f.t.Error(v) }},
+		Clock:   func() time.Time { return time.Now().Add(skew) },
+	}
+	d.Start()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if old := f.hosts[name]; old != nil {
+		old.Stop()
+	}
+	f.hosts[name] = d
+	return d
+}
+
+func (f *fleet) host(name string) *deduplicator.Deduplicator {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hosts[name]
+}
+
+// Ask implements deduplicator.Asker.
+func (f *fleet) Ask(_ context.Context, host string, incarnation int64, nonce string) (running, abandoned bool, err error) {
+	d := f.host(host)
+	if d == nil {
+		return false, false, errors.New("no such host")
+	}
+	running, abandoned = d.Answer(incarnation, nonce)
+	return running, abandoned, nil
+}
+
+func (f *fleet) stop() {
+	for _, d := range f.hosts {
+		d.Stop()
+		d.Wait()
+	}
+}
+
+// sent makes a dispatch that counts a run, and takes a while.
+func (f *fleet) sent(key string, took time.Duration, known bool) deduplicator.Dispatch {
+	return func(context.Context) (deduplicator.Outcome, bool, bool) {
+		f.mu.Lock()
+		f.runs[key]++
+		f.mu.Unlock()
+		time.Sleep(took)
+		return deduplicator.Outcome{Status: 200, Body: []byte("ran " + key)}, true, known
+	}
+}
+
+func notSent(context.Context) (deduplicator.Outcome, bool, bool) {
+	return deduplicator.Outcome{}, false, false
+}
+
+func (f *fleet) assertAtMostOnce() {
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for key, n := range f.runs {
+		if n > 1 {
+			f.t.Errorf("call %s ran %d times", key, n)
+		}
+	}
+}
+
+func call(key string) deduplicator.Call {
+	return deduplicator.Call{RequestID: "r", Key: key, Digest: "d"}
+}
+
+// TestRandomRepeats has three hosts, whose clocks are minutes apart, get the
+// same calls again and again while the platform fails in all its ways, hosts are
+// replaced, and generations of records turn and expire. No call may run twice
+// within the retention.
+func TestRandomRepeats(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { randomRepeats(t, seed) })
+		})
+	}
+}
+
+func randomRepeats(t *testing.T, seed uint64) {
+	const (
+		calls   = 400
+		repeats = 4
+	)
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	platform := new(faker.Platform)
+	f := newFleet(t, platform)
+	skews := []time.Duration{0, 2 * time.Minute, -2 * time.Minute}
+	for i, s := range skews {
+		f.start(fmt.Sprint("h", i), 1, s)
+	}
+	var wg sync.WaitGroup
+	var lossMu sync.Mutex
+	loss := rand.New(rand.NewPCG(seed, 2))
+	lose := func(storer.Write) bool {
+		lossMu.Lock()
+		defer lossMu.Unlock()
+		return loss.IntN(3) == 0
+	}
+	for n := range calls {
+		key := fmt.Sprint("k", n)
+		for range 1 + rnd.IntN(repeats) {
+			after := time.Duration(rnd.IntN(3)) * time.Duration(rnd.IntN(90)) * time.Second
+			host, kind, took := fmt.Sprint("h", rnd.IntN(3)), rnd.IntN(5), time.Duration(rnd.IntN(3000))*time.Millisecond
+			wg.Go(func() {
+				time.Sleep(after)
+				dispatch := f.sent(key, took, kind != 1)
+				if kind == 0 {
+					dispatch = notSent
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+				defer cancel()
+				out, _, err := f.host(host).Do(ctx, call(key), dispatch)
+				if err == nil && string(out.Body) != "ran "+key {
+					t.Errorf("call %s answered %q", key, out.Body)
+				}
+			})
+		}
+		switch rnd.IntN(12) {
+		case 0:
+			platform.SetFaults(faker.Faults{Out: true})
+		case 1:
+			platform.SetFaults(faker.Faults{LoseAnswer: lose})
+		case 2:
+			platform.SetFaults(faker.Faults{Delay: 2 * time.Second})
+		case 3:
+			i := rnd.IntN(3)
+			f.start(fmt.Sprint("h", i), int64(n+2), skews[i])
+		default:
+			platform.SetFaults(faker.Faults{})
+		}
+		time.Sleep(time.Duration(rnd.IntN(10)) * time.Second)
+	}
+	wg.Wait()
+	platform.SetFaults(faker.Faults{})
+	f.stop()
+	f.assertAtMostOnce()
+	keys, bytes := platform.Keys()
+	t.Logf("seed %d: %d of %d calls ran, %d keys, %d bytes", seed, len(f.runs), calls, keys, bytes)
+}
+
+// TestTurnOfGeneration. A generation of records is sealed between a call and its
+// repeat. The repeat went to the new generation, found no record and ran again.
+func TestTurnOfGeneration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, new(faker.Platform))
+		f.buckets = 1
+		a, b := f.start("a", 1, 0), f.start("b", 1, -3*time.Minute)
+		is := is.New(t)
+		for n := range 350 {
+			key := fmt.Sprint("k", n)
+			_, ran, err := a.Do(t.Context(), call(key), f.sent(key, 0, true))
+			is.NoErr(err)
+			is.True(ran)
+		}
+		for n := range 350 {
+			key := fmt.Sprint("k", n)
+			out, ran, err := b.Do(t.Context(), call(key), f.sent(key, 0, true))
+			is.NoErr(err)
+			is.True(!ran)
+			is.Equal(string(out.Body), "ran "+key)
+		}
+		f.stop()
+		f.assertAtMostOnce()
+	})
+}
+
+// TestExpiry runs calls for hours; records past their retention must go, and
+// whole generations with them.
+func TestExpiry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := new(faker.Platform)
+		f := newFleet(t, platform)
+		d := f.start("a", 1, 0)
+		for n := range 2000 {
+			key := fmt.Sprint("k", n)
+			_, _, err := d.Do(t.Context(), call(key), f.sent(key, 0, true))
+			is.New(t).NoErr(err)
+			time.Sleep(5 * time.Second)
+		}
+		f.stop()
+		keys, bytes := platform.Keys()
+		t.Logf("%d keys, %d bytes", keys, bytes)
+		is.New(t).True(keys < 20)
+	})
+}
+
+// slow is a store whose swaps can be held back, as a paused host holds them.
+type slow struct {
+	storer.Store
+	mu   sync.Mutex
+	hold chan struct{}
+}
+
+func (s *slow) Swap(ctx context.Context, w storer.Write) (int64, error) {
+	s.mu.Lock()
+	hold := s.hold
+	s.mu.Unlock()
+	if hold != nil {
+		<-hold
+	}
+	return s.Store.Swap(context.WithoutCancel(ctx), w)
+}
+
+// TestLateWrite. A host gives a call up because the platform doesn't answer, and
+// tells its caller "not run". The write takes effect later all the same. The
+// repeat through another host must run, once, and the first must not.
+func TestLateWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := new(faker.Platform)
+		f := newFleet(t, platform)
+		late := &slow{Store: platform, hold: make(chan struct{})}
+		f.store = late
+		a := f.start("a", 1, 0)
+		f.store = platform
+		b := f.start("b", 1, 0)
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		_, ran, err := a.Do(ctx, call("k"), f.sent("k", 0, true))
+		is.True(errors.Is(err, deduplicator.ErrUnsettled))
+		is.True(!ran)
+		close(late.hold)
+		time.Sleep(10 * time.Second)
+		_, ran, err = b.Do(t.Context(), call("k"), f.sent("k", 0, true))
+		is.NoErr(err)
+		is.True(ran)
+		f.stop()
+		f.assertAtMostOnce()
+	})
+}
--- /dev/null
+++ b/planner/planner_test.go
@@ -0,0 +1,234 @@
+package planner_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/builder"
+	"github.com/sardineward/sardineward/checker"
+	"github.com/sardineward/sardineward/faker"
+	"github.com/sardineward/sardineward/planner"
+	"github.com/sardineward/sardineward/storer"
+)
+
+// gated is an engine's ordering side whose calls can be held back on the way,
+// as a paused host holds its own, and which keeps what came.
+type gated struct {
+	mu sync.Mutex
+	// checks tells whether it refuses old fencing numbers.
+	checks bool
+	loaded planner.Target
+	fence  int64
+	orders []planner.Order
+	// hold blocks orders of a host while set.
+	hold map[string]chan struct{}
+}
+
+type door struct {
+	*gated
+	host string
+}
+
+func (d door) Loaded(context.Context, string) (planner.Target, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.loaded, nil
+}
+
+// Order ignores its deadline while held: what is paused can't keep time.
+func (d door) Order(ctx context.Context, _ string, o planner.Order) error {
+	d.mu.Lock()
+	hold := d.hold[d.host]
+	d.mu.Unlock()
+	if hold != nil {
+		<-hold
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.checks && o.Fence < d.fence {
+		return planner.ErrFenced
+	}
+	d.fence = max(d.fence, o.Fence)
+	d.loaded = o.Target
+	d.orders = append(d.orders, o)
+	return nil
+}
+
+func (g *gated) pause(host string) (wake func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ch := make(chan struct{})
+	g.hold[host] = ch
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.hold, host)
+		close(ch)
+	}
+}
+
+const (
+	lease = 5 * time.Second
+	pause = 10 * time.Second
+)
+
+// host is a planner that wants a version.
+func host(t *testing.T, name, version string, p storer.Store, g *gated) *planner.Planner {
+	return &planner.Planner{
+		Store: p, Engines: door{g, name}, Host: name, DataCentre: "north", Lease: lease, Pause: pause,
+		Wanted: func() []planner.Wish {
+			return []planner.Wish{{Upstream: builder.Upstream{Name: "e", Address: "e"}, ChecksFence: g.checks, Target: planner.Target{Model: "m", Version: version}}}
+		},
+		Serving: func(string) bool { return true },
+		Spacing: func(planner.Target) time.Duration { return 0 },
+		Checker: &checker.Checker{Fail: func(v checker.Violation) { t.Error(v) }},
+	}
+}
+
+// store lets one host's calls on the platform be held back.
+type store struct {
+	storer.Store
+	mu   sync.Mutex
+	held chan struct{}
+}
+
+func (s *store) KeepAlive(ctx context.Context, id int64) error {
+	s.mu.Lock()
+	held := s.held
+	s.mu.Unlock()
+	if held != nil {
+		<-held
+	}
+	return s.Store.KeepAlive(ctx, id)
+}
+
+// TestPausedHolder. The host that gives orders is paused past its lease, in the
+// middle of an order or between two. Another takes over with a newer version.
+// The first wakes up believing that it still leads and orders the old version,
+// which stayed loaded. Engines that check fencing numbers refuse it; for those
+// that don't, it looks at its lease first.
+func TestPausedHolder(t *testing.T) {
+	for name, checks := range map[string]bool{"engine checks fence": true, "engine ignores fence": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				platform := new(faker.Platform)
+				g := &gated{checks: checks, hold: make(map[string]chan struct{})}
+				ctx, cancel := context.WithCancel(context.Background())
+				var wg sync.WaitGroup
+				wake := g.pause("old")
+				wg.Go(func() { host(t, "old", "1", platform, g).Run(ctx) })
+				time.Sleep(lease + pause + lease)
+				second := host(t, "new", "2", platform, g)
+				wg.Go(func() { second.Run(ctx) })
+				time.Sleep(3 * lease)
+				wake()
+				time.Sleep(6 * (lease + pause))
+				g.mu.Lock()
+				g.loaded = planner.Target{Version: "changed by hand"}
+				g.mu.Unlock()
+				time.Sleep(2 * (lease + pause))
+				assertFencesRise(t, g)
+				cancel()
+				wg.Wait()
+			})
+		})
+	}
+}
+
+func assertFencesRise(t *testing.T, g *gated) {
+	t.Helper()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	is := is.New(t)
+	is.True(len(g.orders) > 0)
+	for i := 1; i < len(g.orders); i++ {
+		is.True(g.orders[i].Fence >= g.orders[i-1].Fence)
+	}
+}
+
+// TestLeaseLapsesBetween. The holder is paused before it looks at its lease, for
+// longer than the lease, while it has an order to give.
+func TestLeaseLapsesBetween(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := new(faker.Platform)
+		g := &gated{hold: make(map[string]chan struct{})}
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		paused := &store{Store: platform}
+		wg.Go(func() { host(t, "old", "1", paused, g).Run(ctx) })
+		time.Sleep(lease + pause + lease)
+		paused.mu.Lock()
+		paused.held = make(chan struct{})
+		paused.mu.Unlock()
+		wg.Go(func() { host(t, "new", "2", platform, g).Run(ctx) })
+		time.Sleep(lease + pause + 2*lease)
+		is := is.New(t)
+		g.mu.Lock()
+		is.Equal(g.loaded.Version, "2")
+		g.mu.Unlock()
+		close(paused.held)
+		time.Sleep(lease)
+		g.mu.Lock()
+		is.Equal(g.loaded.Version, "2")
+		g.mu.Unlock()
+		assertFencesRise(t, g)
+		cancel()
+		wg.Wait()
+	})
+}
+
+// TestOneHolder. Three hosts try for the lease while the platform is out now and
+// then and loses answers. No two may give orders at the same time, and some host
+// does once the platform is back.
+func TestOneHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := new(faker.Platform)
+		g := &gated{checks: true, hold: make(map[string]chan struct{})}
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		var hosts []*planner.Planner
+		for _, n := range []string{"a", "b", "c"} {
+			p := host(t, n, n, platform, g)
+			hosts = append(hosts, p)
+			wg.Go(func() { p.Run(ctx) })
+		}
+		n := 0
+		lose := func(storer.Write) bool { n++; return n%2 == 0 }
+		for _, f := range []faker.Faults{{}, {Out: true}, {}, {LoseAnswer: lose}, {Delay: 2 * time.Second}, {}} {
+			platform.SetFaults(f)
+			time.Sleep(4 * lease)
+			assertFencesRise(t, g)
+		}
+		holding := 0
+		for _, p := range hosts {
+			if p.Holding() {
+				holding++
+			}
+		}
+		is.New(t).Equal(holding, 1)
+		cancel()
+		wg.Wait()
+	})
+}
+
+// TestFenced tells that an order refused for its number ends the tenure.
+func TestFenced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &gated{checks: true, fence: 100, hold: make(map[string]chan struct{})}
+		p := host(t, "a", "1", new(faker.Platform), g)
+		ctx, cancel := context.WithTimeout(context.Background(), 3*lease)
+		defer cancel()
+		p.Run(ctx)
+		is := is.New(t)
+		is.True(p.Fenced.Load() > 0)
+		is.Equal(p.Orders.Load(), int64(0))
+	})
+}
