picker: bound by a simplex over paths that always ends

A dump showed housekeeping inside the library's simplex, which went round in circles: its conservation rows have a right side of zero, so pivots make no progress. Ruled out: a deadlock (the goroutines were runnable), the size (21 rows, 87 columns).

Change: the same linear program over paths, whose columns are found by cheapest path at the present prices; every right side is above zero and pivots are bounded. TestBoundCertificate checks random fleets by duality, TestBound hand- worked cases, TestBoundEnds 2,000 subsets of a fleet.

A silent route's stages are now asked whether they live, and only one that doesn't answer moves the stream.

--- a/faker/engine.go
+++ b/faker/engine.go
@@ -152,6 +152,10 @@
 	// how often it died of a prompt, Loads the orders it followed.
 	Hits, Misses, Crashes, Loads int
 	begun                        int
+	// Work is the layers run, each counted by its weight.
+	Work float64
+	// Busy is the time spent in iterations.
+	Busy time.Duration
 	// midRange is until when it answers with other layers than asked.
 	midRange time.Time
 }
@@ -247,6 +251,13 @@
 	}
 }
 
+// Paused reports whether it is frozen.
+func (e *Engine) Paused() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.paused != nil
+}
+
 // Leave makes it take no new work.
 func (e *Engine) Leave() {
 	e.mu.Lock()
@@ -285,8 +296,8 @@
 
 func (e *Engine) iterate(dead, wake chan struct{}) {
 	for {
-		batch, d := e.next()
-		if len(batch) == 0 {
+		ended, d := e.next()
+		if d == 0 {
 			select {
 			case <-wake:
 				continue
@@ -299,13 +310,15 @@
 		case <-dead:
 			return
 		}
-		for _, s := range batch {
+		for _, s := range ended {
 			close(s.done)
 		}
 	}
 }
 
-// next takes the steps of an iteration.
+// next takes the steps of an iteration. A prompt is read in pieces of at most
+// half a batch, beside other sequences' tokens, and goes on in the next
+// iteration; the steps returned are those that end with this one.
 func (e *Engine) next() ([]*step, time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -313,16 +326,25 @@
 		return nil, 0
 	}
 	slices.SortStableFunc(e.waiting, func(a, b *step) int { return b.priority - a.priority })
-	var weight, work float64
-	n := 0
-	for n < len(e.waiting) && (n == 0 || weight+e.waiting[n].weight <= float64(e.Kind.Batch)) {
-		weight += e.waiting[n].weight
-		work += e.waiting[n].weight * float64(e.waiting[n].layers)
-		n++
+	room := float64(e.Kind.Batch)
+	piece := max(1, room/2)
+	var work float64
+	var ended, rest []*step
+	for _, s := range e.waiting {
+		part := min(s.weight, piece, room)
+		room -= part
+		s.weight -= part
+		work += part * float64(s.layers)
+		if s.weight <= 0 {
+			ended = append(ended, s)
+			continue
+		}
+		rest = append(rest, s)
 	}
-	batch := slices.Clone(e.waiting[:n])
-	e.waiting = slices.Delete(e.waiting, 0, n)
-	return batch, time.Duration((e.Kind.StepMs + work*e.Kind.LayerMs) * float64(time.Millisecond))
+	e.waiting = rest
+	e.Work += work
+	e.Busy += time.Duration((e.Kind.StepMs + work*e.Kind.LayerMs) * float64(time.Millisecond))
+	return ended, time.Duration((e.Kind.StepMs + work*e.Kind.LayerMs) * float64(time.Millisecond))
 }
 
 // run runs layers for one token. first is set on a request's first token here.
--- a/loader/settings_gen.go
+++ b/loader/settings_gen.go
@@ -354,7 +354,8 @@
 	// Period of upstream probes, in ms.
 	ProbeMs int `json:"probeMs,omitempty,omitzero"`
 
-	// Shortest gap between tokens that counts as a stall, in ms.
+	// Shortest silence of a stream after which its stages are asked whether they
+	// live, in ms; also how long they have to answer.
 	StallFloorMs int `json:"stallFloorMs,omitempty,omitzero"`
 
 	// Longest graceful stop, in ms.
--- a/picker/bound.go
+++ b/picker/bound.go
@@ -1,13 +1,6 @@
 package picker
 
-import (
-	"errors"
-	"fmt"
-	"slices"
-
-	"gonum.org/v1/gonum/mat"
-	"gonum.org/v1/gonum/optimize/convex/lp"
-)
+import "slices"
 
 // LinkLimit is how many tokens' activations a link carries a second.
 type LinkLimit struct {
@@ -22,7 +15,7 @@
 // It is a linear program. A token flows over nodes (boundary, data centre);
 // an upstream carries it from one boundary to a later one and spends its time
 // on it, and links carry it between data centres. Alike upstreams are one
-// variable, so the program grows with kinds and not with the fleet.
+// budget, so the program grows with kinds and not with the fleet.
 func Bound(cands []Candidate, layers int, limits []LinkLimit, work float64) (float64, error) {
 	g := &flow{marks: boundaries(cands, layers), centres: dataCentres(cands)}
 	if len(cands) == 0 {
@@ -32,7 +25,8 @@
 	if len(g.centres) > 1 {
 		g.links(limits)
 	}
-	return g.solve()
+	value, _, err := g.solve()
+	return value, err
 }
 
 // flow is a linear program under construction.
@@ -117,60 +111,3 @@
 	}
 	return -1
 }
-
-// solve maximises the flow into the last boundary. Rows are flow conservation
-// at each inner node and one row a budget, with a slack variable.
-func (g *flow) solve() (float64, error) {
-	width := len(g.centres)
-	inner := (len(g.marks) - 2) * width
-	first := width
-	rows := inner + len(g.caps)
-	cols := len(g.edges) + len(g.caps)
-	if len(g.edges) == 0 {
-		return 0, nil
-	}
-	a := mat.NewDense(rows, cols, nil)
-	cost := make([]float64, cols)
-	b := make([]float64, rows)
-	for i, e := range g.edges {
-		if e.from >= first && e.from < first+inner {
-			a.Set(e.from-first, i, a.At(e.from-first, i)-1)
-		}
-		if e.to >= first && e.to < first+inner {
-			a.Set(e.to-first, i, a.At(e.to-first, i)+1)
-		} else {
-			cost[i] = -1
-		}
-		if e.budget >= 0 {
-			a.Set(inner+e.budget, i, e.use)
-		}
-	}
-	for i, c := range g.caps {
-		a.Set(inner+i, len(g.edges)+i, 1)
-		b[inner+i] = c
-	}
-	a, b = withoutEmptyRows(a, b)
-	best, _, err := lp.Simplex(cost, a, b, 1e-9, nil)
-	if errors.Is(err, lp.ErrInfeasible) {
-		return 0, nil
-	}
-	if err != nil {
-		return 0, fmt.Errorf("computing bound: %w", err)
-	}
-	return -best, nil
-}
-
-// withoutEmptyRows drops nodes that no edge touches; the solver wants full rank.
-func withoutEmptyRows(a *mat.Dense, b []float64) (*mat.Dense, []float64) {
-	rows, cols := a.Dims()
-	var data, rhs []float64
-	for r := range rows {
-		row := a.RawRowView(r)
-		if !slices.ContainsFunc(row, func(v float64) bool { return v != 0 }) {
-			continue
-		}
-		data = append(data, row...)
-		rhs = append(rhs, b[r])
-	}
-	return mat.NewDense(len(rhs), cols, data), rhs
-}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -105,6 +105,34 @@
 	}
 }
 
+// Ask probes upstreams at once and returns one that did not answer before ctx
+// ended; empty means that all did.
+func (p *Prober) Ask(ctx context.Context, names []string) string {
+	silent := make(chan string, len(names))
+	for _, name := range names {
+		go func() {
+			u, ok := p.Tracker.Upstream(name)
+			if !ok {
+				silent <- ""
+				return
+			}
+			load, err := p.Upstreams.Probe(ctx, u.Address)
+			if err != nil {
+				silent <- name
+				return
+			}
+			p.Tracker.Report(time.Now(), name, load)
+			silent <- ""
+		}()
+	}
+	for range names {
+		if name := <-silent; name != "" {
+			return name
+		}
+	}
+	return ""
+}
+
 // mine is the upstreams that fall to this host, and those that it alone holds
 // for down: their probers reach them, so would never tell it otherwise.
 func (p *Prober) mine() []builder.Upstream {
--- a/router/router.go
+++ b/router/router.go
@@ -40,6 +40,9 @@
 	Strike(s tracker.Strike)
 	// Doubt asks for the upstreams to be probed now.
 	Doubt(upstreams []string)
+	// Ask probes upstreams at once and returns one that doesn't answer, or
+	// nothing.
+	Ask(ctx context.Context, upstreams []string) string
 }
 
 // Router is safe for concurrent use. The fields are set before use.
@@ -218,7 +221,9 @@
 			r.Tracker.Bad(now, f.Upstream, false)
 		}
 	case streamer.CauseStall:
-		r.News.Doubt(upstreamsOf(f.Stages))
+		if f.Upstream != "" {
+			r.Tracker.Bad(now, f.Upstream, false)
+		}
 	case streamer.CauseNone, streamer.CauseBusy, streamer.CauseInvalid, streamer.CauseCaller, streamer.CauseDeadline:
 	}
 }
@@ -269,7 +274,7 @@
 		return refusal
 	}
 	r.Meter.Retries.WithLabelValues(f.Cause.String()).Inc()
-	job.Soft = f.Cause == streamer.CauseStall
+	job.Soft = f.Cause == streamer.CauseStall && f.Upstream == ""
 	if f.Upstream != "" {
 		job.Avoid = append(job.Avoid, f.Upstream)
 	} else {
@@ -291,7 +296,7 @@
 	if f.Attempt >= maxAttempts {
 		return &admitter.Refusal{Reason: admitter.ReasonUpstream, RetryAfter: comeBack, Detail: "too many attempts"}
 	}
-	if spends(f.Cause) && !r.Budget.Spend() {
+	if spends(f) && !r.Budget.Spend() {
 		return &admitter.Refusal{Reason: admitter.ReasonRetryBudget, RetryAfter: comeBack}
 	}
 	return nil
@@ -300,15 +305,22 @@
 // spends reports whether a retry is paid for from the budget. A failure that
 // took its upstream out of service can't repeat there, so it multiplies no
 // load; one that left it in service can.
-func spends(c streamer.Cause) bool {
-	switch c {
+func spends(f *streamer.Failure) bool {
+	switch f.Cause {
 	case streamer.CauseConnect, streamer.CauseBroken, streamer.CauseStage, streamer.CauseLeaving:
 		return false
+	case streamer.CauseStall:
+		return f.Upstream == ""
 	default:
 		return true
 	}
 }
 
+// Doubt implements streamer.Router.
+func (r *Router) Doubt(ctx context.Context, stages []streamer.Stage) string {
+	return r.News.Ask(ctx, upstreamsOf(stages))
+}
+
 // Report implements streamer.Router.
 func (r *Router) Report(upstream string, load tracker.Load) {
 	if r.Tracker.Report(time.Now(), upstream, load) && load.Leaving {
--- a/runner/news.go
+++ b/runner/news.go
@@ -56,6 +56,14 @@
 // Doubt implements router.News.
 func (n news) Doubt(upstreams []string) { n.probe.Doubt(upstreams) }
 
+// Ask implements router.News. A probe is given as long as a stall takes to
+// show, twice the round trip at the least.
+func (n news) Ask(ctx context.Context, upstreams []string) string {
+	ctx, cancel := context.WithTimeout(ctx, ms(n.Settings.Timing.StallFloorMs))
+	defer cancel()
+	return n.probe.Ask(ctx, upstreams)
+}
+
 // heard takes in what is new, from this host or another.
 func (h *Host) heard(items []*peer.Item) {
 	for _, it := range items {
--- a/streamer/streamer.go
+++ b/streamer/streamer.go
@@ -98,6 +98,9 @@
 	Release(job *Job, stages []Stage, failure *Failure)
 	// Retry returns nil when the job may be tried again after the failure.
 	Retry(job *Job, failure *Failure) error
+	// Doubt asks the stages of a silent route whether they live, and returns
+	// one that doesn't answer; empty means that all do.
+	Doubt(ctx context.Context, stages []Stage) string
 	// Report takes in an upstream's load.
 	Report(upstream string, load tracker.Load)
 }
@@ -121,7 +124,7 @@
 	Router  Router
 	Checker *checker.Checker
 	Log     zerolog.Logger
-	// StallFloor is the shortest silence that counts as a stall.
+	// StallFloor is the shortest silence after which the stages are asked.
 	StallFloor time.Duration
 	// Dropped counts frames of another attempt or index.
 	Dropped atomic.Int64
@@ -129,10 +132,6 @@
 	Relayed atomic.Int64
 }
 
-// firstFactor is how much longer than between tokens the wait for the first
-// one may be: the prompt is read in it.
-const firstFactor = 10
-
 // Run streams a job. emit is given each token in order and whether more can be
 // had without waiting. The error is Route's or Retry's; Result tells the rest.
 func (s *Streamer) Run(ctx context.Context, job *Job, emit func(text string, more bool) error) (Result, error) {
@@ -172,12 +171,12 @@
 	fail := &Failure{Attempt: r.res.Attempts, Stages: stages}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	// A stage was frozen, or a link swallowed its packets: nothing broke, so
-	// nothing was reported, and the caller's stream stood still. The timer ends
-	// the attempt, which closes the stream and so cancels it upstream, before
-	// a new one starts.
-	quiet := &watchdog{cancel: cancel, limit: max(r.StallFloor, 2*gap)}
-	quiet.start(firstFactor)
+	quiet := &watchdog{
+		cancel: cancel,
+		limit:  max(r.StallFloor, 2*gap),
+		doubt:  func() string { return r.Router.Doubt(ctx, stages) },
+	}
+	quiet.start()
 	defer quiet.stop()
 	frames, err := r.Engine.Generate(ctx, stages[0].Address, r.request(stages))
 	fail.Started = !errors.Is(err, ErrNotSent)
@@ -200,7 +199,7 @@
 		if done || bad {
 			return failureIf(bad, fail)
 		}
-		quiet.start(1)
+		quiet.start()
 	}
 }
 
@@ -279,7 +278,7 @@
 	var refusal *EngineError
 	switch {
 	case quiet.fired.Load():
-		fail.Cause = CauseStall
+		fail.Cause, fail.Upstream = CauseStall, quiet.silent()
 	case !time.Now().Before(r.job.Deadline):
 		fail.Cause = CauseDeadline
 	case ctx.Err() != nil:
@@ -340,24 +339,3 @@
 	}
 	return next == layers
 }
-
-// watchdog cancels an attempt after a silence.
-type watchdog struct {
-	cancel context.CancelFunc
-	limit  time.Duration
-	timer  *time.Timer
-	fired  atomic.Bool
-}
-
-func (w *watchdog) start(factor int) {
-	if w.timer == nil {
-		w.timer = time.AfterFunc(w.limit*time.Duration(factor), func() {
-			w.fired.Store(true)
-			w.cancel()
-		})
-		return
-	}
-	w.timer.Reset(w.limit * time.Duration(factor))
-}
-
-func (w *watchdog) stop() { w.timer.Stop() }
--- a/streamer/streamer_test.go
+++ b/streamer/streamer_test.go
@@ -39,6 +39,8 @@
 
 func (o *oneRoute) Release(*streamer.Job, []streamer.Stage, *streamer.Failure) {}
 
+func (o *oneRoute) Doubt(context.Context, []streamer.Stage) string { return "" }
+
 func (o *oneRoute) Report(string, tracker.Load) {}
 
 var errEnough = errors.New("enough attempts")
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -7,6 +7,7 @@
 package tracker
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -106,6 +107,9 @@
 	Host string
 	// Sharers returns how many hosts send work to the same upstreams.
 	Sharers func() int
+	// Unlimited gives every upstream as many slots as anyone wants; for
+	// measuring what admission is worth.
+	Unlimited bool
 
 	mu        sync.Mutex
 	ups       map[string]*upstream
@@ -328,6 +332,9 @@
 		Excluded:   u.stateAt(now) != StateUp,
 	}
 	c.Slots = slots(&c, p.cfg.TokenGapMs)
+	if t.Unlimited {
+		c.Slots = math.MaxInt32
+	}
 	return c
 }
 
