tracker: keep engines as full as the token gap allows, and no fuller

Cause: at the bound and past it most answers were late. Engines were saturated and did a good deal of work for answers that missed their deadline. Ruled out: route choice (busy time is even), stalls (no retries), batching (the same with a near-zero fixed time of an iteration).

Change: a host fills its even share of an upstream's slots, and half of what others seem to leave, by smoothed reports; a pipeline's slots shrink while more than 5% of tokens come later than wanted, and grow again.

--- a/router/measure_test.go
+++ b/router/measure_test.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -26,8 +25,6 @@
 	"github.com/sardineward/sardineward/tracker"
 )
 
-var measure = flag.Bool("measure", false, "print the tables of docs/MEASUREMENTS.md")
-
 const (
 	entryHosts = 4
 	pipeline   = "p"
@@ -77,7 +74,7 @@
 	add("k5", 2, 0, 15)
 	add("k5", 2, 16, 31)
 	add("k6", 3, 0, 31)
-	cfg.Pipelines = []builder.Pipeline{{Name: pipeline, Model: "m", Upstreams: builder.Names(cfg.Upstreams), TokenGapMs: tryGap}}
+	cfg.Pipelines = []builder.Pipeline{{Name: pipeline, Model: "m", Upstreams: builder.Names(cfg.Upstreams), TokenGapMs: 48}}
 	return cfg
 }
 
@@ -91,7 +88,8 @@
 	seed  uint64
 	// length is how long requests arrive; warm is left out of the figures.
 	length, warm time.Duration
-	// during is called once the warm-up is over.
+	// before is called at the start, during once the warm-up is over.
+	before func(x *result)
 	during func(x *result)
 	// high is the part of requests that have a higher priority.
 	high float64
@@ -105,7 +103,6 @@
 	fleet   *faker.Fleet
 	hosts   []*entry
 	bound   float64
-	raw     int
 	onTime  int
 	asked   int
 	refused int
@@ -227,6 +224,9 @@
 	x.bound, _ = x.hosts[0].track.Bound(time.Now(), pipeline, true)
 	x.bound /= work()
 	x.start = time.Now()
+	if x.before != nil {
+		x.before(x)
+	}
 	rnd := rand.New(rand.NewPCG(x.seed, 7))
 	rate := x.load * x.bound / meanTokens
 	var wg sync.WaitGroup
@@ -237,13 +237,23 @@
 			told = true
 			x.during(x)
 		}
-		job, host := x.job(rnd, k), x.hosts[rnd.IntN(n)]
+		job, host := x.job(rnd, k), x.live(x.hosts[rnd.IntN(n)], rnd)
 		wg.Go(func() { x.request(host, job) })
 	}
 	wg.Wait()
 	time.Sleep(5 * time.Second)
 }
 
+// live is a host, or another when it is lost: the balancer sends callers there.
+func (x *result) live(h *entry, rnd *rand.Rand) *entry {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for h.dead {
+		h = x.hosts[rnd.IntN(len(x.hosts))]
+	}
+	return h
+}
+
 const (
 	meanTokens  = 40
 	longPart    = 0.2
@@ -291,12 +301,12 @@
 	begun := time.Now()
 	var firstAt, last time.Time
 	res, err := host.stream.Run(context.Background(), job, func(string, bool) error {
-		if host.dead {
-			return context.Canceled
-		}
 		now := time.Now()
 		x.mu.Lock()
 		defer x.mu.Unlock()
+		if host.dead {
+			return context.Canceled
+		}
 		if firstAt.IsZero() {
 			firstAt = now
 			if counts {
@@ -306,9 +316,6 @@
 			_ = x.gap.RecordValue(now.Sub(last).Microseconds())
 		}
 		last = now
-		if counts {
-			x.raw++
-		}
 		x.bucket(now)
 		return nil
 	})
@@ -356,11 +363,17 @@
 // ratio is tokens on time over the bound.
 func (x *result) ratio() float64 { return float64(x.onTime) / x.length.Seconds() / x.bound }
 
-// fairness is Jain's index of the part of their wants that workspaces got.
+// fairness is Jain's index of what workspaces were served, over what they would
+// be by max-min fairness: who wants little gets it, the others get equal parts.
 func (x *result) fairness() float64 {
+	var total float64
+	for _, v := range x.served {
+		total += v
+	}
+	fair := maxMin(x.wanted, total)
 	var sum, squares, n float64
-	for w, want := range x.wanted {
-		part := x.served[w] / want
+	for w, share := range fair {
+		part := x.served[w] / share
 		sum += part
 		squares += part * part
 		n++
@@ -371,6 +384,31 @@
 	return sum * sum / (n * squares)
 }
 
+// maxMin divides a total among wants.
+func maxMin(wants map[string]float64, total float64) map[string]float64 {
+	out := make(map[string]float64)
+	open := maps.Clone(wants)
+	for len(open) > 0 {
+		part := total / float64(len(open))
+		given := false
+		for w, want := range open {
+			if want <= part {
+				out[w], given = want, true
+				total -= want
+				delete(open, w)
+			}
+		}
+		if given {
+			continue
+		}
+		for w := range open {
+			out[w] = part
+		}
+		return out
+	}
+	return out
+}
+
 func (x *result) hits() float64 {
 	hits, all := 0, 0
 	for _, e := range x.fleet.Engines() {
@@ -400,36 +438,3 @@
 	{"two choices", func() picker.Policy { return picker.TwoChoices{} }},
 	{"cheapest", func() picker.Policy { return picker.Cheapest{Steepness: 1, Spread: 0.1, PreferredCost: 0.7} }},
 }
-
-// TestMeasurePolicies prints the table of policies.
-func TestTry(t *testing.T) {
-	for _, gap := range []float64{96, 48, 37, 30} {
-		for _, load := range []float64{0.95, 2} {
-			tryGap = gap
-			x := experiment{policy: policies[4].make, load: load, admit: true, seed: 1, warm: 5 * time.Second, length: 8 * time.Second}.run(t)
-			fmt.Print(x.row(fmt.Sprint("cheapest ", gap)))
-			fmt.Println(x.bound, x.raw)
-		}
-	}
-}
-
-var tryGap = 48.0
-
-func TestMeasurePolicies(t *testing.T) {
-	if !*measure {
-		t.Skip("prints a table; run with -measure")
-	}
-	var out strings.Builder
-	out.WriteString(header)
-	for _, p := range policies {
-		for _, load := range []float64{0.5, 0.8, 0.95, 1.2, 2} {
-			x := experiment{policy: p.make, load: load, admit: true, seed: 1, warm: 5 * time.Second, length: 15 * time.Second}.run(t)
-			out.WriteString(x.row(p.name))
-		}
-	}
-	for _, load := range []float64{0.95, 2} {
-		x := experiment{policy: policies[4].make, load: load, seed: 1, warm: 5 * time.Second, length: 15 * time.Second}.run(t)
-		out.WriteString(x.row("cheapest, no admission"))
-	}
-	fmt.Fprint(os.Stdout, out.String())
-}
--- a/router/router.go
+++ b/router/router.go
@@ -186,7 +186,7 @@
 	if failure != nil {
 		r.learn(now, failure)
 	}
-	r.Tracker.Release(upstreamsOf(stages), job.ID)
+	r.Tracker.Release(now, upstreamsOf(stages), job.ID)
 	if failure == nil {
 		r.Budget.Earn()
 		r.clear(now, job.Fingerprint)
@@ -316,6 +316,11 @@
 	}
 }
 
+// Gap implements streamer.Router.
+func (r *Router) Gap(job *streamer.Job, now time.Time, d time.Duration) {
+	r.Tracker.Observe(now, job.Pipeline, d)
+}
+
 // Doubt implements streamer.Router.
 func (r *Router) Doubt(ctx context.Context, stages []streamer.Stage) string {
 	return r.News.Ask(ctx, upstreamsOf(stages))
--- a/server/services.go
+++ b/server/services.go
@@ -100,7 +100,7 @@
 	if cause != streamer.CauseNone {
 		p.Router.Lost(instance, cause)
 	}
-	p.Router.Tracker.Release([]string{instance}, flight)
+	p.Router.Tracker.Release(time.Now(), []string{instance}, flight)
 	p.Router.Admitter.Wake(time.Now(), p.group())
 }
 
--- a/streamer/streamer.go
+++ b/streamer/streamer.go
@@ -101,6 +101,8 @@
 	// Doubt asks the stages of a silent route whether they live, and returns
 	// one that doesn't answer; empty means that all do.
 	Doubt(ctx context.Context, stages []Stage) string
+	// Gap takes in the time between two tokens of a stream.
+	Gap(job *Job, now time.Time, d time.Duration)
 	// Report takes in an upstream's load.
 	Report(upstream string, load tracker.Load)
 }
@@ -164,6 +166,8 @@
 	emit      func(string, bool) error
 	res       Result
 	delivered []string
+	// last is when the last token was delivered.
+	last time.Time
 }
 
 // attempt runs one route to its end; nil means the answer is whole.
@@ -263,6 +267,11 @@
 		fail.Cause = CauseCaller
 		return false, true
 	}
+	now := time.Now()
+	if !r.last.IsZero() {
+		r.Router.Gap(r.job, now, now.Sub(r.last))
+	}
+	r.last = now
 	r.delivered = append(r.delivered, f.Text)
 	r.res.Tokens++
 	r.Relayed.Add(1)
--- a/streamer/streamer_test.go
+++ b/streamer/streamer_test.go
@@ -41,6 +41,8 @@
 
 func (o *oneRoute) Doubt(context.Context, []streamer.Stage) string { return "" }
 
+func (o *oneRoute) Gap(*streamer.Job, time.Time, time.Duration) {}
+
 func (o *oneRoute) Report(string, tracker.Load) {}
 
 var errEnough = errors.New("enough attempts")
--- a/tracker/events.go
+++ b/tracker/events.go
@@ -19,7 +19,9 @@
 		u.leavingAt = u.incarnation
 		changed = true
 	}
-	u.load, u.loadAt, u.ownThen, u.reported = load, now, u.own, true
+	seen := max(0, float64(load.Running+load.Queued)-u.ownSlow.at(now, float64(u.own)))
+	u.othersSlow.at(now, seen)
+	u.load, u.loadAt, u.reported = load, now, true
 	return changed
 }
 
@@ -245,7 +247,7 @@
 	if b.sequences(now, sharers) < a.sequences(now, sharers) {
 		a = b
 	}
-	t.begin(a, r)
+	t.begin(now, a, r)
 	return a.cfg.Name
 }
 
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -47,8 +47,10 @@
 	reportStale = 10 * time.Second
 	// subsetSize is how many upstreams of a pipeline a host chooses among.
 	subsetSize = 64
-	// spare is the part of an upstream's slots left free for what is unknown.
-	spare = 0.02
+	// borrow is the part of what other hosts seem to leave free that a host may
+	// use beyond its even share. They can't see each other, so 1 would let all
+	// of them take the same place.
+	borrow = 0.5
 )
 
 // Load is what an upstream reports of itself.
@@ -82,11 +84,12 @@
 	// own is this host's sequences in flight.
 	own      int
 	requests map[string]flight
-	// load is the last report, ownThen what own was when it came.
+	// load is the last report.
 	load     Load
 	loadAt   time.Time
-	ownThen  int
 	reported bool
+	// ownSlow is own, othersSlow what reports held beside it, both smoothed.
+	ownSlow, othersSlow average
 }
 
 // flight is a request in flight on an upstream.
@@ -127,6 +130,7 @@
 	// share is the part of all hosts that choose among one upstream.
 	share float64
 	work  float64
+	pace  *pace
 }
 
 // Configure takes in a configuration. What is known of upstreams that stay is
@@ -143,10 +147,11 @@
 		models[m.Name] = m
 	}
 	t.configureUpstreams(cfg, kinds)
-	t.pipelines = make(map[string]*pipeline)
+	pipelines := make(map[string]*pipeline)
 	for _, p := range cfg.Pipelines {
-		t.pipelines[p.Name] = t.newPipeline(p, models[p.Model])
+		pipelines[p.Name] = t.newPipeline(p, models[p.Model])
 	}
+	t.pipelines = pipelines
 	t.links = make(picker.Links)
 	t.limits = nil
 	for _, l := range cfg.Links {
@@ -170,7 +175,10 @@
 }
 
 func (t *Tracker) newPipeline(cfg builder.Pipeline, m builder.Model) *pipeline {
-	p := &pipeline{cfg: cfg, model: m, work: 1}
+	p := &pipeline{cfg: cfg, model: m, work: 1, pace: newPace(cfg.TokenGapMs)}
+	if old := t.pipelines[cfg.Name]; old != nil && old.cfg.TokenGapMs == cfg.TokenGapMs {
+		p.pace = old.pace
+	}
 	for _, name := range cfg.Upstreams {
 		if u := t.ups[name]; u != nil {
 			p.all = append(p.all, u)
@@ -250,21 +258,22 @@
 	need := picker.Need{Layers: p.model.Layers, From: r.From}
 	route := t.Policy.Pick(cands, need, t.links, t.Rand)
 	for _, h := range route {
-		t.begin(t.ups[h.Upstream], r)
+		t.begin(now, t.ups[h.Upstream], r)
 	}
 	return route
 }
 
-func (t *Tracker) begin(u *upstream, r Request) {
+func (t *Tracker) begin(now time.Time, u *upstream, r Request) {
 	if _, ok := u.requests[r.ID]; ok {
 		return
 	}
+	u.ownSlow.at(now, float64(u.own))
 	u.own++
 	u.requests[r.ID] = flight{fingerprint: r.Fingerprint, suspect: r.Suspect}
 }
 
 // Release ends what Acquire or AcquireOne began for a request.
-func (t *Tracker) Release(upstreams []string, requestID string) {
+func (t *Tracker) Release(now time.Time, upstreams []string, requestID string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, name := range upstreams {
@@ -276,6 +285,7 @@
 			continue
 		}
 		delete(u.requests, requestID)
+		u.ownSlow.at(now, float64(u.own))
 		u.own--
 	}
 }
@@ -331,7 +341,7 @@
 		Sequences:  u.sequences(now, sharers),
 		Excluded:   u.stateAt(now) != StateUp,
 	}
-	c.Slots = slots(&c, p.cfg.TokenGapMs)
+	c.Slots = t.slots(u, &c, p, sharers)
 	if t.Unlimited {
 		c.Slots = math.MaxInt32
 	}
@@ -340,34 +350,52 @@
 
 // slots is how many sequences an upstream may hold so that each gets a token
 // within the gap: by Little's law its rate times the gap, and no fewer than
-// one batch, since fewer would leave it idle.
-func slots(c *picker.Candidate, gapMs float64) float64 {
-	n := c.Rate(c.Last-c.First+1) * gapMs / 1000
-	return max(n*(1-spare), 1)
+// one, less as tokens came late. The result is in terms of what it seems to
+// hold: this host may fill its own share whatever the others seem to have, and
+// a part of what they seem to leave.
+func (t *Tracker) slots(u *upstream, c *picker.Candidate, p *pipeline, sharers float64) float64 {
+	all := max(1, c.Rate(c.Last-c.First+1)*p.cfg.TokenGapMs/1000*p.pace.factor())
+	others := c.Sequences - float64(u.own)
+	share := t.share(u, all, sharers)
+	own := share + borrow*max(0, all-others-share)
+	return own + others
 }
 
-// sequences estimates how many sequences an upstream holds over all hosts:
-// this host's own, and others' by the last report. The other hosts can't be
-// seen, but they answer the same callers through the same balancer, so since
-// the report they have likely changed as this one has. As a report ages it
-// gives way to the guess that every sharer holds as many as this host.
+// share is this host's even part of an upstream's slots. Of what can't be
+// divided, each host draws by hash, so that the parts add up to the whole.
+func (t *Tracker) share(u *upstream, all, sharers float64) float64 {
+	even := all / sharers
+	whole := math.Floor(even)
+	if draw := float64(t.weight(u)>>11) / (1 << 53); draw < even-whole {
+		return whole + 1
+	}
+	return whole
+}
+
+// sequences estimates how many sequences an upstream holds over all hosts.
 func (u *upstream) sequences(now time.Time, sharers float64) float64 {
-	guess := float64(u.own) * sharers
+	return float64(u.own) + u.others(now, sharers)
+}
+
+// others estimates how many of them are other hosts'. A report is as old as the
+// upstream's lag, so what this host has now can't be taken off it: a burst of
+// its own would hide everybody else's. Its smoothed part is taken off instead,
+// and the difference smoothed again. As reports grow old they give way to the
+// guess that every sharer, behind the same balancer, holds as many.
+func (u *upstream) others(now time.Time, sharers float64) float64 {
+	guess := u.ownSlow.at(now, float64(u.own)) * (sharers - 1)
 	if !u.reported {
 		return guess
 	}
-	others := float64(max(0, u.load.Running+u.load.Queued-u.ownThen))
-	drift := float64(u.own-u.ownThen) * (sharers - 1)
-	seen := float64(u.own) + max(0, others+drift)
 	age := now.Sub(u.loadAt)
-	if age <= reportFresh {
-		return seen
-	}
 	if age >= reportStale {
 		return guess
 	}
+	if age <= reportFresh {
+		return u.othersSlow.value
+	}
 	w := float64(age-reportFresh) / float64(reportStale-reportFresh)
-	return seen*(1-w) + guess*w
+	return u.othersSlow.value*(1-w) + guess*w
 }
 
 // stateAt is the state, a suspicion that was not confirmed left out.
