builder, gossiper: hosts take in large fleets within their budget

Change: a submission is stored as checked and printed, and hosts only decode it; a host whose state differs in a quarter of its buckets fetches all of it, at most every 5 periods; what came in bulk is not news. Priority 0 printed as nothing and was read back as 5; priorities are 1 to 9.

--- a/builder/configuration_gen.go
+++ b/builder/configuration_gen.go
@@ -562,8 +562,8 @@
 	if 9 < plain.Priority {
 		return fmt.Errorf("field %s: must be <= %v", "priority", 9)
 	}
-	if 0 > plain.Priority {
-		return fmt.Errorf("field %s: must be >= %v", "priority", 0)
+	if 1 > plain.Priority {
+		return fmt.Errorf("field %s: must be >= %v", "priority", 1)
 	}
 	if v, ok := raw["requestsPerSecond"]; !ok || v == nil {
 		plain.RequestsPerSecond = 0.0
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -74,11 +74,28 @@
 	if err != nil {
 		return false
 	}
-	g.take(resp.Items)
+	g.take(resp.Items, true)
 	g.hearRevision(resp.Revision)
 	if full {
 		g.demand.settle(req.Demands, resp.Demands)
 	}
+	if resp.Differing >= bulkFrom && g.mayFetch() {
+		g.fetch(ctx, address)
+	}
+	return true
+}
+
+// mayFetch spaces bulk fetches. A data centre came back and hundreds of hosts
+// started at once; at a few hosts a message, they took minutes to know of each
+// other. Fetching the whole state from whoever has much that is new takes
+// seconds, and the spacing keeps it from costing more than the exchange does.
+func (g *Gossiper) mayFetch() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if time.Since(g.fetched) < bulkEvery*g.Period {
+		return false
+	}
+	g.fetched = time.Now()
 	return true
 }
 
@@ -204,15 +221,17 @@
 func (g *Gossiper) sync(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, 5*g.Period)
 	defer cancel()
-	if !g.exchange(ctx, address, g.state.News(messageBytes), false) {
-		return false
-	}
+	return g.exchange(ctx, address, g.state.News(messageBytes), false) && g.fetch(ctx, address)
+}
+
+// fetch pages through the state of a peer.
+func (g *Gossiper) fetch(ctx context.Context, address string) bool {
 	for page := int32(0); ; {
 		resp, err := g.Dial(address).Sync(ctx, &peer.SyncRequest{Page: page})
 		if err != nil {
 			return false
 		}
-		g.take(resp.Items)
+		g.take(resp.Items, false)
 		page += int32(len(resp.Items))
 		if !resp.More {
 			return true
@@ -240,13 +259,14 @@
 
 // Exchange answers a probe.
 func (g *Gossiper) Exchange(_ context.Context, req *peer.ExchangeRequest) (*peer.ExchangeResponse, error) {
-	g.take(req.Items)
+	g.take(req.Items, true)
 	g.hearRevision(req.Revision)
 	resp := &peer.ExchangeResponse{Revision: g.revision()}
 	if len(req.Digest) == 0 {
 		return resp, nil
 	}
 	resp.Demands = g.demand.answer(req.Demands)
+	resp.Differing = int32(g.state.Differs(req.Digest))
 	resp.Items = g.state.News(messageBytes)
 	g.mu.Lock()
 	start := g.Rand.IntN(1 << 20)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -48,6 +48,10 @@
 	// healEvery is the number of periods between tries at a dead or settings
 	// peer, by which two halves of a partition find each other again.
 	healEvery = 5
+	// bulkFrom is the number of differing buckets from which the whole state is
+	// fetched instead of repaired bit by bit, and bulkEvery how often at most.
+	bulkFrom  = digestBuckets / 4
+	bulkEvery = 5
 	// coalesce is how long urgent news waits for more of it.
 	coalesce = 10 * time.Millisecond
 )
@@ -84,7 +88,8 @@
 	turn    int
 	suspect map[string]time.Time
 	live    []*peer.Item
-	known   map[string]int64
+	// fetched is when the whole state was last fetched.
+	fetched time.Time
 }
 
 // Start makes the host known to itself; call it before Run or any handler.
@@ -92,7 +97,6 @@
 	g.state = NewState()
 	g.wake = make(chan struct{}, 1)
 	g.suspect = make(map[string]time.Time)
-	g.known = make(map[string]int64)
 	g.incarnation.Store(time.Now().UnixMilli())
 	g.announce()
 }
@@ -132,7 +136,7 @@
 
 // Publish makes items known to all hosts; urgent ones are passed on at once.
 func (g *Gossiper) Publish(urgent bool, items ...*peer.Item) {
-	fresh := g.state.Merge(time.Now(), items)
+	fresh := g.state.Merge(time.Now(), items, true)
 	g.changed(fresh)
 	if urgent {
 		g.push(fresh)
@@ -180,7 +184,7 @@
 	var all []scored
 	for _, it := range g.Live() {
 		if dataCentre == "" || it.Host.GetDataCentre() == dataCentre {
-			all = append(all, scored{it.Key, xxhash.Sum64String(key + "\x00" + it.Key)})
+			all = append(all, scored{it.Key, score(key, it.Key)})
 		}
 	}
 	slices.SortFunc(all, func(a, b scored) int {
@@ -196,9 +200,38 @@
 	return out
 }
 
-// Owns reports whether a key falls to this host.
+// Owns reports whether a key falls to this host. It stops at the nth host that
+// the key falls to sooner, which for most keys comes early, so the answer
+// hardly grows dearer with the number of hosts.
 func (g *Gossiper) Owns(key, dataCentre string, n int) bool {
-	return slices.Contains(g.Owners(key, dataCentre, n), g.Self)
+	own := score(key, g.Self)
+	before := 0
+	self := false
+	for _, it := range g.Live() {
+		if dataCentre != "" && it.Host.GetDataCentre() != dataCentre {
+			continue
+		}
+		if it.Key == g.Self {
+			self = true
+			continue
+		}
+		if score(key, it.Key) > own {
+			before++
+		}
+		if before >= n {
+			return false
+		}
+	}
+	return self
+}
+
+// score orders hosts by rendezvous hashing.
+func score(key, host string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(host)
+	return d.Sum64()
 }
 
 // Client returns the client for a host by name, or nil when it is not known or
@@ -227,12 +260,16 @@
 
 // take merges what a peer told. A report that this host is suspect or dead is
 // refuted at once with a higher incarnation.
-func (g *Gossiper) take(items []*peer.Item) {
-	fresh := g.state.Merge(time.Now(), items)
+func (g *Gossiper) take(items []*peer.Item, news bool) {
+	fresh := g.state.Merge(time.Now(), items, news)
 	if len(fresh) == 0 {
 		return
 	}
 	g.changed(fresh)
+	if !news {
+		g.refuteIn(fresh)
+		return
+	}
 	var pass []*peer.Item
 	for _, it := range fresh {
 		if it.Kind == peer.ItemKind_ITEM_KIND_HOST && it.Key == g.Self {
@@ -246,6 +283,14 @@
 	g.push(pass)
 }
 
+func (g *Gossiper) refuteIn(items []*peer.Item) {
+	for _, it := range items {
+		if it.Kind == peer.ItemKind_ITEM_KIND_HOST && it.Key == g.Self {
+			g.refute(it)
+		}
+	}
+}
+
 func (g *Gossiper) refute(it *peer.Item) {
 	for {
 		old := g.incarnation.Load()
@@ -306,7 +351,7 @@
 // patience is how long a suspect has to refute: two periods, longer as the
 // news of its suspicion takes longer to reach it.
 func (g *Gossiper) patience() time.Duration {
-	hops := math.Log2(float64(max(2, len(g.known)+len(g.order))))
+	hops := math.Log2(float64(max(2, len(g.order))))
 	return g.Period * time.Duration(2+hops/2)
 }
 
--- a/gossiper/state.go
+++ b/gossiper/state.go
@@ -48,14 +48,20 @@
 	return &State{items: make(map[itemKey]*stored), news: make(map[itemKey]int)}
 }
 
-// Merge takes in items and returns those that were new or newer.
-func (s *State) Merge(now time.Time, items []*peer.Item) []*peer.Item {
+// Merge takes in items and returns those that were new or newer. They are passed
+// on to others as news, unless they came in bulk: whoever lacks those finds that
+// by its digest.
+func (s *State) Merge(now time.Time, items []*peer.Item, news bool) []*peer.Item {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var changed []*peer.Item
 	for _, it := range items {
-		if s.merge(now, it) {
-			changed = append(changed, it)
+		if !s.merge(now, it) {
+			continue
+		}
+		changed = append(changed, it)
+		if news {
+			s.news[itemKey{it.Kind, it.Key}] = 0
 		}
 	}
 	return changed
@@ -76,7 +82,6 @@
 	st := &stored{item: it, hash: hashItem(it), size: proto.Size(it) + 3}
 	s.items[k] = st
 	s.digest[bucketOf(k)] ^= st.hash
-	s.news[k] = 0
 	if it.Kind == peer.ItemKind_ITEM_KIND_HOST {
 		s.hosts++
 	}
@@ -151,9 +156,22 @@
 	return slices.Clone(s.digest[:])
 }
 
+// Differs counts the buckets whose hash is not the given one.
+func (s *State) Differs(digest []uint32) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for i, h := range digest[:min(len(digest), digestBuckets)] {
+		if h != s.digest[i] {
+			n++
+		}
+	}
+	return n
+}
+
 // News returns what others may not have heard yet, the least sent first, in at
-// most budget bytes. Each item is sent a few times the logarithm of the number
-// of hosts, after which nearly all have it; the digest repairs the rest.
+// most budget bytes. Each item is sent about the logarithm of the number of
+// hosts times, after which nearly all have it; the digest repairs the rest.
 func (s *State) News(budget int) []*peer.Item {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -171,7 +189,7 @@
 			cmp.Compare(a.key, b.key),
 		)
 	})
-	limit := 2 + 2*bits.Len(uint(s.hosts))
+	limit := 2 + bits.Len(uint(s.hosts))
 	var out []*peer.Item
 	for _, k := range keys {
 		st := s.items[k]
--- /dev/null
+++ b/router/bench_test.go
@@ -0,0 +1,107 @@
+package router_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/sardineward/sardineward/builder"
+	"github.com/sardineward/sardineward/picker"
+	"github.com/sardineward/sardineward/tracker"
+)
+
+// fleetOf declares n engines in eight data centres, with four ranges of layers.
+func fleetOf(n int) *builder.Configuration {
+	cfg := &builder.Configuration{
+		Models:       []builder.Model{{Name: "m", Version: "1", Layers: layers}},
+		Accelerators: []builder.Accelerator{{Name: "k", StepMs: 1, LayerMs: 0.05, Batch: 16}},
+	}
+	for i := range n {
+		cfg.Upstreams = append(cfg.Upstreams, builder.Upstream{
+			Name: fmt.Sprintf("engine-%d", i), Address: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250),
+			DataCentre: fmt.Sprint("dc", i%8), Model: "m", Accelerator: "k", FirstLayer: i % 4 * 8, LastLayer: i%4*8 + 7,
+		})
+	}
+	cfg.Pipelines = []builder.Pipeline{{Name: pipeline, Model: "m", Upstreams: builder.Names(cfg.Upstreams), TokenGapMs: 48}}
+	return cfg
+}
+
+func trackerOf(n int) *tracker.Tracker {
+	t := &tracker.Tracker{
+		Policy: picker.Cheapest{Steepness: 1, Spread: 0.1, PreferredCost: 0.7}, Rand: rand.New(rand.NewPCG(1, 1)),
+		Host: "h", Sharers: func() int { return 4 },
+	}
+	t.Configure(fleetOf(n))
+	return t
+}
+
+// BenchmarkRoute measures one choice of a route among n upstreams.
+func BenchmarkRoute(b *testing.B) {
+	for _, n := range []int{8, 40, 100, 1000, 10000} {
+		t := trackerOf(n)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			now := time.Now()
+			r := tracker.Request{ID: "r", Pipeline: pipeline, From: "dc0", Prefix: 7}
+			for b.Loop() {
+				route := t.Acquire(now, r)
+				names := make([]string, len(route))
+				for i, h := range route {
+					names[i] = h.Upstream
+				}
+				t.Release(now, names, r.ID)
+			}
+		})
+	}
+}
+
+// BenchmarkConfigure measures taking in a configuration of n upstreams: its
+// time from text to force on a host, its bytes, and what stays in memory of it.
+func BenchmarkConfigure(b *testing.B) {
+	for _, n := range []int{40, 1000, 10000} {
+		src, err := builder.Canonical(fleetOf(n))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var t *tracker.Tracker
+			var cfg *builder.Configuration
+			before := heap()
+			for b.Loop() {
+				if cfg, err = builder.Decode(src); err != nil {
+					b.Fatal(err)
+				}
+				t = &tracker.Tracker{Host: "h"}
+				t.Configure(cfg)
+			}
+			b.ReportMetric(float64(heap()-before)/float64(n), "heapB/upstream")
+			b.ReportMetric(float64(len(src)), "textB")
+			runtime.KeepAlive(t)
+			runtime.KeepAlive(cfg)
+		})
+	}
+}
+
+func heap() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// BenchmarkBound measures the throughput bound over n upstreams of one kind in
+// eight data centres.
+func BenchmarkBound(b *testing.B) {
+	for _, n := range []int{8, 100, 1000, 10000} {
+		t := trackerOf(n)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := t.Bound(time.Now(), pipeline, true); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/runner/build.go
+++ b/runner/build.go
@@ -95,6 +95,7 @@
 func (h *Host) buildGossip() {
 	cfg := h.Settings
 	t := h.transport()
+	t.DialContext = countedDial(h.Dial, &h.control)
 	t.TLSClientConfig = h.peerTLS
 	// Gossip goes round all hosts, so a kept connection would hardly be used
 	// again before it is closed.
@@ -239,6 +240,7 @@
 		return 0
 	})
 	h.meter.CounterFunc("platform_calls_total", "Calls on the platform.", func() float64 { return float64(h.store.Calls()) })
+	h.meter.CounterFunc("control_bytes_total", "Bytes to and from other hosts.", func() float64 { return float64(h.control.Load()) })
 	h.meter.CounterFunc("tokens_total", "Tokens relayed to callers.", func() float64 { return float64(h.stream.Relayed.Load()) })
 	h.meter.CounterFunc("frames_dropped_total", "Frames of another attempt or index.", func() float64 { return float64(h.stream.Dropped.Load()) })
 	h.meter.CounterFunc("orders_total", "Orders given to engines.", func() float64 { return float64(h.plan.Orders.Load()) })
--- a/runner/random_test.go
+++ b/runner/random_test.go
@@ -32,7 +32,7 @@
 			run(t, seed, func(b *bench) {
 				c := &chaos{
 					bench: b, rnd: rand.New(rand.NewPCG(seed, 0)), lostRnd: rand.New(rand.NewPCG(seed, 99)),
-					bookings: make(map[string]string), refused: make(map[string]int), ended: make(map[int]bool), revision: 1,
+					bookings: make(map[string]string), refused: make(map[string]int), ended: make(map[int]bool), revision: 1, racing: make(chan struct{}, 1),
 				}
 				c.run(time.Duration(*minutes) * time.Minute)
 			})
@@ -57,7 +57,9 @@
 	lostRnd  *rand.Rand
 	ended    map[int]bool
 
-	racing   sync.Mutex
+	// racing admits one race of operators at a time. It is no mutex: virtual
+	// time stands still while one is waited for.
+	racing   chan struct{}
 	revision int64
 }
 
@@ -288,8 +290,8 @@
 // reconfigure has two operators race.
 func (c *chaos) reconfigure() {
 	c.wg.Go(func() {
-		c.racing.Lock()
-		defer c.racing.Unlock()
+		c.racing <- struct{}{}
+		defer func() { <-c.racing }()
 		c.revision = max(c.revision, race(c.bench, c.revision))
 	})
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -78,6 +79,8 @@
 	meter   *meter.Meter
 	store   *storer.Client
 	peerTLS *tls.Config
+	// control counts bytes to and from other hosts.
+	control atomic.Int64
 
 	killed              chan struct{}
 	buildOnce, killOnce sync.Once
@@ -254,6 +257,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("listening on %s: %w", one.address, err)
 		}
+		if one.address == cfg.Peer.Listen {
+			l = countedListener{l, &h.control}
+		}
 		if one.tls != nil {
 			l = tls.NewListener(l, one.tls)
 		}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -226,7 +226,7 @@
 	for _, h := range head.Parts {
 		whole = append(whole, parts[h]...)
 	}
-	cfg, err := builder.Parse("configuration", whole)
+	cfg, err := builder.Decode(whole)
 	if err != nil {
 		return fmt.Errorf("reading revision %d: %w", head.Revision, err)
 	}
@@ -344,7 +344,11 @@
 // The error is a *Conflict when another submission came first. A lost answer
 // is settled by looking for the id.
 func Submit(ctx context.Context, store storer.Store, src []byte, base int64, id, by string) (int64, error) {
-	if _, err := builder.Parse("configuration", src); err != nil {
+	cfg, err := builder.Parse("configuration", src)
+	if err != nil {
+		return 0, err
+	}
+	if src, err = builder.Canonical(cfg); err != nil {
 		return 0, err
 	}
 	parts, err := writeParts(ctx, store, src)
