watcher: a change costs hosts the part it is in

Change: parts end at lines that the text itself picks; a submission writes only parts that the head in force doesn't name; hashes are 16 bytes.

Kept: one in 64, at most 16 KB: 18.4 KB, parts and head together (TestCut), or 2.6 KB/s.

TestStagePaused left its engine asleep past its end; it resumes it.

--- a/cmd/sardineward/operate.go
+++ b/cmd/sardineward/operate.go
@@ -149,17 +149,17 @@
 // that shows what changed, and not that the rest moved.
 func lineDifference(a, b string) (minus, plus []string) {
 	count := make(map[string]int)
-	for _, l := range strings.Split(a, "\n") {
+	for _, l := range strings.Split(strings.TrimSpace(a), "\n") {
 		count[l]++
 	}
-	for _, l := range strings.Split(b, "\n") {
+	for _, l := range strings.Split(strings.TrimSpace(b), "\n") {
 		if count[l] > 0 {
 			count[l]--
 			continue
 		}
 		plus = append(plus, l)
 	}
-	for _, l := range strings.Split(a, "\n") {
+	for _, l := range strings.Split(strings.TrimSpace(a), "\n") {
 		if count[l] > 0 {
 			count[l]--
 			minus = append(minus, l)
--- a/runner/layers_test.go
+++ b/runner/layers_test.go
@@ -57,13 +57,12 @@
 // of two expected gaps, and what the stage sends after waking is dropped.
 func TestStagePaused(t *testing.T) {
 	run(t, 11, func(b *bench) {
+		var frozen *faker.Engine
 		b.disturb(func(e *faker.Engine) {
+			frozen = e
 			e.Pause()
-			go func() {
-				time.Sleep(5 * time.Minute)
-				e.Resume()
-			}()
 		})
+		frozen.Resume()
 	})
 }
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -8,16 +8,19 @@
 package watcher
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/sardineward/sardineward/builder"
@@ -28,9 +31,13 @@
 const (
 	headKey    = "configuration/head"
 	partPrefix = "configuration/part/"
-	// partBytes is the size that a configuration is cut at, under the
-	// platform's limit with room for its encoding.
-	partBytes = 512 << 10
+	// partLeast and partMost bound a part's bytes, and one line in partEvery
+	// ends one. At 10,000 upstreams a part then has some 8 KB, and the head that
+	// lists them as much: a change of one upstream costs a host about 16 KB in
+	// place of the whole 2 MB.
+	partLeast = 2 << 10
+	partMost  = 16 << 10
+	partEvery = 64
 	// recentIDs is how many submissions the head remembers, so that a lost
 	// answer can be settled although others submitted meanwhile.
 	recentIDs = 64
@@ -289,8 +296,9 @@
 }
 
 func hashOf(b []byte) string {
+	const bytes = 16
 	sum := sha256.Sum256(b)
-	return hex.EncodeToString(sum[:])
+	return hex.EncodeToString(sum[:bytes])
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -353,7 +361,7 @@
 	}
 	parts, err := writeParts(ctx, store, src)
 	if err != nil {
-		return 0, err
+		return 0, fmt.Errorf("writing configuration: %w", err)
 	}
 	for {
 		rev, err := submitHead(ctx, store, parts, base, id, by)
@@ -413,14 +421,19 @@
 	return out[:min(len(out), recentIDs)]
 }
 
+// writeParts writes the parts that the head in force doesn't name already.
 func writeParts(ctx context.Context, store storer.Store, src []byte) ([]string, error) {
+	head, _, err := ReadHead(ctx, store)
+	if err != nil && !unsettled(err) {
+		return nil, err
+	}
 	var hashes []string
-	for len(src) > 0 {
-		n := min(len(src), partBytes)
-		part := src[:n]
-		src = src[n:]
+	for _, part := range cut(src) {
 		h := hashOf(part)
 		hashes = append(hashes, h)
+		if head != nil && slices.Contains(head.Parts, h) {
+			continue
+		}
 		if err := writePart(ctx, store, h, part); err != nil {
 			return nil, err
 		}
@@ -428,6 +441,30 @@
 	return hashes, nil
 }
 
+// cut divides a configuration into parts at lines that the text itself picks,
+// so that an upstream added in the middle changes one part and not all that
+// follow it.
+func cut(src []byte) [][]byte {
+	var parts [][]byte
+	begin := 0
+	for at := 0; at < len(src); {
+		end := at + bytes.IndexByte(src[at:], '\n') + 1
+		if end == at {
+			end = len(src)
+		}
+		size := end - begin
+		if size >= partLeast && xxhash.Sum64(src[at:end])%partEvery == 0 || size >= partMost {
+			parts = append(parts, src[begin:end])
+			begin = end
+		}
+		at = end
+	}
+	if begin < len(src) {
+		parts = append(parts, src[begin:])
+	}
+	return parts
+}
+
 // writePart tries until the part is there; a conflict means that it is, since
 // its name is its hash.
 func writePart(ctx context.Context, store storer.Store, hash string, part []byte) error {
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -1,9 +1,11 @@
 package watcher
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -47,3 +49,43 @@
 	is.True(!errors.Is(err, context.Canceled))
 	is.Equal(w.Revision(), int64(0))
 }
+
+// TestCut changes one upstream in the middle of thousands, and checks how much
+// of the configuration hosts must fetch for it.
+func TestCut(t *testing.T) {
+	is := is.New(t)
+	text := func(n, changed int) []byte {
+		cfg := &builder.Configuration{}
+		for i := range n {
+			u := builder.Upstream{Name: fmt.Sprintf("engine-%05d", i), Address: "10.0.0.1:80", DataCentre: "x"}
+			if i == changed {
+				u.Address = "10.0.0.2:80"
+			}
+			if i != changed+1 {
+				cfg.Upstreams = append(cfg.Upstreams, u)
+			}
+		}
+		src, err := builder.Canonical(cfg)
+		is.NoErr(err)
+		return src
+	}
+	for _, n := range []int{100, 1000, 10000} {
+		had := make(map[string]bool)
+		before := cut(text(n, -1))
+		is.Equal(bytes.Join(before, nil), text(n, -1))
+		for _, p := range before {
+			had[hashOf(p)] = true
+		}
+		after := cut(text(n, n/2))
+		fetched, size := 0, 0
+		for _, p := range after {
+			size += len(p)
+			if !had[hashOf(p)] {
+				fetched += len(p)
+			}
+		}
+		head := len(after) * (2*16 + 3)
+		t.Logf("%d upstreams: %d bytes in %d parts; a change costs %d bytes of parts and %d of head", n, size, len(after), fetched, head)
+		is.True(fetched <= 2*partMost)
+	}
+}
