--- /dev/null
+++ b/docs/plot/main.go
@@ -0,0 +1,72 @@
+// Command plot draws docs/policies.svg from the table of policies in
+// docs/MEASUREMENTS.md: tokens on time over the bound, by offered load.
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+func main() {
+	if err := draw("docs/MEASUREMENTS.md", "docs/policies.svg"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func draw(from, to string) error {
+	names, points, err := read(from)
+	if err != nil {
+		return err
+	}
+	p := plot.New()
+	p.Title.Text = "Tokens on time, 40 mixed runners, 4 entry hosts"
+	p.X.Label.Text = "offered load / bound"
+	p.Y.Label.Text = "tokens on time / bound"
+	p.Legend.Left, p.Legend.Top = true, true
+	var lines []any
+	for _, n := range names {
+		lines = append(lines, n, points[n])
+	}
+	if err := plotutil.AddLinePoints(p, lines...); err != nil {
+		return err
+	}
+	return p.Save(16*vg.Centimeter, 11*vg.Centimeter, to)
+}
+
+// read takes the rows of the first table: policy, load, ratio.
+func read(file string) ([]string, map[string]plotter.XYs, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer f.Close()
+	var names []string
+	points := make(map[string]plotter.XYs)
+	for scan := bufio.NewScanner(f); scan.Scan(); {
+		cells := strings.Split(scan.Text(), "|")
+		const least = 5
+		if len(cells) < least || strings.Contains(cells[1], ",") {
+			continue
+		}
+		x, errX := strconv.ParseFloat(strings.TrimSpace(cells[2]), 64)
+		y, errY := strconv.ParseFloat(strings.TrimSpace(cells[3]), 64)
+		if errX != nil || errY != nil {
+			continue
+		}
+		name := strings.TrimSpace(cells[1])
+		if points[name] == nil {
+			names = append(names, name)
+		}
+		points[name] = append(points[name], plotter.XY{X: x, Y: y})
+	}
+	return names, points, nil
+}
