--- a/cmd/sardineward/operate.go
+++ b/cmd/sardineward/operate.go
@@ -197,7 +197,11 @@
 	}
 	fmt.Fprintln(t, "\nUPSTREAM\tDATA CENTRE\tSTATE\tIN FLIGHT\tSEQUENCES\tREPORT AGE")
 	for _, u := range st.Upstreams {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.0f\t%d ms\n", u.Upstream, u.DataCentre, u.State, u.InFlight, u.Sequences, u.ReportAgeMs)
+		age := "none"
+		if u.ReportAgeMs >= 0 {
+			age = fmt.Sprintf("%d ms", u.ReportAgeMs)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.0f\t%s\n", u.Upstream, u.DataCentre, u.State, u.InFlight, u.Sequences, age)
 	}
 	fmt.Fprintln(t, "\nPIPELINE\tBOUND DECLARED\tBOUND UP\tWAITING HERE")
 	for name, b := range st.Bounds {
--- a/faker/engine.go
+++ b/faker/engine.go
@@ -152,10 +152,6 @@
 	// how often it died of a prompt, Loads the orders it followed.
 	Hits, Misses, Crashes, Loads int
 	begun                        int
-	// Work is the layers run, each counted by its weight.
-	Work float64
-	// Busy is the time spent in iterations.
-	Busy time.Duration
 	// midRange is until when it answers with other layers than asked.
 	midRange time.Time
 }
@@ -342,8 +338,6 @@
 		rest = append(rest, s)
 	}
 	e.waiting = rest
-	e.Work += work
-	e.Busy += time.Duration((e.Kind.StepMs + work*e.Kind.LayerMs) * float64(time.Millisecond))
 	return ended, time.Duration((e.Kind.StepMs + work*e.Kind.LayerMs) * float64(time.Millisecond))
 }
 
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -24,7 +24,7 @@
 		return
 	}
 	cur := g.state.Get(peer.ItemKind_ITEM_KIND_HOST, it.Key)
-	if cur == nil || cur.Incarnation != it.Incarnation || cur.State >= HostSuspect {
+	if cur == nil || cur.Incarnation != it.Incarnation || StateOf(cur) >= HostSuspect {
 		return
 	}
 	g.Log.Info().Str("host", it.Key).Msg("gossiper: host suspected")
@@ -41,7 +41,7 @@
 			name := g.order[g.turn]
 			g.turn++
 			it := g.state.Get(peer.ItemKind_ITEM_KIND_HOST, name)
-			if it != nil && it.State != HostDead {
+			if it != nil && StateOf(it) != HostDead {
 				return it
 			}
 		}
@@ -54,7 +54,7 @@
 	g.order = g.order[:0]
 	g.turn = 0
 	for _, it := range g.state.All(peer.ItemKind_ITEM_KIND_HOST) {
-		if it.State != HostDead && it.Key != g.Self {
+		if StateOf(it) != HostDead && it.Key != g.Self {
 			g.order = append(g.order, it.Key)
 		}
 	}
@@ -181,7 +181,7 @@
 func (g *Gossiper) heal(ctx context.Context) {
 	var addresses []string
 	for _, it := range g.state.All(peer.ItemKind_ITEM_KIND_HOST) {
-		if it.State == HostDead {
+		if StateOf(it) == HostDead {
 			addresses = append(addresses, it.Host.GetAddress())
 		}
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -24,15 +24,29 @@
 	"github.com/sardineward/sardineward/peer"
 )
 
-// States of a host. A higher one wins within an incarnation; a host refutes
-// Suspect and Dead by raising its own.
+//go:generate enumer -type HostState -trimprefix Host -transform title-lower -output hoststate_gen.go
+
+// HostState is what hosts think of one. A higher one wins within an
+// incarnation; a host refutes HostSuspect and HostDead by raising its own.
+type HostState int32
+
+// The states of a host, as they stand in peer.Item.State.
 const (
-	HostAlive int32 = 1 + iota
+	// HostUnknown is no state.
+	HostUnknown HostState = iota
+	// HostAlive answers callers.
+	HostAlive
+	// HostLeaving stops, and answers only what it has.
 	HostLeaving
+	// HostSuspect could not be reached, and has some periods to refute that.
 	HostSuspect
+	// HostDead did not refute it.
 	HostDead
 )
 
+// StateOf is the state that an item about a host tells.
+func StateOf(it *peer.Item) HostState { return HostState(it.State) }
+
 const (
 	// messageBytes bounds the items of one message.
 	messageBytes = 1200
@@ -170,7 +184,7 @@
 func (g *Gossiper) computeLive() []*peer.Item {
 	all := g.state.All(peer.ItemKind_ITEM_KIND_HOST)
 	return slices.DeleteFunc(all, func(it *peer.Item) bool {
-		return it.State == HostDead || it.State == HostLeaving
+		return StateOf(it) == HostDead || StateOf(it) == HostLeaving
 	})
 }
 
@@ -238,7 +252,7 @@
 // dead.
 func (g *Gossiper) Client(name string) peer.Peer {
 	it := g.state.Get(peer.ItemKind_ITEM_KIND_HOST, name)
-	if it == nil || it.State == HostDead {
+	if it == nil || StateOf(it) == HostDead {
 		return nil
 	}
 	return g.Dial(it.Host.GetAddress())
@@ -253,7 +267,7 @@
 		Kind:        peer.ItemKind_ITEM_KIND_HOST,
 		Key:         g.Self,
 		Incarnation: g.incarnation.Load(),
-		State:       st,
+		State:       int32(st),
 		Host:        g.Host,
 	})
 }
@@ -276,7 +290,7 @@
 			g.refute(it)
 			continue
 		}
-		if urgency(it.Kind) > 0 || it.State == HostLeaving {
+		if urgency(it.Kind) > 0 || StateOf(it) == HostLeaving {
 			pass = append(pass, it)
 		}
 	}
@@ -316,7 +330,7 @@
 		}
 		g.live = nil
 		delete(g.suspect, it.Key)
-		if it.State == HostSuspect {
+		if StateOf(it) == HostSuspect {
 			g.suspect[it.Key] = time.Now()
 		}
 	}
@@ -340,7 +354,7 @@
 	g.mu.Unlock()
 	for _, name := range dead {
 		it := g.state.Get(peer.ItemKind_ITEM_KIND_HOST, name)
-		if it == nil || it.State != HostSuspect {
+		if it == nil || StateOf(it) != HostSuspect {
 			continue
 		}
 		g.Log.Info().Str("host", name).Msg("gossiper: host dead")
@@ -355,8 +369,8 @@
 	return g.Period * time.Duration(2+hops/2)
 }
 
-func verdict(it *peer.Item, st int32, expires time.Time) *peer.Item {
-	out := &peer.Item{Kind: it.Kind, Key: it.Key, Incarnation: it.Incarnation, State: st, Host: it.Host}
+func verdict(it *peer.Item, st HostState, expires time.Time) *peer.Item {
+	out := &peer.Item{Kind: it.Kind, Key: it.Key, Incarnation: it.Incarnation, State: int32(st), Host: it.Host}
 	if !expires.IsZero() {
 		out.Expires = expires.UnixMilli()
 	}
--- a/gossiper/scale_test.go
+++ b/gossiper/scale_test.go
@@ -176,7 +176,7 @@
 	m.down[lost] = true
 	dead := m.await(t, 2*time.Minute, func(g *gossiper.Gossiper) bool {
 		it := g.Get(peer.ItemKind_ITEM_KIND_HOST, lost)
-		return it != nil && it.State == gossiper.HostDead
+		return it != nil && gossiper.StateOf(it) == gossiper.HostDead
 	})
 	t.Logf("| %d | %.1f s | %.2f s | %.1f s | %.0f B/s | %.3f%% |", n, joined.Seconds(), heard.Seconds(), dead.Seconds(), quiet,
 		100*cpu.Seconds()/rest/float64(n))
@@ -216,7 +216,7 @@
 		defer stop()
 		m.await(t, time.Minute, m.sees(8))
 		it := m.list[0].Get(peer.ItemKind_ITEM_KIND_HOST, "host-5")
-		m.list[0].Publish(true, &peer.Item{Kind: it.Kind, Key: it.Key, Incarnation: it.Incarnation, State: gossiper.HostDead, Host: it.Host})
+		m.list[0].Publish(true, &peer.Item{Kind: it.Kind, Key: it.Key, Incarnation: it.Incarnation, State: int32(gossiper.HostDead), Host: it.Host})
 		m.await(t, 20*time.Second, m.sees(8))
 	})
 }
--- a/gossiper/sizes_test.go
+++ b/gossiper/sizes_test.go
@@ -68,7 +68,7 @@
 	s := gossiper.NewState()
 	for i := range n {
 		s.Merge(time.Now(), []*peer.Item{{
-			Kind: peer.ItemKind_ITEM_KIND_HOST, Key: fmt.Sprint("host-", i), Incarnation: time.Now().UnixMilli(), State: gossiper.HostAlive,
+			Kind: peer.ItemKind_ITEM_KIND_HOST, Key: fmt.Sprint("host-", i), Incarnation: time.Now().UnixMilli(), State: int32(gossiper.HostAlive),
 			Host: &peer.Host{Address: "10.100.100.100:8081", DataCentre: "sfax-north", Region: "sahel"},
 		}}, true)
 	}
--- a/runner/handlers.go
+++ b/runner/handlers.go
@@ -233,8 +233,8 @@
 	gate := make(chan struct{}, atOnce)
 	var wg sync.WaitGroup
 	for i, it := range items {
-		out[i] = HostStatus{Host: it.Key, DataCentre: it.Host.GetDataCentre(), State: stateName(it.State), Revision: -1}
-		if it.State == gossiper.HostDead {
+		out[i] = HostStatus{Host: it.Key, DataCentre: it.Host.GetDataCentre(), State: gossiper.StateOf(it).String(), Revision: -1}
+		if gossiper.StateOf(it) == gossiper.HostDead {
 			continue
 		}
 		gate <- struct{}{}
@@ -250,16 +250,3 @@
 	wg.Wait()
 	return out
 }
-
-func stateName(s int32) string {
-	switch s {
-	case gossiper.HostAlive:
-		return "alive"
-	case gossiper.HostLeaving:
-		return "leaving"
-	case gossiper.HostSuspect:
-		return "suspect"
-	default:
-		return "dead"
-	}
-}
--- a/runner/news.go
+++ b/runner/news.go
@@ -138,7 +138,7 @@
 	var near, far []*peer.Item
 	for _, it := range f.gossip.Live() {
 		switch {
-		case it.Key == f.Settings.Host || it.State == gossiper.HostSuspect:
+		case it.Key == f.Settings.Host || gossiper.StateOf(it) == gossiper.HostSuspect:
 		case it.Host.GetDataCentre() == f.Settings.DataCentre:
 			near = append(near, it)
 		default:
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -297,7 +297,7 @@
 
 func (h *Host) leaving() bool {
 	it := h.gossip.Get(peer.ItemKind_ITEM_KIND_HOST, h.Settings.Host)
-	return it != nil && it.State == gossiper.HostLeaving
+	return it != nil && gossiper.StateOf(it) == gossiper.HostLeaving
 }
 
 // InFlight is how many requests are being answered.
--- a/streamer/streamer.go
+++ b/streamer/streamer.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"sync/atomic"
 	"time"
 
@@ -299,9 +298,7 @@
 	default:
 		fail.Cause, fail.Upstream = CauseBroken, fail.Stages[0].Upstream
 	}
-	if errors.Is(err, io.EOF) || fail.Cause == CauseBroken {
-		r.Log.Debug().Str("requestId", r.job.ID).Err(err).Msg("streamer: stream broke")
-	}
+	r.Log.Debug().Str("requestId", r.job.ID).Stringer("cause", fail.Cause).Err(err).Msg("streamer: stream ended early")
 	return fail
 }
 
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -129,7 +129,6 @@
 	all    []*upstream
 	// share is the part of all hosts that choose among one upstream.
 	share float64
-	work  float64
 	pace  *pace
 }
 
@@ -175,7 +174,7 @@
 }
 
 func (t *Tracker) newPipeline(cfg builder.Pipeline, m builder.Model) *pipeline {
-	p := &pipeline{cfg: cfg, model: m, work: 1, pace: newPace(cfg.TokenGapMs)}
+	p := &pipeline{cfg: cfg, model: m, pace: newPace(cfg.TokenGapMs)}
 	if old := t.pipelines[cfg.Name]; old != nil && old.cfg.TokenGapMs == cfg.TokenGapMs {
 		p.pace = old.pace
 	}
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -106,7 +106,7 @@
 }
 
 // Bound is the throughput bound of a pipeline in tokens a second: over what is
-// up now, or over everything declared.
+// up now, or over everything declared; prompts are left out.
 func (t *Tracker) Bound(now time.Time, name string, declared bool) (float64, error) {
 	t.mu.Lock()
 	p := t.pipelines[name]
@@ -120,7 +120,7 @@
 		c.Excluded = !declared && c.Excluded
 		cands = append(cands, c)
 	}
-	limits, work, layers := t.limits, p.work, p.model.Layers
+	limits, layers := t.limits, p.model.Layers
 	t.mu.Unlock()
-	return picker.Bound(cands, layers, limits, work)
+	return picker.Bound(cands, layers, limits, 1)
 }
