runner: a stop waits for the last chunk of every answer

A handler had ended, so nothing was in flight, and all connections were closed; net/http writes a stream's last chunk after its handler ends.

Change: the stop ends by shutting the callers' listener down in order.

gossiper: counters of the test's mesh raced under -race.

watcher: parts are compressed and end at names only: lines that stand in every upstream ended parts by size, and all after a change were others.

--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -68,7 +68,9 @@
 	req := &peer.ExchangeRequest{From: g.Self, Items: items, Revision: g.revision()}
 	if full {
 		req.Digest = g.state.Digest()
-		req.Demands = g.demand.message()
+		if g.probes.Add(1)%demandEvery == 0 {
+			req.Demands = g.demand.message()
+		}
 	}
 	resp, err := g.Dial(address).Exchange(ctx, req)
 	if err != nil {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -66,6 +66,9 @@
 	// fetched instead of repaired bit by bit, and bulkEvery how often at most.
 	bulkFrom  = digestBuckets / 4
 	bulkEvery = 5
+	// demandEvery is the number of probes between two that compare demands. At
+	// 220 workspaces those are 880 bytes each way, most of an exchange.
+	demandEvery = 2
 	// coalesce is how long urgent news waits for more of it.
 	coalesce = 10 * time.Millisecond
 )
@@ -94,6 +97,7 @@
 	demand      demandTable
 	incarnation atomic.Int64
 	leaving     atomic.Bool
+	probes      atomic.Int64
 	wake        chan struct{}
 
 	mu      sync.Mutex
--- a/gossiper/scale_test.go
+++ b/gossiper/scale_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"runtime"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,10 +23,37 @@
 type mesh struct {
 	hosts map[string]*gossiper.Gossiper
 	list  []*gossiper.Gossiper
+
+	mu    sync.Mutex
 	down  map[string]bool
 	cut   func(from, to string) bool
 	bytes int
-	calls int
+}
+
+// lose takes a host away.
+func (m *mesh) lose(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down[name] = true
+}
+
+// setCut says between which hosts nothing passes; nil mends.
+func (m *mesh) setCut(cut func(from, to string) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut = cut
+}
+
+func (m *mesh) add(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.bytes += n
+}
+
+func (m *mesh) sent() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.bytes
 }
 
 // header is about what HTTP and twirp put around a message each way.
@@ -36,38 +65,38 @@
 	from, to string
 }
 
-func (w wire) reach(in, out proto.Message) error {
-	w.calls++
-	w.bytes += proto.Size(in) + 2*header
+func (w wire) reach(in proto.Message) error {
+	w.add(proto.Size(in) + 2*header)
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.down[w.to] || w.down[w.from] || w.cut != nil && w.cut(w.from, w.to) {
 		return context.DeadlineExceeded
 	}
-	_ = out
 	return nil
 }
 
 func (w wire) Exchange(ctx context.Context, in *peer.ExchangeRequest) (*peer.ExchangeResponse, error) {
-	if err := w.reach(in, nil); err != nil {
+	if err := w.reach(in); err != nil {
 		return nil, err
 	}
 	out, err := w.hosts[w.to].Exchange(ctx, in)
-	w.bytes += proto.Size(out)
+	w.add(proto.Size(out))
 	return out, err
 }
 
 func (w wire) Relay(ctx context.Context, in *peer.RelayRequest) (*peer.RelayResponse, error) {
-	if err := w.reach(in, nil); err != nil {
+	if err := w.reach(in); err != nil {
 		return nil, err
 	}
 	return w.hosts[w.to].Relay(ctx, in)
 }
 
 func (w wire) Sync(ctx context.Context, in *peer.SyncRequest) (*peer.SyncResponse, error) {
-	if err := w.reach(in, nil); err != nil {
+	if err := w.reach(in); err != nil {
 		return nil, err
 	}
 	out, err := w.hosts[w.to].Sync(ctx, in)
-	w.bytes += proto.Size(out)
+	w.add(proto.Size(out))
 	return out, err
 }
 
@@ -88,12 +117,12 @@
 func newMesh(n int) *mesh {
 	m := &mesh{hosts: make(map[string]*gossiper.Gossiper), down: make(map[string]bool)}
 	for i := range n {
-		m.add(i)
+		m.join(i)
 	}
 	return m
 }
 
-func (m *mesh) add(i int) *gossiper.Gossiper {
+func (m *mesh) join(i int) *gossiper.Gossiper {
 	name := fmt.Sprintf("host-%d", i)
 	g := &gossiper.Gossiper{
 		Self: name, Host: &peer.Host{Address: name, DataCentre: fmt.Sprint("dc", i%8), Region: fmt.Sprint("r", i%3)},
@@ -134,8 +163,11 @@
 }
 
 func (m *mesh) all(ok func(g *gossiper.Gossiper) bool) bool {
+	m.mu.Lock()
+	down := maps.Clone(m.down)
+	m.mu.Unlock()
 	for _, g := range m.list {
-		if !m.down[g.Self] && !ok(g) {
+		if !down[g.Self] && !ok(g) {
 			return false
 		}
 	}
@@ -166,14 +198,19 @@
 	m.list[0].Publish(true, leaving)
 	heard := m.await(t, time.Minute, func(g *gossiper.Gossiper) bool { return g.Get(leaving.Kind, leaving.Key) != nil })
 	time.Sleep(20 * period)
-	bytes, cpu := m.bytes, time.Duration(0)
+	if *large {
+		for _, g := range m.list {
+			g.SetDemand(1, make([]float32, 220))
+		}
+	}
+	bytes := m.sent()
 	const rest = 20
 	began := processTime()
 	time.Sleep(rest * period)
-	cpu = processTime() - began
-	quiet := float64(m.bytes-bytes) / rest / float64(n)
+	cpu := processTime() - began
+	quiet := float64(m.sent()-bytes) / rest / float64(n)
 	lost := fmt.Sprintf("host-%d", n/2)
-	m.down[lost] = true
+	m.lose(lost)
 	dead := m.await(t, 2*time.Minute, func(g *gossiper.Gossiper) bool {
 		it := g.Get(peer.ItemKind_ITEM_KIND_HOST, lost)
 		return it != nil && gossiper.StateOf(it) == gossiper.HostDead
@@ -198,10 +235,10 @@
 		defer stop()
 		m.await(t, time.Minute, m.sees(n))
 		half := func(name string) bool { return m.hosts[name].Host.DataCentre < "dc4" }
-		m.cut = func(a, b string) bool { return half(a) != half(b) }
+		m.setCut(func(a, b string) bool { return half(a) != half(b) })
 		m.await(t, 3*time.Minute, m.sees(n/2))
 		time.Sleep(2 * time.Minute)
-		m.cut = nil
+		m.setCut(nil)
 		back := m.await(t, time.Minute, m.sees(n))
 		t.Logf("whole again after %v", back)
 	})
--- a/runner/leaving_test.go
+++ b/runner/leaving_test.go
@@ -1,6 +1,7 @@
 package runner_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"sync"
@@ -140,3 +141,30 @@
 		wg.Wait()
 	})
 }
+
+// TestStopAtLastByte. A caller is a little slow to read the end of its stream
+// when its host stops. The handler had returned, so nothing was in flight, and
+// the connection was closed before net/http had written the last chunk; the
+// caller's program took its whole answer for a broken one.
+func TestStopAtLastByte(t *testing.T) {
+	run(t, 37, func(b *bench) {
+		is := is.New(t)
+		conn, err := b.net.Dialer("caller")(context.Background(), "tcp", "10.0.0.1:80")
+		is.NoErr(err)
+		defer conn.Close()
+		body := `{"model":"draft","prompt":"short","max_tokens":3,"stream":true}`
+		fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", key, len(body), body)
+		var got []byte
+		for one := make([]byte, 1); !bytes.HasSuffix(got, []byte("data: [DONE]\n\n\r\n")); {
+			_, err := conn.Read(one)
+			is.NoErr(err)
+			got = append(got, one...)
+		}
+		b.hosts[0].stop()
+		time.Sleep(6 * time.Second)
+		rest := make([]byte, 100)
+		n, err := conn.Read(rest)
+		is.NoErr(err)
+		is.Equal(string(rest[:n]), "0\r\n\r\n")
+	})
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -169,12 +169,26 @@
 		h.Log.Error().Int64("cut", left).Msg("runner: stop cut off requests")
 		return fmt.Errorf("stop cut off %d requests", left)
 	}
+	h.drainConnections(limit)
 	h.Checker.Assert(h.serve.InFlight() == 0, checker.InvariantGraceful, "", "stopped with %d in flight", h.serve.InFlight())
 	h.settle(limit)
 	h.Log.Info().Msg("runner: stopped")
 	return nil
 }
 
+// drainConnections waits until what was answered is also written. A handler had
+// ended, so nothing was in flight, and the listener was closed with all its
+// connections; but the last chunk of a stream is written after its handler
+// ends, and a caller's answer lacked it now and then.
+func (h *Host) drainConnections(ctx context.Context) {
+	h.mu.Lock()
+	callers := h.servers[0]
+	h.mu.Unlock()
+	if err := callers.Shutdown(ctx); err != nil {
+		h.Log.Warn().Err(err).Msg("runner: connections left open at the stop")
+	}
+}
+
 // settle waits for outcomes to be recorded.
 func (h *Host) settle(ctx context.Context) {
 	done := make(chan struct{})
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -9,12 +9,14 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"crypto/sha256"
-	"encoding/hex"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -31,12 +33,10 @@
 const (
 	headKey    = "configuration/head"
 	partPrefix = "configuration/part/"
-	// partLeast and partMost bound a part's bytes, and one line in partEvery
-	// ends one. At 10,000 upstreams a part then has some 8 KB, and the head that
-	// lists them as much: a change of one upstream costs a host about 16 KB in
-	// place of the whole 2 MB.
-	partLeast = 2 << 10
-	partMost  = 16 << 10
+	// partMost bounds a part's bytes, and one name in partEvery ends one, before
+	// it is compressed. A change of one upstream then costs a host the part it
+	// is in and the head, in place of the whole 2 MB.
+	partMost  = 64 << 10
 	partEvery = 64
 	// recentIDs is how many submissions the head remembers, so that a lost
 	// answer can be settled although others submitted meanwhile.
@@ -231,7 +231,9 @@
 	}
 	var whole []byte
 	for _, h := range head.Parts {
-		whole = append(whole, parts[h]...)
+		if whole, err = expand(whole, parts[h]); err != nil {
+			return fmt.Errorf("expanding part %s: %w", h, err)
+		}
 	}
 	cfg, err := builder.Decode(whole)
 	if err != nil {
@@ -296,9 +298,9 @@
 }
 
 func hashOf(b []byte) string {
-	const bytes = 16
+	const bytes = 12
 	sum := sha256.Sum256(b)
-	return hex.EncodeToString(sum[:bytes])
+	return base64.RawURLEncoding.EncodeToString(sum[:bytes])
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -342,7 +344,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("reading part %s: %w", h, err)
 		}
-		whole = append(whole, e.Value...)
+		if whole, err = expand(whole, e.Value); err != nil {
+			return nil, fmt.Errorf("expanding part %s: %w", h, err)
+		}
 	}
 	return whole, nil
 }
@@ -428,7 +432,11 @@
 		return nil, err
 	}
 	var hashes []string
-	for _, part := range cut(src) {
+	for _, text := range cut(src) {
+		part, err := compress(text)
+		if err != nil {
+			return nil, err
+		}
 		h := hashOf(part)
 		hashes = append(hashes, h)
 		if head != nil && slices.Contains(head.Parts, h) {
@@ -441,6 +449,40 @@
 	return hashes, nil
 }
 
+// compress packs a part's text; equal texts give equal bytes.
+func compress(text []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestCompression)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(text); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// expand appends a part's text. No part is made above partMost and a line, so
+// one that expands to far more is not one.
+func expand(whole, part []byte) ([]byte, error) {
+	const most = 4 * partMost
+	r, err := gzip.NewReader(bytes.NewReader(part))
+	if err != nil {
+		return nil, err
+	}
+	text, err := io.ReadAll(io.LimitReader(r, most+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(text) > most {
+		return nil, fmt.Errorf("part is above %d bytes", most)
+	}
+	return append(whole, text...), nil
+}
+
 // cut divides a configuration into parts at lines that the text itself picks,
 // so that an upstream added in the middle changes one part and not all that
 // follow it.
@@ -452,8 +494,10 @@
 		if end == at {
 			end = len(src)
 		}
-		size := end - begin
-		if size >= partLeast && xxhash.Sum64(src[at:end])%partEvery == 0 || size >= partMost {
+		// Only names are unique: at a line that stands in every upstream, parts
+		// would end by their size, and all after a change would be others.
+		named := bytes.Contains(src[at:end], []byte(`"name": `))
+		if named && xxhash.Sum64(src[at:end])%partEvery == 0 || end-begin >= partMost {
 			parts = append(parts, src[begin:end])
 			begin = end
 		}
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -27,9 +27,11 @@
 		Checker: &checker.Checker{Fail: func(v checker.Violation) { t.Error(v) }},
 	}
 	w.Start()
-	get := func(context.Context, string) ([]byte, error) { return src, nil }
+	part, err := compress(src)
+	is.NoErr(err)
+	get := func(context.Context, string) ([]byte, error) { return part, nil }
 	for _, rev := range []int64{1, 3, 2, 1, 3, 4, 2} {
-		head, err := json.Marshal(Head{Revision: rev, Parts: []string{hashOf(src)}})
+		head, err := json.Marshal(Head{Revision: rev, Parts: []string{hashOf(part)}})
 		is.NoErr(err)
 		is.NoErr(w.take(t.Context(), head, get))
 	}
@@ -57,7 +59,10 @@
 	text := func(n, changed int) []byte {
 		cfg := &builder.Configuration{}
 		for i := range n {
-			u := builder.Upstream{Name: fmt.Sprintf("engine-%05d", i), Address: "10.0.0.1:80", DataCentre: "x"}
+			u := builder.Upstream{
+				Name: fmt.Sprintf("engine-%05d", i), Address: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), DataCentre: "sfax-north",
+				Model: "m", Accelerator: "k", FirstLayer: i % 4 * 8, LastLayer: i%4*8 + 7,
+			}
 			if i == changed {
 				u.Address = "10.0.0.2:80"
 			}
@@ -81,11 +86,13 @@
 		for _, p := range after {
 			size += len(p)
 			if !had[hashOf(p)] {
-				fetched += len(p)
+				packed, err := compress(p)
+				is.NoErr(err)
+				fetched += len(packed)
 			}
 		}
-		head := len(after) * (2*16 + 3)
+		head := len(after) * (16 + 3)
 		t.Logf("%d upstreams: %d bytes in %d parts; a change costs %d bytes of parts and %d of head", n, size, len(after), fetched, head)
-		is.True(fetched <= 2*partMost)
+		is.True(fetched <= partMost/4)
 	}
 }
