tracker: no host borrows what no report shows

Cause, found by TestSharesAddUp: before an upstream's first report each of four hosts took half of what seemed free beside its share, 56 sequences together where 21 are served in time.

Change: only the even share is filled until a report younger than 2 s shows what is free.

--- a/runner/bench_test.go
+++ b/runner/bench_test.go
@@ -35,6 +35,8 @@
 	hosts []*entry
 	log   *lines
 	seed  uint64
+	// tls is given to every host; nil means plain connections.
+	tls *loader.TLS
 }
 
 // entry is one entry host of a bench.
@@ -135,6 +137,7 @@
 		Callers: loader.Endpoint{Listen: at(80)}, Peer: loader.Endpoint{Listen: at(81)}, Admin: loader.Endpoint{Listen: at(82)},
 		AdminKeyHash: builder.HashKey(adminKey),
 		Platform:     "10.9.0.1:1", HostList: "10.9.0.1:2",
+		TLS:   b.tls,
 		Peers: []string{"10.0.0.1:81", "10.0.0.2:81", "10.0.0.3:81", "10.0.0.4:81"},
 	}
 	is.New(b.t).NoErr(cfg.Fill())
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -340,7 +340,7 @@
 		Sequences:  u.sequences(now, sharers),
 		Excluded:   u.stateAt(now) != StateUp,
 	}
-	c.Slots = t.slots(u, &c, p, sharers)
+	c.Slots = t.slots(now, u, &c, p, sharers)
 	if t.Unlimited {
 		c.Slots = math.MaxInt32
 	}
@@ -352,12 +352,15 @@
 // one, less as tokens came late. The result is in terms of what it seems to
 // hold: this host may fill its own share whatever the others seem to have, and
 // a part of what they seem to leave.
-func (t *Tracker) slots(u *upstream, c *picker.Candidate, p *pipeline, sharers float64) float64 {
+func (t *Tracker) slots(now time.Time, u *upstream, c *picker.Candidate, p *pipeline, sharers float64) float64 {
 	all := max(1, c.Rate(c.Last-c.First+1)*p.cfg.TokenGapMs/1000*p.pace.factor())
 	others := c.Sequences - float64(u.own)
 	share := t.share(u, all, sharers)
-	own := share + borrow*max(0, all-others-share)
-	return own + others
+	if !u.reported || now.Sub(u.loadAt) > reportFresh {
+		// Nobody knows what is free, and every host would take the same.
+		return max(1, share) + others
+	}
+	return share + borrow*max(0, all-others-share) + others
 }
 
 // share is this host's even part of an upstream's slots. Of what can't be
