admitter: a deadline is no caller that went away

Cause, found in reading: the queue's timer and the caller's context end at the same moment, and whichever came first gave the reason.

Change: a context that ended by its deadline gives the reason deadline.

Measured: TestDeadlineByContext red without the change ('canceled'), green with it.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"sync"
 	"time"
@@ -146,10 +147,9 @@
 	case place = <-w.ready:
 		return place, nil
 	case <-ctx.Done():
-		refusal = &Refusal{Reason: ReasonCanceled, NotRun: true}
 	case <-timer.C:
-		refusal = &Refusal{Reason: ReasonDeadline, NotRun: true, Detail: "no place before the deadline"}
 	}
+	refusal = givenUp(ctx)
 	if place, ok := a.leave(tk.Group, w); ok {
 		return place, nil
 	}
@@ -157,6 +157,15 @@
 	return none, refusal
 }
 
+// givenUp is why a request that waited got no place: its caller went away, or
+// its time is over.
+func givenUp(ctx context.Context) *Refusal {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return &Refusal{Reason: ReasonCanceled, NotRun: true}
+	}
+	return &Refusal{Reason: ReasonDeadline, NotRun: true, Detail: "no place before the deadline"}
+}
+
 // enter gives a place, a refusal or a waiter.
 func (a *Admitter[T]) enter(now time.Time, tk Ticket, try func() (T, bool)) (*waiter[T], T, *Refusal) {
 	var none T
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -121,6 +121,20 @@
 	})
 }
 
+// TestDeadlineByContext. The caller's context ends by its deadline, a moment
+// before the queue's own timer. The refusal said "canceled"; nobody had gone
+// away.
+func TestDeadlineByContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &Admitter[int]{Queued: 100}
+		deadline := time.Now().Add(time.Second)
+		ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(-time.Millisecond))
+		defer cancel()
+		_, refusal := a.Acquire(ctx, time.Now(), Ticket{Group: "g", Deadline: deadline}, new(room).try)
+		is.New(t).Equal(refusal.Reason, ReasonDeadline)
+	})
+}
+
 // TestShares measures a limit of 100 requests a second over four hosts that
 // know the mean demand: what is let through of even and of skewed callers.
 func TestShares(t *testing.T) {
