runner: warn of outcomes not recorded only when there are any

Cause, seen when dev was stopped by two signals: the warning came with no call open, since the stop's limit and the empty wait ended together.

Change: the calls without a recorded outcome are counted, and the warning says how many.

Measured: go test ./runner ok; not seen red by a test, only by hand.

--- a/deduplicator/deduplicator.go
+++ b/deduplicator/deduplicator.go
@@ -100,6 +100,13 @@
 	}
 }
 
+// Pending is how many calls of this process have no recorded outcome yet.
+func (d *Deduplicator) Pending() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.live)
+}
+
 // Wait blocks until every outcome of this process is recorded or given up on.
 func (d *Deduplicator) Wait() { d.wg.Wait() }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -199,7 +199,9 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
-		h.Log.Warn().Msg("runner: stopped with outcomes not recorded; repeats of those calls will be told that the outcome is unknown")
+	}
+	if n := h.dedup.Pending(); n > 0 {
+		h.Log.Warn().Int("calls", n).Msg("runner: stopped with outcomes not recorded; repeats of those calls will be told that the outcome is unknown")
 	}
 }
 
