tracker: assert that what is leaving is not chosen

Cause: the promise about leaving upstreams was the one of seven without an assertion inside the program.

Change: the choice asserts it, under the same lock, apart from the state it was made by.

--- a/runner/build.go
+++ b/runner/build.go
@@ -127,6 +127,7 @@
 		Rand:    seeded(h.Seed, 2),
 		Host:    h.Settings.Host,
 		Sharers: func() int { return len(h.gossip.Live()) },
+		Checker: h.Checker,
 	}
 	h.track.Configure(&builder.Configuration{})
 	h.susp = &tracker.Suspects{WentDown: h.track.WentDown}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sardineward/sardineward/builder"
+	"github.com/sardineward/sardineward/checker"
 	"github.com/sardineward/sardineward/picker"
 )
 
@@ -110,6 +111,9 @@
 	Host string
 	// Sharers returns how many hosts send work to the same upstreams.
 	Sharers func() int
+	// Checker is told of work given to an upstream that is leaving; nil asserts
+	// nothing.
+	Checker *checker.Checker
 	// Unlimited gives every upstream as many slots as anyone wants; for
 	// measuring what admission is worth.
 	Unlimited bool
@@ -257,7 +261,9 @@
 	need := picker.Need{Layers: p.model.Layers, From: r.From}
 	route := t.Policy.Pick(cands, need, t.links, t.Rand)
 	for _, h := range route {
-		t.begin(now, t.ups[h.Upstream], r)
+		u := t.ups[h.Upstream]
+		t.Checker.Assert(!u.leaving(), checker.InvariantLeaving, r.ID, "%s is leaving and was chosen", h.Upstream)
+		t.begin(now, u, r)
 	}
 	return route
 }
