docs: the graceful stop's guard is both of its waits

Cause: with the wait for connections in, taking out the wait for requests alone left TestRollingReplacement green.

Change: the guard takes out both.

--- a/docs/guards.sh
+++ b/docs/guards.sh
@@ -41,7 +41,7 @@
 guard lostSubmission watcher/watcher.go 's/; ok \{\n\t\treturn rev, nil/; ok && false {\n\t\treturn rev, nil/' runner TestLostSubmission
 guard freshHost runner/runner.go 's/return !h\.watch\.Behind\(\) && /return /' runner TestFreshHost
 guard leaving tracker/tracker.go 's/if u\.leaving\(\) \{/if false {/' runner TestLeavingListed
-guard gracefulStop runner/runner.go 's/left := h\.serve\.Wait\(limit\)/left := int64(0)/' runner TestRollingReplacement
+guard gracefulStop runner/runner.go 's/left := h\.serve\.Wait\(limit\)/left := int64(0)/; s/h\.drainConnections\(limit\)//' runner TestRollingReplacement
 guard lastByte runner/runner.go 's/h\.drainConnections\(limit\)//' runner TestStopAtLastByte
 guard quarantine tracker/suspects.go 's/if len\(strikes\) < doubtAt \|\|/if true ||/' runner TestPoison
 guard leaseDeadline planner/planner.go 's/context\.WithDeadline\(ctx, t\.until\)/context.WithCancel(ctx)/' planner TestPausedHolder
