--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,441 @@
+// Package balancer chooses the upstreams of a request: one for a plain service,
+// or a path of engines that run a model's layers in turn.
+//
+// It knows what the list of upstreams says, what this host has in flight, and
+// what its own requests saw. It does no I/O; time comes in as an argument, on a
+// clock that does not run backwards.
+package balancer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sardineward/sardineward/matcher"
+	"github.com/sardineward/sardineward/picker"
+)
+
+// Span is a range of layers that an upstream holds.
+type Span struct {
+	// From is the first layer, To the one after the last.
+	From, To int
+}
+
+// Len is the number of layers.
+func (s Span) Len() int { return max(0, s.To-s.From) }
+
+// Upstream is what the list says of one.
+type Upstream struct {
+	// ID is unique to an incarnation, unless Born tells otherwise.
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	// Slots is how many requests it runs at once.
+	Slots int
+	// Leaving upstreams take no new work.
+	Leaving bool
+	// Card is its kind of accelerator; empty where the service names none.
+	Card string
+	// Holds are its layers; empty means that it holds none, or needs none.
+	Holds Span
+	// Born is when it was started, in Unix milliseconds.
+	Born int64
+}
+
+// Hop is one upstream of a path and the layers it runs; both 0 for a plain one.
+type Hop struct {
+	ID, Address string
+	// From is the first layer, To the one after the last.
+	From, To int
+}
+
+// Lease is a chosen path with its room reserved, until Release.
+type Lease struct {
+	Hops []Hop
+	// tokens is the room reserved on each hop for each layer.
+	tokens float64
+	// first is set once an event has come.
+	first bool
+}
+
+// Need is what a request asks for.
+type Need struct {
+	Service string
+	// Prompt and Answer are the expected tokens; 0 for a plain service.
+	Prompt, Answer float64
+	// Avoid are upstreams that failed this request.
+	Avoid []string
+}
+
+//go:generate enumer -type Reason -trimprefix Reason -transform title-lower -output reason_gen.go
+
+// Reason is why there is no place.
+type Reason int
+
+// The reasons.
+const (
+	// ReasonNone: there is a place.
+	ReasonNone Reason = iota
+	// ReasonNoUpstream: no upstream that is up, or no path over all layers.
+	ReasonNoUpstream
+	// ReasonNoRoom: all that could run it are full.
+	ReasonNoRoom
+)
+
+// upstream is all that is known of one.
+type upstream struct {
+	Upstream
+	// running counts requests of this host that it is the first to run.
+	running int
+	// room is the token-layers that this host's requests may fill there.
+	room, reserved float64
+	// outUntil keeps new work off it after a failure that no list knows yet.
+	outUntil time.Duration
+	// strikes counts failures in a row that took it out.
+	strikes int
+	// grey is the smoothed share of failed requests.
+	grey float64
+	// load is what it last said of all hosts' requests, at loadAt.
+	load   Load
+	loadAt time.Duration
+	// flows are this host's streams through it that have begun, and progressed
+	// is when the last event came over any of them.
+	flows      int
+	progressed time.Duration
+	// delay is the smoothed time of an answer against what is usual.
+	delay float64
+}
+
+// Load is what an upstream says of itself in an answer.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Balancer is safe for concurrent use. The fields are set before use.
+type Balancer struct {
+	// DataCentre is this host's own.
+	DataCentre string
+	// Sharers is how many hosts send into a data centre, at least 1; nil means 1.
+	Sharers func(dataCentre string) int
+	Policy  picker.Policy
+	Rand    *rand.Rand
+
+	mu       sync.Mutex
+	services map[string]*matcher.Service
+	ups      map[string]*upstream
+	byAddr   map[string]*upstream
+}
+
+// Configure takes in the services.
+func (b *Balancer) Configure(services map[string]*matcher.Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.services = services
+	for _, u := range b.ups {
+		u.measure(services[u.Service])
+	}
+}
+
+// List takes in changes of the list.
+func (b *Balancer) List(listed []Upstream, gone []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ups == nil {
+		b.ups = make(map[string]*upstream)
+		b.byAddr = make(map[string]*upstream)
+	}
+	for _, id := range gone {
+		b.drop(id)
+	}
+	for _, l := range listed {
+		u := b.ups[l.ID]
+		if u != nil && (u.Born != l.Born || u.Address != l.Address) {
+			b.drop(l.ID)
+			u = nil
+		}
+		if u == nil {
+			u = &upstream{}
+			b.ups[l.ID] = u
+		}
+		u.Upstream = l
+		b.byAddr[l.Address] = u
+		u.measure(b.services[l.Service])
+	}
+}
+
+func (b *Balancer) drop(id string) {
+	u := b.ups[id]
+	if u == nil {
+		return
+	}
+	delete(b.ups, id)
+	if b.byAddr[u.Address] == u {
+		delete(b.byAddr, u.Address)
+	}
+}
+
+// IDs lists the known upstreams.
+func (b *Balancer) IDs() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]string, 0, len(b.ups))
+	for id := range b.ups {
+		out = append(out, id)
+	}
+	return out
+}
+
+// measure computes the room beside the layers that an upstream holds.
+func (u *upstream) measure(s *matcher.Service) {
+	u.room = 0
+	if s == nil || s.Engine == nil {
+		return
+	}
+	e := s.Engine
+	free := CardOf(e, u.Card).MB - float64(u.Holds.Len())*e.LayerMB
+	u.room = max(0, free*1e6/(e.TokenBytes/float64(e.Layers)))
+}
+
+// CardOf returns the kind of accelerator; one that holds everything where the
+// service names none.
+func CardOf(e *matcher.Engine, name string) matcher.Card {
+	for _, c := range e.Cards {
+		if c.Name == name {
+			return c
+		}
+	}
+	return matcher.Card{Name: name, MB: e.LayerMB * float64(e.Layers) * 2, Pace: 1, ReadPace: 1}
+}
+
+// Acquire reserves a place at the cheapest upstreams. The error is nil exactly
+// when Reason is ReasonNone.
+func (b *Balancer) Acquire(now time.Duration, n Need) (*Lease, Reason) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[n.Service]
+	if s == nil {
+		return nil, ReasonNoUpstream
+	}
+	if s.Engine != nil && s.Engine.Layers > 0 {
+		return b.path(now, s, n)
+	}
+	return b.plain(now, n)
+}
+
+// usable reports whether new work may go to u.
+func (u *upstream) usable(now time.Duration, avoid []string) bool {
+	return !u.Leaving && u.outUntil <= now && !slices.Contains(avoid, u.ID)
+}
+
+const (
+	// distance is how many requests in flight a plain upstream in another data
+	// centre counts for: crossing costs bytes and a millisecond, and is still
+	// better than to wait.
+	distance = 2.0
+	// greyWeight is how many requests in flight an upstream counts for that
+	// fails all it gets. It has to outweigh an upstream that is nearly full.
+	greyWeight = 40.0
+	// stale is how long a load report is believed; older ones say nothing.
+	stale = time.Second
+)
+
+// plain takes the least loaded upstream, by its own word and by what this host
+// has in flight there.
+func (b *Balancer) plain(now time.Duration, n Need) (*Lease, Reason) {
+	var best *upstream
+	var cost float64
+	known := false
+	for _, u := range b.ups {
+		if u.Service != n.Service {
+			continue
+		}
+		if !u.usable(now, n.Avoid) {
+			continue
+		}
+		known = true
+		c := u.pressure(now) + greyWeight*u.grey + b.Rand.Float64()*0.5
+		if u.DataCentre != b.DataCentre {
+			c += distance
+		}
+		if best == nil || c < cost {
+			best, cost = u, c
+		}
+	}
+	if best == nil {
+		if known {
+			return nil, ReasonNoRoom
+		}
+		return nil, ReasonNoUpstream
+	}
+	best.running++
+	return &Lease{Hops: []Hop{{ID: best.ID, Address: best.Address}}}, ReasonNone
+}
+
+// pressure is the requests that an upstream is thought to hold.
+func (u *upstream) pressure(now time.Duration) float64 {
+	own := float64(u.running)
+	if now-u.loadAt > stale {
+		return own
+	}
+	weight := 1 - float64(now-u.loadAt)/float64(stale)
+	return own + weight*max(0, float64(u.load.Running+u.load.Waiting)-own)
+}
+
+// Release gives the places of a lease back.
+func (b *Balancer) Release(l *Lease) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, h := range l.Hops {
+		u := b.ups[h.ID]
+		if u == nil {
+			continue
+		}
+		if i == 0 {
+			u.running = max(0, u.running-1)
+		}
+		u.reserved = max(0, u.reserved-l.tokens*float64(h.To-h.From))
+		if l.first {
+			u.flows = max(0, u.flows-1)
+		}
+	}
+}
+
+// Begun notes the first event of a stream, Progress every further one.
+func (b *Balancer) Begun(now time.Duration, l *Lease) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.first {
+		return
+	}
+	l.first = true
+	for _, h := range l.Hops {
+		if u := b.ups[h.ID]; u != nil {
+			u.flows++
+			u.progressed = now
+		}
+	}
+}
+
+// Progress notes an event of a stream.
+func (b *Balancer) Progress(now time.Duration, l *Lease) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, h := range l.Hops {
+		if u := b.ups[h.ID]; u != nil {
+			u.progressed = now
+		}
+	}
+}
+
+// Silent lists upstreams over which streams have begun and none has got an
+// event for limit.
+func (b *Balancer) Silent(now, limit time.Duration) []Hop {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Hop
+	for _, u := range b.ups {
+		if u.flows > 0 && u.outUntil <= now && now-u.progressed > limit {
+			out = append(out, Hop{ID: u.ID, Address: u.Address})
+		}
+	}
+	return out
+}
+
+const (
+	// greyMemory is the weight of one more outcome: ten requests tell a third
+	// of failures from a slip.
+	greyMemory = 0.15
+	// outFirst and outMost bound how long an upstream that can't be reached is
+	// left alone; the list tells of its end after three heartbeats.
+	outFirst = 500 * time.Millisecond
+	outMost  = 4 * time.Second
+)
+
+// Served notes an answer of an upstream and what it said of its load.
+func (b *Balancer) Served(now time.Duration, id string, load *Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := b.ups[id]
+	if u == nil {
+		return
+	}
+	u.strikes = 0
+	u.grey -= greyMemory * u.grey
+	if load != nil {
+		u.load, u.loadAt = *load, now
+	}
+}
+
+// Failed notes a request that an upstream failed but for which it stays in use.
+func (b *Balancer) Failed(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if u := b.ups[id]; u != nil {
+		u.grey += greyMemory * (1 - u.grey)
+	}
+}
+
+// Out takes an upstream that can't be reached out of use for a while, doubled
+// each time in a row. It reports whether it was in use.
+func (b *Balancer) Out(now time.Duration, id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := b.ups[id]
+	if u == nil || u.outUntil > now {
+		return false
+	}
+	u.outUntil = now + min(outMost, outFirst<<min(u.strikes, 4))
+	u.strikes++
+	return true
+}
+
+// ByAddress returns the id of the upstream at an address, or "".
+func (b *Balancer) ByAddress(address string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if u := b.byAddr[address]; u != nil {
+		return u.ID
+	}
+	return ""
+}
+
+// Usable reports whether new work may go to an upstream.
+func (b *Balancer) Usable(now time.Duration, id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := b.ups[id]
+	return u != nil && u.usable(now, nil)
+}
+
+// Fleet lists the upstreams of services whose engines hold layers.
+func (b *Balancer) Fleet(now time.Duration, service string) []Member {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Member
+	for _, u := range b.ups {
+		if u.Service == service && !u.Leaving {
+			out = append(out, Member{Upstream: u.Upstream, Out: u.outUntil > now})
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmpString(a.Address, b.Address) })
+	return out
+}
+
+// Member is an upstream with what this host saw of it.
+type Member struct {
+	Upstream
+	// Out is set while it can't be reached.
+	Out bool
+}
+
+func cmpString(a, b string) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/balancer/path.go
@@ -0,0 +1,131 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/sardineward/sardineward/matcher"
+	"github.com/sardineward/sardineward/picker"
+)
+
+const (
+	// hopTime is what one more upstream on a path costs beside its layers: the
+	// pass it has to wait for and the transfer to it.
+	hopTime = 2 * time.Millisecond
+	// remoteBias makes upstreams of other data centres dearer: callers there
+	// come first, and a lost link cuts the stream.
+	remoteBias = 0.35
+	// crossing is what a link between data centres inside a path costs beyond
+	// its time: all share the pipe, and its bytes are paid for.
+	crossing = 400 * time.Millisecond
+	// tokenDelay is the delay of one link a token, where none is declared.
+	tokenDelay = time.Millisecond
+	// greyBias is how much dearer an upstream is that fails all it gets.
+	greyBias = 20.0
+	// headroom is the part of the room that is kept for what other hosts
+	// reserve meanwhile and for answers longer than expected.
+	headroom = 0.1
+)
+
+// path takes the cheapest path over the layers with room on each hop.
+func (b *Balancer) path(now time.Duration, s *matcher.Service, n Need) (*Lease, Reason) {
+	e := s.Engine
+	tokens := n.Prompt + n.Answer
+	cands := make([]picker.Candidate, 0, len(b.ups))
+	covered := false
+	for _, u := range b.ups {
+		if u.Service != n.Service || u.Holds.Len() == 0 || !u.usable(now, n.Avoid) {
+			continue
+		}
+		covered = true
+		cands = append(cands, b.candidate(e, u, n, tokens))
+	}
+	if !covered {
+		return nil, ReasonNoUpstream
+	}
+	route := b.Policy.Pick(cands, picker.Need{Layers: e.Layers}, b.links(e, n, cands), b.Rand)
+	if route == nil {
+		return nil, b.shortage(cands, e.Layers)
+	}
+	l := &Lease{tokens: tokens, Hops: make([]Hop, len(route))}
+	for i, h := range route {
+		u := b.ups[h.Upstream]
+		l.Hops[i] = Hop{ID: u.ID, Address: u.Address, From: h.First, To: h.Last + 1}
+		u.reserved += tokens * float64(h.Last+1-h.First)
+		if i == 0 {
+			u.running++
+		}
+	}
+	return l, ReasonNone
+}
+
+// candidate is an upstream as the path policy sees it: a sequence is one
+// request of this size over all the layers that it holds.
+func (b *Balancer) candidate(e *matcher.Engine, u *upstream, n Need, tokens float64) picker.Candidate {
+	card := CardOf(e, u.Card)
+	span := u.Holds
+	share := float64(b.sharers(u.DataCentre))
+	perLayer := (n.Prompt/e.ReadPerSecond*card.ReadPace + n.Answer*e.StepMs/1e3*card.Pace) / float64(e.Layers)
+	c := picker.Candidate{
+		Name:       u.ID,
+		DataCentre: u.DataCentre,
+		First:      span.From,
+		Last:       span.To - 1,
+		Step:       hopTime,
+		Layer:      time.Duration(perLayer * float64(time.Second)),
+		Batch:      1,
+		Sequences:  u.reserved * share,
+		Slots:      u.room*(1-headroom) - tokens*float64(span.To-span.From),
+		Bias:       greyBias * u.grey,
+		Excluded:   e.Slots > 0 && float64(u.running)*share >= float64(e.Slots),
+	}
+	if u.DataCentre != b.DataCentre {
+		c.Bias += remoteBias
+	}
+	return c
+}
+
+// links gives the cost of a link inside a path between any two data centres.
+func (b *Balancer) links(e *matcher.Engine, n Need, cands []picker.Candidate) picker.Links {
+	cost := crossing + time.Duration(n.Answer)*tokenDelay
+	if e.PipeMbps > 0 {
+		cost += time.Duration(n.Prompt * e.ActivationBytes * 8 / (e.PipeMbps * 1e6) * float64(time.Second))
+	}
+	var centres []string
+	seen := make(map[string]bool)
+	for i := range cands {
+		if dc := cands[i].DataCentre; !seen[dc] {
+			seen[dc] = true
+			centres = append(centres, dc)
+		}
+	}
+	links := make(picker.Links)
+	for _, x := range centres {
+		for _, y := range centres {
+			links[[2]string{x, y}] = cost
+		}
+	}
+	return links
+}
+
+// shortage tells a path without room from layers that nobody holds.
+func (b *Balancer) shortage(cands []picker.Candidate, layers int) Reason {
+	held := make([]bool, layers)
+	for i := range cands {
+		for l := cands[i].First; l <= cands[i].Last && l < layers; l++ {
+			held[l] = true
+		}
+	}
+	for _, ok := range held {
+		if !ok {
+			return ReasonNoUpstream
+		}
+	}
+	return ReasonNoRoom
+}
+
+func (b *Balancer) sharers(dataCentre string) int {
+	if b.Sharers == nil {
+		return 1
+	}
+	return max(1, b.Sharers(dataCentre))
+}
--- /dev/null
+++ b/cmd/sardineward/forward.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+	"golang.org/x/sys/unix"
+
+	"github.com/sardineward/sardineward/launcher"
+	"github.com/sardineward/sardineward/loader"
+	"github.com/sardineward/sardineward/platform"
+)
+
+const (
+	// logLines is how many lines wait for a reader of the output; more are
+	// dropped and counted, since a request must not wait for a log.
+	logLines = 4096
+	// logPoll is the time between two looks for lines to write.
+	logPoll = 20 * time.Millisecond
+	// storeTimeout bounds a call on the platform's store: two hundred times
+	// the usual.
+	storeTimeout = 800 * time.Millisecond
+)
+
+func addForward(app *kingpin.Application) {
+	cmd := app.Command("forward", "Run an entry host that forwards by the platform's route table until SIGTERM, then stop gracefully.")
+	file := cmd.Flag("settings", "Settings of this host, JSON with comments.").Short('c').Required().String()
+	cmd.Action(func(*kingpin.ParseContext) error {
+		cfg, err := loader.LoadForward(*file)
+		if err != nil {
+			return findings(err)
+		}
+		return forward(cfg)
+	})
+}
+
+func forward(cfg *loader.Forward) error {
+	log, done := boundedLogger(string(cfg.LogLevel))
+	defer done()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	signal.Ignore(syscall.SIGHUP)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true}}
+	store := &platform.Store{Address: cfg.Platform, HTTP: client, Timeout: storeTimeout}
+	h := &launcher.Host{
+		Settings:  cfg,
+		Store:     store,
+		Source:    &platform.Source{Store: store, Self: cfg.Host, Log: log},
+		Engines:   &platform.Engines{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}},
+		Headers:   platform.Headers,
+		ReadyPath: platform.ReadyPath,
+		Now:       bootTime,
+		Log:       log,
+	}
+	return h.Run(ctx)
+}
+
+// boundedLogger writes lines to standard output without ever waiting for it.
+func boundedLogger(level string) (zerolog.Logger, func()) {
+	w := diode.NewWriter(os.Stdout, logLines, logPoll, func(missed int) {
+		os.Stderr.WriteString(`{"level":"warn","message":"log: lines dropped"}` + "\n")
+	})
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		l = zerolog.InfoLevel
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.New(w).Level(l).With().Timestamp().Logger(), func() { w.Close() }
+}
+
+// bootTime is the time since the machine started. Unlike the monotonic clock of
+// the standard library it goes on while the machine is suspended, during which
+// leases lapse and keys are taken away.
+func bootTime() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return time.Since(started)
+	}
+	return time.Duration(ts.Nano())
+}
+
+var started = time.Now()
--- a/cmd/sardineward/main.go
+++ b/cmd/sardineward/main.go
@@ -33,6 +33,7 @@
 	app := kingpin.New("sardineward", "A router for model pipelines and plain services over mixed accelerators.")
 	app.Version(version())
 	addRun(app)
+	addForward(app)
 	addCheck(app)
 	addOperate(app)
 	addDev(app)
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,299 @@
+// Package follower keeps the route table and the list of upstreams in step
+// with their source, and knows how old that knowledge is.
+//
+// Age is counted from the moment at which the last call that was answered had
+// been sent, on a clock that goes on while the machine is suspended. What a
+// host can't read itself it takes from peers, with their age added.
+package follower
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/matcher"
+)
+
+// ErrCompacted means that the source no longer has the changes since a
+// revision: everything has to be read again.
+var ErrCompacted = errors.New("follower: history no longer available")
+
+// Changes is what a source tells.
+type Changes struct {
+	// Revision is where the next call goes on.
+	Revision int64
+	// Configuration is nil when it has not changed.
+	Configuration *matcher.Configuration
+	// Listed are upstreams that are new or changed, Gone the ids of those whose
+	// entry was removed.
+	Listed []balancer.Upstream
+	Gone   []string
+	// Hosts are entry hosts that are new or changed, HostsGone their names.
+	Hosts     []Host
+	HostsGone []string
+	// Duty is nil when it has not changed hands.
+	Duty *Duty
+}
+
+// Duty is the giving of orders to engines, which one host holds at a time.
+type Duty struct {
+	// Holder is a host's name; empty when nobody holds it.
+	Holder string
+}
+
+// Host is another entry host.
+type Host struct {
+	Name       string
+	Address    string
+	DataCentre string
+}
+
+// Source is where configuration and upstreams are declared.
+type Source interface {
+	// Load reads everything.
+	Load(ctx context.Context) (*Changes, error)
+	// Changes returns what changed after a revision, at once if there is any,
+	// else after wait. It returns ErrCompacted when that can't be told.
+	Changes(ctx context.Context, after int64, wait time.Duration) (*Changes, error)
+}
+
+const (
+	// pause gathers changes between two calls, since heartbeats of the
+	// upstreams would end each waiting call at once. A leaving upstream may get
+	// new work for two seconds at most; a fifth of that leaves time for a lost
+	// call.
+	pause = 400 * time.Millisecond
+	// wait bounds a call that has nothing to tell, so that the knowledge of a
+	// quiet source does not age.
+	wait = time.Second
+	// slack is how long beyond wait an answer may take: a hundred times the
+	// usual, and short enough to try twice before keys have to be doubted.
+	slack = 700 * time.Millisecond
+	// retry is the pause after a failed call.
+	retry = 250 * time.Millisecond
+	// returning is how long entries that lapsed while the source was away have
+	// to come back.
+	returning = 2500 * time.Millisecond
+)
+
+// Follower is safe for concurrent use. The fields are set before Run.
+type Follower struct {
+	Source   Source
+	Balancer *balancer.Balancer
+	// Now is a clock that goes on while the machine is suspended.
+	Now func() time.Duration
+	// OnChange is called after each change that was taken in; nil is none.
+	OnChange func()
+	Log      zerolog.Logger
+
+	table atomic.Pointer[matcher.Table]
+	// fresh is when the last answered call was sent, on the clock of Now.
+	fresh atomic.Int64
+
+	mu       sync.Mutex
+	revision int64
+	hosts    map[string]Host
+	holder   string
+	// missing are upstreams whose entry lapsed while the source was away, with
+	// the time from which they are taken as gone.
+	missing map[string]time.Duration
+	outage  bool
+}
+
+// Table is what is in force; nil before the first was read.
+func (f *Follower) Table() *matcher.Table { return f.table.Load() }
+
+// Age is how old the knowledge is; it is very large before the first answer.
+func (f *Follower) Age() time.Duration {
+	at := f.fresh.Load()
+	if at == 0 {
+		return time.Hour
+	}
+	return f.Now() - time.Duration(at)
+}
+
+// Hosts returns the other entry hosts that are known.
+func (f *Follower) Hosts() []Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]Host, 0, len(f.hosts))
+	for _, h := range f.hosts {
+		out = append(out, h)
+	}
+	return out
+}
+
+// DutyFree reports whether no host is known to hold the duty.
+func (f *Follower) DutyFree() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision > 0 && f.holder == ""
+}
+
+// Run follows the source until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	f.mu.Lock()
+	f.hosts = make(map[string]Host)
+	f.missing = make(map[string]time.Duration)
+	f.mu.Unlock()
+	for ctx.Err() == nil {
+		next := pause
+		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+			f.lost(err)
+			next = retry
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(next):
+		}
+	}
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	sent := f.Now()
+	f.mu.Lock()
+	after := f.revision
+	f.mu.Unlock()
+	if after == 0 {
+		return f.reload(ctx, sent)
+	}
+	call, cancel := context.WithTimeout(ctx, wait+slack)
+	defer cancel()
+	ch, err := f.Source.Changes(call, after, wait)
+	if errors.Is(err, ErrCompacted) {
+		f.Log.Info().Int64("revision", after).Msg("follower: history is gone, reading everything")
+		f.mu.Lock()
+		f.revision = 0
+		f.mu.Unlock()
+		return f.reload(ctx, f.Now())
+	}
+	if err != nil {
+		return err
+	}
+	f.regained()
+	f.take(ch, sent)
+	return nil
+}
+
+func (f *Follower) reload(ctx context.Context, sent time.Duration) error {
+	call, cancel := context.WithTimeout(ctx, wait+slack)
+	defer cancel()
+	ch, err := f.Source.Load(call)
+	if err != nil {
+		return err
+	}
+	f.regained()
+	// What is listed no longer has gone, unless its entry lapsed in an outage.
+	listed := make(map[string]bool, len(ch.Listed))
+	for i := range ch.Listed {
+		listed[ch.Listed[i].ID] = true
+	}
+	for _, id := range f.Balancer.IDs() {
+		if !listed[id] {
+			ch.Gone = append(ch.Gone, id)
+		}
+	}
+	f.mu.Lock()
+	known := make(map[string]bool, len(ch.Hosts))
+	for _, h := range ch.Hosts {
+		known[h.Name] = true
+	}
+	for name := range f.hosts {
+		if !known[name] {
+			ch.HostsGone = append(ch.HostsGone, name)
+		}
+	}
+	f.mu.Unlock()
+	if ch.Duty == nil {
+		ch.Duty = &Duty{}
+	}
+	f.take(ch, sent)
+	return nil
+}
+
+func (f *Follower) lost(err error) {
+	f.mu.Lock()
+	was := f.outage
+	f.outage = true
+	f.mu.Unlock()
+	if !was {
+		f.Log.Warn().Err(err).Dur("age", f.Age()).Msg("follower: source lost")
+	}
+}
+
+// regained notes the end of an outage. Entries lapse while the source is away
+// and are written again by upstreams that live; dropping them at once would
+// leave callers without upstreams for as long.
+func (f *Follower) regained() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.outage {
+		f.Log.Info().Dur("age", f.Age()).Msg("follower: source regained")
+		f.outage = false
+		f.missing = map[string]time.Duration{"": f.Now() + returning}
+	}
+}
+
+// take puts changes in force.
+func (f *Follower) take(ch *Changes, sent time.Duration) {
+	now := f.Now()
+	f.mu.Lock()
+	f.revision = ch.Revision
+	grace := f.missing[""]
+	for _, h := range ch.Hosts {
+		f.hosts[h.Name] = h
+	}
+	for _, name := range ch.HostsGone {
+		delete(f.hosts, name)
+	}
+	if ch.Duty != nil {
+		f.holder = ch.Duty.Holder
+	}
+	var gone []string
+	for _, id := range ch.Gone {
+		if grace > now {
+			f.missing[id] = grace
+		} else {
+			gone = append(gone, id)
+		}
+	}
+	for i := range ch.Listed {
+		delete(f.missing, ch.Listed[i].ID)
+	}
+	for id, until := range f.missing {
+		if until > now {
+			continue
+		}
+		if id != "" {
+			gone = append(gone, id)
+		}
+		delete(f.missing, id)
+	}
+	f.mu.Unlock()
+	f.configure(ch.Configuration)
+	f.Balancer.List(ch.Listed, gone)
+	f.fresh.Store(int64(sent))
+	if f.OnChange != nil {
+		f.OnChange()
+	}
+}
+
+// configure puts a configuration in force unless a newer one is.
+func (f *Follower) configure(cfg *matcher.Configuration) {
+	if cfg == nil {
+		return
+	}
+	old := f.table.Load()
+	if old != nil && old.Version >= cfg.Version {
+		return
+	}
+	t := matcher.New(cfg)
+	f.table.Store(t)
+	f.Balancer.Configure(t.Services)
+	f.Log.Info().Int64("version", cfg.Version).Int("routes", len(cfg.Routes)).Msg("follower: configuration in force")
+}
--- /dev/null
+++ b/forwarder/plain.go
@@ -0,0 +1,180 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/connector"
+)
+
+//go:generate enumer -type verdict -trimprefix verdict -transform title-lower -output verdict_gen.go
+
+// verdict is what an attempt that gave no answer to pass on tells.
+type verdict int
+
+const (
+	// verdictAnswered: there is an answer to pass on.
+	verdictAnswered verdict = iota
+	// verdictNotRun: the upstream did not run it, and never will.
+	verdictNotRun
+	// verdictMayHaveRun: it may have run, or may run yet.
+	verdictMayHaveRun
+	// verdictFailed: it ran and failed; a repeatable request may do better
+	// elsewhere.
+	verdictFailed
+	// verdictBroken: a stream broke off.
+	verdictBroken
+)
+
+// maxAnswer bounds answers that are held whole before they are passed on.
+const maxAnswer = 16 << 20
+
+// answer is an upstream's whole answer.
+type answer struct {
+	*http.Response
+	body []byte
+}
+
+// plain answers a request whose answer is one body.
+func (k *call) plain(ctx context.Context) {
+	for {
+		l := k.acquire(balancer.Need{})
+		if l == nil {
+			return
+		}
+		a, v := k.exchange(ctx, l)
+		k.Balancer.Release(l)
+		if v == verdictAnswered {
+			k.pass(a)
+			return
+		}
+		if v == verdictFailed && (!k.route.Repeatable() || k.runs+1 >= k.route.MaxAttempts || !k.Budget(k.service.Name).Spend(k.Now())) {
+			k.pass(a)
+			return
+		}
+		k.avoid = append(k.avoid, l.Hops[0].ID)
+		if v == verdictFailed {
+			k.runs++
+			k.Meter.Retries.WithLabelValues(v.String()).Inc()
+			continue
+		}
+		if !k.again(ctx, v) {
+			return
+		}
+	}
+}
+
+// exchange sends the request to one upstream and reads its whole answer.
+func (k *call) exchange(ctx context.Context, l *balancer.Lease) (*answer, verdict) {
+	id := l.Hops[0].ID
+	resp, err := k.Pool.Do(ctx, k.request(l))
+	if err != nil {
+		return nil, k.unanswered(ctx, l, err)
+	}
+	k.offered = true
+	body, err := io.ReadAll(io.LimitReader(resp, maxAnswer))
+	whole := resp.Done()
+	if err != nil || !whole {
+		k.Balancer.Failed(id)
+		k.logAttempt(l, "answer broke off", err)
+		return nil, verdictMayHaveRun
+	}
+	return k.judge(l, &answer{resp.Response, body})
+}
+
+// unanswered says what a request that got no answer tells.
+func (k *call) unanswered(ctx context.Context, l *balancer.Lease, err error) verdict {
+	var e *connector.Error
+	if !errors.As(err, &e) {
+		e = &connector.Error{Sent: true}
+	}
+	if e.Sent {
+		k.offered = true
+	}
+	if ctx.Err() == nil {
+		if e.Dial {
+			if k.Balancer.Out(k.Now(), l.Hops[0].ID) {
+				k.Log.Warn().Str("requestId", k.id).Str("upstream", l.Hops[0].ID).Str("address", l.Hops[0].Address).Err(err).Msg("forwarder: upstream out")
+			}
+		} else {
+			k.Balancer.Failed(l.Hops[0].ID)
+		}
+		k.logAttempt(l, "no answer", err)
+	}
+	if e.Sent {
+		return verdictMayHaveRun
+	}
+	return verdictNotRun
+}
+
+// judge says what a whole answer tells.
+func (k *call) judge(l *balancer.Lease, a *answer) (*answer, verdict) {
+	id := l.Hops[0].ID
+	if v, ok := k.refusedBy(l, a.Response); ok {
+		return nil, v
+	}
+	success := a.StatusCode/100 == 2
+	if success && (a.Header.Get(k.Headers.Stamp) == "" || a.Header.Get("Content-Encoding") != "") {
+		// An answer without its signature is not the upstream's own.
+		k.Balancer.Failed(id)
+		k.logAttempt(l, "answer without signature", nil)
+		return nil, verdictMayHaveRun
+	}
+	if a.StatusCode >= http.StatusInternalServerError {
+		k.Balancer.Served(k.Now(), id, parseLoad(a.Header.Get(k.Headers.Load)))
+		k.logAttempt(l, "upstream failed with status "+strconv.Itoa(a.StatusCode), nil)
+		return a, verdictFailed
+	}
+	k.Balancer.Served(k.Now(), id, parseLoad(a.Header.Get(k.Headers.Load)))
+	return a, verdictAnswered
+}
+
+// refusedBy reports whether an upstream turned the request away, and learns who
+// is at fault.
+func (k *call) refusedBy(l *balancer.Lease, resp *http.Response) (verdict, bool) {
+	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
+	if !misdirected && resp.Header.Get(k.Headers.NotRun) == "" {
+		return verdictAnswered, false
+	}
+	id, at := l.Hops[0].ID, resp.Header.Get(k.Headers.Fault)
+	if at != "" {
+		if other := k.Balancer.ByAddress(at); other != "" {
+			id = other
+		}
+	}
+	k.avoid = append(k.avoid, id)
+	if misdirected || at != "" {
+		k.Balancer.Out(k.Now(), id)
+	} else if load := parseLoad(resp.Header.Get(k.Headers.Load)); load != nil {
+		k.Balancer.Served(k.Now(), id, load)
+	}
+	k.logAttempt(l, "turned away with status "+strconv.Itoa(resp.StatusCode)+" by "+id, nil)
+	return verdictNotRun, true
+}
+
+func (k *call) logAttempt(l *balancer.Lease, what string, err error) {
+	k.Log.Info().Str("requestId", k.id).Str("upstream", l.Hops[0].ID).Str("hops", formatPath(l.Hops)).Err(err).
+		Dur("left", k.deadline-k.Now()).Msg("forwarder: " + what)
+}
+
+// pass gives the caller an upstream's answer unchanged.
+func (k *call) pass(a *answer) {
+	k.answered = true
+	k.Headers.incoming(k.w.Header(), a.Header)
+	k.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	k.w.WriteHeader(a.StatusCode)
+	_, _ = k.w.Write(a.body)
+	k.served()
+}
+
+func (k *call) served() {
+	name := ""
+	if k.workspace != nil {
+		name = k.workspace.Name
+	}
+	k.Meter.Requests.WithLabelValues(name, k.route.Kind.String()).Inc()
+}
--- /dev/null
+++ b/forwarder/stream.go
@@ -0,0 +1,250 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sardineward/sardineward/admitter"
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/connector"
+)
+
+// errMoved ends an attempt over an upstream that went silent.
+var errMoved = errors.New("forwarder: an upstream of the path is silent")
+
+const (
+	// resumptions bounds how often one stream may be moved.
+	resumptions = 4
+	readSize    = 4 << 10
+)
+
+// attempt is one run of a stream over a path.
+type attempt struct {
+	lease *balancer.Lease
+	// began is when it was sent.
+	began  time.Duration
+	cancel context.CancelCauseFunc
+}
+
+// stream answers a request by events as they come.
+func (k *call) stream(ctx context.Context) {
+	k.last = parseEventID(k.r.Header.Get("Last-Event-Id"))
+	moves := 0
+	for {
+		l := k.acquireOrCut(k.need())
+		if l == nil {
+			return
+		}
+		v := k.runStream(ctx, l)
+		k.Balancer.Release(l)
+		if v == verdictAnswered {
+			return
+		}
+		if !k.answered {
+			k.avoidFirst(l, v)
+			if !k.again(ctx, v) {
+				return
+			}
+			continue
+		}
+		moves++
+		if ctx.Err() != nil || !k.route.Resumable || moves > resumptions || !k.Budget(k.service.Name).Spend(k.Now()) {
+			k.cut(moves)
+		}
+		k.Meter.Retries.WithLabelValues(verdictBroken.String()).Inc()
+	}
+}
+
+// avoidFirst keeps a request that got no event off the upstream that took it.
+func (k *call) avoidFirst(l *balancer.Lease, v verdict) {
+	if v != verdictNotRun {
+		k.avoid = append(k.avoid, l.Hops[0].ID)
+	}
+}
+
+// acquireOrCut is acquire, for a stream that may have begun.
+func (k *call) acquireOrCut(n balancer.Need) *balancer.Lease {
+	if !k.answered {
+		return k.acquire(n)
+	}
+	n.Service = k.service.Name
+	n.Avoid = k.avoid
+	l, _ := k.Balancer.Acquire(k.Now(), n)
+	if l == nil {
+		n.Avoid = nil
+		l, _ = k.Balancer.Acquire(k.Now(), n)
+	}
+	if l == nil {
+		k.cut(0)
+	}
+	return l
+}
+
+// cut closes a stream midway. Its body has no end, so that the caller can't
+// take it for whole.
+func (k *call) cut(moves int) {
+	if k.r.Context().Err() == nil {
+		k.Meter.Refusals.WithLabelValues(admitter.ReasonUpstream.String()).Inc()
+		k.Log.Warn().Str("requestId", k.id).Str("lastEvent", k.last.text).Int("moves", moves).
+			Dur("left", k.deadline-k.Now()).Msg("forwarder: stream cut")
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// need is what the request asks for, with what it already got as a part of its
+// prompt.
+func (k *call) need() balancer.Need {
+	prompt, most := parseTokens(k.r.Header.Get(k.Headers.Tokens))
+	n := balancer.Need{Prompt: prompt, Answer: most}
+	e := k.service.Engine
+	if e == nil {
+		return n
+	}
+	if prompt == 0 {
+		n.Prompt = e.Prompt
+	}
+	likely := parseNumber(k.r.Header.Get(k.Headers.Length))
+	if likely == 0 {
+		likely = e.Answer
+	}
+	if most == 0 || likely < most {
+		n.Answer = likely
+	}
+	return n
+}
+
+// runStream sends the request over one path and passes its events on.
+func (k *call) runStream(ctx context.Context, l *balancer.Lease) verdict {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	a := &attempt{lease: l, began: k.Now(), cancel: cancel}
+	k.track(a)
+	defer k.untrack(a)
+	req := k.request(l)
+	if k.last.text != "" {
+		req.Header.Set("Last-Event-Id", k.last.text)
+	}
+	resp, err := k.Pool.Do(ctx, req)
+	if err != nil {
+		return k.unanswered(ctx, l, err)
+	}
+	defer resp.Done()
+	k.offered = true
+	if resp.StatusCode != http.StatusOK {
+		return k.refusedStream(l, resp)
+	}
+	if resp.Header.Get(k.Headers.Stamp) == "" || resp.Header.Get("Content-Encoding") != "" {
+		k.Balancer.Failed(l.Hops[0].ID)
+		k.logAttempt(l, "stream without signature", nil)
+		return verdictMayHaveRun
+	}
+	return k.relay(ctx, l, resp)
+}
+
+// refusedStream takes an answer that is no stream.
+func (k *call) refusedStream(l *balancer.Lease, resp *connector.Response) verdict {
+	body, err := io.ReadAll(io.LimitReader(resp, maxAnswer))
+	if v, ok := k.refusedBy(l, resp.Response); ok {
+		return v
+	}
+	k.Balancer.Failed(l.Hops[0].ID)
+	k.logAttempt(l, "stream failed with status "+strconv.Itoa(resp.StatusCode), err)
+	if err != nil || !resp.Whole() {
+		return verdictMayHaveRun
+	}
+	if !k.answered && (resp.StatusCode < http.StatusInternalServerError || !k.route.Resumable || k.runs+1 >= k.route.MaxAttempts) {
+		k.pass(&answer{resp.Response, body})
+		return verdictAnswered
+	}
+	return verdictFailed
+}
+
+// relay passes whole events on as they come. An event that broke off in the
+// middle is left out, so that another run can go on after the last whole one.
+func (k *call) relay(ctx context.Context, l *balancer.Lease, resp *connector.Response) verdict {
+	ctl := http.NewResponseController(k.w)
+	buf := make([]byte, readSize)
+	var pending []byte
+	begun := false
+	for {
+		n, err := resp.Read(buf)
+		pending = append(pending, buf[:n]...)
+		events, rest, ids := cutEvents(pending)
+		if len(events) > 0 {
+			if !k.inOrder(l, ids) {
+				return verdictBroken
+			}
+			k.head(resp)
+			if _, err := k.w.Write(events); err != nil {
+				return k.callerGone()
+			}
+			if err := ctl.Flush(); err != nil {
+				return k.callerGone()
+			}
+			if begun {
+				k.Balancer.Progress(k.Now(), l)
+			} else {
+				k.Balancer.Begun(k.Now(), l)
+				begun = true
+			}
+		}
+		pending = append(pending[:0], rest...)
+		switch {
+		case errors.Is(err, io.EOF) && len(pending) == 0 && begun:
+			k.Balancer.Served(k.Now(), l.Hops[0].ID, nil)
+			k.served()
+			return verdictAnswered
+		case err != nil:
+			k.brokeOff(ctx, l, err)
+			return verdictBroken
+		}
+	}
+}
+
+// inOrder notes the ids of events to be passed on, and reports whether each
+// follows the one before.
+func (k *call) inOrder(l *balancer.Lease, ids []eventID) bool {
+	for _, id := range ids {
+		if !id.follows(k.last) {
+			k.Balancer.Failed(l.Hops[0].ID)
+			k.logAttempt(l, "event "+id.text+" after "+k.last.text, nil)
+			return false
+		}
+		k.last = id
+	}
+	return true
+}
+
+// head passes on the headers of the first run.
+func (k *call) head(resp *connector.Response) {
+	if k.answered {
+		return
+	}
+	k.answered = true
+	k.Headers.incoming(k.w.Header(), resp.Header)
+	k.w.WriteHeader(resp.StatusCode)
+}
+
+func (k *call) callerGone() verdict {
+	if !k.answered {
+		return verdictAnswered
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (k *call) brokeOff(ctx context.Context, l *balancer.Lease, err error) {
+	if k.r.Context().Err() != nil {
+		return
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	if !errors.Is(err, errMoved) && ctx.Err() == nil {
+		k.Balancer.Failed(l.Hops[0].ID)
+	}
+	k.logAttempt(l, "stream broke off after event "+k.last.text, err)
+}
--- /dev/null
+++ b/launcher/launcher.go
@@ -0,0 +1,263 @@
+// Package launcher wires an entry host that forwards by a route table, and runs
+// it from start to graceful stop. What it follows and which names it speaks
+// come in as fields, so that the platform and the stand-ins are served alike.
+package launcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"github.com/sardineward/sardineward/admitter"
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/connector"
+	"github.com/sardineward/sardineward/follower"
+	"github.com/sardineward/sardineward/forwarder"
+	"github.com/sardineward/sardineward/loader"
+	"github.com/sardineward/sardineward/matcher"
+	"github.com/sardineward/sardineward/meter"
+	"github.com/sardineward/sardineward/orderer"
+	"github.com/sardineward/sardineward/picker"
+	"github.com/sardineward/sardineward/registrar"
+	"github.com/sardineward/sardineward/storer"
+	"github.com/sardineward/sardineward/streamer"
+)
+
+const (
+	// headerTimeout and idleTimeout are above what configurations ask for, as
+	// connections are taken before there is one.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	headerBytes   = 64 << 10
+	// keyMargin is taken off the time after which a key must be gone: a request
+	// has to reach its upstream before it is over.
+	keyMargin = 700 * time.Millisecond
+	// sweepPeriod is the time between two looks for stale connections.
+	sweepPeriod = time.Second
+	// memoryShare is the part of the process's memory at which collection gets
+	// eager.
+	memoryShare = 0.7
+)
+
+// Host is one entry host. The fields are set before Run.
+type Host struct {
+	Settings *loader.Forward
+	Store    storer.Store
+	Source   follower.Source
+	Engines  orderer.Engines
+	Headers  forwarder.Headers
+	// ReadyPath is what the balancer asks.
+	ReadyPath string
+	// Now is a clock that goes on while the machine is suspended.
+	Now func() time.Duration
+	Log zerolog.Logger
+
+	balancer *balancer.Balancer
+	follow   *follower.Follower
+	forward  *forwarder.Forwarder
+	register *registrar.Registrar
+	orders   *orderer.Orderer
+	pool     *connector.Pool
+	meter    *meter.Meter
+
+	mu      sync.Mutex
+	budgets map[string]*admitter.Window
+}
+
+// Run answers until ctx ends, then stops gracefully.
+func (h *Host) Run(ctx context.Context) error {
+	h.build()
+	work, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	callers, err := h.listen(&wg)
+	if err != nil {
+		return err
+	}
+	duty, endDuty := context.WithCancel(ctx)
+	defer endDuty()
+	wg.Go(func() { h.follow.Run(work) })
+	wg.Go(func() { h.forward.Watch(work) })
+	wg.Go(func() { h.register.Run(duty) })
+	wg.Go(func() { h.orders.Run(duty) })
+	wg.Go(func() { h.sweep(work) })
+	h.Log.Info().Str("host", h.Settings.Host).Str("dataCentre", h.Settings.DataCentre).Msg("launcher: started")
+	<-ctx.Done()
+	err = h.stop(callers)
+	end()
+	return err
+}
+
+// stop lets the balancer see that this host is leaving, and every open request
+// end, before the listener goes.
+func (h *Host) stop(callers *http.Server) error {
+	h.Log.Info().Int64("inFlight", h.forward.InFlight()).Msg("launcher: stopping")
+	h.forward.Stop()
+	limit, cancel := context.WithTimeout(context.Background(), millis(h.Settings.StopMs))
+	defer cancel()
+	select {
+	case <-time.After(millis(h.Settings.BalancerMs)):
+	case <-limit.Done():
+	}
+	err := callers.Shutdown(limit)
+	left := h.forward.InFlight()
+	h.Log.Info().Int64("cut", left).Msg("launcher: stopped")
+	if err != nil && left > 0 {
+		return fmt.Errorf("stop cut off %d requests", left)
+	}
+	return nil
+}
+
+func (h *Host) build() {
+	cfg := h.Settings
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * memoryShare * 1e6))
+	}
+	h.budgets = make(map[string]*admitter.Window)
+	h.meter = meter.New(meter.Labels(admitter.ReasonValues()), meter.Labels(streamer.CauseValues()))
+	h.balancer = &balancer.Balancer{
+		DataCentre: cfg.DataCentre,
+		Sharers:    h.sharers,
+		Policy:     picker.Cheapest{Steepness: 1, Spread: 0.1},
+		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	h.follow = &follower.Follower{Source: h.Source, Balancer: h.balancer, Now: h.Now, Log: h.Log}
+	h.pool = &connector.Pool{Now: h.Now, RequestID: h.Headers.RequestID}
+	h.forward = &forwarder.Forwarder{
+		Tables:   h.follow,
+		Balancer: h.balancer,
+		Pool:     h.pool,
+		Headers:  h.Headers,
+		Budget:   h.budget,
+		Now:      h.Now,
+		Meter:    h.meter,
+		Log:      h.Log,
+	}
+	if cfg.RevokeMs > 0 {
+		h.forward.KeysValid = millis(cfg.RevokeMs) - keyMargin
+	}
+	h.register = &registrar.Registrar{
+		Store: h.Store,
+		Entry: registrar.Entry{Name: cfg.Host, Address: cfg.Peer, DataCentre: cfg.DataCentre},
+		Now:   h.Now,
+		Free:  h.follow.DutyFree,
+		Log:   h.Log,
+	}
+	h.orders = &orderer.Orderer{
+		Balancer: h.balancer,
+		Engines:  h.Engines,
+		Services: h.services,
+		Holds:    h.register.Holding,
+		Now:      h.Now,
+		Log:      h.Log,
+	}
+}
+
+// sharers is how many hosts of a data centre send there, this one included.
+func (h *Host) sharers(dataCentre string) int {
+	n := 0
+	if dataCentre == h.Settings.DataCentre {
+		n = 1
+	}
+	for _, other := range h.follow.Hosts() {
+		if other.DataCentre == dataCentre {
+			n++
+		}
+	}
+	return n
+}
+
+func (h *Host) services() map[string]*matcher.Service {
+	if t := h.follow.Table(); t != nil {
+		return t.Services
+	}
+	return nil
+}
+
+func (h *Host) budget(service string) *admitter.Window {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.budgets[service]
+	if b == nil {
+		b = &admitter.Window{
+			Ratio:  h.Settings.RetryRatio,
+			Length: time.Duration(h.Settings.RetryWindowS) * time.Second,
+			Fixed:  h.Settings.RetryFixed,
+			Hosts:  func() int { return len(h.follow.Hosts()) + 1 },
+		}
+		h.budgets[service] = b
+	}
+	return b
+}
+
+func (h *Host) sweep(ctx context.Context) {
+	tick := time.NewTicker(sweepPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			h.pool.Sweep()
+		}
+	}
+}
+
+// listen opens all addresses and returns the server of the callers.
+func (h *Host) listen(wg *sync.WaitGroup) (*http.Server, error) {
+	cfg := h.Settings
+	callers := server(h.forward)
+	for _, one := range []struct {
+		address string
+		server  *http.Server
+	}{
+		{cfg.Ready, server(h.readyHandler())},
+		{cfg.Admin, server(h.adminHandler())},
+		{cfg.Callers, callers},
+	} {
+		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", one.address)
+		if err != nil {
+			return nil, fmt.Errorf("listening on %s: %w", one.address, err)
+		}
+		go func() {
+			if err := one.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				h.Log.Error().Err(err).Str("address", one.address).Msg("launcher: listener ended")
+			}
+		}()
+	}
+	return callers, nil
+}
+
+func server(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes}
+}
+
+func (h *Host) readyHandler() http.Handler {
+	e := echo.New()
+	e.GET(h.ReadyPath, func(c echo.Context) error {
+		if h.forward.Ready() {
+			return c.NoContent(http.StatusOK)
+		}
+		return c.NoContent(http.StatusServiceUnavailable)
+	})
+	return e
+}
+
+func (h *Host) adminHandler() http.Handler {
+	e := echo.New()
+	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(h.meter.Registry, promhttp.HandlerOpts{})))
+	return e
+}
+
+func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/orderer/orderer.go
@@ -0,0 +1,255 @@
+// Package orderer has the layout that placer decides carried out, on the one
+// host that holds the duty.
+//
+// An order names how many orders the upstream must have taken before. One that
+// is carried out late, after newer ones, is refused by that; and a host that
+// was suspended and still believes it holds the duty can't undo what its
+// successor ordered.
+package orderer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/matcher"
+	"github.com/sardineward/sardineward/placer"
+)
+
+// Errors of an order.
+var (
+	// ErrRefused: the upstream's state is not the expected one.
+	ErrRefused = errors.New("orderer: upstream is in another state")
+	// ErrUncertain: no answer came; the order may be carried out, also late.
+	ErrUncertain = errors.New("orderer: no answer")
+)
+
+// Engines is the seam to upstreams.
+type Engines interface {
+	// Place orders an upstream to hold a range of layers. expected is how many
+	// orders it has taken.
+	Place(ctx context.Context, address string, span balancer.Span, expected int64) error
+	// Taken returns how many orders an upstream has taken since its start.
+	Taken(ctx context.Context, address string) (int64, error)
+}
+
+const (
+	// period is the time between two looks at the layout.
+	period = 250 * time.Millisecond
+	// patience is how long beyond its load time an order is awaited before the
+	// list is believed again: the list lags by a heartbeat.
+	patience = 4 * time.Second
+	// timeout bounds one order: a hundred times the way there and back.
+	timeout = 500 * time.Millisecond
+	// settle is how long the fleet must not have grown before the first layout
+	// is made, so that one plan has all of it: upstreams appear over a heartbeat.
+	settle = 900 * time.Millisecond
+)
+
+// Orderer gives orders. The fields are set before Run.
+type Orderer struct {
+	Balancer *balancer.Balancer
+	Engines  Engines
+	// Services returns the services in force.
+	Services func() map[string]*matcher.Service
+	// Holds reports whether this host surely holds the duty.
+	Holds func() bool
+	// Now is a clock that goes on while the machine is suspended.
+	Now func() time.Duration
+	Log zerolog.Logger
+
+	// grown is when the fleet was last seen to grow before the first layout,
+	// and size how many it had.
+	grown   time.Duration
+	size    int
+	settled bool
+
+	mu      sync.Mutex
+	pending map[string]pending
+	taken   map[string]taken
+}
+
+// taken is how many orders an upstream took since its start.
+type taken struct {
+	orders, born int64
+}
+
+// pending is an order that the list does not show yet.
+type pending struct {
+	span placer.Span
+	// born is the start of the upstream that it was given to.
+	born  int64
+	until time.Duration
+}
+
+// Run gives orders until ctx ends.
+func (o *Orderer) Run(ctx context.Context) {
+	o.pending = make(map[string]pending)
+	o.taken = make(map[string]taken)
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if !o.Holds() {
+			o.forget()
+			continue
+		}
+		for _, s := range o.Services() {
+			if s.Engine != nil && s.Engine.Layers > 0 {
+				o.place(ctx, s)
+			}
+		}
+	}
+}
+
+// place looks at one service.
+func (o *Orderer) place(ctx context.Context, s *matcher.Service) {
+	fleet := o.Balancer.Fleet(o.Now(), s.Name)
+	if len(fleet) == 0 {
+		return
+	}
+	if !o.settle(len(fleet)) {
+		return
+	}
+	byID := make(map[string]*balancer.Member, len(fleet))
+	members := make([]placer.Member, len(fleet))
+	for i := range fleet {
+		byID[fleet[i].ID] = &fleet[i]
+		members[i] = o.member(s.Engine, &fleet[i])
+	}
+	for _, m := range placer.Plan(model(s.Engine), members) {
+		if u := byID[m.ID]; o.awaits(u) || u.Out {
+			continue
+		}
+		go o.order(ctx, byID[m.ID], m.Span)
+		o.expect(s.Engine, byID[m.ID], m.Span)
+	}
+}
+
+// settle reports whether the fleet was seen whole once.
+func (o *Orderer) settle(size int) bool {
+	if size > o.size {
+		o.size = size
+		o.grown = o.Now()
+	}
+	o.settled = o.settled || o.Now()-o.grown >= settle
+	return o.settled
+}
+
+// forget drops what is known of orders: another host gives them now.
+func (o *Orderer) forget() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	clear(o.pending)
+	clear(o.taken)
+}
+
+func model(e *matcher.Engine) placer.Model {
+	return placer.Model{
+		Layers:  e.Layers,
+		LayerMB: e.LayerMB,
+		TokenMB: e.TokenBytes / float64(e.Layers) / 1e6,
+		Tokens:  e.Prompt + e.Answer,
+	}
+}
+
+// member is an upstream as the layout sees it: with what it was ordered to hold
+// while the list does not show that yet.
+func (o *Orderer) member(e *matcher.Engine, u *balancer.Member) placer.Member {
+	m := placer.Member{ID: u.ID, DataCentre: u.DataCentre, MB: balancer.CardOf(e, u.Card).MB}
+	m.Held = placer.Span(u.Holds)
+	if o.awaits(u) {
+		o.mu.Lock()
+		m.Held = o.pending[u.ID].span
+		o.mu.Unlock()
+	}
+	return m
+}
+
+// awaits reports whether an order to u is under way.
+func (o *Orderer) awaits(u *balancer.Member) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	p, ok := o.pending[u.ID]
+	if !ok {
+		return false
+	}
+	done := placer.Span(u.Holds) == p.span
+	if done || p.born != u.Born || o.Now() > p.until {
+		delete(o.pending, u.ID)
+		return false
+	}
+	return true
+}
+
+func (o *Orderer) expect(e *matcher.Engine, u *balancer.Member, span placer.Span) {
+	load := time.Duration(float64(e.LoadTime) * float64(span.Len()) / float64(e.Layers))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pending[u.ID] = pending{span: span, born: u.Born, until: o.Now() + load + patience}
+}
+
+// order gives one order. Where the count of orders is not known, or was wrong,
+// the upstream is asked for it.
+func (o *Orderer) order(ctx context.Context, u *balancer.Member, span placer.Span) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	err := o.try(ctx, u, span)
+	if errors.Is(err, ErrRefused) {
+		o.learn(ctx, u)
+		err = o.try(ctx, u, span)
+	}
+	if err != nil {
+		o.mu.Lock()
+		delete(o.taken, u.ID)
+		o.mu.Unlock()
+	}
+	o.Log.Info().Err(err).Str("upstream", u.ID).Str("address", u.Address).Int("from", span.From).Int("to", span.To).
+		Msg("orderer: order given")
+}
+
+func (o *Orderer) try(ctx context.Context, u *balancer.Member, span placer.Span) error {
+	// A host was suspended past its lease and gave orders beside its successor;
+	// the lease is looked at right before the order is sent.
+	if !o.Holds() {
+		return ErrRefused
+	}
+	n := o.count(u)
+	err := o.Engines.Place(ctx, u.Address, balancer.Span(span), n)
+	if err == nil {
+		o.mu.Lock()
+		o.taken[u.ID] = taken{orders: n + 1, born: u.Born}
+		o.mu.Unlock()
+	}
+	return err
+}
+
+// count is how many orders an upstream has taken: none since its start, unless
+// this host knows better.
+func (o *Orderer) count(u *balancer.Member) int64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if t := o.taken[u.ID]; t.born == u.Born {
+		return t.orders
+	}
+	return 0
+}
+
+func (o *Orderer) learn(ctx context.Context, u *balancer.Member) {
+	n, err := o.Engines.Taken(ctx, u.Address)
+	if err != nil {
+		o.Log.Debug().Err(err).Str("upstream", u.ID).Msg("orderer: count of orders not learnt")
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.taken[u.ID] = taken{orders: n, born: u.Born}
+}
--- /dev/null
+++ b/registrar/registrar.go
@@ -0,0 +1,193 @@
+// Package registrar makes an entry host known to the others by an entry in the
+// platform's store that lapses with the host, and takes duties that one host
+// holds at a time.
+package registrar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sardineward/sardineward/storer"
+)
+
+const (
+	// ttl is how long a lost host is still listed and keeps its duty. Half of
+	// it is a lost heartbeat and the next one; shorter ones end in every pause.
+	ttl = 4 * time.Second
+	// period is the time between two heartbeats: three fit into ttl.
+	period = 1200 * time.Millisecond
+)
+
+// Entry is what others read of a host.
+type Entry struct {
+	Name       string `json:"name"`
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+}
+
+// Check reports what is wrong in an entry.
+func (e *Entry) Check() error {
+	if e.Name == "" || e.Address == "" || e.DataCentre == "" {
+		return fmt.Errorf("registrar: entry of host %q lacks a field", e.Name)
+	}
+	return nil
+}
+
+// Prefixes of the keys.
+const (
+	// HostPrefix is followed by a host's name.
+	HostPrefix = "sardineward/hosts/"
+	// DutyKey holds the name of the host that gives orders to engines.
+	DutyKey = "sardineward/orders"
+)
+
+// Registrar is safe for concurrent use. The fields are set before Run.
+type Registrar struct {
+	Store storer.Store
+	Entry Entry
+	// Now is a clock that goes on while the machine is suspended: a lease runs
+	// on while its holder does not.
+	Now func() time.Duration
+	// Free reports whether nobody is known to hold the duty.
+	Free func() bool
+	Log  zerolog.Logger
+
+	mu    sync.Mutex
+	lease int64
+	// until is when the lease lapses at the earliest: counted from before the
+	// call that prolonged it.
+	until time.Duration
+	duty  bool
+}
+
+// Holding reports whether this host surely holds the duty.
+func (r *Registrar) Holding() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.duty && r.Now() < r.until
+}
+
+// Run keeps the entry alive until ctx ends, then removes it.
+func (r *Registrar) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := r.beat(ctx); err != nil && ctx.Err() == nil {
+			r.Log.Debug().Err(err).Msg("registrar: heartbeat failed")
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(period):
+		}
+	}
+	r.leave(context.WithoutCancel(ctx))
+}
+
+func (r *Registrar) leave(ctx context.Context) {
+	r.mu.Lock()
+	lease := r.lease
+	r.duty = false
+	r.mu.Unlock()
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, period)
+	defer cancel()
+	if err := r.Store.Revoke(ctx, lease); err != nil {
+		r.Log.Debug().Err(err).Msg("registrar: lease left to lapse")
+	}
+}
+
+// beat prolongs the lease, or makes one and writes the entry under it.
+func (r *Registrar) beat(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, period)
+	defer cancel()
+	start := r.Now()
+	r.mu.Lock()
+	lease := r.lease
+	r.mu.Unlock()
+	if lease != 0 {
+		err := r.Store.KeepAlive(call, lease)
+		if err == nil {
+			r.prolong(start)
+			return r.claim(call, lease)
+		}
+		if !errors.Is(err, storer.ErrLease) {
+			return err
+		}
+		r.lapsed()
+	}
+	return r.register(call)
+}
+
+func (r *Registrar) prolong(start time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.until = start + ttl
+}
+
+func (r *Registrar) lapsed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.duty {
+		r.Log.Warn().Msg("registrar: duty lost")
+	}
+	r.lease, r.duty = 0, false
+}
+
+func (r *Registrar) register(ctx context.Context) error {
+	start := r.Now()
+	lease, err := r.Store.Grant(ctx, ttl)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(r.Entry)
+	if err != nil {
+		return fmt.Errorf("encoding host entry: %w", err)
+	}
+	if err := r.write(ctx, HostPrefix+r.Entry.Name, value, lease); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.lease = lease
+	r.until = start + ttl
+	r.mu.Unlock()
+	r.Log.Info().Int64("lease", lease).Msg("registrar: registered")
+	return r.claim(ctx, lease)
+}
+
+// write puts the entry in place of one that an earlier start left.
+func (r *Registrar) write(ctx context.Context, key string, value []byte, lease int64) error {
+	old, err := r.Store.Get(ctx, key)
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		return err
+	}
+	_, err = r.Store.Swap(ctx, storer.Write{Key: key, Value: value, Expect: old.Revision, Lease: lease})
+	return err
+}
+
+// claim takes the duty if nobody has it.
+func (r *Registrar) claim(ctx context.Context, lease int64) error {
+	r.mu.Lock()
+	duty := r.duty
+	r.mu.Unlock()
+	if duty || !r.Free() {
+		return nil
+	}
+	_, err := r.Store.Swap(ctx, storer.Write{Key: DutyKey, Value: []byte(r.Entry.Name), Lease: lease})
+	if errors.Is(err, storer.ErrConflict) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.duty = true
+	r.mu.Unlock()
+	r.Log.Info().Int64("lease", lease).Msg("registrar: duty taken")
+	return nil
+}
