balancer: tell an upstream without room from a dead one

Cause: an engine that was short of memory answered 503 naming it, and was taken out of use like a dead one; its load then filled the next. Only an answer that came after the time in which an engine gives up waiting speaks of a dead one. A path named an upstream twice (2 of 2,391 requests got 400).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -104,8 +104,10 @@
 	// is when the last event came over any of them.
 	flows      int
 	progressed time.Duration
-	// delay is the smoothed time of an answer against what is usual.
-	delay float64
+	// others are token-layers that other hosts are thought to fill, as of
+	// fullAt, when the upstream had no room though this host expected some.
+	others float64
+	fullAt time.Duration
 }
 
 // Load is what an upstream says of itself in an answer.
@@ -391,6 +393,30 @@
 	return true
 }
 
+// fullMemory is how long an upstream is kept fuller than this host's requests
+// make it: the time in which about a fifth of the streams there end.
+const fullMemory = 500 * time.Millisecond
+
+// Full notes that an upstream had no room. Other hosts fill it, or answers are
+// longer than expected.
+func (b *Balancer) Full(now time.Duration, id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if u := b.ups[id]; u != nil {
+		u.others = max(0, u.room-u.reserved*float64(b.sharers(u.DataCentre)))
+		u.fullAt = now
+	}
+}
+
+// filled are the token-layers that are thought to be taken of u's room.
+func (b *Balancer) filled(now time.Duration, u *upstream) float64 {
+	out := u.reserved * float64(b.sharers(u.DataCentre))
+	if age := now - u.fullAt; age < fullMemory {
+		out += u.others * (1 - float64(age)/float64(fullMemory))
+	}
+	return out
+}
+
 // ByAddress returns the id of the upstream at an address, or "".
 func (b *Balancer) ByAddress(address string) string {
 	b.mu.Lock()
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -15,8 +15,8 @@
 	// come first, and a lost link cuts the stream.
 	remoteBias = 0.35
 	// crossing is what a link between data centres inside a path costs beyond
-	// its time: all share the pipe, and its bytes are paid for.
-	crossing = 400 * time.Millisecond
+	// its time: all share the pipe.
+	crossing = 50 * time.Millisecond
 	// tokenDelay is the delay of one link a token, where none is declared.
 	tokenDelay = time.Millisecond
 	// greyBias is how much dearer an upstream is that fails all it gets.
@@ -37,7 +37,7 @@
 			continue
 		}
 		covered = true
-		cands = append(cands, b.candidate(e, u, n, tokens))
+		cands = append(cands, b.candidate(now, e, u, n, tokens))
 	}
 	if !covered {
 		return nil, ReasonNoUpstream
@@ -60,7 +60,7 @@
 
 // candidate is an upstream as the path policy sees it: a sequence is one
 // request of this size over all the layers that it holds.
-func (b *Balancer) candidate(e *matcher.Engine, u *upstream, n Need, tokens float64) picker.Candidate {
+func (b *Balancer) candidate(now time.Duration, e *matcher.Engine, u *upstream, n Need, tokens float64) picker.Candidate {
 	card := CardOf(e, u.Card)
 	span := u.Holds
 	share := float64(b.sharers(u.DataCentre))
@@ -73,7 +73,7 @@
 		Step:       hopTime,
 		Layer:      time.Duration(perLayer * float64(time.Second)),
 		Batch:      1,
-		Sequences:  u.reserved * share,
+		Sequences:  b.filled(now, u),
 		Slots:      u.room*(1-headroom) - tokens*float64(span.To-span.From),
 		Bias:       greyBias * u.grey,
 		Excluded:   e.Slots > 0 && float64(u.running)*share >= float64(e.Slots),
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/connector"
@@ -71,6 +72,7 @@
 // exchange sends the request to one upstream and reads its whole answer.
 func (k *call) exchange(ctx context.Context, l *balancer.Lease) (*answer, verdict) {
 	id := l.Hops[0].ID
+	sent := k.Now()
 	resp, err := k.Pool.Do(ctx, k.request(l))
 	if err != nil {
 		return nil, k.unanswered(ctx, l, err)
@@ -83,7 +85,7 @@
 		k.logAttempt(l, "answer broke off", err)
 		return nil, verdictMayHaveRun
 	}
-	return k.judge(l, &answer{resp.Response, body})
+	return k.judge(l, &answer{resp.Response, body}, sent)
 }
 
 // unanswered says what a request that got no answer tells.
@@ -112,9 +114,9 @@
 }
 
 // judge says what a whole answer tells.
-func (k *call) judge(l *balancer.Lease, a *answer) (*answer, verdict) {
+func (k *call) judge(l *balancer.Lease, a *answer, sent time.Duration) (*answer, verdict) {
 	id := l.Hops[0].ID
-	if v, ok := k.refusedBy(l, a.Response); ok {
+	if v, ok := k.refusedBy(l, a.Response, sent); ok {
 		return nil, v
 	}
 	success := a.StatusCode/100 == 2
@@ -133,9 +135,13 @@
 	return a, verdictAnswered
 }
 
+// stalled is how long an upstream takes at the least to find that another one
+// on the path is dead; one that has no room is known at once.
+const stalled = time.Second
+
 // refusedBy reports whether an upstream turned the request away, and learns who
 // is at fault.
-func (k *call) refusedBy(l *balancer.Lease, resp *http.Response) (verdict, bool) {
+func (k *call) refusedBy(l *balancer.Lease, resp *http.Response, sent time.Duration) (verdict, bool) {
 	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
 	if !misdirected && resp.Header.Get(k.Headers.NotRun) == "" {
 		return verdictAnswered, false
@@ -147,8 +153,10 @@
 		}
 	}
 	k.avoid = append(k.avoid, id)
-	if misdirected || at != "" {
+	if misdirected || (at != "" && k.Now()-sent > stalled) {
 		k.Balancer.Out(k.Now(), id)
+	} else if at != "" {
+		k.Balancer.Full(k.Now(), id)
 	} else if load := parseLoad(resp.Header.Get(k.Headers.Load)); load != nil {
 		k.Balancer.Served(k.Now(), id, load)
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -135,7 +135,7 @@
 	defer resp.Done()
 	k.offered = true
 	if resp.StatusCode != http.StatusOK {
-		return k.refusedStream(l, resp)
+		return k.refusedStream(a, resp)
 	}
 	if resp.Header.Get(k.Headers.Stamp) == "" || resp.Header.Get("Content-Encoding") != "" {
 		k.Balancer.Failed(l.Hops[0].ID)
@@ -146,9 +146,10 @@
 }
 
 // refusedStream takes an answer that is no stream.
-func (k *call) refusedStream(l *balancer.Lease, resp *connector.Response) verdict {
+func (k *call) refusedStream(a *attempt, resp *connector.Response) verdict {
+	l := a.lease
 	body, err := io.ReadAll(io.LimitReader(resp, maxAnswer))
-	if v, ok := k.refusedBy(l, resp.Response); ok {
+	if v, ok := k.refusedBy(l, resp.Response, a.began); ok {
 		return v
 	}
 	k.Balancer.Failed(l.Hops[0].ID)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -129,7 +129,7 @@
 	h.balancer = &balancer.Balancer{
 		DataCentre: cfg.DataCentre,
 		Sharers:    h.sharers,
-		Policy:     picker.Cheapest{Steepness: 1, Spread: 0.1},
+		Policy:     picker.Cheapest{Steepness: 2, Spread: 0.1},
 		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	h.follow = &follower.Follower{Source: h.Source, Balancer: h.balancer, Now: h.Now, Log: h.Log}
--- a/picker/cheapest.go
+++ b/picker/cheapest.go
@@ -129,16 +129,19 @@
 	return joined(route)
 }
 
-// joined merges neighbouring hops on one upstream, which would otherwise cost
-// it two iterations a token.
+// joined merges hops on one upstream, which would otherwise cost it two
+// iterations a token, and drops what lies between them: it holds those layers
+// too. Engines refuse a route that names an upstream twice.
 func joined(route Route) Route {
 	out := route[:0]
 	for _, h := range route {
-		if n := len(out); n > 0 && out[n-1].Upstream == h.Upstream {
-			out[n-1].Last = h.Last
+		at := slices.IndexFunc(out, func(o Hop) bool { return o.Upstream == h.Upstream })
+		if at < 0 {
+			out = append(out, h)
 			continue
 		}
-		out = append(out, h)
+		out = out[:at+1]
+		out[at].Last = h.Last
 	}
 	return out
 }
