placer, forwarder: layers once a data centre; change the path of streams over a dead upstream

Cause: memory beside layers binds, and layers held 1.35 times left the narrowest cards half of what they have when each layer is held once (88k against 138k tokens in the poorest data centre). A crash moved all streams of a data centre as new requests, which spent the retry budget at once.

Change: sizes by least room over the time of a token; an order changes the path of running requests; upstreams of streams that wait for their first event are asked too; a dead one stays out until it takes a connection.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -51,9 +51,12 @@
 	From, To int
 }
 
-// Lease is a chosen path with its room reserved, until Release.
+// Lease is a chosen path with its room reserved, until Release. A path may
+// change while it is held: Hops is read through Balancer.Path once shared.
 type Lease struct {
 	Hops []Hop
+	// need is what it was reserved for.
+	need Need
 	// tokens is the room reserved on each hop for each layer.
 	tokens float64
 	// first is set once an event has come.
@@ -95,6 +98,8 @@
 	outUntil time.Duration
 	// strikes counts failures in a row that took it out.
 	strikes int
+	// dead is set while it takes no connection, until it does again.
+	dead bool
 	// grey is the smoothed share of failed requests.
 	grey float64
 	// load is what it last said of all hosts' requests, at loadAt.
@@ -228,7 +233,7 @@
 
 // usable reports whether new work may go to u.
 func (u *upstream) usable(now time.Duration, avoid []string) bool {
-	return !u.Leaving && u.outUntil <= now && !slices.Contains(avoid, u.ID)
+	return !u.Leaving && !u.dead && u.outUntil <= now && !slices.Contains(avoid, u.ID)
 }
 
 const (
@@ -272,7 +277,7 @@
 		return nil, ReasonNoUpstream
 	}
 	best.running++
-	return &Lease{Hops: []Hop{{ID: best.ID, Address: best.Address}}}, ReasonNone
+	return &Lease{need: n, Hops: []Hop{{ID: best.ID, Address: best.Address}}}, ReasonNone
 }
 
 // pressure is the requests that an upstream is thought to hold.
@@ -289,6 +294,10 @@
 func (b *Balancer) Release(l *Lease) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.release(l)
+}
+
+func (b *Balancer) release(l *Lease) {
 	for i, h := range l.Hops {
 		u := b.ups[h.ID]
 		if u == nil {
@@ -338,13 +347,61 @@
 	defer b.mu.Unlock()
 	var out []Hop
 	for _, u := range b.ups {
-		if u.flows > 0 && u.outUntil <= now && now-u.progressed > limit {
+		if u.flows > 0 && !u.dead && now-u.progressed > limit {
 			out = append(out, Hop{ID: u.ID, Address: u.Address})
 		}
 	}
 	return out
 }
 
+// Stuck lists the hops of a path over which no event has come since a time.
+// Streams that wait for their first event show a dead upstream that has no
+// other streams.
+func (b *Balancer) Stuck(l *Lease, since time.Duration) []Hop {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Hop
+	for _, h := range l.Hops {
+		if u := b.ups[h.ID]; u != nil && !u.dead && u.progressed < since {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// Path returns the hops of a lease now.
+func (b *Balancer) Path(l *Lease) []Hop {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(l.Hops)
+}
+
+// Dead lists upstreams that take no connection.
+func (b *Balancer) Dead() []Hop {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Hop
+	for _, u := range b.ups {
+		if u.dead {
+			out = append(out, Hop{ID: u.ID, Address: u.Address})
+		}
+	}
+	return out
+}
+
+// SetDead notes whether an upstream takes connections. It reports whether that
+// was news.
+func (b *Balancer) SetDead(id string, dead bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := b.ups[id]
+	if u == nil || u.dead == dead {
+		return false
+	}
+	u.dead = dead
+	return true
+}
+
 const (
 	// greyMemory is the weight of one more outcome: ten requests tell a third
 	// of failures from a slip.
@@ -442,7 +499,7 @@
 	var out []Member
 	for _, u := range b.ups {
 		if u.Service == service && !u.Leaving {
-			out = append(out, Member{Upstream: u.Upstream, Out: u.outUntil > now})
+			out = append(out, Member{Upstream: u.Upstream, Out: u.dead || u.outUntil > now})
 		}
 	}
 	slices.SortFunc(out, func(a, b Member) int { return cmpString(a.Address, b.Address) })
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sardineward/sardineward/matcher"
@@ -46,16 +47,74 @@
 	if route == nil {
 		return nil, b.shortage(cands, e.Layers)
 	}
-	l := &Lease{tokens: tokens, Hops: make([]Hop, len(route))}
+	l := &Lease{need: n, tokens: tokens, Hops: make([]Hop, len(route))}
 	for i, h := range route {
 		u := b.ups[h.Upstream]
 		l.Hops[i] = Hop{ID: u.ID, Address: u.Address, From: h.First, To: h.Last + 1}
-		u.reserved += tokens * float64(h.Last+1-h.First)
+	}
+	b.reserve(l)
+	return l, ReasonNone
+}
+
+// reserve takes the room of a lease.
+func (b *Balancer) reserve(l *Lease) {
+	for i, h := range l.Hops {
+		u := b.ups[h.ID]
+		if u == nil {
+			continue
+		}
+		u.reserved += l.tokens * float64(h.To-h.From)
 		if i == 0 {
 			u.running++
 		}
+		if l.first {
+			u.flows++
+		}
 	}
-	return l, ReasonNone
+}
+
+// keptBias makes upstreams that a path has already much cheaper when it is
+// changed: they keep what they have read, and new ones read it all again.
+const keptBias = -0.9
+
+// Repath finds another path for a running request that keeps the first hop and
+// as many others as it can, and moves the reservation. It returns nil when there
+// is none; the lease is then as it was.
+func (b *Balancer) Repath(now time.Duration, l *Lease) []Hop {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[l.need.Service]
+	if s == nil || s.Engine == nil || len(l.Hops) < 2 {
+		return nil
+	}
+	e, first := s.Engine, l.Hops[0]
+	b.release(l)
+	defer b.reserve(l)
+	var cands []picker.Candidate
+	for _, u := range b.ups {
+		if u.Service != s.Name || u.Holds.To <= first.To || u.ID == first.ID || !u.usable(now, nil) {
+			continue
+		}
+		c := b.candidate(now, e, u, l.need, l.tokens)
+		c.First, c.Last = max(0, c.First-first.To), c.Last-first.To
+		for _, h := range l.Hops {
+			if h.ID == u.ID {
+				c.Bias = keptBias
+			}
+		}
+		cands = append(cands, c)
+	}
+	route := b.Policy.Pick(cands, picker.Need{Layers: e.Layers - first.To}, b.links(e, l.need, cands), b.Rand)
+	if route == nil {
+		return nil
+	}
+	hops := []Hop{first}
+	for _, h := range route {
+		u := b.ups[h.Upstream]
+		hops = append(hops, Hop{ID: u.ID, Address: u.Address, From: h.First + first.To, To: h.Last + 1 + first.To})
+	}
+	l.Hops = hops
+	return slices.Clone(hops)
 }
 
 // candidate is an upstream as the path policy sees it: a sequence is one
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -58,6 +58,7 @@
 	Tables   Tables
 	Balancer *balancer.Balancer
 	Pool     *connector.Pool
+	Engines  Engines
 	Headers  Headers
 	// Budget returns the retry budget of a service.
 	Budget func(service string) *admitter.Window
@@ -272,7 +273,7 @@
 		h.Set(k.Headers.Workspace, k.workspace.Name)
 	}
 	if l.Hops[0].To > 0 {
-		h.Set(k.Headers.Path, formatPath(l.Hops))
+		h.Set(k.Headers.Path, FormatPath(l.Hops))
 	}
 	return &connector.Request{
 		Address: l.Hops[0].Address,
--- a/forwarder/headers.go
+++ b/forwarder/headers.go
@@ -102,8 +102,8 @@
 	}
 }
 
-// formatPath renders hops as ADDRESS=FROM-TO, separated by commas.
-func formatPath(hops []balancer.Hop) string {
+// FormatPath renders hops as ADDRESS=FROM-TO, separated by commas.
+func FormatPath(hops []balancer.Hop) string {
 	parts := make([]string, len(hops))
 	for i, h := range hops {
 		parts[i] = h.Address + "=" + strconv.Itoa(h.From) + "-" + strconv.Itoa(h.To)
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -99,7 +99,7 @@
 	}
 	if ctx.Err() == nil {
 		if e.Dial {
-			if k.Balancer.Out(k.Now(), l.Hops[0].ID) {
+			if k.Balancer.SetDead(l.Hops[0].ID, true) {
 				k.Log.Warn().Str("requestId", k.id).Str("upstream", l.Hops[0].ID).Str("address", l.Hops[0].Address).Err(err).Msg("forwarder: upstream out")
 			}
 		} else {
@@ -165,7 +165,7 @@
 }
 
 func (k *call) logAttempt(l *balancer.Lease, what string, err error) {
-	k.Log.Info().Str("requestId", k.id).Str("upstream", l.Hops[0].ID).Str("hops", formatPath(l.Hops)).Err(err).
+	k.Log.Info().Str("requestId", k.id).Str("upstream", l.Hops[0].ID).Str("hops", FormatPath(k.Balancer.Path(l))).Err(err).
 		Dur("left", k.deadline-k.Now()).Msg("forwarder: " + what)
 }
 
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -15,17 +15,31 @@
 	// it is asked: four events of one stream, and well under the pause that
 	// callers expect at most.
 	silence = 120 * time.Millisecond
+	// slowStart is how long a stream may wait for its first event before the
+	// upstreams of its path are asked: twice the usual.
+	slowStart = 250 * time.Millisecond
 	// askTimeout is how long an upstream has to take a connection.
 	askTimeout = 80 * time.Millisecond
+	// askAgain is the time between two questions to a dead upstream.
+	askAgain = 400 * time.Millisecond
 	// oversleep is how late a look may be; after a later one this host itself
 	// was held up, and silence says nothing of upstreams.
 	oversleep = 40 * time.Millisecond
+	// repathTimeout bounds one order to change a path.
+	repathTimeout = 150 * time.Millisecond
 )
 
-// Watch looks for upstreams that went silent, until ctx ends. One that does not
-// take a connection is out of use, and every stream over it goes on elsewhere.
-// Otherwise each such stream would stand still until its engine gives up
-// waiting, which takes seconds.
+// Engines changes the path of running requests.
+type Engines interface {
+	// Repath orders the first upstream of a path to go on with a request over
+	// other hops. An error means that it did not, or may not have.
+	Repath(ctx context.Context, requestID string, hops []balancer.Hop) error
+}
+
+// Watch looks for silent upstreams until ctx ends. One that does not take a
+// connection is out of use until it does, and every stream over it goes on
+// elsewhere. Otherwise each such stream would stand still until its engine gives
+// up waiting, which takes seconds.
 func (f *Forwarder) Watch(ctx context.Context) {
 	tick := time.NewTicker(watchPeriod)
 	defer tick.Stop()
@@ -43,13 +57,33 @@
 			continue
 		}
 		for _, h := range f.Balancer.Silent(now, silence) {
-			f.ask(ctx, h)
+			f.ask(ctx, h, silence)
+		}
+		for _, h := range f.slow(now) {
+			f.ask(ctx, h, slowStart)
+		}
+		for _, h := range f.Balancer.Dead() {
+			f.ask(ctx, h, askAgain)
+		}
+	}
+}
+
+// slow lists the upstreams that may hold up streams which wait for their first
+// event.
+func (f *Forwarder) slow(now time.Duration) []balancer.Hop {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []balancer.Hop
+	for a := range f.streams {
+		if !a.begun.Load() && now-a.began > slowStart {
+			out = append(out, f.Balancer.Stuck(a.lease, a.began)...)
 		}
 	}
+	return out
 }
 
-// ask connects to an upstream once at a time.
-func (f *Forwarder) ask(ctx context.Context, h balancer.Hop) {
+// ask connects to an upstream once at a time, and not again before rest.
+func (f *Forwarder) ask(ctx context.Context, h balancer.Hop, rest time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.probing == nil {
@@ -60,11 +94,11 @@
 	}
 	f.probing[h.ID] = true
 	go func() {
-		if !f.connects(ctx, h.Address) && ctx.Err() == nil {
-			f.out(h)
+		alive := f.connects(ctx, h.Address)
+		if ctx.Err() == nil {
+			f.learn(ctx, h, alive)
 		}
-		// One that took the connection is not asked again at once.
-		time.Sleep(silence)
+		time.Sleep(rest)
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		delete(f.probing, h.ID)
@@ -86,20 +120,54 @@
 	return true
 }
 
-// out takes an upstream out of use and moves the streams over it.
-func (f *Forwarder) out(h balancer.Hop) {
-	if f.Balancer.Out(f.Now(), h.ID) {
-		f.Log.Warn().Str("upstream", h.ID).Str("address", h.Address).Msg("forwarder: silent upstream out")
+// learn notes whether an upstream lives, and moves the streams over one that
+// does not.
+func (f *Forwarder) learn(ctx context.Context, h balancer.Hop, alive bool) {
+	if !f.Balancer.SetDead(h.ID, !alive) {
+		return
+	}
+	if alive {
+		f.Log.Info().Str("upstream", h.ID).Str("address", h.Address).Msg("forwarder: upstream back")
+		return
 	}
+	moved := f.over(h.ID)
+	f.Log.Warn().Str("upstream", h.ID).Str("address", h.Address).Int("streams", len(moved)).Msg("forwarder: silent upstream out")
+	for _, a := range moved {
+		go f.move(ctx, a, h)
+	}
+}
+
+// over lists the streams whose path has an upstream.
+func (f *Forwarder) over(id string) []*attempt {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	var out []*attempt
 	for a := range f.streams {
-		for _, hop := range a.lease.Hops {
-			if hop.ID == h.ID {
-				a.cancel(errMoved)
+		for _, hop := range f.Balancer.Path(a.lease) {
+			if hop.ID == id {
+				out = append(out, a)
+			}
+		}
+	}
+	return out
+}
+
+// move has a stream go on over another path. Where its first upstream lives, it
+// is told to change the path: the others keep what they have read, and no
+// request is sent again. Else the stream is resumed as a new request.
+func (f *Forwarder) move(ctx context.Context, a *attempt, dead balancer.Hop) {
+	if f.Balancer.Path(a.lease)[0].ID != dead.ID {
+		if hops := f.Balancer.Repath(f.Now(), a.lease); hops != nil {
+			ctx, cancel := context.WithTimeout(ctx, repathTimeout)
+			defer cancel()
+			err := f.Engines.Repath(ctx, a.id, hops)
+			f.Log.Info().Err(err).Str("requestId", a.id).Str("dead", dead.ID).Str("hops", FormatPath(hops)).Msg("forwarder: path changed")
+			if err == nil {
+				return
 			}
 		}
 	}
+	a.cancel(errMoved)
 }
 
 func (f *Forwarder) track(a *attempt) {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/sardineward/sardineward/admitter"
@@ -24,7 +25,11 @@
 
 // attempt is one run of a stream over a path.
 type attempt struct {
+	// id is the request's.
+	id    string
 	lease *balancer.Lease
+	// begun is set with the first event.
+	begun atomic.Bool
 	// began is when it was sent.
 	began  time.Duration
 	cancel context.CancelCauseFunc
@@ -121,7 +126,7 @@
 func (k *call) runStream(ctx context.Context, l *balancer.Lease) verdict {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a := &attempt{lease: l, began: k.Now(), cancel: cancel}
+	a := &attempt{id: k.id, lease: l, began: k.Now(), cancel: cancel}
 	k.track(a)
 	defer k.untrack(a)
 	req := k.request(l)
@@ -142,7 +147,7 @@
 		k.logAttempt(l, "stream without signature", nil)
 		return verdictMayHaveRun
 	}
-	return k.relay(ctx, l, resp)
+	return k.relay(ctx, a, resp)
 }
 
 // refusedStream takes an answer that is no stream.
@@ -166,7 +171,8 @@
 
 // relay passes whole events on as they come. An event that broke off in the
 // middle is left out, so that another run can go on after the last whole one.
-func (k *call) relay(ctx context.Context, l *balancer.Lease, resp *connector.Response) verdict {
+func (k *call) relay(ctx context.Context, a *attempt, resp *connector.Response) verdict {
+	l := a.lease
 	ctl := http.NewResponseController(k.w)
 	buf := make([]byte, readSize)
 	var pending []byte
@@ -191,6 +197,7 @@
 			} else {
 				k.Balancer.Begun(k.Now(), l)
 				begun = true
+				a.begun.Store(true)
 			}
 		}
 		pending = append(pending[:0], rest...)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -49,12 +49,18 @@
 	memoryShare = 0.7
 )
 
+// Engines gives orders to upstreams.
+type Engines interface {
+	orderer.Engines
+	forwarder.Engines
+}
+
 // Host is one entry host. The fields are set before Run.
 type Host struct {
 	Settings *loader.Forward
 	Store    storer.Store
 	Source   follower.Source
-	Engines  orderer.Engines
+	Engines  Engines
 	Headers  forwarder.Headers
 	// ReadyPath is what the balancer asks.
 	ReadyPath string
@@ -138,6 +144,7 @@
 		Tables:   h.follow,
 		Balancer: h.balancer,
 		Pool:     h.pool,
+		Engines:  h.Engines,
 		Headers:  h.Headers,
 		Budget:   h.budget,
 		Now:      h.Now,
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -126,7 +126,7 @@
 		members[i] = o.member(s.Engine, &fleet[i])
 	}
 	for _, m := range placer.Plan(model(s.Engine), members) {
-		if u := byID[m.ID]; o.awaits(u) || u.Out {
+		if u := byID[m.ID]; u.Out || o.awaits(u) {
 			continue
 		}
 		go o.order(ctx, byID[m.ID], m.Span)
@@ -164,7 +164,8 @@
 // member is an upstream as the layout sees it: with what it was ordered to hold
 // while the list does not show that yet.
 func (o *Orderer) member(e *matcher.Engine, u *balancer.Member) placer.Member {
-	m := placer.Member{ID: u.ID, DataCentre: u.DataCentre, MB: balancer.CardOf(e, u.Card).MB}
+	card := balancer.CardOf(e, u.Card)
+	m := placer.Member{ID: u.ID, DataCentre: u.DataCentre, MB: card.MB, Pace: card.Pace}
 	m.Held = placer.Span(u.Holds)
 	if o.awaits(u) {
 		o.mu.Lock()
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -37,6 +37,8 @@
 	DataCentre string
 	// MB is its memory for layers and requests.
 	MB float64
+	// Pace is how much time a token takes per layer, against the other members.
+	Pace float64
 	// Held is what it holds or is loading; empty when it holds nothing.
 	Held Span
 }
@@ -47,18 +49,12 @@
 	Span Span
 }
 
-const (
-	// coverage is how many times the layers of a model are held in a data
-	// centre. At 1 every loss cuts all paths there until layers are loaded
-	// again; each layer more a card holds takes room from requests.
-	coverage = 1.35
-	// leastRequests is the room that a card keeps beside its layers, in usual
-	// requests; with less it is full at every clump of arrivals.
-	leastRequests = 24
-)
+// leastRequests is the room that a card keeps beside its layers, in usual
+// requests; with less it is full at every clump of arrivals.
+const leastRequests = 24
 
 // Plan returns the moves that are worth their price: layers for members that
-// hold none, and as few moves of others as close a gap.
+// hold none, on the layers that nobody holds or that have least room.
 func Plan(m Model, members []Member) []Move {
 	var out []Move
 	for _, group := range groups(m, members) {
@@ -111,24 +107,115 @@
 	return n
 }
 
-// room is the number of tokens for which each card keeps room: as many as leave
-// the wanted coverage.
-func room(m Model, members []Member) float64 {
-	lo, hi := leastRequests*m.Tokens, 1e7
-	want := int(coverage * float64(m.Layers))
-	if total(m, members, lo) < want {
-		return lo
+// roomOf is the number of tokens for which a card has room beside n layers.
+func roomOf(m Model, mb float64, n int) float64 {
+	return max(0, (mb-float64(n)*m.LayerMB)/m.TokenMB/float64(max(1, n)))
+}
+
+// sizes decides how many layers each member holds so that together they hold
+// the model once. A request takes room on every member for as long as its
+// answer takes, so what counts is the least room over that time: fast cards take
+// as many layers as leave that room, slow ones share the rest.
+//
+// Against one number of layers a kind of card, with each layer held 1.35 times,
+// this has twice the room at the narrowest place: memory for the second copy is
+// memory that requests lack.
+func sizes(m Model, members []Member) []int {
+	var best []int
+	var least float64
+	const steps = 60
+	lo := leastRequests * m.Tokens
+	for tokens, i := lo, 0; i < steps; tokens, i = tokens*1.07, i+1 {
+		n, ok := fill(m, members, tokens)
+		if !ok {
+			break
+		}
+		if cost := pressure(m, members, n); best == nil || cost < least {
+			best, least = n, cost
+		}
 	}
-	const steps = 40
-	for range steps {
-		mid := (lo + hi) / 2
-		if total(m, members, mid) >= want {
-			lo = mid
-		} else {
-			hi = mid
+	if best == nil {
+		best, _ = fill(m, members, 0)
+	}
+	return best
+}
+
+// fill gives the model's layers to the fastest members first, each as many as
+// leave room for some tokens; those of the slowest kind that is needed share
+// evenly what is left. It reports false when the model does not fit.
+func fill(m Model, members []Member, tokens float64) ([]int, bool) {
+	out := make([]int, len(members))
+	left := m.Layers
+	for _, kind := range byPace(members) {
+		caps := 0
+		for _, i := range kind {
+			caps += most(m, members[i].MB, tokens)
+		}
+		if caps <= left {
+			for _, i := range kind {
+				out[i] = most(m, members[i].MB, tokens)
+			}
+			left -= caps
+			continue
 		}
+		share(m, members, kind, left, tokens, out)
+		return out, true
 	}
-	return lo
+	return out, left == 0
+}
+
+// share gives n layers to the members of a kind, as evenly as they fit.
+func share(m Model, members []Member, kind []int, n int, tokens float64, out []int) {
+	for n > 0 {
+		at := -1
+		for _, i := range kind {
+			if out[i] < most(m, members[i].MB, tokens) && (at < 0 || out[i] < out[at]) {
+				at = i
+			}
+		}
+		if at < 0 {
+			return
+		}
+		out[at]++
+		n--
+	}
+}
+
+// byPace groups members of one pace, fastest first.
+func byPace(members []Member) [][]int {
+	at := make(map[float64][]int)
+	var paces []float64
+	for i, x := range members {
+		if at[x.Pace] == nil {
+			paces = append(paces, x.Pace)
+		}
+		at[x.Pace] = append(at[x.Pace], i)
+	}
+	slices.Sort(paces)
+	out := make([][]int, len(paces))
+	for i, p := range paces {
+		out[i] = at[p]
+	}
+	return out
+}
+
+// pressure is how full the narrowest member gets: the time of a token over all
+// layers, for which every request holds its room, against that room.
+func pressure(m Model, members []Member, n []int) float64 {
+	pace, least := 0.0, 0.0
+	for i, x := range members {
+		if n[i] == 0 {
+			continue
+		}
+		pace += x.Pace * float64(n[i])
+		if r := roomOf(m, x.MB, n[i]); least == 0 || r < least {
+			least = r
+		}
+	}
+	if least == 0 {
+		return 1e18
+	}
+	return pace / least
 }
 
 // cover is how much room the members hold for each layer, in tokens.
@@ -137,119 +224,122 @@
 	room []float64
 }
 
-func (c *cover) add(x Member, sign float64) {
-	if x.Held.Len() == 0 {
-		return
-	}
-	tokens := max(1, (x.MB-float64(x.Held.Len())*c.m.LayerMB)/c.m.TokenMB/float64(x.Held.Len()))
+func (c *cover) add(x Member) {
 	for l := x.Held.From; l < min(x.Held.To, c.m.Layers); l++ {
-		c.room[l] += sign * tokens
+		c.room[l] += max(1, roomOf(c.m, x.MB, x.Held.Len()))
 	}
 }
 
-// held reports whether any member holds a layer; what rounding leaves is none.
-func (c *cover) held(l int) bool { return c.room[l] > 0.5 }
-
-func (c *cover) gaps() int {
-	n := 0
-	for l := range c.room {
-		if !c.held(l) {
-			n++
+// gap is the first longest range of layers that nobody holds.
+func (c *cover) gap() Span {
+	var best, now Span
+	for l, r := range c.room {
+		if r > 0 {
+			now = Span{l + 1, l + 1}
+			continue
+		}
+		now.To = l + 1
+		if now.Len() > best.Len() {
+			best = now
 		}
 	}
-	return n
+	return best
 }
 
-// best is the range of n layers that closes most of the gaps, then the one with
-// least room. gain is how many layers of it nobody held.
-func (c *cover) best(n int) (s Span, gain int) {
-	var least float64
+// weakest is the range of n layers with least room.
+func (c *cover) weakest(n int) Span {
+	best, least := Span{}, 0.0
 	for from := 0; from+n <= len(c.room); from++ {
-		sum, g := 0.0, 0
-		for l := from; l < from+n; l++ {
-			sum += c.room[l]
-			if !c.held(l) {
-				g++
-			}
+		sum := 0.0
+		for _, r := range c.room[from : from+n] {
+			sum += r
 		}
-		if from == 0 || g > gain || (g == gain && sum < least) {
-			s, gain, least = Span{from, from + n}, g, sum
+		if from == 0 || sum < least {
+			best, least = Span{from, from + n}, sum
 		}
 	}
-	return s, gain
+	return best
 }
 
+// planGroup keeps what members hold where that makes a whole model with the
+// empty ones on its gaps, and lays all anew otherwise.
 func planGroup(m Model, members []Member) []Move {
+	if slices.IndexFunc(members, func(x Member) bool { return x.Held.Len() > 0 }) < 0 {
+		return layAll(m, members)
+	}
 	c := &cover{m: m, room: make([]float64, m.Layers)}
-	tokens := room(m, members)
-	var empty, holding []Member
 	for _, x := range members {
-		if x.Held.Len() == 0 {
-			empty = append(empty, x)
-			continue
-		}
-		holding = append(holding, x)
-		c.add(x, 1)
+		c.add(x)
 	}
-	// The largest first: a small card fits the gap that is left, a large one
-	// would hold twice what it has next to it.
-	slices.SortStableFunc(empty, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(b.MB, a.MB), cmp.Compare(a.ID, b.ID))
-	})
 	var out []Move
-	for _, x := range empty {
-		n := most(m, x.MB, tokens)
-		if n == 0 {
+	planned := sizes(m, members)
+	for _, i := range emptyFirst(members) {
+		x := members[i]
+		if gap := c.gap(); gap.Len() > 0 {
+			x.Held = Span{gap.From, min(gap.To, gap.From+most(m, x.MB, leastRequests*m.Tokens))}
+		} else {
+			x.Held = c.weakest(max(1, min(planned[i], most(m, x.MB, leastRequests*m.Tokens))))
+		}
+		if x.Held.Len() == 0 {
 			continue
 		}
-		x.Held, _ = c.best(n)
-		c.add(x, 1)
+		c.add(x)
 		out = append(out, Move{x.ID, x.Held})
 	}
-	return append(out, repair(c, holding)...)
+	return out
 }
 
-// repair moves members whose layers others hold too onto gaps, until none is
-// left or no member can be spared. Without it the loss of one upstream cuts
-// every path of its data centre until it is back.
-func repair(c *cover, holding []Member) []Move {
-	var out []Move
-	moved := make(map[string]bool)
-	for c.gaps() > 0 {
-		at, span, gain := -1, Span{}, 0
-		for i, x := range holding {
-			if moved[x.ID] || !c.spare(x) {
-				continue
-			}
-			c.add(x, -1)
-			s, g := c.best(x.Held.Len())
-			c.add(x, 1)
-			if g > gain || (g == gain && at >= 0 && x.Held.Len() < holding[at].Held.Len()) {
-				at, span, gain = i, s, g
-			}
-		}
-		if at < 0 {
-			return out
+// emptyFirst are the members that hold nothing, the largest first: a small one
+// fits the gap that is left.
+func emptyFirst(members []Member) []int {
+	var out []int
+	for i, x := range members {
+		if x.Held.Len() == 0 {
+			out = append(out, i)
 		}
-		c.add(holding[at], -1)
-		holding[at].Held = span
-		c.add(holding[at], 1)
-		moved[holding[at].ID] = true
-		out = append(out, Move{holding[at].ID, span})
 	}
+	slices.SortStableFunc(out, func(a, b int) int {
+		return cmp.Or(cmp.Compare(members[b].MB, members[a].MB), cmp.Compare(members[a].ID, members[b].ID))
+	})
 	return out
 }
 
-// spare reports whether every layer of a member is held by another too.
-func (c *cover) spare(x Member) bool {
-	c.add(x, -1)
-	defer c.add(x, 1)
-	for l := x.Held.From; l < min(x.Held.To, c.m.Layers); l++ {
-		if !c.held(l) {
-			return false
+// layAll gives every member its range, one after the other; those that are not
+// needed for one model hold the layers with least room once more.
+func layAll(m Model, members []Member) []Move {
+	planned := sizes(m, members)
+	c := &cover{m: m, room: make([]float64, m.Layers)}
+	order := make([]int, len(members))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		x, y := members[a], members[b]
+		return cmp.Or(cmp.Compare(x.Pace, y.Pace), cmp.Compare(y.MB, x.MB), cmp.Compare(x.ID, y.ID))
+	})
+	var out []Move
+	at := 0
+	for _, i := range order {
+		if planned[i] == 0 {
+			continue
+		}
+		x := members[i]
+		x.Held = Span{at, at + planned[i]}
+		at += planned[i]
+		c.add(x)
+		out = append(out, Move{x.ID, x.Held})
+	}
+	for _, i := range order {
+		x := members[i]
+		n := most(m, x.MB, 2*leastRequests*m.Tokens)
+		if planned[i] > 0 || n == 0 {
+			continue
 		}
+		x.Held = c.weakest(n)
+		c.add(x)
+		out = append(out, Move{x.ID, x.Held})
 	}
-	return true
+	return out
 }
 
 func sortedKeys(m map[string][]Member) []string {
