placer: lay layers anew after a loss for good

Change: after 1.5 s the group is laid anew over those left, in their order; a whole path elsewhere is preferred to a crossing.

--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -48,6 +48,9 @@
 	// settle is how long the fleet must not have grown before the first layout
 	// is made, so that one plan has all of it: upstreams appear over a heartbeat.
 	settle = 900 * time.Millisecond
+	// gapPatience is how long a gap may stay before all is laid anew: one that
+	// was restarted is listed again within a heartbeat or two.
+	gapPatience = 1500 * time.Millisecond
 )
 
 // Orderer gives orders. The fields are set before Run.
@@ -67,6 +70,8 @@
 	grown   time.Duration
 	size    int
 	settled bool
+	// gapSince is since when a layer is held by nobody; 0 when none is.
+	gapSince time.Duration
 
 	mu      sync.Mutex
 	pending map[string]pending
@@ -125,7 +130,7 @@
 		byID[fleet[i].ID] = &fleet[i]
 		members[i] = o.member(s.Engine, &fleet[i])
 	}
-	for _, m := range placer.Plan(model(s.Engine), members) {
+	for _, m := range o.moves(model(s.Engine), members) {
 		if u := byID[m.ID]; u.Out || o.awaits(u) {
 			continue
 		}
@@ -134,6 +139,23 @@
 	}
 }
 
+// moves are those for empty members, and for all when a gap stays.
+func (o *Orderer) moves(m placer.Model, members []placer.Member) []placer.Move {
+	out := placer.Plan(m, members)
+	if len(out) > 0 || !placer.Gaps(m, members) {
+		o.gapSince = 0
+		return out
+	}
+	if o.gapSince == 0 {
+		o.gapSince = o.Now()
+	}
+	if o.Now()-o.gapSince < gapPatience {
+		return nil
+	}
+	o.gapSince = 0
+	return placer.Relay(m, members)
+}
+
 // settle reports whether the fleet was seen whole once.
 func (o *Orderer) settle(size int) bool {
 	if size > o.size {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -289,6 +289,59 @@
 	return out
 }
 
+// Gaps reports whether any layer of a group is held by nobody.
+func Gaps(m Model, members []Member) bool {
+	for _, group := range groups(m, members) {
+		c := &cover{m: m, room: make([]float64, m.Layers)}
+		for _, x := range group {
+			c.add(x)
+		}
+		if c.gap().Len() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Relay lays the groups with gaps anew over the members that are left, in the
+// order in which they hold layers now, so that each keeps most of what it has.
+// It answers the loss of an upstream for good: until then every path of its data
+// centre crosses to another one.
+func Relay(m Model, members []Member) []Move {
+	var out []Move
+	for _, group := range groups(m, members) {
+		if Gaps(m, group) {
+			out = append(out, relayGroup(m, group)...)
+		}
+	}
+	return out
+}
+
+func relayGroup(m Model, members []Member) []Move {
+	planned := sizes(m, members)
+	order := make([]int, len(members))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		x, y := members[a], members[b]
+		return cmp.Or(cmp.Compare(x.Held.From, y.Held.From), cmp.Compare(x.Held.To, y.Held.To), cmp.Compare(x.ID, y.ID))
+	})
+	var out []Move
+	at := 0
+	for _, i := range order {
+		if planned[i] == 0 {
+			continue
+		}
+		span := Span{at, at + planned[i]}
+		at = span.To
+		if span != members[i].Held {
+			out = append(out, Move{members[i].ID, span})
+		}
+	}
+	return out
+}
+
 // emptyFirst are the members that hold nothing, the largest first: a small one
 // fits the gap that is left.
 func emptyFirst(members []Member) []int {
