orderer, placer: step-wise moves, a duty a data centre (trial)

Change: members load first and give up what another holds; each data centre has its own holder of the duty. Worse: all members extend at once to 8 requests of room.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -194,6 +194,20 @@
 	return out
 }
 
+// DataCentres lists those with upstreams, in order.
+func (b *Balancer) DataCentres() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for _, u := range b.ups {
+		if !slices.Contains(out, u.DataCentre) {
+			out = append(out, u.DataCentre)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // measure computes the room beside the layers that an upstream holds.
 func (u *upstream) measure(s *matcher.Service) {
 	u.room = 0
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -36,12 +36,14 @@
 	// Hosts are entry hosts that are new or changed, HostsGone their names.
 	Hosts     []Host
 	HostsGone []string
-	// Duty is nil when it has not changed hands.
-	Duty *Duty
+	// Duties are those that changed hands.
+	Duties []Duty
 }
 
-// Duty is the giving of orders to engines, which one host holds at a time.
+// Duty is the giving of orders to the engines of a data centre, which one host
+// holds at a time.
 type Duty struct {
+	DataCentre string
 	// Holder is a host's name; empty when nobody holds it.
 	Holder string
 }
@@ -98,7 +100,8 @@
 	mu       sync.Mutex
 	revision int64
 	hosts    map[string]Host
-	holder   string
+	// holders are the hosts that hold duties, by data centre.
+	holders map[string]string
 	// missing are upstreams whose entry lapsed while the source was away, with
 	// the time from which they are taken as gone.
 	missing map[string]time.Duration
@@ -128,17 +131,19 @@
 	return out
 }
 
-// DutyFree reports whether no host is known to hold the duty.
-func (f *Follower) DutyFree() bool {
+// Holder returns the host that holds the duty for a data centre, or "". known is
+// false before anything was read.
+func (f *Follower) Holder(dataCentre string) (name string, known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision > 0 && f.holder == ""
+	return f.holders[dataCentre], f.revision > 0
 }
 
 // Run follows the source until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.mu.Lock()
 	f.hosts = make(map[string]Host)
+	f.holders = make(map[string]string)
 	f.missing = make(map[string]time.Duration)
 	f.mu.Unlock()
 	for ctx.Err() == nil {
@@ -209,9 +214,9 @@
 		}
 	}
 	f.mu.Unlock()
-	if ch.Duty == nil {
-		ch.Duty = &Duty{}
-	}
+	f.mu.Lock()
+	clear(f.holders)
+	f.mu.Unlock()
 	f.take(ch, sent)
 	return nil
 }
@@ -251,8 +256,8 @@
 	for _, name := range ch.HostsGone {
 		delete(f.hosts, name)
 	}
-	if ch.Duty != nil {
-		f.holder = ch.Duty.Holder
+	for _, d := range ch.Duties {
+		f.holders[d.DataCentre] = d.Holder
 	}
 	var gone []string
 	for _, id := range ch.Gone {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -158,7 +159,7 @@
 		Store: h.Store,
 		Entry: registrar.Entry{Name: cfg.Host, Address: cfg.Peer, DataCentre: cfg.DataCentre},
 		Now:   h.Now,
-		Free:  h.follow.DutyFree,
+		Free:  h.freeDuties,
 		Log:   h.Log,
 	}
 	h.orders = &orderer.Orderer{
@@ -166,6 +167,7 @@
 		Engines:  h.Engines,
 		Services: h.services,
 		Holds:    h.register.Holding,
+		HoldsAny: h.register.HoldingAny,
 		Now:      h.Now,
 		Log:      h.Log,
 	}
@@ -185,6 +187,27 @@
 	return n
 }
 
+// freeDuties are the data centres whose duty this host is to take: its own, and
+// those that have upstreams and no host left. Hosts of a data centre see its
+// upstreams fail first.
+func (h *Host) freeDuties() []string {
+	own := h.Settings.DataCentre
+	hosted := map[string]bool{own: true}
+	first := true
+	for _, other := range h.follow.Hosts() {
+		hosted[other.DataCentre] = true
+		first = first && h.Settings.Host < other.Name
+	}
+	var out []string
+	for _, dc := range append(h.balancer.DataCentres(), own) {
+		holder, known := h.follow.Holder(dc)
+		if known && holder == "" && (dc == own || (first && !hosted[dc])) && !slices.Contains(out, dc) {
+			out = append(out, dc)
+		}
+	}
+	return out
+}
+
 func (h *Host) services() map[string]*matcher.Service {
 	if t := h.follow.Table(); t != nil {
 		return t.Services
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -1,5 +1,5 @@
 // Package orderer has the layout that placer decides carried out, on the one
-// host that holds the duty.
+// host that holds the duty for a data centre.
 //
 // An order names how many orders the upstream must have taken before. One that
 // is carried out late, after newer ones, is refused by that; and a host that
@@ -48,9 +48,6 @@
 	// settle is how long the fleet must not have grown before the first layout
 	// is made, so that one plan has all of it: upstreams appear over a heartbeat.
 	settle = 900 * time.Millisecond
-	// gapPatience is how long a gap may stay before all is laid anew: one that
-	// was restarted is listed again within a heartbeat or two.
-	gapPatience = 1500 * time.Millisecond
 )
 
 // Orderer gives orders. The fields are set before Run.
@@ -59,8 +56,10 @@
 	Engines  Engines
 	// Services returns the services in force.
 	Services func() map[string]*matcher.Service
-	// Holds reports whether this host surely holds the duty.
-	Holds func() bool
+	// Holds reports whether this host surely holds the duty for a data centre,
+	// HoldsAny whether it does for any.
+	Holds    func(dataCentre string) bool
+	HoldsAny func() bool
 	// Now is a clock that goes on while the machine is suspended.
 	Now func() time.Duration
 	Log zerolog.Logger
@@ -70,8 +69,6 @@
 	grown   time.Duration
 	size    int
 	settled bool
-	// gapSince is since when a layer is held by nobody; 0 when none is.
-	gapSince time.Duration
 
 	mu      sync.Mutex
 	pending map[string]pending
@@ -103,7 +100,7 @@
 			return
 		case <-tick.C:
 		}
-		if !o.Holds() {
+		if !o.HoldsAny() {
 			o.forget()
 			continue
 		}
@@ -115,47 +112,31 @@
 	}
 }
 
-// place looks at one service.
+// place looks at one service. Members that can't be reached are left out:
+// others take over what they hold.
 func (o *Orderer) place(ctx context.Context, s *matcher.Service) {
 	fleet := o.Balancer.Fleet(o.Now(), s.Name)
-	if len(fleet) == 0 {
-		return
-	}
-	if !o.settle(len(fleet)) {
+	if len(fleet) == 0 || !o.settle(len(fleet)) {
 		return
 	}
 	byID := make(map[string]*balancer.Member, len(fleet))
-	members := make([]placer.Member, len(fleet))
+	var members []placer.Member
 	for i := range fleet {
-		byID[fleet[i].ID] = &fleet[i]
-		members[i] = o.member(s.Engine, &fleet[i])
+		if u := &fleet[i]; !u.Out {
+			byID[u.ID] = u
+			members = append(members, o.member(s.Engine, u))
+		}
 	}
-	for _, m := range o.moves(model(s.Engine), members) {
-		if u := byID[m.ID]; u.Out || o.awaits(u) {
+	for _, m := range placer.Plan(model(s.Engine), members) {
+		u := byID[m.ID]
+		if !o.Holds(u.DataCentre) {
 			continue
 		}
-		go o.order(ctx, byID[m.ID], m.Span)
-		o.expect(s.Engine, byID[m.ID], m.Span)
+		o.expect(s.Engine, u, m.Span)
+		go o.order(ctx, u, m.Span)
 	}
 }
 
-// moves are those for empty members, and for all when a gap stays.
-func (o *Orderer) moves(m placer.Model, members []placer.Member) []placer.Move {
-	out := placer.Plan(m, members)
-	if len(out) > 0 || !placer.Gaps(m, members) {
-		o.gapSince = 0
-		return out
-	}
-	if o.gapSince == 0 {
-		o.gapSince = o.Now()
-	}
-	if o.Now()-o.gapSince < gapPatience {
-		return nil
-	}
-	o.gapSince = 0
-	return placer.Relay(m, members)
-}
-
 // settle reports whether the fleet was seen whole once.
 func (o *Orderer) settle(size int) bool {
 	if size > o.size {
@@ -183,16 +164,18 @@
 	}
 }
 
-// member is an upstream as the layout sees it: with what it was ordered to hold
-// while the list does not show that yet.
+// member is an upstream as the layout sees it. While an order to an empty one
+// is under way it is taken to hold what it was ordered.
 func (o *Orderer) member(e *matcher.Engine, u *balancer.Member) placer.Member {
 	card := balancer.CardOf(e, u.Card)
-	m := placer.Member{ID: u.ID, DataCentre: u.DataCentre, MB: card.MB, Pace: card.Pace}
-	m.Held = placer.Span(u.Holds)
+	m := placer.Member{ID: u.ID, DataCentre: u.DataCentre, MB: card.MB, Pace: card.Pace, Held: placer.Span(u.Holds)}
 	if o.awaits(u) {
-		o.mu.Lock()
-		m.Held = o.pending[u.ID].span
-		o.mu.Unlock()
+		m.Pending = true
+		if m.Held.Len() == 0 {
+			o.mu.Lock()
+			m.Held = o.pending[u.ID].span
+			o.mu.Unlock()
+		}
 	}
 	return m
 }
@@ -242,7 +225,7 @@
 func (o *Orderer) try(ctx context.Context, u *balancer.Member, span placer.Span) error {
 	// A host was suspended past its lease and gave orders beside its successor;
 	// the lease is looked at right before the order is sent.
-	if !o.Holds() {
+	if !o.Holds(u.DataCentre) {
 		return ErrRefused
 	}
 	n := o.count(u)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -39,8 +39,10 @@
 	MB float64
 	// Pace is how much time a token takes per layer, against the other members.
 	Pace float64
-	// Held is what it holds or is loading; empty when it holds nothing.
+	// Held is what it holds, or loads while it holds nothing.
 	Held Span
+	// Pending is set while an order to it is under way.
+	Pending bool
 }
 
 // Move tells a member what to hold from now on.
@@ -49,12 +51,19 @@
 	Span Span
 }
 
+// emergencyRequests is the room that a card keeps while it holds layers beside
+// its own: a narrow path is better than none.
+const emergencyRequests = 8
+
 // leastRequests is the room that a card keeps beside its layers, in usual
 // requests; with less it is full at every clump of arrivals.
 const leastRequests = 24
 
-// Plan returns the moves that are worth their price: layers for members that
-// hold none, on the layers that nobody holds or that have least room.
+// Plan returns the orders to give now. Ranges move towards a layout of what is
+// alive step by step: a member first loads what it lacks, as far as its memory
+// allows, and gives up a layer only when another holds it. So the paths over the
+// members that are left never break, and a lost range is closed by its
+// neighbours within the time of loading a few layers.
 func Plan(m Model, members []Member) []Move {
 	var out []Move
 	for _, group := range groups(m, members) {
@@ -230,20 +239,20 @@
 	}
 }
 
-// gap is the first longest range of layers that nobody holds.
-func (c *cover) gap() Span {
-	var best, now Span
-	for l, r := range c.room {
-		if r > 0 {
-			now = Span{l + 1, l + 1}
-			continue
-		}
-		now.To = l + 1
-		if now.Len() > best.Len() {
-			best = now
+// drop takes away what a member gives up.
+func (c *cover) drop(x Member, next Span) {
+	tokens := max(1, roomOf(c.m, x.MB, x.Held.Len()))
+	for l := x.Held.From; l < min(x.Held.To, c.m.Layers); l++ {
+		if l < next.From || l >= next.To {
+			c.room[l] -= tokens
 		}
 	}
-	return best
+}
+
+// others reports whether another member than x holds a layer. What rounding
+// leaves is nobody.
+func (c *cover) others(x Member, l int) bool {
+	return l >= c.m.Layers || c.room[l]-max(1, roomOf(c.m, x.MB, x.Held.Len())) > 0.5
 }
 
 // weakest is the range of n layers with least room.
@@ -261,138 +270,163 @@
 	return best
 }
 
-// planGroup keeps what members hold where that makes a whole model with the
-// empty ones on its gaps, and lays all anew otherwise.
+// planGroup moves the members of a group towards their targets.
 func planGroup(m Model, members []Member) []Move {
-	if slices.IndexFunc(members, func(x Member) bool { return x.Held.Len() > 0 }) < 0 {
-		return layAll(m, members)
-	}
-	c := &cover{m: m, room: make([]float64, m.Layers)}
+	targets := layout(m, members)
+	listed := &cover{m: m, room: make([]float64, m.Layers)}
 	for _, x := range members {
-		c.add(x)
+		listed.add(x)
 	}
 	var out []Move
-	planned := sizes(m, members)
-	for _, i := range emptyFirst(members) {
-		x := members[i]
-		if gap := c.gap(); gap.Len() > 0 {
-			x.Held = Span{gap.From, min(gap.To, gap.From+most(m, x.MB, leastRequests*m.Tokens))}
-		} else {
-			x.Held = c.weakest(max(1, min(planned[i], most(m, x.MB, leastRequests*m.Tokens))))
+	for i, x := range members {
+		if x.Pending {
+			continue
 		}
-		if x.Held.Len() == 0 {
+		next := step(m, x, targets[i], listed)
+		if next == x.Held || next.Len() == 0 {
 			continue
 		}
-		c.add(x)
-		out = append(out, Move{x.ID, x.Held})
+		out = append(out, Move{x.ID, next})
+		if next.From > x.Held.From || next.To < x.Held.To {
+			// What it gives up counts at once, so that the other holder of the
+			// same layers does not give them up too.
+			listed.drop(x, next)
+		}
 	}
 	return out
 }
 
-// Gaps reports whether any layer of a group is held by nobody.
-func Gaps(m Model, members []Member) bool {
-	for _, group := range groups(m, members) {
-		c := &cover{m: m, room: make([]float64, m.Layers)}
-		for _, x := range group {
-			c.add(x)
-		}
-		if c.gap().Len() > 0 {
-			return true
-		}
+// step is what a member holds next on its way to a target.
+func step(m Model, x Member, target Span, listed *cover) Span {
+	if x.Held.Len() == 0 {
+		return target
+	}
+	next := shrink(x, target, listed)
+	if next != x.Held {
+		return next
 	}
-	return false
+	return extend(m, x, target)
 }
 
-// Relay lays the groups with gaps anew over the members that are left, in the
-// order in which they hold layers now, so that each keeps most of what it has.
-// It answers the loss of an upstream for good: until then every path of its data
-// centre crosses to another one.
-func Relay(m Model, members []Member) []Move {
-	var out []Move
-	for _, group := range groups(m, members) {
-		if Gaps(m, group) {
-			out = append(out, relayGroup(m, group)...)
+// shrink gives up layers that are not in the target and that others hold.
+func shrink(x Member, target Span, listed *cover) Span {
+	next := x.Held
+	for next.From < target.From && next.Len() > 1 && listed.others(x, next.From) {
+		next.From++
+	}
+	for next.To > target.To && next.Len() > 1 && listed.others(x, next.To-1) {
+		next.To--
+	}
+	return next
+}
+
+// extend takes layers of the target that lie next to those held, as many as
+// leave the least room.
+func extend(m Model, x Member, target Span) Span {
+	next := x.Held
+	limit := most(m, x.MB, emergencyRequests*m.Tokens)
+	for next.Len() < limit {
+		switch {
+		case target.To > next.To:
+			next.To++
+		case target.From < next.From:
+			next.From--
+		default:
+			return next
 		}
 	}
-	return out
+	return next
 }
 
-func relayGroup(m Model, members []Member) []Move {
+// layout is the range of each member once all moves are made. Those that are
+// needed for one model follow each other in the order in which they hold layers
+// now; an empty one comes in where least room is. The others hold the layers
+// with least room once more.
+func layout(m Model, members []Member) []Span {
 	planned := sizes(m, members)
-	order := make([]int, len(members))
-	for i := range order {
-		order[i] = i
-	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		x, y := members[a], members[b]
-		return cmp.Or(cmp.Compare(x.Held.From, y.Held.From), cmp.Compare(x.Held.To, y.Held.To), cmp.Compare(x.ID, y.ID))
-	})
-	var out []Move
+	out := make([]Span, len(members))
+	c := &cover{m: m, room: make([]float64, m.Layers)}
 	at := 0
-	for _, i := range order {
-		if planned[i] == 0 {
+	for _, i := range sequence(m, members, planned) {
+		out[i] = Span{at, at + planned[i]}
+		at = out[i].To
+		x := members[i]
+		x.Held = out[i]
+		c.add(x)
+	}
+	for i, x := range members {
+		if planned[i] > 0 {
 			continue
 		}
-		span := Span{at, at + planned[i]}
-		at = span.To
-		if span != members[i].Held {
-			out = append(out, Move{members[i].ID, span})
+		if x.Held.Len() == 0 {
+			x.Held = c.weakest(most(m, x.MB, 2*leastRequests*m.Tokens))
 		}
+		out[i] = x.Held
+		c.add(x)
 	}
 	return out
 }
 
-// emptyFirst are the members that hold nothing, the largest first: a small one
-// fits the gap that is left.
-func emptyFirst(members []Member) []int {
-	var out []int
+// sequence orders the needed members along the model.
+func sequence(m Model, members []Member, planned []int) []int {
+	var holding, empty []int
 	for i, x := range members {
-		if x.Held.Len() == 0 {
-			out = append(out, i)
+		switch {
+		case planned[i] == 0:
+		case x.Held.Len() > 0:
+			holding = append(holding, i)
+		default:
+			empty = append(empty, i)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b int) int {
-		return cmp.Or(cmp.Compare(members[b].MB, members[a].MB), cmp.Compare(members[a].ID, members[b].ID))
+	slices.SortStableFunc(holding, func(a, b int) int {
+		x, y := members[a].Held, members[b].Held
+		return cmp.Or(cmp.Compare(x.From+x.To, y.From+y.To), cmp.Compare(members[a].ID, members[b].ID))
 	})
-	return out
-}
-
-// layAll gives every member its range, one after the other; those that are not
-// needed for one model hold the layers with least room once more.
-func layAll(m Model, members []Member) []Move {
-	planned := sizes(m, members)
-	c := &cover{m: m, room: make([]float64, m.Layers)}
-	order := make([]int, len(members))
-	for i := range order {
-		order[i] = i
-	}
-	slices.SortStableFunc(order, func(a, b int) int {
+	slices.SortStableFunc(empty, func(a, b int) int {
 		x, y := members[a], members[b]
 		return cmp.Or(cmp.Compare(x.Pace, y.Pace), cmp.Compare(y.MB, x.MB), cmp.Compare(x.ID, y.ID))
 	})
-	var out []Move
-	at := 0
-	for _, i := range order {
-		if planned[i] == 0 {
+	if len(holding) == 0 {
+		return empty
+	}
+	for _, i := range empty {
+		holding = slices.Insert(holding, insertion(m, members, holding), i)
+	}
+	return holding
+}
+
+// insertion is the place in a sequence where an empty member relieves its
+// neighbours most: at the widest gap, else beside the member with least room.
+func insertion(m Model, members []Member, seq []int) int {
+	best, widest, end := -1, 0, 0
+	for k, i := range seq {
+		h := members[i].Held
+		if h.Len() == 0 {
 			continue
 		}
-		x := members[i]
-		x.Held = Span{at, at + planned[i]}
-		at += planned[i]
-		c.add(x)
-		out = append(out, Move{x.ID, x.Held})
+		if h.From-end > widest {
+			best, widest = k, h.From-end
+		}
+		end = max(end, h.To)
 	}
-	for _, i := range order {
+	if m.Layers-end > widest {
+		return len(seq)
+	}
+	if best >= 0 {
+		return best
+	}
+	least := 0.0
+	for k, i := range seq {
 		x := members[i]
-		n := most(m, x.MB, 2*leastRequests*m.Tokens)
-		if planned[i] > 0 || n == 0 {
+		if x.Held.Len() == 0 {
 			continue
 		}
-		x.Held = c.weakest(n)
-		c.add(x)
-		out = append(out, Move{x.ID, x.Held})
+		if r := roomOf(m, x.MB, x.Held.Len()); best < 0 || r < least {
+			best, least = k, r
+		}
 	}
-	return out
+	return best
 }
 
 func sortedKeys(m map[string][]Member) []string {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -43,8 +43,9 @@
 const (
 	// HostPrefix is followed by a host's name.
 	HostPrefix = "sardineward/hosts/"
-	// DutyKey holds the name of the host that gives orders to engines.
-	DutyKey = "sardineward/orders"
+	// DutyPrefix is followed by a data centre; the value is the name of the host
+	// that gives orders to its engines.
+	DutyPrefix = "sardineward/orders/"
 )
 
 // Registrar is safe for concurrent use. The fields are set before Run.
@@ -54,8 +55,9 @@
 	// Now is a clock that goes on while the machine is suspended: a lease runs
 	// on while its holder does not.
 	Now func() time.Duration
-	// Free reports whether nobody is known to hold the duty.
-	Free func() bool
+	// Free lists the data centres whose duty this host is to take: nobody is
+	// known to hold it.
+	Free func() []string
 	Log  zerolog.Logger
 
 	mu    sync.Mutex
@@ -63,14 +65,22 @@
 	// until is when the lease lapses at the earliest: counted from before the
 	// call that prolonged it.
 	until time.Duration
-	duty  bool
+	// duties are the data centres for which this host gives orders.
+	duties map[string]bool
 }
 
-// Holding reports whether this host surely holds the duty.
-func (r *Registrar) Holding() bool {
+// Holding reports whether this host surely holds the duty for a data centre.
+func (r *Registrar) Holding(dataCentre string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.duty && r.Now() < r.until
+	return r.duties[dataCentre] && r.Now() < r.until
+}
+
+// HoldingAny reports whether this host surely holds any duty.
+func (r *Registrar) HoldingAny() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.duties) > 0 && r.Now() < r.until
 }
 
 // Run keeps the entry alive until ctx ends, then removes it.
@@ -90,7 +100,7 @@
 func (r *Registrar) leave(ctx context.Context) {
 	r.mu.Lock()
 	lease := r.lease
-	r.duty = false
+	r.duties = nil
 	r.mu.Unlock()
 	if lease == 0 {
 		return
@@ -133,10 +143,10 @@
 func (r *Registrar) lapsed() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.duty {
-		r.Log.Warn().Msg("registrar: duty lost")
+	if len(r.duties) > 0 {
+		r.Log.Warn().Int("duties", len(r.duties)).Msg("registrar: duties lost")
 	}
-	r.lease, r.duty = 0, false
+	r.lease, r.duties = 0, nil
 }
 
 func (r *Registrar) register(ctx context.Context) error {
@@ -170,24 +180,23 @@
 	return err
 }
 
-// claim takes the duty if nobody has it.
+// claim takes the duties that nobody has.
 func (r *Registrar) claim(ctx context.Context, lease int64) error {
-	r.mu.Lock()
-	duty := r.duty
-	r.mu.Unlock()
-	if duty || !r.Free() {
-		return nil
-	}
-	_, err := r.Store.Swap(ctx, storer.Write{Key: DutyKey, Value: []byte(r.Entry.Name), Lease: lease})
-	if errors.Is(err, storer.ErrConflict) {
-		return nil
-	}
-	if err != nil {
-		return err
+	for _, dc := range r.Free() {
+		_, err := r.Store.Swap(ctx, storer.Write{Key: DutyPrefix + dc, Value: []byte(r.Entry.Name), Lease: lease})
+		if errors.Is(err, storer.ErrConflict) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		r.mu.Lock()
+		if r.duties == nil {
+			r.duties = make(map[string]bool)
+		}
+		r.duties[dc] = true
+		r.mu.Unlock()
+		r.Log.Info().Int64("lease", lease).Str("dataCentre", dc).Msg("registrar: duty taken")
 	}
-	r.mu.Lock()
-	r.duty = true
-	r.mu.Unlock()
-	r.Log.Info().Int64("lease", lease).Msg("registrar: duty taken")
 	return nil
 }
