placer, balancer: lay out and choose paths by the time of steps

Cause: steps bind before memory. Each request in a batch lengthens its step (0.01 ms times the card's pace and share of the layers); with 30 layers on slow cards, held once, 36 arrivals a second in a data centre never drain. Change: the layout with the highest rate of arrivals is chosen: fast cards take what leaves room, slow ones hold the rest in several rows; ranges of a missing upstream are lent to its neighbours; a path costs what the batches on it add.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -90,8 +90,9 @@
 // upstream is all that is known of one.
 type upstream struct {
 	Upstream
-	// running counts requests of this host that it is the first to run.
-	running int
+	// running counts requests of this host that it is the first to run, passing
+	// those whose path it is on.
+	running, passing int
 	// room is the token-layers that this host's requests may fill there.
 	room, reserved float64
 	// outUntil keeps new work off it after a failure that no list knows yet.
@@ -320,6 +321,7 @@
 		if i == 0 {
 			u.running = max(0, u.running-1)
 		}
+		u.passing = max(0, u.passing-1)
 		u.reserved = max(0, u.reserved-l.tokens*float64(h.To-h.From))
 		if l.first {
 			u.flows = max(0, u.flows-1)
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -24,6 +24,10 @@
 	tokenDelay = time.Millisecond
 	// greyBias is how much dearer an upstream is that fails all it gets.
 	greyBias = 20.0
+	// batchWeight is how much of the time that the requests in a batch add to
+	// its step counts: once for this request, and once for what this one adds to
+	// theirs.
+	batchWeight = 2.0
 	// headroom is the part of the room that is kept for what other hosts
 	// reserve meanwhile and for answers longer than expected.
 	headroom = 0.1
@@ -69,6 +73,7 @@
 		if i == 0 {
 			u.running++
 		}
+		u.passing++
 		if l.first {
 			u.flows++
 		}
@@ -125,7 +130,8 @@
 	card := CardOf(e, u.Card)
 	span := u.Holds
 	share := float64(b.sharers(u.DataCentre))
-	perLayer := (n.Prompt/e.ReadPerSecond*card.ReadPace + n.Answer*e.StepMs/1e3*card.Pace) / float64(e.Layers)
+	perStep := e.StepMs + batchWeight*share*float64(u.passing)*(e.PerSequenceMs+e.PerContextMs*tokens/1e3)
+	perLayer := (n.Prompt/e.ReadPerSecond*card.ReadPace + n.Answer*perStep/1e3*card.Pace) / float64(e.Layers)
 	c := picker.Candidate{
 		Name:       u.ID,
 		DataCentre: u.DataCentre,
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -10,6 +10,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,6 +50,9 @@
 	// settle is how long the fleet must not have grown before the first layout
 	// is made, so that one plan has all of it: upstreams appear over a heartbeat.
 	settle = 900 * time.Millisecond
+	// returns is how long the place of one that is no longer listed is kept:
+	// some seconds of a crash less the heartbeats until its entry lapses.
+	returns = 3 * time.Second
 )
 
 // Orderer gives orders. The fields are set before Run.
@@ -69,6 +74,7 @@
 	grown   time.Duration
 	size    int
 	settled bool
+	last    map[string]remembered
 
 	mu      sync.Mutex
 	pending map[string]pending
@@ -92,6 +98,7 @@
 func (o *Orderer) Run(ctx context.Context) {
 	o.pending = make(map[string]pending)
 	o.taken = make(map[string]taken)
+	o.last = make(map[string]remembered)
 	tick := time.NewTicker(period)
 	defer tick.Stop()
 	for {
@@ -112,8 +119,7 @@
 	}
 }
 
-// place looks at one service. Members that can't be reached are left out:
-// others take over what they hold.
+// place looks at one service.
 func (o *Orderer) place(ctx context.Context, s *matcher.Service) {
 	fleet := o.Balancer.Fleet(o.Now(), s.Name)
 	if len(fleet) == 0 || !o.settle(len(fleet)) {
@@ -122,14 +128,14 @@
 	byID := make(map[string]*balancer.Member, len(fleet))
 	var members []placer.Member
 	for i := range fleet {
-		if u := &fleet[i]; !u.Out {
-			byID[u.ID] = u
-			members = append(members, o.member(s.Engine, u))
-		}
+		u := &fleet[i]
+		byID[u.ID] = u
+		members = append(members, o.member(s.Engine, u))
 	}
+	members = o.remember(members)
 	for _, m := range placer.Plan(model(s.Engine), members) {
 		u := byID[m.ID]
-		if !o.Holds(u.DataCentre) {
+		if u == nil || u.Out || !o.Holds(u.DataCentre) {
 			continue
 		}
 		o.expect(s.Engine, u, m.Span)
@@ -137,6 +143,44 @@
 	}
 }
 
+// remember adds members that were listed a moment ago. One that crashed is
+// listed again within seconds, empty and maybe under another name; others lend
+// their memory until then, and go back to their own layers.
+func (o *Orderer) remember(members []placer.Member) []placer.Member {
+	now := o.Now()
+	listed := make(map[string]bool, len(members))
+	empty := make(map[string]int)
+	for _, m := range members {
+		listed[m.ID] = true
+		if m.Held.Len() > 0 {
+			o.last[m.ID] = remembered{m, now}
+		} else if _, known := o.last[m.ID]; !known {
+			empty[m.DataCentre]++
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(o.last)) {
+		r := o.last[id]
+		if listed[id] {
+			continue
+		}
+		if now-r.seen > returns || empty[r.member.DataCentre] > 0 {
+			// Gone for good, or an empty one takes its place.
+			empty[r.member.DataCentre]--
+			delete(o.last, id)
+			continue
+		}
+		r.member.Missing, r.member.Pending = true, false
+		members = append(members, r.member)
+	}
+	return members
+}
+
+// remembered is a member as it was last listed with layers.
+type remembered struct {
+	member placer.Member
+	seen   time.Duration
+}
+
 // settle reports whether the fleet was seen whole once.
 func (o *Orderer) settle(size int) bool {
 	if size > o.size {
@@ -160,7 +204,10 @@
 		Layers:  e.Layers,
 		LayerMB: e.LayerMB,
 		TokenMB: e.TokenBytes / float64(e.Layers) / 1e6,
-		Tokens:  e.Prompt + e.Answer,
+		// Over its life a request holds its prompt and half of its answer.
+		Tokens:  e.Prompt + e.Answer/2,
+		Step:    e.StepMs,
+		Request: e.PerSequenceMs + e.PerContextMs*(e.Prompt+e.Answer/2)/1e3,
 	}
 }
 
@@ -168,7 +215,7 @@
 // is under way it is taken to hold what it was ordered.
 func (o *Orderer) member(e *matcher.Engine, u *balancer.Member) placer.Member {
 	card := balancer.CardOf(e, u.Card)
-	m := placer.Member{ID: u.ID, DataCentre: u.DataCentre, MB: card.MB, Pace: card.Pace, Held: placer.Span(u.Holds)}
+	m := placer.Member{ID: u.ID, DataCentre: u.DataCentre, MB: card.MB, Pace: card.Pace, Held: placer.Span(u.Holds), Missing: u.Out}
 	if o.awaits(u) {
 		m.Pending = true
 		if m.Held.Len() == 0 {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -1,9 +1,13 @@
 // Package placer decides which layers of a model each upstream holds.
 //
-// The load pattern it answers: many requests at once, each of which needs cache
-// memory on every upstream of its path, so that memory beside the layers binds
-// long before steps do; and upstreams that die, leave or come at any moment.
-// It is a pure function of what is alive and what it holds.
+// The load pattern it answers: many requests at once, each of which passes every
+// layer of the model for each token. A card's step gets longer with each request
+// in its batch, so that slow cards with many layers make every answer longer,
+// which puts more requests into every batch; past a certain rate of arrivals
+// that never ends. And each request takes cache memory beside the layers for as
+// long as its answer takes. The layout with the highest such rate is chosen.
+//
+// It is a pure function of what is alive and what that holds.
 package placer
 
 import (
@@ -27,8 +31,11 @@
 	LayerMB float64
 	// TokenMB is the cache memory of one token in one layer, in MB.
 	TokenMB float64
-	// Tokens is what one request usually needs.
+	// Tokens is what one request usually holds.
 	Tokens float64
+	// Step is the time of a token step over all layers, Request what each
+	// request in the batch adds to it, in one unit.
+	Step, Request float64
 }
 
 // Member is an upstream that may hold layers.
@@ -37,12 +44,15 @@
 	DataCentre string
 	// MB is its memory for layers and requests.
 	MB float64
-	// Pace is how much time a token takes per layer, against the other members.
+	// Pace multiplies the time of a step.
 	Pace float64
-	// Held is what it holds, or loads while it holds nothing.
+	// Held is what it holds, or is loading while it holds nothing.
 	Held Span
 	// Pending is set while an order to it is under way.
 	Pending bool
+	// Missing is set while it can't be reached and may be back soon. Its place
+	// is kept, and what it held is lent to others.
+	Missing bool
 }
 
 // Move tells a member what to hold from now on.
@@ -51,19 +61,27 @@
 	Span Span
 }
 
-// emergencyRequests is the room that a card keeps while it holds layers beside
-// its own: a narrow path is better than none.
-const emergencyRequests = 8
-
-// leastRequests is the room that a card keeps beside its layers, in usual
-// requests; with less it is full at every clump of arrivals.
-const leastRequests = 24
+const (
+	// leastRequests is the room that a card keeps beside its layers, in usual
+	// requests; with less it is full at every clump of arrivals.
+	leastRequests = 24
+	// lentRequests is the room that a card keeps while it also holds layers of
+	// a missing one: a narrow path is better than none.
+	lentRequests = 16
+	// mostRequests bounds the requests at once that a layout is made for: it is
+	// the largest batch of the known engines.
+	mostRequests = 192
+	// fill is the part of its room that a card is planned to have in use:
+	// arrivals clump, and answers are longer than expected.
+	fill = 0.85
+	// copies bounds how often one kind of card holds its part of the model.
+	copies = 4
+)
 
-// Plan returns the orders to give now. Ranges move towards a layout of what is
-// alive step by step: a member first loads what it lacks, as far as its memory
-// allows, and gives up a layer only when another holds it. So the paths over the
-// members that are left never break, and a lost range is closed by its
-// neighbours within the time of loading a few layers.
+// Plan returns the orders to give now. Ranges move step by step towards a layout
+// of what is alive: a member first loads what it lacks, as far as its memory
+// allows, and gives up a layer only when another holds it, so that paths over
+// what is left never break.
 func Plan(m Model, members []Member) []Move {
 	var out []Move
 	for _, group := range groups(m, members) {
@@ -99,222 +117,107 @@
 }
 
 func fits(m Model, members []Member) bool {
-	return total(m, members, leastRequests*m.Tokens) >= m.Layers
-}
-
-// most is how many layers a card holds that keeps room for some tokens.
-func most(m Model, mb, tokens float64) int {
-	n := int(mb / (m.LayerMB + tokens*m.TokenMB))
-	return max(0, min(n, m.Layers))
-}
-
-func total(m Model, members []Member, tokens float64) int {
 	n := 0
 	for _, x := range members {
-		n += most(m, x.MB, tokens)
+		n += most(m, x.MB, leastRequests)
 	}
-	return n
+	return n >= m.Layers
 }
 
-// roomOf is the number of tokens for which a card has room beside n layers.
-func roomOf(m Model, mb float64, n int) float64 {
-	return max(0, (mb-float64(n)*m.LayerMB)/m.TokenMB/float64(max(1, n)))
+// most is how many layers a card holds that keeps room for some requests.
+func most(m Model, mb, requests float64) int {
+	n := int(mb / (m.LayerMB + requests*m.Tokens*m.TokenMB))
+	return max(0, min(n, m.Layers))
 }
 
-// sizes decides how many layers each member holds so that together they hold
-// the model once. A request takes room on every member for as long as its
-// answer takes, so what counts is the least room over that time: fast cards take
-// as many layers as leave that room, slow ones share the rest.
-//
-// Against one number of layers a kind of card, with each layer held 1.35 times,
-// this has twice the room at the narrowest place: memory for the second copy is
-// memory that requests lack.
-func sizes(m Model, members []Member) []int {
-	var best []int
-	var least float64
-	const steps = 60
-	lo := leastRequests * m.Tokens
-	for tokens, i := lo, 0; i < steps; tokens, i = tokens*1.07, i+1 {
-		n, ok := fill(m, members, tokens)
-		if !ok {
-			break
-		}
-		if cost := pressure(m, members, n); best == nil || cost < least {
-			best, least = n, cost
+// planGroup moves the members of a group towards their targets.
+func planGroup(m Model, members []Member) []Move {
+	targets := layout(m, members)
+	held := newCover(m)
+	for _, x := range members {
+		if !x.Missing {
+			held.add(x.Held, 1)
 		}
 	}
-	if best == nil {
-		best, _ = fill(m, members, 0)
-	}
-	return best
-}
-
-// fill gives the model's layers to the fastest members first, each as many as
-// leave room for some tokens; those of the slowest kind that is needed share
-// evenly what is left. It reports false when the model does not fit.
-func fill(m Model, members []Member, tokens float64) ([]int, bool) {
-	out := make([]int, len(members))
-	left := m.Layers
-	for _, kind := range byPace(members) {
-		caps := 0
-		for _, i := range kind {
-			caps += most(m, members[i].MB, tokens)
-		}
-		if caps <= left {
-			for _, i := range kind {
-				out[i] = most(m, members[i].MB, tokens)
-			}
-			left -= caps
+	lend(m, members, targets, held)
+	var out []Move
+	for i, x := range members {
+		if x.Pending || x.Missing {
 			continue
 		}
-		share(m, members, kind, left, tokens, out)
-		return out, true
-	}
-	return out, left == 0
-}
-
-// share gives n layers to the members of a kind, as evenly as they fit.
-func share(m Model, members []Member, kind []int, n int, tokens float64, out []int) {
-	for n > 0 {
-		at := -1
-		for _, i := range kind {
-			if out[i] < most(m, members[i].MB, tokens) && (at < 0 || out[i] < out[at]) {
-				at = i
-			}
-		}
-		if at < 0 {
-			return
-		}
-		out[at]++
-		n--
-	}
-}
-
-// byPace groups members of one pace, fastest first.
-func byPace(members []Member) [][]int {
-	at := make(map[float64][]int)
-	var paces []float64
-	for i, x := range members {
-		if at[x.Pace] == nil {
-			paces = append(paces, x.Pace)
+		next := step(m, x, targets[i], held)
+		if next == x.Held || next.Len() == 0 {
+			continue
 		}
-		at[x.Pace] = append(at[x.Pace], i)
-	}
-	slices.Sort(paces)
-	out := make([][]int, len(paces))
-	for i, p := range paces {
-		out[i] = at[p]
+		out = append(out, Move{x.ID, next})
+		// What it gives up counts at once, so that the other holder of the same
+		// layers does not give them up too.
+		held.leave(x.Held, next)
 	}
 	return out
 }
 
-// pressure is how full the narrowest member gets: the time of a token over all
-// layers, for which every request holds its room, against that room.
-func pressure(m Model, members []Member, n []int) float64 {
-	pace, least := 0.0, 0.0
+// lend widens the targets of members beside layers that nobody can be reached
+// for, each as far as its memory allows.
+func lend(m Model, members []Member, targets []Span, held *cover) {
+	wanted := newCover(m)
 	for i, x := range members {
-		if n[i] == 0 {
-			continue
-		}
-		pace += x.Pace * float64(n[i])
-		if r := roomOf(m, x.MB, n[i]); least == 0 || r < least {
-			least = r
-		}
-	}
-	if least == 0 {
-		return 1e18
-	}
-	return pace / least
-}
-
-// cover is how much room the members hold for each layer, in tokens.
-type cover struct {
-	m    Model
-	room []float64
-}
-
-func (c *cover) add(x Member) {
-	for l := x.Held.From; l < min(x.Held.To, c.m.Layers); l++ {
-		c.room[l] += max(1, roomOf(c.m, x.MB, x.Held.Len()))
-	}
-}
-
-// drop takes away what a member gives up.
-func (c *cover) drop(x Member, next Span) {
-	tokens := max(1, roomOf(c.m, x.MB, x.Held.Len()))
-	for l := x.Held.From; l < min(x.Held.To, c.m.Layers); l++ {
-		if l < next.From || l >= next.To {
-			c.room[l] -= tokens
+		if !x.Missing && x.Held.Len() > 0 {
+			wanted.add(targets[i], 1)
 		}
 	}
-}
-
-// others reports whether another member than x holds a layer. What rounding
-// leaves is nobody.
-func (c *cover) others(x Member, l int) bool {
-	return l >= c.m.Layers || c.room[l]-max(1, roomOf(c.m, x.MB, x.Held.Len())) > 0.5
-}
-
-// weakest is the range of n layers with least room.
-func (c *cover) weakest(n int) Span {
-	best, least := Span{}, 0.0
-	for from := 0; from+n <= len(c.room); from++ {
-		sum := 0.0
-		for _, r := range c.room[from : from+n] {
-			sum += r
+	for l := range m.Layers {
+		if held.n[l] > 0 || wanted.n[l] > 0 {
+			continue
 		}
-		if from == 0 || sum < least {
-			best, least = Span{from, from + n}, sum
+		if i := lender(m, members, targets, l); i >= 0 {
+			targets[i] = Span{min(targets[i].From, l), max(targets[i].To, l+1)}
 		}
 	}
-	return best
 }
 
-// planGroup moves the members of a group towards their targets.
-func planGroup(m Model, members []Member) []Move {
-	targets := layout(m, members)
-	listed := &cover{m: m, room: make([]float64, m.Layers)}
-	for _, x := range members {
-		listed.add(x)
-	}
-	var out []Move
+// lender is the member that reaches layer l with most room to spare: one whose
+// target ends beside it.
+func lender(m Model, members []Member, targets []Span, l int) int {
+	best, spare := -1, 0
 	for i, x := range members {
-		if x.Pending {
+		t := targets[i]
+		if x.Missing || x.Held.Len() == 0 || (t.To != l && t.From != l+1) {
 			continue
 		}
-		next := step(m, x, targets[i], listed)
-		if next == x.Held || next.Len() == 0 {
-			continue
-		}
-		out = append(out, Move{x.ID, next})
-		if next.From > x.Held.From || next.To < x.Held.To {
-			// What it gives up counts at once, so that the other holder of the
-			// same layers does not give them up too.
-			listed.drop(x, next)
+		if s := most(m, x.MB, lentRequests) - t.Len(); s > spare {
+			best, spare = i, s
 		}
 	}
-	return out
+	return best
 }
 
 // step is what a member holds next on its way to a target.
-func step(m Model, x Member, target Span, listed *cover) Span {
+func step(m Model, x Member, target Span, held *cover) Span {
 	if x.Held.Len() == 0 {
 		return target
 	}
-	next := shrink(x, target, listed)
+	next := shrink(x, target, held)
 	if next != x.Held {
 		return next
 	}
+	if next.To <= target.From || next.From >= target.To {
+		// A range elsewhere is loaded in one go once nobody needs the old one.
+		if held.free(x.Held) {
+			return target
+		}
+		return x.Held
+	}
 	return extend(m, x, target)
 }
 
 // shrink gives up layers that are not in the target and that others hold.
-func shrink(x Member, target Span, listed *cover) Span {
+func shrink(x Member, target Span, held *cover) Span {
 	next := x.Held
-	for next.From < target.From && next.Len() > 1 && listed.others(x, next.From) {
+	for next.From < target.From && next.Len() > 1 && held.n[next.From] > 1 {
 		next.From++
 	}
-	for next.To > target.To && next.Len() > 1 && listed.others(x, next.To-1) {
+	for next.To > target.To && next.Len() > 1 && held.n[next.To-1] > 1 {
 		next.To--
 	}
 	return next
@@ -324,7 +227,7 @@
 // leave the least room.
 func extend(m Model, x Member, target Span) Span {
 	next := x.Held
-	limit := most(m, x.MB, emergencyRequests*m.Tokens)
+	limit := most(m, x.MB, lentRequests)
 	for next.Len() < limit {
 		switch {
 		case target.To > next.To:
@@ -338,102 +241,223 @@
 	return next
 }
 
-// layout is the range of each member once all moves are made. Those that are
-// needed for one model follow each other in the order in which they hold layers
-// now; an empty one comes in where least room is. The others hold the layers
-// with least room once more.
-func layout(m Model, members []Member) []Span {
-	planned := sizes(m, members)
-	out := make([]Span, len(members))
-	c := &cover{m: m, room: make([]float64, m.Layers)}
-	at := 0
-	for _, i := range sequence(m, members, planned) {
-		out[i] = Span{at, at + planned[i]}
-		at = out[i].To
-		x := members[i]
-		x.Held = out[i]
-		c.add(x)
+// cover counts the members that hold each layer.
+type cover struct{ n []int }
+
+func newCover(m Model) *cover { return &cover{n: make([]int, m.Layers)} }
+
+func (c *cover) add(s Span, by int) {
+	for l := max(0, s.From); l < min(s.To, len(c.n)); l++ {
+		c.n[l] += by
 	}
-	for i, x := range members {
-		if planned[i] > 0 {
-			continue
+}
+
+// leave takes away what is in old and not in next.
+func (c *cover) leave(old, next Span) {
+	for l := old.From; l < min(old.To, len(c.n)); l++ {
+		if l < next.From || l >= next.To {
+			c.n[l]--
 		}
-		if x.Held.Len() == 0 {
-			x.Held = c.weakest(most(m, x.MB, 2*leastRequests*m.Tokens))
+	}
+}
+
+// free reports whether others hold every layer of a span too.
+func (c *cover) free(s Span) bool {
+	for l := s.From; l < min(s.To, len(c.n)); l++ {
+		if c.n[l] < 2 {
+			return false
 		}
-		out[i] = x.Held
-		c.add(x)
+	}
+	return true
+}
+
+func sortedKeys(m map[string][]Member) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// layout is the range of each member once all moves are made. Each kind of card
+// holds one part of the model, the fastest the first, in one or more rows that
+// each hold that part whole.
+func layout(m Model, members []Member) []Span {
+	kinds := kindsOf(members)
+	out := make([]Span, len(members))
+	at := 0
+	for k, part := range divide(m, kinds) {
+		assign(members, kinds[k].members, slots(at, part, len(kinds[k].members)), out)
+		at += part.layers
 	}
 	return out
 }
 
-// sequence orders the needed members along the model.
-func sequence(m Model, members []Member, planned []int) []int {
-	var holding, empty []int
+// kind is the members with one pace and one memory.
+type kind struct {
+	mb, pace float64
+	// members are indices into the group's.
+	members []int
+}
+
+// kindsOf groups members, the fastest first.
+func kindsOf(members []Member) []kind {
+	var out []kind
 	for i, x := range members {
-		switch {
-		case planned[i] == 0:
-		case x.Held.Len() > 0:
-			holding = append(holding, i)
-		default:
-			empty = append(empty, i)
+		k := slices.IndexFunc(out, func(k kind) bool { return k.mb == x.MB && k.pace == x.Pace })
+		if k < 0 {
+			out = append(out, kind{mb: x.MB, pace: x.Pace})
+			k = len(out) - 1
 		}
+		out[k].members = append(out[k].members, i)
 	}
-	slices.SortStableFunc(holding, func(a, b int) int {
-		x, y := members[a].Held, members[b].Held
-		return cmp.Or(cmp.Compare(x.From+x.To, y.From+y.To), cmp.Compare(members[a].ID, members[b].ID))
+	slices.SortFunc(out, func(a, b kind) int {
+		return cmp.Or(cmp.Compare(a.pace, b.pace), cmp.Compare(b.mb, a.mb))
 	})
-	slices.SortStableFunc(empty, func(a, b int) int {
-		x, y := members[a], members[b]
-		return cmp.Or(cmp.Compare(x.Pace, y.Pace), cmp.Compare(y.MB, x.MB), cmp.Compare(x.ID, y.ID))
-	})
-	if len(holding) == 0 {
-		return empty
+	return out
+}
+
+// part is what one kind holds: a number of layers, in a number of rows.
+type part struct{ layers, rows int }
+
+// divide shares the layers among the kinds so that the highest rate of arrivals
+// can be borne: requests at once over the time that each takes.
+func divide(m Model, kinds []kind) []part {
+	var best []part
+	var rate float64
+	const steps, growth = 24, 1.12
+	for n, i := float64(leastRequests), 0; i < steps && n <= mostRequests; n, i = n*growth, i+1 {
+		parts := make([]part, len(kinds))
+		tryRows(m, kinds, n, parts, 0, func(t float64) {
+			if r := n / t; r > rate {
+				best, rate = slices.Clone(parts), r
+			}
+		})
 	}
-	for _, i := range empty {
-		holding = slices.Insert(holding, insertion(m, members, holding), i)
+	if best == nil {
+		best = squeeze(m, kinds)
 	}
-	return holding
+	return best
 }
 
-// insertion is the place in a sequence where an empty member relieves its
-// neighbours most: at the widest gap, else beside the member with least room.
-func insertion(m Model, members []Member, seq []int) int {
-	best, widest, end := -1, 0, 0
-	for k, i := range seq {
-		h := members[i].Held
-		if h.Len() == 0 {
-			continue
-		}
-		if h.From-end > widest {
-			best, widest = k, h.From-end
+// tryRows tries every number of rows of each kind from k on.
+func tryRows(m Model, kinds []kind, n float64, parts []part, k int, found func(t float64)) {
+	if k == len(kinds) {
+		if t, ok := fillParts(m, kinds, n, parts); ok {
+			found(t)
 		}
-		end = max(end, h.To)
+		return
 	}
-	if m.Layers-end > widest {
-		return len(seq)
+	for rows := 1; rows <= min(copies, len(kinds[k].members)); rows++ {
+		parts[k].rows = rows
+		tryRows(m, kinds, n, parts, k+1, found)
+	}
+}
+
+// fillParts gives the layers to the kinds on which a layer takes least time when
+// n requests run at once, as many as leave room for these, and returns the time
+// of a token over all layers.
+func fillParts(m Model, kinds []kind, n float64, parts []part) (float64, bool) {
+	order := make([]int, len(kinds))
+	price := make([]float64, len(kinds))
+	for k := range kinds {
+		order[k] = k
+		parts[k].layers = 0
+		price[k] = kinds[k].pace * (m.Step + m.Request*n/float64(parts[k].rows))
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(price[a], price[b]) })
+	left, t := m.Layers, 0.0
+	for _, k := range order {
+		p := &parts[k]
+		perRow := len(kinds[k].members) / p.rows
+		p.layers = min(left, perRow*most(m, kinds[k].mb, n/float64(p.rows)/fill))
+		left -= p.layers
+		t += price[k] * float64(p.layers) / float64(m.Layers)
+	}
+	return t, left == 0
+}
+
+// squeeze shares the layers by memory alone where no layout has the least room.
+func squeeze(m Model, kinds []kind) []part {
+	out := make([]part, len(kinds))
+	left := m.Layers
+	for k := range kinds {
+		n := min(left, len(kinds[k].members)*most(m, kinds[k].mb, 1))
+		out[k] = part{layers: n, rows: 1}
+		left -= n
 	}
-	if best >= 0 {
-		return best
+	return out
+}
+
+// slots are the ranges of a kind's members from layer at on: rows that each
+// cover the part, with members as even as they can be.
+func slots(at int, p part, members int) []Span {
+	var out []Span
+	if p.layers == 0 {
+		return nil
+	}
+	for row := range p.rows {
+		n := members / p.rows
+		if row < members%p.rows {
+			n++
+		}
+		for i := range n {
+			s := Span{at + i*p.layers/n, at + (i+1)*p.layers/n}
+			if s.Len() == 0 {
+				// More members than layers: they hold one that others hold too.
+				s.To = s.From + 1
+			}
+			out = append(out, s)
+		}
 	}
-	least := 0.0
-	for k, i := range seq {
-		x := members[i]
-		if x.Held.Len() == 0 {
+	slices.SortFunc(out, func(a, b Span) int { return cmp.Or(cmp.Compare(a.From, b.From), cmp.Compare(a.To, b.To)) })
+	return out
+}
+
+// assign gives each member a slot: its own where it holds one, else in the order
+// of what they hold, so that each moves little. Empty members take what is left.
+func assign(members []Member, which []int, free []Span, out []Span) {
+	var rest []int
+	for _, i := range which {
+		if at := slices.Index(free, members[i].Held); at >= 0 {
+			out[i] = free[at]
+			free = slices.Delete(free, at, at+1)
 			continue
 		}
-		if r := roomOf(m, x.MB, x.Held.Len()); best < 0 || r < least {
-			best, least = k, r
+		rest = append(rest, i)
+	}
+	slices.SortFunc(rest, func(a, b int) int {
+		x, y := members[a], members[b]
+		if (x.Held.Len() == 0) != (y.Held.Len() == 0) {
+			return cmp.Compare(y.Held.Len(), x.Held.Len())
 		}
+		return cmp.Or(cmp.Compare(x.Held.From+x.Held.To, y.Held.From+y.Held.To), cmp.Compare(x.ID, y.ID))
+	})
+	for _, i := range rest {
+		if len(free) == 0 {
+			out[i] = members[i].Held
+			continue
+		}
+		at := nearest(free, members[i].Held)
+		out[i] = free[at]
+		free = slices.Delete(free, at, at+1)
 	}
-	return best
 }
 
-func sortedKeys(m map[string][]Member) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
+// nearest is the slot that a member reaches with the fewest loads; the first for
+// an empty one.
+func nearest(free []Span, held Span) int {
+	if held.Len() == 0 {
+		return 0
 	}
-	slices.Sort(out)
-	return out
+	best, dist := 0, -1
+	for i, s := range free {
+		if d := abs(s.From-held.From) + abs(s.To-held.To); dist < 0 || d < dist {
+			best, dist = i, d
+		}
+	}
+	return best
 }
+
+func abs(n int) int { return max(n, -n) }
