sharer, balancer: hosts tell each other what they have in flight

Cause: each host counted only its own requests, and a host that the store turned away refused all keyed requests after four seconds. Found by its log on the way: a restarted upstream is listed under a new id beside its old entry; paths over the old one were turned away 437 times and the new one blamed. Change: an exchange every 200 ms of requests and room in flight, version and age; one upstream an address, the younger; a request counts with half of its answer.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -110,9 +110,9 @@
 	// is when the last event came over any of them.
 	flows      int
 	progressed time.Duration
-	// others are token-layers that other hosts are thought to fill, as of
-	// fullAt, when the upstream had no room though this host expected some.
-	others float64
+	// hidden are token-layers that nobody told of, as of fullAt, when the
+	// upstream had no room though this host expected some.
+	hidden float64
 	fullAt time.Duration
 }
 
@@ -125,12 +125,14 @@
 type Balancer struct {
 	// DataCentre is this host's own.
 	DataCentre string
-	// Sharers is how many hosts send into a data centre, at least 1; nil means 1.
-	Sharers func(dataCentre string) int
-	Policy  picker.Policy
-	Rand    *rand.Rand
-
-	mu       sync.Mutex
+	Policy     picker.Policy
+	Rand       *rand.Rand
+
+	mu sync.Mutex
+	// hosts are the other hosts, each with its data centre.
+	hosts map[string]string
+	// heard is what other hosts have in flight, by host.
+	heard    map[string]news
 	services map[string]*matcher.Service
 	ups      map[string]*upstream
 	byAddr   map[string]*upstream
@@ -168,8 +170,25 @@
 			b.ups[l.ID] = u
 		}
 		u.Upstream = l
-		b.byAddr[l.Address] = u
 		u.measure(b.services[l.Service])
+		b.supersede(u)
+	}
+}
+
+// supersede drops the older of two upstreams with one address. One that was
+// started again is listed under a new id while its old entry stays for some
+// heartbeats; paths over the layers of the old one were turned away, and the
+// new one was blamed for it.
+func (b *Balancer) supersede(u *upstream) {
+	old := b.byAddr[u.Address]
+	switch {
+	case old == nil || old == u || b.ups[old.ID] != old || old.Address != u.Address:
+		b.byAddr[u.Address] = u
+	case old.Born <= u.Born:
+		b.drop(old.ID)
+		b.byAddr[u.Address] = u
+	default:
+		b.drop(u.ID)
 	}
 }
 
@@ -476,16 +495,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if u := b.ups[id]; u != nil {
-		u.others = max(0, u.room-u.reserved*float64(b.sharers(u.DataCentre)))
+		u.hidden = max(0, u.room-b.known(now, u).room)
 		u.fullAt = now
 	}
 }
 
 // filled are the token-layers that are thought to be taken of u's room.
 func (b *Balancer) filled(now time.Duration, u *upstream) float64 {
-	out := u.reserved * float64(b.sharers(u.DataCentre))
+	out := b.known(now, u).room
 	if age := now - u.fullAt; age < fullMemory {
-		out += u.others * (1 - float64(age)/float64(fullMemory))
+		out += u.hidden * (1 - float64(age)/float64(fullMemory))
 	}
 	return out
 }
--- /dev/null
+++ b/balancer/others.go
@@ -0,0 +1,106 @@
+package balancer
+
+import "time"
+
+// Passing is what one host has in flight over an upstream.
+type Passing struct {
+	Upstream string
+	// Requests are those whose path the upstream is on.
+	Requests int
+	// Room is what they take there, in tokens times layers.
+	Room float64
+	// Dead is set while the upstream takes no connection from that host.
+	Dead bool
+}
+
+// news is what another host has in flight.
+type news struct {
+	at      time.Duration
+	passing map[string]Passing
+}
+
+// newsAge is how long what another host told is believed: some exchanges, and
+// about as long as a stream lasts.
+const newsAge = 1500 * time.Millisecond
+
+// Own lists what this host has in flight.
+func (b *Balancer) Own() []Passing {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Passing
+	for id, u := range b.ups {
+		if u.passing > 0 || u.reserved > 0 || u.dead {
+			out = append(out, Passing{Upstream: id, Requests: u.passing, Room: u.reserved, Dead: u.dead})
+		}
+	}
+	return out
+}
+
+// Heard takes in what another host has in flight. Without it each host would
+// take an upstream for empty that all the others fill.
+func (b *Balancer) Heard(now time.Duration, host string, list []Passing) {
+	n := news{at: now, passing: make(map[string]Passing, len(list))}
+	for _, p := range list {
+		n.passing[p.Upstream] = p
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.heard == nil {
+		b.heard = make(map[string]news)
+	}
+	b.heard[host] = n
+	for name, old := range b.heard {
+		if now-old.at > newsAge {
+			delete(b.heard, name)
+		}
+	}
+}
+
+// Listed returns the list of upstreams as it is known.
+func (b *Balancer) Listed() []Upstream {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]Upstream, 0, len(b.ups))
+	for _, u := range b.ups {
+		out = append(out, u.Upstream)
+	}
+	return out
+}
+
+// SetHosts takes in the other hosts, each with its data centre.
+func (b *Balancer) SetHosts(hosts map[string]string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.hosts = hosts
+}
+
+// silent is how many hosts of a data centre, this one included, have not told
+// what they have in flight. They are taken to have as much there as this one.
+func (b *Balancer) silent(now time.Duration, dataCentre string) float64 {
+	n := 1.0
+	for name, dc := range b.hosts {
+		if news, ok := b.heard[name]; dc == dataCentre && (!ok || now-news.at > newsAge) {
+			n++
+		}
+	}
+	return n
+}
+
+// load is what is known to be in flight over an upstream.
+type load struct{ requests, room float64 }
+
+// known adds up what all hosts have in flight over an upstream.
+func (b *Balancer) known(now time.Duration, u *upstream) load {
+	share := b.silent(now, u.DataCentre)
+	out := load{float64(u.passing) * share, u.reserved * share}
+	for _, n := range b.heard {
+		if now-n.at > newsAge {
+			continue
+		}
+		if p, ok := n.passing[u.ID]; ok {
+			out.requests += float64(p.Requests)
+			out.room += p.Room
+		}
+	}
+	return out
+}
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -36,7 +36,9 @@
 // path takes the cheapest path over the layers with room on each hop.
 func (b *Balancer) path(now time.Duration, s *matcher.Service, n Need) (*Lease, Reason) {
 	e := s.Engine
-	tokens := n.Prompt + n.Answer
+	// Over its life a request holds its prompt and half of its answer; those on
+	// one upstream are at all stages of it.
+	tokens := n.Prompt + n.Answer/2
 	cands := make([]picker.Candidate, 0, len(b.ups))
 	covered := false
 	for _, u := range b.ups {
@@ -129,8 +131,7 @@
 func (b *Balancer) candidate(now time.Duration, e *matcher.Engine, u *upstream, n Need, tokens float64) picker.Candidate {
 	card := CardOf(e, u.Card)
 	span := u.Holds
-	share := float64(b.sharers(u.DataCentre))
-	perStep := e.StepMs + batchWeight*share*float64(u.passing)*(e.PerSequenceMs+e.PerContextMs*tokens/1e3)
+	perStep := e.StepMs + batchWeight*b.known(now, u).requests*(e.PerSequenceMs+e.PerContextMs*tokens/1e3)
 	perLayer := (n.Prompt/e.ReadPerSecond*card.ReadPace + n.Answer*perStep/1e3*card.Pace) / float64(e.Layers)
 	c := picker.Candidate{
 		Name:       u.ID,
@@ -143,7 +144,7 @@
 		Sequences:  b.filled(now, u),
 		Slots:      u.room*(1-headroom) - tokens*float64(span.To-span.From),
 		Bias:       greyBias * u.grey,
-		Excluded:   e.Slots > 0 && float64(u.running)*share >= float64(e.Slots),
+		Excluded:   e.Slots > 0 && float64(u.running)*b.silent(now, u.DataCentre) >= float64(e.Slots),
 	}
 	if u.DataCentre != b.DataCentre {
 		c.Bias += remoteBias
@@ -189,10 +190,3 @@
 	}
 	return ReasonNoRoom
 }
-
-func (b *Balancer) sharers(dataCentre string) int {
-	if b.Sharers == nil {
-		return 1
-	}
-	return max(1, b.Sharers(dataCentre))
-}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -94,6 +94,8 @@
 	Log      zerolog.Logger
 
 	table atomic.Pointer[matcher.Table]
+	// cfg is what table was made of.
+	cfg atomic.Pointer[matcher.Configuration]
 	// fresh is when the last answered call was sent, on the clock of Now.
 	fresh atomic.Int64
 
@@ -120,6 +122,48 @@
 	return f.Now() - time.Duration(at)
 }
 
+// Configuration is what is in force; nil before the first was read.
+func (f *Follower) Configuration() *matcher.Configuration { return f.cfg.Load() }
+
+// Heard takes in what a peer answered to a call that this host sent at sent: its
+// version and its age. A host that the source turns away stays as fresh as its
+// peers by that. Only answers count: how long a call was on its way to this host
+// is not known.
+func (f *Follower) Heard(sent, age time.Duration, version int64, cfg *matcher.Configuration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.configure(cfg)
+	t := f.table.Load()
+	if t == nil || t.Version < version {
+		return
+	}
+	if at := int64(sent - age); at > f.fresh.Load() {
+		f.fresh.Store(at)
+	}
+}
+
+// Offered takes in a configuration that a peer sent by itself.
+func (f *Follower) Offered(cfg *matcher.Configuration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.configure(cfg)
+}
+
+// Listed takes in the upstreams that a peer knows.
+func (f *Follower) Listed(list []balancer.Upstream) {
+	known := make(map[string]bool, len(list))
+	for i := range list {
+		known[list[i].ID] = true
+	}
+	var gone []string
+	for _, id := range f.Balancer.IDs() {
+		if !known[id] {
+			gone = append(gone, id)
+		}
+	}
+	f.Balancer.List(list, gone)
+}
+
 // Hosts returns the other entry hosts that are known.
 func (f *Follower) Hosts() []Host {
 	f.mu.Lock()
@@ -279,16 +323,16 @@
 		}
 		delete(f.missing, id)
 	}
-	f.mu.Unlock()
 	f.configure(ch.Configuration)
+	f.fresh.Store(max(f.fresh.Load(), int64(sent)))
+	f.mu.Unlock()
 	f.Balancer.List(ch.Listed, gone)
-	f.fresh.Store(int64(sent))
 	if f.OnChange != nil {
 		f.OnChange()
 	}
 }
 
-// configure puts a configuration in force unless a newer one is.
+// configure puts a configuration in force unless a newer one is. f.mu is held.
 func (f *Follower) configure(cfg *matcher.Configuration) {
 	if cfg == nil {
 		return
@@ -298,6 +342,7 @@
 		return
 	}
 	t := matcher.New(cfg)
+	f.cfg.Store(cfg)
 	f.table.Store(t)
 	f.Balancer.Configure(t.Services)
 	f.Log.Info().Int64("version", cfg.Version).Int("routes", len(cfg.Routes)).Msg("follower: configuration in force")
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -109,6 +109,8 @@
 	body      []byte
 	header    http.Header
 	deadline  time.Duration
+	// arrived is when it came, firstAfter how long its first event took.
+	arrived, firstAfter time.Duration
 	// avoid are upstreams that failed it.
 	avoid []string
 	// runs counts upstreams that may have run it, turned how often it was
@@ -125,7 +127,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	k := &call{Forwarder: f, w: w, r: r, id: r.Header.Get(f.Headers.RequestID), table: f.Tables.Table()}
+	k := &call{Forwarder: f, w: w, r: r, id: r.Header.Get(f.Headers.RequestID), table: f.Tables.Table(), arrived: f.Now()}
 	if f.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -148,8 +148,11 @@
 	}
 	id, at := l.Hops[0].ID, resp.Header.Get(k.Headers.Fault)
 	if at != "" {
-		if other := k.Balancer.ByAddress(at); other != "" {
-			id = other
+		// Two upstreams may be listed at one address: the hop's is meant.
+		for _, h := range k.Balancer.Path(l) {
+			if h.Address == at {
+				id = h.ID
+			}
 		}
 	}
 	k.avoid = append(k.avoid, id)
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -163,6 +163,7 @@
 			err := f.Engines.Repath(ctx, a.id, hops)
 			f.Log.Info().Err(err).Str("requestId", a.id).Str("dead", dead.ID).Str("hops", FormatPath(hops)).Msg("forwarder: path changed")
 			if err == nil {
+				a.moves.Add(1)
 				return
 			}
 		}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -30,6 +30,8 @@
 	lease *balancer.Lease
 	// begun is set with the first event.
 	begun atomic.Bool
+	// moves counts changes of its path.
+	moves atomic.Int32
 	// began is when it was sent.
 	began  time.Duration
 	cancel context.CancelCauseFunc
@@ -177,6 +179,8 @@
 	buf := make([]byte, readSize)
 	var pending []byte
 	begun := false
+	last := a.began
+	var gap time.Duration
 	for {
 		n, err := resp.Read(buf)
 		pending = append(pending, buf[:n]...)
@@ -192,10 +196,15 @@
 			if err := ctl.Flush(); err != nil {
 				return k.callerGone()
 			}
+			now := k.Now()
 			if begun {
-				k.Balancer.Progress(k.Now(), l)
+				k.Balancer.Progress(now, l)
+				gap = max(gap, now-last)
+				last = now
 			} else {
-				k.Balancer.Begun(k.Now(), l)
+				last = now
+				k.firstAfter = now - k.arrived
+				k.Balancer.Begun(now, l)
 				begun = true
 				a.begun.Store(true)
 			}
@@ -205,6 +214,8 @@
 		case errors.Is(err, io.EOF) && len(pending) == 0 && begun:
 			k.Balancer.Served(k.Now(), l.Hops[0].ID, nil)
 			k.served()
+			k.Log.Debug().Str("requestId", k.id).Str("route", k.route.Name).Dur("first", k.firstAfter).Dur("longestGap", gap).
+				Dur("whole", k.Now()-k.arrived).Int("runs", k.runs).Int32("moves", a.moves.Load()).Str("hops", FormatPath(k.Balancer.Path(l))).Msg("forwarder: stream answered")
 			return verdictAnswered
 		case err != nil:
 			k.brokeOff(ctx, l, err)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -28,8 +28,10 @@
 	"github.com/sardineward/sardineward/matcher"
 	"github.com/sardineward/sardineward/meter"
 	"github.com/sardineward/sardineward/orderer"
+	"github.com/sardineward/sardineward/peer"
 	"github.com/sardineward/sardineward/picker"
 	"github.com/sardineward/sardineward/registrar"
+	"github.com/sardineward/sardineward/sharer"
 	"github.com/sardineward/sardineward/storer"
 	"github.com/sardineward/sardineward/streamer"
 )
@@ -74,6 +76,7 @@
 	forward  *forwarder.Forwarder
 	register *registrar.Registrar
 	orders   *orderer.Orderer
+	share    *sharer.Sharer
 	pool     *connector.Pool
 	meter    *meter.Meter
 
@@ -98,6 +101,7 @@
 	wg.Go(func() { h.forward.Watch(work) })
 	wg.Go(func() { h.register.Run(duty) })
 	wg.Go(func() { h.orders.Run(duty) })
+	wg.Go(func() { h.share.Run(work) })
 	wg.Go(func() { h.sweep(work) })
 	h.Log.Info().Str("host", h.Settings.Host).Str("dataCentre", h.Settings.DataCentre).Msg("launcher: started")
 	<-ctx.Done()
@@ -135,11 +139,10 @@
 	h.meter = meter.New(meter.Labels(admitter.ReasonValues()), meter.Labels(streamer.CauseValues()))
 	h.balancer = &balancer.Balancer{
 		DataCentre: cfg.DataCentre,
-		Sharers:    h.sharers,
 		Policy:     picker.Cheapest{Steepness: 2, Spread: 0.1},
 		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
-	h.follow = &follower.Follower{Source: h.Source, Balancer: h.balancer, Now: h.Now, Log: h.Log}
+	h.follow = &follower.Follower{Source: h.Source, Balancer: h.balancer, Now: h.Now, OnChange: h.tellHosts, Log: h.Log}
 	h.pool = &connector.Pool{Now: h.Now, RequestID: h.Headers.RequestID}
 	h.forward = &forwarder.Forwarder{
 		Tables:   h.follow,
@@ -162,6 +165,14 @@
 		Free:  h.freeDuties,
 		Log:   h.Log,
 	}
+	h.share = &sharer.Sharer{
+		Self:     cfg.Host,
+		Follower: h.follow,
+		Balancer: h.balancer,
+		Now:      h.Now,
+		HTTP:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
+		Log:      h.Log,
+	}
 	h.orders = &orderer.Orderer{
 		Balancer: h.balancer,
 		Engines:  h.Engines,
@@ -173,18 +184,13 @@
 	}
 }
 
-// sharers is how many hosts of a data centre send there, this one included.
-func (h *Host) sharers(dataCentre string) int {
-	n := 0
-	if dataCentre == h.Settings.DataCentre {
-		n = 1
-	}
+// tellHosts hands the other hosts on to the balancer.
+func (h *Host) tellHosts() {
+	hosts := make(map[string]string)
 	for _, other := range h.follow.Hosts() {
-		if other.DataCentre == dataCentre {
-			n++
-		}
+		hosts[other.Name] = other.DataCentre
 	}
-	return n
+	h.balancer.SetHosts(hosts)
 }
 
 // freeDuties are the data centres whose duty this host is to take: its own, and
@@ -254,6 +260,7 @@
 	}{
 		{cfg.Ready, server(h.readyHandler())},
 		{cfg.Admin, server(h.adminHandler())},
+		{cfg.Peer, server(peer.NewShareServer(h.share))},
 		{cfg.Callers, callers},
 	} {
 		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", one.address)
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -28,35 +28,35 @@
 
 // Split sends a part of a route's requests to a service.
 type Split struct {
-	Service string
+	Service string `json:"service"`
 	// Weight is relative to the other splits of the route; at least 0.
-	Weight int
+	Weight int `json:"weight"`
 }
 
 // Route says where requests of a host below a path prefix go.
 type Route struct {
-	Name string
-	Host string
+	Name string `json:"name"`
+	Host string `json:"host"`
 	// Prefix begins and ends with a slash.
-	Prefix string
-	Kind   Kind
+	Prefix string `json:"prefix"`
+	Kind   Kind   `json:"kind"`
 	// Timeout bounds the whole request; 0 means none.
-	Timeout time.Duration
+	Timeout time.Duration `json:"timeout"`
 	// Target is the latency that callers expect, to the first event of a stream.
-	Target time.Duration
+	Target time.Duration `json:"target"`
 	// Gap is the longest pause between two events that callers expect; 0 where
 	// the route does not stream.
-	Gap time.Duration
+	Gap time.Duration `json:"gap"`
 	// Priority is the rank; 0 is served first.
-	Priority int
+	Priority int `json:"priority"`
 	// Splits are never empty.
-	Splits []Split
+	Splits []Split `json:"splits"`
 	// MaxAttempts is how many upstreams may run one request; at least 1.
-	MaxAttempts int
+	MaxAttempts int `json:"maxAttempts"`
 	// Public routes need no key.
-	Public bool
+	Public bool `json:"public"`
 	// Resumable streams may go on at another upstream after their last event.
-	Resumable bool
+	Resumable bool `json:"resumable"`
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -66,76 +66,81 @@
 
 // Service is a set of upstreams that are alike.
 type Service struct {
-	Name string
+	Name string `json:"name"`
 	// MaxConnections is what one upstream accepts from all hosts together.
-	MaxConnections int
+	MaxConnections int `json:"maxConnections"`
 	// Engine is nil where upstreams answer alone, without layers.
-	Engine *Engine
+	Engine *Engine `json:"engine"`
 }
 
 // Engine says how the upstreams of a service run a model together.
 type Engine struct {
 	// Layers is how many the model has, LayerMB the size of one in MB.
-	Layers  int
-	LayerMB float64
+	Layers  int     `json:"layers"`
+	LayerMB float64 `json:"layerMB"`
 	// TokenBytes is the cache memory of one token over all layers.
-	TokenBytes float64
+	TokenBytes float64 `json:"tokenBytes"`
 	// StepMs is the time of one token step over all layers; PerSequenceMs and
 	// PerContextMs (for 1,000 tokens) come on top for each request in the batch.
-	StepMs, PerSequenceMs, PerContextMs float64
+	StepMs        float64 `json:"stepMs"`
+	PerSequenceMs float64 `json:"perSequenceMs"`
+	PerContextMs  float64 `json:"perContextMs"`
 	// ReadPerSecond is how many prompt tokens are read in a second.
-	ReadPerSecond float64
+	ReadPerSecond float64 `json:"readPerSecond"`
 	// ActivationBytes of a token cross each link of a path.
-	ActivationBytes float64
+	ActivationBytes float64 `json:"activationBytes"`
 	// PipeMbps is what all share between two data centres, LinkMbps what one
 	// upstream has.
-	PipeMbps, LinkMbps float64
+	PipeMbps float64 `json:"pipeMbps"`
+	LinkMbps float64 `json:"linkMbps"`
 	// LoadTime is how long the whole model takes to load.
-	LoadTime time.Duration
+	LoadTime time.Duration `json:"loadTime"`
 	// LoadsAtOnce is how many loads run without slowing each other down.
-	LoadsAtOnce int
+	LoadsAtOnce int `json:"loadsAtOnce"`
 	// Slots is how many requests one upstream runs as the first of a path.
-	Slots int
+	Slots int `json:"slots"`
 	// Prompt and Answer are the usual numbers of tokens.
-	Prompt, Answer float64
+	Prompt float64 `json:"prompt"`
+	Answer float64 `json:"answer"`
 	// Cards are the kinds of accelerator; empty means all are alike.
-	Cards []Card
+	Cards []Card `json:"cards"`
 }
 
 // Card is one kind of accelerator.
 type Card struct {
-	Name string
+	Name string `json:"name"`
 	// MB is its memory for layers and requests.
-	MB float64
+	MB float64 `json:"mb"`
 	// Pace multiplies the time of steps, ReadPace that of reading prompts.
-	Pace, ReadPace float64
+	Pace     float64 `json:"pace"`
+	ReadPace float64 `json:"readPace"`
 }
 
 // Workspace is a customer with its keys.
 type Workspace struct {
-	Name string
-	Keys []string
+	Name string   `json:"name"`
+	Keys []string `json:"keys"`
 	// Priority goes before the route's where HasPriority is set; 0 is first.
-	Priority    int
-	HasPriority bool
+	Priority    int  `json:"priority"`
+	HasPriority bool `json:"hasPriority"`
 }
 
 // Limits bound what callers may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes   int           `json:"headerBytes"`
+	BodyBytes     int64         `json:"bodyBytes"`
+	HeaderTimeout time.Duration `json:"headerTimeout"`
+	IdleTimeout   time.Duration `json:"idleTimeout"`
 }
 
 // Configuration is everything that operators declare, at one version.
 type Configuration struct {
 	// Version rises with every change.
-	Version    int64
-	Routes     []Route
-	Services   []Service
-	Workspaces []Workspace
-	Limits     Limits
+	Version    int64       `json:"version"`
+	Routes     []Route     `json:"routes"`
+	Services   []Service   `json:"services"`
+	Workspaces []Workspace `json:"workspaces"`
+	Limits     Limits      `json:"limits"`
 }
 
 // Table is a compiled Configuration.
--- a/schema/generate.go
+++ b/schema/generate.go
@@ -8,7 +8,7 @@
 //go:generate go-jsonschema -p loader --tags json --struct-name-from-title --capitalization TLS -o ../loader/settings_gen.go settings.schema.json
 //go:generate go-jsonschema -p loader --tags json --struct-name-from-title --capitalization TLS -o ../loader/forward_gen.go forward.schema.json
 //go:generate go-jsonschema -p builder --tags json --struct-name-from-title --capitalization TLS -o ../builder/configuration_gen.go configuration.schema.json
-//go:generate protoc --go_out=.. --go_opt=module=github.com/sardineward/sardineward --twirp_out=.. --twirp_opt=module=github.com/sardineward/sardineward peer.proto
+//go:generate protoc --go_out=.. --go_opt=module=github.com/sardineward/sardineward --twirp_out=.. --twirp_opt=module=github.com/sardineward/sardineward peer.proto share.proto
 
 // Settings is the JSON Schema of one host's settings.
 //
--- /dev/null
+++ b/sharer/sharer.go
@@ -0,0 +1,208 @@
+// Package sharer exchanges soft state with the other entry hosts: what each has
+// in flight over which upstream, which configuration is in force and how old
+// that knowledge is. All of it can be lost and comes again with the next
+// exchange.
+package sharer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/follower"
+	"github.com/sardineward/sardineward/matcher"
+	"github.com/sardineward/sardineward/peer"
+)
+
+const (
+	// period is the time between two exchanges with a host, up to some hosts:
+	// a tenth of the life of a stream.
+	period = 200 * time.Millisecond
+	// perHost stretches the period, so that a host spends a fixed part of its
+	// processor on exchanges however many there are.
+	perHost = 15 * time.Millisecond
+	// timeout bounds one exchange: a hundred times the way there and back.
+	timeout = 300 * time.Millisecond
+	// behind is the age of the own knowledge from which a host asks all others
+	// for theirs: it missed an answer of the source.
+	behind = 2500 * time.Millisecond
+)
+
+// Sharer is a peer.Share. The fields are set before Run.
+type Sharer struct {
+	Self     string
+	Follower *follower.Follower
+	Balancer *balancer.Balancer
+	// Now is a clock that goes on while the machine is suspended.
+	Now  func() time.Duration
+	HTTP *http.Client
+	Log  zerolog.Logger
+
+	mu sync.Mutex
+	// versions are the configurations that other hosts had in force.
+	versions map[string]int64
+	busy     map[string]bool
+}
+
+// Run exchanges until ctx ends. Of two hosts the one whose name comes first
+// calls the other; one that is behind calls all.
+func (s *Sharer) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		hosts := s.Follower.Hosts()
+		late := s.Follower.Age() > behind
+		for _, h := range hosts {
+			if (late || s.Self < h.Name) && s.begin(h.Name) {
+				go s.exchange(ctx, h, late)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(max(period, time.Duration(len(hosts))*perHost)):
+		}
+	}
+}
+
+// begin reports whether no exchange with a host is under way, and notes one.
+func (s *Sharer) begin(host string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.busy == nil {
+		s.busy = make(map[string]bool)
+		s.versions = make(map[string]int64)
+	}
+	if s.busy[host] {
+		return false
+	}
+	s.busy[host] = true
+	return true
+}
+
+func (s *Sharer) end(host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.busy, host)
+}
+
+func (s *Sharer) exchange(ctx context.Context, h follower.Host, late bool) {
+	defer s.end(h.Name)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	sent := s.Now()
+	req := &peer.ShareRequest{Host: s.Self, Passing: s.own(), Behind: late}
+	if cfg := s.Follower.Configuration(); cfg != nil {
+		req.Version = cfg.Version
+		req.Configuration = s.newer(s.version(h.Name))
+	}
+	resp, err := peer.NewShareProtobufClient("http://"+h.Address, s.HTTP).Exchange(ctx, req)
+	if err != nil {
+		s.Log.Debug().Err(err).Str("peer", h.Name).Msg("sharer: exchange failed")
+		return
+	}
+	s.take(h.Name, resp.Passing, resp.Version)
+	cfg, err := decode[matcher.Configuration](resp.Configuration)
+	if err != nil {
+		s.Log.Warn().Err(err).Str("peer", h.Name).Msg("sharer: configuration can't be read")
+		return
+	}
+	s.Follower.Heard(sent, time.Duration(resp.AgeMs)*time.Millisecond, resp.Version, cfg)
+	if !late {
+		return
+	}
+	list, err := decode[[]balancer.Upstream](resp.Upstreams)
+	if err != nil {
+		s.Log.Warn().Err(err).Str("peer", h.Name).Msg("sharer: upstreams can't be read")
+		return
+	}
+	if list != nil {
+		s.Follower.Listed(*list)
+	}
+}
+
+// Exchange implements peer.Share.
+func (s *Sharer) Exchange(_ context.Context, req *peer.ShareRequest) (*peer.ShareResponse, error) {
+	cfg, err := decode[matcher.Configuration](req.Configuration)
+	if err != nil {
+		return nil, err
+	}
+	s.begin("")
+	s.end("")
+	s.take(req.Host, req.Passing, req.Version)
+	if cfg != nil {
+		s.Follower.Offered(cfg)
+	}
+	age := s.Follower.Age()
+	resp := &peer.ShareResponse{Host: s.Self, Passing: s.own(), AgeMs: age.Milliseconds() + 1}
+	if cfg := s.Follower.Configuration(); cfg != nil {
+		resp.Version = cfg.Version
+		resp.Configuration = s.newer(req.Version)
+	}
+	if req.Behind && age < behind {
+		resp.Upstreams, err = json.Marshal(s.Balancer.Listed())
+		if err != nil {
+			return nil, err
+		}
+	}
+	return resp, nil
+}
+
+func (s *Sharer) take(host string, list []*peer.Passing, version int64) {
+	passing := make([]balancer.Passing, len(list))
+	for i, p := range list {
+		passing[i] = balancer.Passing{Upstream: p.Upstream, Requests: int(p.Requests), Room: p.Room, Dead: p.Dead}
+	}
+	s.Balancer.Heard(s.Now(), host, passing)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.versions[host] = version
+}
+
+func (s *Sharer) version(host string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v, ok := s.versions[host]
+	if !ok {
+		// What it has is not known yet: nothing is sent.
+		return 1<<63 - 1
+	}
+	return v
+}
+
+func (s *Sharer) own() []*peer.Passing {
+	list := s.Balancer.Own()
+	out := make([]*peer.Passing, len(list))
+	for i, p := range list {
+		out[i] = &peer.Passing{Upstream: p.Upstream, Requests: uint32(p.Requests), Room: p.Room, Dead: p.Dead}
+	}
+	return out
+}
+
+// newer is the configuration in force when it is above a version, else nil.
+func (s *Sharer) newer(version int64) []byte {
+	cfg := s.Follower.Configuration()
+	if cfg == nil || cfg.Version <= version {
+		return nil
+	}
+	b, err := json.Marshal(cfg)
+	if err != nil {
+		s.Log.Error().Err(err).Msg("sharer: configuration can't be encoded")
+		return nil
+	}
+	return b
+}
+
+// decode reads JSON; nil for nothing.
+func decode[T any](b []byte) (*T, error) {
+	if len(b) == 0 {
+		return nil, nil //nolint:nilnil // nothing was sent, which is no error
+	}
+	out := new(T)
+	if err := json.Unmarshal(b, out); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
