placer: close gaps by one order each

Ruled out: order counts (the retry with the right one was refused too). Change: a lost range is taken by an empty upstream, else by one whose layers others hold; paths cross there until then, at the cost of their time.

--- a/balancer/path.go
+++ b/balancer/path.go
@@ -14,12 +14,12 @@
 	hopTime = 2 * time.Millisecond
 	// remoteBias makes upstreams of other data centres dearer: callers there
 	// come first, and a lost link cuts the stream.
-	remoteBias = 0.1
+	remoteBias = 0.2
 	// crossing is what a link between data centres inside a path costs beyond
 	// its time. Every activation of the prompt goes over it, one transfer after
 	// another with those of all others, so that a path that lies whole in
 	// another data centre is better unless that is nearly full.
-	crossing = time.Second
+	crossing = 200 * time.Millisecond
 	// tokenDelay is the delay of one link a token, where none is declared.
 	tokenDelay = time.Millisecond
 	// greyBias is how much dearer an upstream is that fails all it gets.
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -127,12 +127,14 @@
 	}
 	byID := make(map[string]*balancer.Member, len(fleet))
 	var members []placer.Member
+	addresses := make(map[string]string, len(fleet))
 	for i := range fleet {
 		u := &fleet[i]
 		byID[u.ID] = u
+		addresses[u.ID] = u.Address
 		members = append(members, o.member(s.Engine, u))
 	}
-	members = o.remember(members)
+	members = o.remember(members, addresses)
 	for _, m := range placer.Plan(model(s.Engine), members) {
 		u := byID[m.ID]
 		if u == nil || u.Out || !o.Holds(u.DataCentre) {
@@ -143,30 +145,33 @@
 	}
 }
 
-// remember adds members that were listed a moment ago. One that crashed is
-// listed again within seconds, empty and maybe under another name; others lend
-// their memory until then, and go back to their own layers.
-func (o *Orderer) remember(members []placer.Member) []placer.Member {
+// remember adds members that were listed a moment ago, and notes since when the
+// empty ones are. One that crashed is listed again within seconds, empty and
+// maybe under another name, at the same address.
+func (o *Orderer) remember(members []placer.Member, addresses map[string]string) []placer.Member {
 	now := o.Now()
 	listed := make(map[string]bool, len(members))
-	empty := make(map[string]int)
-	for _, m := range members {
-		listed[m.ID] = true
-		if m.Held.Len() > 0 {
-			o.last[m.ID] = remembered{m, now}
-		} else if _, known := o.last[m.ID]; !known {
-			empty[m.DataCentre]++
+	for i := range members {
+		m := &members[i]
+		address := addresses[m.ID]
+		listed[address] = true
+		r, known := o.last[address]
+		switch {
+		case m.Held.Len() > 0:
+			o.last[address] = remembered{*m, now, 0}
+		case !known || r.emptySince == 0:
+			o.last[address] = remembered{*m, now, now}
+		default:
+			m.Waited = now - r.emptySince
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(o.last)) {
-		r := o.last[id]
-		if listed[id] {
+	for _, address := range slices.Sorted(maps.Keys(o.last)) {
+		r := o.last[address]
+		if listed[address] {
 			continue
 		}
-		if now-r.seen > returns || empty[r.member.DataCentre] > 0 {
-			// Gone for good, or an empty one takes its place.
-			empty[r.member.DataCentre]--
-			delete(o.last, id)
+		if now-r.seen > returns || r.member.Held.Len() == 0 {
+			delete(o.last, address)
 			continue
 		}
 		r.member.Missing, r.member.Pending = true, false
@@ -175,10 +180,12 @@
 	return members
 }
 
-// remembered is a member as it was last listed with layers.
+// remembered is a member as it was last listed.
 type remembered struct {
 	member placer.Member
 	seen   time.Duration
+	// emptySince is since when it holds nothing; 0 while it holds layers.
+	emptySince time.Duration
 }
 
 // settle reports whether the fleet was seen whole once.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -13,6 +13,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Span is a range of layers; it is empty when To is not above From.
@@ -50,9 +51,11 @@
 	Held Span
 	// Pending is set while an order to it is under way.
 	Pending bool
-	// Missing is set while it can't be reached and may be back soon. Its place
-	// is kept, and what it held is lent to others.
+	// Missing is set while it can't be reached and may be back soon. What it
+	// held is no gap meanwhile: paths cross to another data centre there.
 	Missing bool
+	// Waited is how long it has held nothing.
+	Waited time.Duration
 }
 
 // Move tells a member what to hold from now on.
@@ -65,9 +68,12 @@
 	// leastRequests is the room that a card keeps beside its layers, in usual
 	// requests; with less it is full at every clump of arrivals.
 	leastRequests = 24
-	// lentRequests is the room that a card keeps while it also holds layers of
-	// a missing one: a narrow path is better than none.
-	lentRequests = 16
+	// fillerRequests is the room that a card keeps when it takes the layers of
+	// another: less than planned, as those beside it have more.
+	fillerRequests = 48
+	// spareAfter is how long an empty member waits for a gap before it holds
+	// what others hold too: the one that it replaces drains only after it came.
+	spareAfter = 3 * time.Second
 	// mostRequests bounds the requests at once that a layout is made for: it is
 	// the largest batch of the known engines.
 	mostRequests = 192
@@ -78,10 +84,11 @@
 	copies = 4
 )
 
-// Plan returns the orders to give now. Ranges move step by step towards a layout
-// of what is alive: a member first loads what it lacks, as far as its memory
-// allows, and gives up a layer only when another holds it, so that paths over
-// what is left never break.
+// Plan returns the orders to give now. A fleet that holds nothing is laid out
+// whole. Later only gaps are closed, each by one order: by an empty member, else
+// by one whose layers others hold too. An upstream drains what it gives up, for
+// as long as its streams last, and takes no other order meanwhile; so layouts
+// that moved every range a little took half a minute to settle.
 func Plan(m Model, members []Member) []Move {
 	var out []Move
 	for _, group := range groups(m, members) {
@@ -130,115 +137,93 @@
 	return max(0, min(n, m.Layers))
 }
 
-// planGroup moves the members of a group towards their targets.
+// planGroup closes the gaps of a group, or lays it out.
 func planGroup(m Model, members []Member) []Move {
-	targets := layout(m, members)
+	if slices.IndexFunc(members, func(x Member) bool { return x.Held.Len() > 0 }) < 0 {
+		return layAll(m, members)
+	}
 	held := newCover(m)
 	for _, x := range members {
-		if !x.Missing {
-			held.add(x.Held, 1)
-		}
+		held.add(x.Held, 1)
 	}
-	lend(m, members, targets, held)
+	moved := make(map[string]bool)
 	var out []Move
-	for i, x := range members {
-		if x.Pending || x.Missing {
-			continue
+	give := func(x Member, s Span) {
+		held.add(x.Held, -1)
+		held.add(s, 1)
+		moved[x.ID] = true
+		out = append(out, Move{x.ID, s})
+	}
+	for gap := held.gap(); gap.Len() > 0; gap = held.gap() {
+		x, s := filler(m, members, moved, held, gap)
+		if s.Len() == 0 {
+			break
 		}
-		next := step(m, x, targets[i], held)
-		if next == x.Held || next.Len() == 0 {
+		give(x, s)
+	}
+	for _, x := range members {
+		if x.Held.Len() > 0 || x.Pending || moved[x.ID] || x.Waited < spareAfter {
 			continue
 		}
-		out = append(out, Move{x.ID, next})
-		// What it gives up counts at once, so that the other holder of the same
-		// layers does not give them up too.
-		held.leave(x.Held, next)
+		if s := relief(m, members, x); s.Len() > 0 {
+			give(x, s)
+		}
 	}
 	return out
 }
 
-// lend widens the targets of members beside layers that nobody can be reached
-// for, each as far as its memory allows.
-func lend(m Model, members []Member, targets []Span, held *cover) {
-	wanted := newCover(m)
-	for i, x := range members {
-		if !x.Missing && x.Held.Len() > 0 {
-			wanted.add(targets[i], 1)
-		}
-	}
-	for l := range m.Layers {
-		if held.n[l] > 0 || wanted.n[l] > 0 {
+// filler is the member that closes most of a gap, and the range it takes: the
+// empty one that fits best, else the one that can best be spared.
+func filler(m Model, members []Member, moved map[string]bool, held *cover, gap Span) (Member, Span) {
+	best, span, grade := Member{}, Span{}, 0.0
+	for _, x := range members {
+		if x.Pending || x.Missing || moved[x.ID] || !held.spare(x.Held) {
 			continue
 		}
-		if i := lender(m, members, targets, l); i >= 0 {
-			targets[i] = Span{min(targets[i].From, l), max(targets[i].To, l+1)}
+		n := min(gap.Len(), most(m, x.MB, fillerRequests))
+		// Closing more counts most, then being empty, then being fast.
+		g := 1e6 * float64(n)
+		if x.Held.Len() == 0 {
+			g += 1e3
+		}
+		g += 100 / max(1, x.Pace)
+		if n > 0 && g > grade {
+			best, span, grade = x, Span{gap.From, gap.From + n}, g
 		}
 	}
+	return best, span
 }
 
-// lender is the member that reaches layer l with most room to spare: one whose
-// target ends beside it.
-func lender(m Model, members []Member, targets []Span, l int) int {
-	best, spare := -1, 0
-	for i, x := range members {
-		t := targets[i]
-		if x.Missing || x.Held.Len() == 0 || (t.To != l && t.From != l+1) {
+// relief is the range that an empty member holds beside others: the one of a
+// member whose layers take most time for those that hold them.
+func relief(m Model, members []Member, x Member) Span {
+	best, load := Span{}, 0.0
+	for _, y := range members {
+		if y.Held.Len() == 0 || y.Held.Len() > most(m, x.MB, fillerRequests) {
 			continue
 		}
-		if s := most(m, x.MB, lentRequests) - t.Len(); s > spare {
-			best, spare = i, s
+		holders := 0.0
+		for _, z := range members {
+			if z.Held == y.Held {
+				holders++
+			}
 		}
-	}
-	return best
-}
-
-// step is what a member holds next on its way to a target.
-func step(m Model, x Member, target Span, held *cover) Span {
-	if x.Held.Len() == 0 {
-		return target
-	}
-	next := shrink(x, target, held)
-	if next != x.Held {
-		return next
-	}
-	if next.To <= target.From || next.From >= target.To {
-		// A range elsewhere is loaded in one go once nobody needs the old one.
-		if held.free(x.Held) {
-			return target
+		if l := y.Pace * float64(y.Held.Len()) / holders; l > load {
+			best, load = y.Held, l
 		}
-		return x.Held
-	}
-	return extend(m, x, target)
-}
-
-// shrink gives up layers that are not in the target and that others hold.
-func shrink(x Member, target Span, held *cover) Span {
-	next := x.Held
-	for next.From < target.From && next.Len() > 1 && held.n[next.From] > 1 {
-		next.From++
-	}
-	for next.To > target.To && next.Len() > 1 && held.n[next.To-1] > 1 {
-		next.To--
 	}
-	return next
+	return best
 }
 
-// extend takes layers of the target that lie next to those held, as many as
-// leave the least room.
-func extend(m Model, x Member, target Span) Span {
-	next := x.Held
-	limit := most(m, x.MB, lentRequests)
-	for next.Len() < limit {
-		switch {
-		case target.To > next.To:
-			next.To++
-		case target.From < next.From:
-			next.From--
-		default:
-			return next
+// layAll gives every member its range of a new layout.
+func layAll(m Model, members []Member) []Move {
+	var out []Move
+	for i, s := range layout(m, members) {
+		if s.Len() > 0 && !members[i].Pending && !members[i].Missing {
+			out = append(out, Move{members[i].ID, s})
 		}
 	}
-	return next
+	return out
 }
 
 // cover counts the members that hold each layer.
@@ -252,17 +237,21 @@
 	}
 }
 
-// leave takes away what is in old and not in next.
-func (c *cover) leave(old, next Span) {
-	for l := old.From; l < min(old.To, len(c.n)); l++ {
-		if l < next.From || l >= next.To {
-			c.n[l]--
-		}
+// gap is the first range of layers that nobody holds.
+func (c *cover) gap() Span {
+	from := slices.Index(c.n, 0)
+	if from < 0 {
+		return Span{}
+	}
+	to := from
+	for to < len(c.n) && c.n[to] == 0 {
+		to++
 	}
+	return Span{from, to}
 }
 
-// free reports whether others hold every layer of a span too.
-func (c *cover) free(s Span) bool {
+// spare reports whether others than its holder hold every layer of a span.
+func (c *cover) spare(s Span) bool {
 	for l := s.From; l < min(s.To, len(c.n)); l++ {
 		if c.n[l] < 2 {
 			return false
@@ -288,7 +277,9 @@
 	out := make([]Span, len(members))
 	at := 0
 	for k, part := range divide(m, kinds) {
-		assign(members, kinds[k].members, slots(at, part, len(kinds[k].members)), out)
+		for i, s := range slots(at, part, len(kinds[k].members)) {
+			out[kinds[k].members[i]] = s
+		}
 		at += part.layers
 	}
 	return out
@@ -411,53 +402,5 @@
 			out = append(out, s)
 		}
 	}
-	slices.SortFunc(out, func(a, b Span) int { return cmp.Or(cmp.Compare(a.From, b.From), cmp.Compare(a.To, b.To)) })
 	return out
 }
-
-// assign gives each member a slot: its own where it holds one, else in the order
-// of what they hold, so that each moves little. Empty members take what is left.
-func assign(members []Member, which []int, free []Span, out []Span) {
-	var rest []int
-	for _, i := range which {
-		if at := slices.Index(free, members[i].Held); at >= 0 {
-			out[i] = free[at]
-			free = slices.Delete(free, at, at+1)
-			continue
-		}
-		rest = append(rest, i)
-	}
-	slices.SortFunc(rest, func(a, b int) int {
-		x, y := members[a], members[b]
-		if (x.Held.Len() == 0) != (y.Held.Len() == 0) {
-			return cmp.Compare(y.Held.Len(), x.Held.Len())
-		}
-		return cmp.Or(cmp.Compare(x.Held.From+x.Held.To, y.Held.From+y.Held.To), cmp.Compare(x.ID, y.ID))
-	})
-	for _, i := range rest {
-		if len(free) == 0 {
-			out[i] = members[i].Held
-			continue
-		}
-		at := nearest(free, members[i].Held)
-		out[i] = free[at]
-		free = slices.Delete(free, at, at+1)
-	}
-}
-
-// nearest is the slot that a member reaches with the fewest loads; the first for
-// an empty one.
-func nearest(free []Span, held Span) int {
-	if held.Len() == 0 {
-		return 0
-	}
-	best, dist := 0, -1
-	for i, s := range free {
-		if d := abs(s.From-held.From) + abs(s.To-held.To); dist < 0 || d < dist {
-			best, dist = i, d
-		}
-	}
-	return best
-}
-
-func abs(n int) int { return max(n, -n) }
