admitter, placer: bound streams by the latency of first events

And a host took a cut-off data centre for lost and moved its upstreams (an a100 from 25-50 to 0-10). Change: a host's streams in flight are bounded once half of the first events are late; a data centre that holds most of a model stays by itself; its duty goes to others only after ten seconds without a host; the first of a path has its slots counted over all hosts.

--- a/balancer/path.go
+++ b/balancer/path.go
@@ -28,6 +28,9 @@
 	// its step counts: once for this request, and once for what this one adds to
 	// theirs.
 	batchWeight = 2.0
+	// slotShare is the part of its slots that the first upstream of a path is
+	// given; beyond, requests wait there for others to end.
+	slotShare = 0.9
 	// headroom is the part of the room that is kept for what other hosts
 	// reserve meanwhile and for answers longer than expected.
 	headroom = 0.1
@@ -144,7 +147,8 @@
 		Sequences:  b.filled(now, u),
 		Slots:      u.room*(1-headroom) - tokens*float64(span.To-span.From),
 		Bias:       greyBias * u.grey,
-		Excluded:   e.Slots > 0 && float64(u.running)*b.silent(now, u.DataCentre) >= float64(e.Slots),
+		// Only what an upstream gets as the first of a path takes a slot.
+		Excluded: span.From == 0 && e.Slots > 0 && b.known(now, u).requests >= slotShare*float64(e.Slots),
 	}
 	if u.DataCentre != b.DataCentre {
 		c.Bias += remoteBias
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -62,6 +62,8 @@
 	Headers  Headers
 	// Budget returns the retry budget of a service.
 	Budget func(service string) *admitter.Window
+	// Latency returns the bound of a service's streams in flight.
+	Latency func(service string) *admitter.Latency
 	// KeysValid is how old the knowledge of keys may be; 0 means any age.
 	KeysValid time.Duration
 	// Now is a clock that goes on while the machine is suspended.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -39,6 +39,12 @@
 
 // stream answers a request by events as they come.
 func (k *call) stream(ctx context.Context) {
+	limit := k.Latency(k.service.Name)
+	if !limit.Enter() {
+		k.refuse(admitter.ReasonQueueFull, "first events come late")
+		return
+	}
+	defer limit.Leave()
 	k.last = parseEventID(k.r.Header.Get("Last-Event-Id"))
 	moves := 0
 	for {
@@ -204,6 +210,7 @@
 			} else {
 				last = now
 				k.firstAfter = now - k.arrived
+				k.Latency(k.service.Name).First(now, now-a.began, k.route.Target)
 				k.Balancer.Begun(now, l)
 				begun = true
 				a.begun.Store(true)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -80,8 +80,11 @@
 	pool     *connector.Pool
 	meter    *meter.Meter
 
-	mu      sync.Mutex
-	budgets map[string]*admitter.Window
+	// hostless is since when data centres have no host, by name.
+	hostless sync.Map
+	mu       sync.Mutex
+	budgets  map[string]*admitter.Window
+	limits   map[string]*admitter.Latency
 }
 
 // Run answers until ctx ends, then stops gracefully.
@@ -136,6 +139,7 @@
 		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * memoryShare * 1e6))
 	}
 	h.budgets = make(map[string]*admitter.Window)
+	h.limits = make(map[string]*admitter.Latency)
 	h.meter = meter.New(meter.Labels(admitter.ReasonValues()), meter.Labels(streamer.CauseValues()))
 	h.balancer = &balancer.Balancer{
 		DataCentre: cfg.DataCentre,
@@ -151,6 +155,7 @@
 		Engines:  h.Engines,
 		Headers:  h.Headers,
 		Budget:   h.budget,
+		Latency:  h.latency,
 		Now:      h.Now,
 		Meter:    h.meter,
 		Log:      h.Log,
@@ -193,6 +198,11 @@
 	h.balancer.SetHosts(hosts)
 }
 
+// takeover is how long a data centre must have had no host before the host of
+// another one gives orders there: longer than a restart, and than the store
+// turns a host away for a moment.
+const takeover = 10 * time.Second
+
 // freeDuties are the data centres whose duty this host is to take: its own, and
 // those that have upstreams and no host left. Hosts of a data centre see its
 // upstreams fail first.
@@ -207,7 +217,14 @@
 	var out []string
 	for _, dc := range append(h.balancer.DataCentres(), own) {
 		holder, known := h.follow.Holder(dc)
-		if known && holder == "" && (dc == own || (first && !hosted[dc])) && !slices.Contains(out, dc) {
+		if hosted[dc] {
+			h.hostless.Delete(dc)
+		}
+		if !known || holder != "" || slices.Contains(out, dc) {
+			continue
+		}
+		since, _ := h.hostless.LoadOrStore(dc, h.Now())
+		if dc == own || (first && !hosted[dc] && h.Now()-since.(time.Duration) > takeover) {
 			out = append(out, dc)
 		}
 	}
@@ -237,6 +254,17 @@
 	return b
 }
 
+func (h *Host) latency(service string) *admitter.Latency {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l := h.limits[service]
+	if l == nil {
+		l = new(admitter.Latency)
+		h.limits[service] = l
+	}
+	return l
+}
+
 func (h *Host) sweep(ctx context.Context) {
 	tick := time.NewTicker(sweepPeriod)
 	defer tick.Stop()
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -52,7 +52,7 @@
 	settle = 900 * time.Millisecond
 	// returns is how long the place of one that is no longer listed is kept:
 	// some seconds of a crash less the heartbeats until its entry lapses.
-	returns = 3 * time.Second
+	returns = 4 * time.Second
 )
 
 // Orderer gives orders. The fields are set before Run.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -108,7 +108,9 @@
 	var out [][]Member
 	var rest []Member
 	for _, dc := range sortedKeys(byCentre) {
-		if fits(m, byCentre[dc]) {
+		// One that holds a model stays by itself: when it is cut off, entries of
+		// its members lapse, and the others must not move into its gaps.
+		if fits(m, byCentre[dc]) || whole(m, byCentre[dc]) {
 			out = append(out, byCentre[dc])
 		} else {
 			rest = append(rest, byCentre[dc]...)
@@ -123,6 +125,21 @@
 	return [][]Member{members}
 }
 
+// whole reports whether members hold all layers, or nearly: one was lost.
+func whole(m Model, members []Member) bool {
+	held := newCover(m)
+	for _, x := range members {
+		held.add(x.Held, 1)
+	}
+	n := 0
+	for _, by := range held.n {
+		if by > 0 {
+			n++
+		}
+	}
+	return 2*n > m.Layers
+}
+
 func fits(m Model, members []Member) bool {
 	n := 0
 	for _, x := range members {
