placer, forwarder: slow cards first on a path, broken streams before new ones

An a100 with all streams of its data centre was moved because a new one held the same layers. Change: the kind with most rows comes first; a stream that broke off takes kept room and waits 1.5 s for a path; donors are those with few streams, empty ones wait 8 s for a gap.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -70,6 +70,9 @@
 	Prompt, Answer float64
 	// Avoid are upstreams that failed this request.
 	Avoid []string
+	// Begun is set for a stream that has to go on: it may take the room that is
+	// kept free otherwise.
+	Begun bool
 }
 
 //go:generate enumer -type Reason -trimprefix Reason -transform title-lower -output reason_gen.go
@@ -534,7 +537,7 @@
 	var out []Member
 	for _, u := range b.ups {
 		if u.Service == service && !u.Leaving {
-			out = append(out, Member{Upstream: u.Upstream, Out: u.dead || u.outUntil > now})
+			out = append(out, Member{Upstream: u.Upstream, Out: u.dead || u.outUntil > now, Streams: int(b.known(now, u).requests)})
 		}
 	}
 	slices.SortFunc(out, func(a, b Member) int { return cmpString(a.Address, b.Address) })
@@ -546,6 +549,8 @@
 	Upstream
 	// Out is set while it can't be reached.
 	Out bool
+	// Streams are the requests whose path it is on, of all hosts.
+	Streams int
 }
 
 func cmpString(a, b string) int {
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -134,6 +134,10 @@
 func (b *Balancer) candidate(now time.Duration, e *matcher.Engine, u *upstream, n Need, tokens float64) picker.Candidate {
 	card := CardOf(e, u.Card)
 	span := u.Holds
+	free := headroom
+	if n.Begun {
+		free = 0
+	}
 	perStep := e.StepMs + batchWeight*b.known(now, u).requests*(e.PerSequenceMs+e.PerContextMs*tokens/1e3)
 	perLayer := (n.Prompt/e.ReadPerSecond*card.ReadPace + n.Answer*perStep/1e3*card.Pace) / float64(e.Layers)
 	c := picker.Candidate{
@@ -145,7 +149,7 @@
 		Layer:      time.Duration(perLayer * float64(time.Second)),
 		Batch:      1,
 		Sequences:  b.filled(now, u),
-		Slots:      u.room*(1-headroom) - tokens*float64(span.To-span.From),
+		Slots:      u.room*(1-free) - tokens*float64(span.To-span.From),
 		Bias:       greyBias * u.grey,
 		// Only what an upstream gets as the first of a path takes a slot.
 		Excluded: span.From == 0 && e.Slots > 0 && b.known(now, u).requests >= slotShare*float64(e.Slots),
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -21,6 +21,11 @@
 	// resumptions bounds how often one stream may be moved.
 	resumptions = 4
 	readSize    = 4 << 10
+	// resumeWait is how long a stream that broke off waits for a path: callers
+	// give a silent stream up after two seconds. resumePause is the time between
+	// two tries.
+	resumeWait  = 1500 * time.Millisecond
+	resumePause = 50 * time.Millisecond
 )
 
 // attempt is one run of a stream over a path.
@@ -85,16 +90,22 @@
 		return k.acquire(n)
 	}
 	n.Service = k.service.Name
-	n.Avoid = k.avoid
-	l, _ := k.Balancer.Acquire(k.Now(), n)
-	if l == nil {
-		n.Avoid = nil
-		l, _ = k.Balancer.Acquire(k.Now(), n)
-	}
-	if l == nil {
-		k.cut(0)
+	n.Begun = true
+	for until := k.Now() + resumeWait; ; {
+		n.Avoid = k.avoid
+		l, _ := k.Balancer.Acquire(k.Now(), n)
+		if l == nil {
+			n.Avoid = nil
+			l, _ = k.Balancer.Acquire(k.Now(), n)
+		}
+		if l != nil {
+			return l
+		}
+		if k.Now() > until || k.r.Context().Err() != nil {
+			k.cut(0)
+		}
+		time.Sleep(resumePause)
 	}
-	return l
 }
 
 // cut closes a stream midway. Its body has no end, so that the caller can't
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -222,7 +222,7 @@
 // is under way it is taken to hold what it was ordered.
 func (o *Orderer) member(e *matcher.Engine, u *balancer.Member) placer.Member {
 	card := balancer.CardOf(e, u.Card)
-	m := placer.Member{ID: u.ID, DataCentre: u.DataCentre, MB: card.MB, Pace: card.Pace, Held: placer.Span(u.Holds), Missing: u.Out}
+	m := placer.Member{ID: u.ID, DataCentre: u.DataCentre, MB: card.MB, Pace: card.Pace, Held: placer.Span(u.Holds), Missing: u.Out, Streams: u.Streams}
 	if o.awaits(u) {
 		m.Pending = true
 		if m.Held.Len() == 0 {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -54,6 +54,8 @@
 	// Missing is set while it can't be reached and may be back soon. What it
 	// held is no gap meanwhile: paths cross to another data centre there.
 	Missing bool
+	// Streams is how many pass it now.
+	Streams int
 	// Waited is how long it has held nothing.
 	Waited time.Duration
 }
@@ -73,7 +75,7 @@
 	fillerRequests = 48
 	// spareAfter is how long an empty member waits for a gap before it holds
 	// what others hold too: the one that it replaces drains only after it came.
-	spareAfter = 3 * time.Second
+	spareAfter = 8 * time.Second
 	// mostRequests bounds the requests at once that a layout is made for: it is
 	// the largest batch of the known engines.
 	mostRequests = 192
@@ -198,12 +200,14 @@
 			continue
 		}
 		n := min(gap.Len(), most(m, x.MB, fillerRequests))
-		// Closing more counts most, then being empty, then being fast.
+		// Closing more counts most, then being empty, then having few streams to
+		// drain, then being fast.
 		g := 1e6 * float64(n)
 		if x.Held.Len() == 0 {
-			g += 1e3
+			g += 1e5
 		}
-		g += 100 / max(1, x.Pace)
+		g += 1e3 / float64(1+x.Streams)
+		g += 1 / max(1, x.Pace)
 		if n > 0 && g > grade {
 			best, span, grade = x, Span{gap.From, gap.From + n}, g
 		}
@@ -287,13 +291,19 @@
 }
 
 // layout is the range of each member once all moves are made. Each kind of card
-// holds one part of the model, the fastest the first, in one or more rows that
-// each hold that part whole.
+// holds one part of the model in one or more rows that each hold that part whole.
+//
+// The slowest comes first: it has most rows. A stream whose first upstream is
+// lost has to be sent again as a new request, while another hop of its path is
+// replaced by an order; with the one fastest card of a data centre first, its
+// loss cut 114 streams at once.
 func layout(m Model, members []Member) []Span {
 	kinds := kindsOf(members)
 	out := make([]Span, len(members))
 	at := 0
-	for k, part := range divide(m, kinds) {
+	parts := divide(m, kinds)
+	for k := len(kinds) - 1; k >= 0; k-- {
+		part := parts[k]
 		for i, s := range slots(at, part, len(kinds[k].members)) {
 			out[kinds[k].members[i]] = s
 		}
