--- a/follower/follower.go
+++ b/follower/follower.go
@@ -96,8 +96,9 @@
 	table atomic.Pointer[matcher.Table]
 	// cfg is what table was made of.
 	cfg atomic.Pointer[matcher.Configuration]
-	// fresh is when the last answered call was sent, on the clock of Now.
-	fresh atomic.Int64
+	// fresh is when the last answered call was sent, on the clock of Now, by
+	// this host or by a peer; own is when this host's was.
+	fresh, own atomic.Int64
 
 	mu       sync.Mutex
 	revision int64
@@ -122,6 +123,15 @@
 	return f.Now() - time.Duration(at)
 }
 
+// OwnAge is the age of what this host read itself.
+func (f *Follower) OwnAge() time.Duration {
+	at := f.own.Load()
+	if at == 0 {
+		return time.Hour
+	}
+	return f.Now() - time.Duration(at)
+}
+
 // Configuration is what is in force; nil before the first was read.
 func (f *Follower) Configuration() *matcher.Configuration { return f.cfg.Load() }
 
@@ -325,6 +335,7 @@
 	}
 	f.configure(ch.Configuration)
 	f.fresh.Store(max(f.fresh.Load(), int64(sent)))
+	f.own.Store(int64(sent))
 	f.mu.Unlock()
 	f.Balancer.List(ch.Listed, gone)
 	if f.OnChange != nil {
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -30,7 +30,7 @@
 	timeout = 300 * time.Millisecond
 	// behind is the age of the own knowledge from which a host asks all others
 	// for theirs: it missed an answer of the source.
-	behind = 2500 * time.Millisecond
+	behind = 2 * time.Second
 )
 
 // Sharer is a peer.Share. The fields are set before Run.
@@ -54,7 +54,7 @@
 func (s *Sharer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		hosts := s.Follower.Hosts()
-		late := s.Follower.Age() > behind
+		late := s.Follower.OwnAge() > behind
 		for _, h := range hosts {
 			if (late || s.Self < h.Name) && s.begin(h.Name) {
 				go s.exchange(ctx, h, late)
@@ -141,7 +141,7 @@
 		resp.Version = cfg.Version
 		resp.Configuration = s.newer(req.Version)
 	}
-	if req.Behind && age < behind {
+	if req.Behind && s.Follower.OwnAge() < behind {
 		resp.Upstreams, err = json.Marshal(s.Balancer.Listed())
 		if err != nil {
 			return nil, err
