balancer: silence by how many streams pass an upstream

Cause: a crash was noticed 120 ms after the last event of any stream, and the moved streams then paused 300 to 400 ms, over the 250 ms that callers expect. Change: with many streams events come more often, so 45 ms of silence are enough to ask; duties of a data centre without a host pass on after 1.5 s; leases of 3 s.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -378,13 +378,23 @@
 	}
 }
 
+const (
+	// silenceOne is how long one stream may get no event before its upstreams
+	// are asked: five events, and well under the pause that callers expect at
+	// most. Over an upstream with more streams events come as many times more
+	// often, down to silenceLeast, which is one pass of the slowest engines.
+	silenceOne   = 250 * time.Millisecond
+	silenceLeast = 45 * time.Millisecond
+)
+
 // Silent lists upstreams over which streams have begun and none has got an
-// event for limit.
-func (b *Balancer) Silent(now, limit time.Duration) []Hop {
+// event for longer than that many streams explain.
+func (b *Balancer) Silent(now time.Duration) []Hop {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []Hop
 	for _, u := range b.ups {
+		limit := max(silenceLeast, silenceOne/time.Duration(max(1, u.flows)))
 		if u.flows > 0 && !u.dead && now-u.progressed > limit {
 			out = append(out, Hop{ID: u.ID, Address: u.Address})
 		}
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -10,11 +10,10 @@
 
 const (
 	// watchPeriod is the time between two looks for silent upstreams.
-	watchPeriod = 40 * time.Millisecond
-	// silence is how long no stream over an upstream may get an event before
-	// it is asked: four events of one stream, and well under the pause that
-	// callers expect at most.
-	silence = 120 * time.Millisecond
+	watchPeriod = 20 * time.Millisecond
+	// askRest is how long an upstream that took a connection is not asked
+	// again.
+	askRest = 120 * time.Millisecond
 	// slowStart is how long a stream may wait for its first event before the
 	// upstreams of its path are asked: twice the usual.
 	slowStart = 250 * time.Millisecond
@@ -56,8 +55,8 @@
 		if late {
 			continue
 		}
-		for _, h := range f.Balancer.Silent(now, silence) {
-			f.ask(ctx, h, silence)
+		for _, h := range f.Balancer.Silent(now) {
+			f.ask(ctx, h, askRest)
 		}
 		for _, h := range f.slow(now) {
 			f.ask(ctx, h, slowStart)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -201,7 +201,7 @@
 // takeover is how long a data centre must have had no host before the host of
 // another one gives orders there: longer than a restart, and than the store
 // turns a host away for a moment.
-const takeover = 10 * time.Second
+const takeover = 1500 * time.Millisecond
 
 // freeDuties are the data centres whose duty this host is to take: its own, and
 // those that have upstreams and no host left. Hosts of a data centre see its
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -19,9 +19,9 @@
 const (
 	// ttl is how long a lost host is still listed and keeps its duty. Half of
 	// it is a lost heartbeat and the next one; shorter ones end in every pause.
-	ttl = 4 * time.Second
+	ttl = 3 * time.Second
 	// period is the time between two heartbeats: three fit into ttl.
-	period = 1200 * time.Millisecond
+	period = 800 * time.Millisecond
 )
 
 // Entry is what others read of a host.
