orderer: what a leaving upstream holds is a gap at once

Found by the refusal's log line, which now names the gap. One gap nobody could fill also kept the others open.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -546,7 +546,7 @@
 	defer b.mu.Unlock()
 	var out []Member
 	for _, u := range b.ups {
-		if u.Service == service && !u.Leaving {
+		if u.Service == service {
 			out = append(out, Member{Upstream: u.Upstream, Out: u.dead || u.outUntil > now, Streams: int(b.known(now, u).requests)})
 		}
 	}
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -1,7 +1,9 @@
 package balancer
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sardineward/sardineward/matcher"
@@ -183,6 +185,42 @@
 	return links
 }
 
+// Uncovered tells which layers of a service no usable upstream holds, and what
+// the upstreams that hold them lack; for logs.
+func (b *Balancer) Uncovered(now time.Duration, service string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[service]
+	if s == nil || s.Engine == nil {
+		return ""
+	}
+	held := make([]bool, s.Engine.Layers)
+	var lacking []string
+	for _, u := range b.ups {
+		switch {
+		case u.Service != service || u.Holds.Len() == 0:
+		case u.usable(now, nil):
+			for l := max(0, u.Holds.From); l < min(u.Holds.To, len(held)); l++ {
+				held[l] = true
+			}
+		default:
+			lacking = append(lacking, fmt.Sprintf("%s=%d-%d leaving=%t dead=%t out=%t", u.Address, u.Holds.From, u.Holds.To, u.Leaving, u.dead, u.outUntil > now))
+		}
+	}
+	var gaps []string
+	for l := 0; l < len(held); l++ {
+		from := l
+		for l < len(held) && !held[l] {
+			l++
+		}
+		if l > from {
+			gaps = append(gaps, fmt.Sprintf("%d-%d", from, l))
+		}
+	}
+	slices.Sort(lacking)
+	return "layers " + strings.Join(gaps, ",") + " not held; unusable: " + strings.Join(lacking, " ")
+}
+
 // shortage tells a path without room from layers that nobody holds.
 func (b *Balancer) shortage(cands []picker.Candidate, layers int) Reason {
 	held := make([]bool, layers)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -320,7 +320,7 @@
 	case reason == balancer.ReasonNoRoom:
 		k.refuse(admitter.ReasonQueueFull, "no room")
 	default:
-		k.refuse(admitter.ReasonNoRoute, "no upstream")
+		k.refuse(admitter.ReasonNoRoute, "no upstream: "+k.Balancer.Uncovered(k.Now(), k.service.Name))
 	}
 }
 
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -130,6 +130,11 @@
 	addresses := make(map[string]string, len(fleet))
 	for i := range fleet {
 		u := &fleet[i]
+		if u.Leaving {
+			// It does not come back: what it holds is a gap from now on.
+			delete(o.last, u.Address)
+			continue
+		}
 		byID[u.ID] = u
 		addresses[u.ID] = u.Address
 		members = append(members, o.member(s.Engine, u))
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -176,7 +176,9 @@
 	for gap := held.gap(); gap.Len() > 0; gap = held.gap() {
 		x, s := filler(m, members, moved, held, gap)
 		if s.Len() == 0 {
-			break
+			// Nobody can take it now; the other gaps are looked at all the same.
+			held.add(gap, 1)
+			continue
 		}
 		give(x, s)
 	}
