orderer, balancer, admitter: await accepted orders; ask a data centre whole

A cut-off data centre was found one upstream at a time, each by streams that waited two seconds. The bound on streams took seven seconds to rise again after a loss was made good.

--- a/admitter/latency.go
+++ b/admitter/latency.go
@@ -36,11 +36,14 @@
 	// started under the last bound have shown what it does.
 	decrease      = 0.9
 	decreaseEvery = 400 * time.Millisecond
-	// increase is by how much the bound rises with each first event in time
-	// while it is reached.
-	increase = 1.0
-	// leastLimit keeps some streams going whatever they show.
-	leastLimit = 8
+	// increase and increasePart are by how much the bound rises with each first
+	// event in time while it is reached: one, and a part of the bound, so that it
+	// is back within some lives of a stream after a loss that was made good.
+	increase     = 1.0
+	increasePart = 0.04
+	// leastLimit keeps some streams going whatever they show: about what a host
+	// has in flight on a quiet day.
+	leastLimit = 24
 	// unbounded is the bound before anything came late.
 	unbounded = 1e6
 )
@@ -83,7 +86,7 @@
 		l.limit = max(leastLimit, min(l.limit, float64(l.inFlight))*decrease)
 		l.cut = now
 	case late == 0 && float64(l.inFlight) >= l.limit*0.8:
-		l.limit += increase
+		l.limit += increase + increasePart*l.limit
 	}
 }
 
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -102,8 +102,10 @@
 	outUntil time.Duration
 	// strikes counts failures in a row that took it out.
 	strikes int
-	// dead is set while it takes no connection, until it does again.
+	// dead is set while it takes no connection, until it does again; died is
+	// when that was found.
 	dead bool
+	died time.Duration
 	// grey is the smoothed share of failed requests.
 	grey float64
 	// load is what it last said of all hosts' requests, at loadAt.
@@ -439,7 +441,7 @@
 
 // SetDead notes whether an upstream takes connections. It reports whether that
 // was news.
-func (b *Balancer) SetDead(id string, dead bool) bool {
+func (b *Balancer) SetDead(now time.Duration, id string, dead bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u := b.ups[id]
@@ -447,9 +449,44 @@
 		return false
 	}
 	u.dead = dead
+	if dead {
+		u.died = now
+	}
 	return true
 }
 
+// together is the time within which the loss of two upstreams of one data centre
+// speaks of the way there.
+const together = time.Second
+
+// Suspects lists the other upstreams of the data centre of one that was found
+// dead, when another there was just before. A data centre that is cut off is
+// found one upstream after the other otherwise, each by streams that wait.
+func (b *Balancer) Suspects(now time.Duration, id string) []Hop {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := b.ups[id]
+	if u == nil {
+		return nil
+	}
+	var out []Hop
+	more := false
+	for _, v := range b.ups {
+		if v == u || v.DataCentre != u.DataCentre {
+			continue
+		}
+		if v.dead {
+			more = more || now-v.died < together
+			continue
+		}
+		out = append(out, Hop{ID: v.ID, Address: v.Address})
+	}
+	if !more {
+		return nil
+	}
+	return out
+}
+
 const (
 	// greyMemory is the weight of one more outcome: ten requests tell a third
 	// of failures from a slip.
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -99,7 +99,7 @@
 	}
 	if ctx.Err() == nil {
 		if e.Dial {
-			if k.Balancer.SetDead(l.Hops[0].ID, true) {
+			if k.Balancer.SetDead(k.Now(), l.Hops[0].ID, true) {
 				k.Log.Warn().Str("requestId", k.id).Str("upstream", l.Hops[0].ID).Str("address", l.Hops[0].Address).Err(err).Msg("forwarder: upstream out")
 			}
 		} else {
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -122,13 +122,16 @@
 // learn notes whether an upstream lives, and moves the streams over one that
 // does not.
 func (f *Forwarder) learn(ctx context.Context, h balancer.Hop, alive bool) {
-	if !f.Balancer.SetDead(h.ID, !alive) {
+	if !f.Balancer.SetDead(f.Now(), h.ID, !alive) {
 		return
 	}
 	if alive {
 		f.Log.Info().Str("upstream", h.ID).Str("address", h.Address).Msg("forwarder: upstream back")
 		return
 	}
+	for _, other := range f.Balancer.Suspects(f.Now(), h.ID) {
+		f.ask(ctx, other, askRest)
+	}
 	moved := f.over(h.ID)
 	f.Log.Warn().Str("upstream", h.ID).Str("address", h.Address).Int("streams", len(moved)).Msg("forwarder: silent upstream out")
 	for _, a := range moved {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -221,7 +221,9 @@
 			} else {
 				last = now
 				k.firstAfter = now - k.arrived
-				k.Latency(k.service.Name).First(now, now-a.began, k.route.Target)
+				if a.moves.Load() == 0 {
+					k.Latency(k.service.Name).First(now, now-a.began, k.route.Target)
+				}
 				k.Balancer.Begun(now, l)
 				begun = true
 				a.begun.Store(true)
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -42,9 +42,12 @@
 const (
 	// period is the time between two looks at the layout.
 	period = 250 * time.Millisecond
-	// patience is how long beyond its load time an order is awaited before the
-	// list is believed again: the list lags by a heartbeat.
-	patience = 4 * time.Second
+	// patience is how long an order that was accepted is awaited before the list
+	// is believed again. An upstream first drains the streams over what it gives
+	// up; with four seconds a second and a third one were sent for the same gap.
+	patience = 20 * time.Second
+	// refused is how long one that was refused, or not answered, is left alone.
+	refused = time.Second
 	// timeout bounds one order: a hundred times the way there and back.
 	timeout = 500 * time.Millisecond
 	// settle is how long the fleet must not have grown before the first layout
@@ -92,6 +95,8 @@
 	// born is the start of the upstream that it was given to.
 	born  int64
 	until time.Duration
+	// failed is set where it was refused or not answered.
+	failed bool
 }
 
 // Run gives orders until ctx ends.
@@ -223,18 +228,16 @@
 	}
 }
 
-// member is an upstream as the layout sees it. While an order to an empty one
-// is under way it is taken to hold what it was ordered.
+// member is an upstream as the layout sees it. While an order is under way it is
+// taken to hold what it was ordered: it takes nothing new for its old layers.
 func (o *Orderer) member(e *matcher.Engine, u *balancer.Member) placer.Member {
 	card := balancer.CardOf(e, u.Card)
 	m := placer.Member{ID: u.ID, DataCentre: u.DataCentre, MB: card.MB, Pace: card.Pace, Held: placer.Span(u.Holds), Missing: u.Out, Streams: u.Streams}
 	if o.awaits(u) {
 		m.Pending = true
-		if m.Held.Len() == 0 {
-			o.mu.Lock()
-			m.Held = o.pending[u.ID].span
-			o.mu.Unlock()
-		}
+		o.mu.Lock()
+		m.Held = o.pending[u.ID].span
+		o.mu.Unlock()
 	}
 	return m
 }
@@ -247,7 +250,7 @@
 	if !ok {
 		return false
 	}
-	done := placer.Span(u.Holds) == p.span
+	done := p.span.Len() > 0 && placer.Span(u.Holds) == p.span && !p.failed
 	if done || p.born != u.Born || o.Now() > p.until {
 		delete(o.pending, u.ID)
 		return false
@@ -275,6 +278,7 @@
 	if err != nil {
 		o.mu.Lock()
 		delete(o.taken, u.ID)
+		o.pending[u.ID] = pending{span: placer.Span(u.Holds), born: u.Born, until: o.Now() + refused, failed: true}
 		o.mu.Unlock()
 	}
 	o.Log.Info().Err(err).Str("upstream", u.ID).Str("address", u.Address).Int("from", span.From).Int("to", span.To).
