balancer, forwarder: learn links by first events; ask whom streams wait for

Ruled out: dead upstreams (all took connections). Change: first events over a link, also those waited for in vain, price it; the first upstream of a waiting stream tells which hop it waits for, and a cut link moves its streams only.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -136,6 +136,10 @@
 	mu sync.Mutex
 	// hosts are the other hosts, each with its data centre.
 	hosts map[string]string
+	// base is the smoothed time to the first event of paths that stay in one
+	// data centre, seen what is known of the links between them.
+	base time.Duration
+	seen map[[2]string]*link
 	// heard is what other hosts have in flight, by host.
 	heard    map[string]news
 	services map[string]*matcher.Service
--- /dev/null
+++ b/balancer/links.go
@@ -0,0 +1,107 @@
+package balancer
+
+import (
+	"math"
+	"time"
+)
+
+// link is what this host has seen of the way between two data centres.
+type link struct {
+	// delay is by how much first events over it came later than others, as of
+	// at.
+	delay time.Duration
+	at    time.Duration
+}
+
+const (
+	// linkWeight is the weight of one more first event over a link.
+	linkWeight = 0.3
+	// linkMemory is the time in which what was seen of a link counts for a third
+	// of what it did: it has to be tried again to be known better.
+	linkMemory = 3 * time.Second
+	// linkPrice is how often the delay of a link counts: each path over it makes
+	// it slower for the others.
+	linkPrice = 2.0
+	// linkDown is the delay of a link over which two upstreams don't reach each
+	// other: more than any path elsewhere takes.
+	linkDown = 10 * time.Second
+	// baseWeight is the weight of one more first event of a path that stays in
+	// one data centre.
+	baseWeight = 0.05
+)
+
+// pair names a link; both directions are one.
+func pair(a, b string) [2]string {
+	if b < a {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+// First takes in how long the first event of a path took, or how long it was
+// waited for in vain.
+//
+// The load it answers: a pipe between two data centres that is slower than it
+// is declared, or full. Prompts queue up in it, and the requests that cross it
+// get no event within the time that callers wait.
+func (b *Balancer) First(l *Lease, now, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	crossed := b.crossed(l)
+	if len(crossed) == 0 {
+		b.base += time.Duration(baseWeight * float64(took-b.base))
+		return
+	}
+	late := max(0, took-b.base)
+	for p := range crossed {
+		k := b.link(now, p)
+		k.delay += time.Duration(linkWeight * float64(late-k.delay))
+		k.at = now
+	}
+}
+
+// LinkDown notes that an upstream does not reach another one in another data
+// centre. It reports false where both are in the same.
+func (b *Balancer) LinkDown(now time.Duration, from, to string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u, v := b.byAddr[from], b.byAddr[to]
+	if u == nil || v == nil || u.DataCentre == v.DataCentre {
+		return false
+	}
+	k := b.link(now, pair(u.DataCentre, v.DataCentre))
+	k.delay, k.at = linkDown, now
+	return true
+}
+
+// crossed are the links that a path goes over.
+func (b *Balancer) crossed(l *Lease) map[[2]string]bool {
+	out := make(map[[2]string]bool)
+	last := ""
+	for _, h := range l.Hops {
+		u := b.ups[h.ID]
+		if u == nil {
+			continue
+		}
+		if last != "" && last != u.DataCentre {
+			out[pair(last, u.DataCentre)] = true
+		}
+		last = u.DataCentre
+	}
+	return out
+}
+
+// link returns what is known of a link, aged to now.
+func (b *Balancer) link(now time.Duration, p [2]string) *link {
+	if b.seen == nil {
+		b.seen = make(map[[2]string]*link)
+	}
+	k := b.seen[p]
+	if k == nil {
+		k = &link{at: now}
+		b.seen[p] = k
+	}
+	k.delay = time.Duration(float64(k.delay) * math.Exp(-float64(now-k.at)/float64(linkMemory)))
+	k.at = now
+	return k
+}
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -56,7 +56,7 @@
 	if !covered {
 		return nil, ReasonNoUpstream
 	}
-	route := b.Policy.Pick(cands, picker.Need{Layers: e.Layers}, b.links(e, n, cands), b.Rand)
+	route := b.Policy.Pick(cands, picker.Need{Layers: e.Layers}, b.links(now, e, n, cands), b.Rand)
 	if route == nil {
 		return nil, b.shortage(cands, e.Layers)
 	}
@@ -118,7 +118,7 @@
 		}
 		cands = append(cands, c)
 	}
-	route := b.Policy.Pick(cands, picker.Need{Layers: e.Layers - first.To}, b.links(e, l.need, cands), b.Rand)
+	route := b.Policy.Pick(cands, picker.Need{Layers: e.Layers - first.To}, b.links(now, e, l.need, cands), b.Rand)
 	if route == nil {
 		return nil
 	}
@@ -163,7 +163,7 @@
 }
 
 // links gives the cost of a link inside a path between any two data centres.
-func (b *Balancer) links(e *matcher.Engine, n Need, cands []picker.Candidate) picker.Links {
+func (b *Balancer) links(now time.Duration, e *matcher.Engine, n Need, cands []picker.Candidate) picker.Links {
 	cost := crossing + time.Duration(n.Answer)*tokenDelay
 	if e.PipeMbps > 0 {
 		cost += time.Duration(n.Prompt * e.ActivationBytes * 8 / (e.PipeMbps * 1e6) * float64(time.Second))
@@ -179,7 +179,7 @@
 	links := make(picker.Links)
 	for _, x := range centres {
 		for _, y := range centres {
-			links[[2]string{x, y}] = cost
+			links[[2]string{x, y}] = cost + time.Duration(linkPrice*float64(b.link(now, pair(x, y)).delay))
 		}
 	}
 	return links
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/sardineward/sardineward/balancer"
@@ -21,6 +22,16 @@
 	askTimeout = 80 * time.Millisecond
 	// askAgain is the time between two questions to a dead upstream.
 	askAgain = 400 * time.Millisecond
+	// stuckStart and stuckGap are how long a stream may wait for its first and
+	// for a further event before its first upstream is asked what holds it up:
+	// some upstreams take connections and don't reach each other.
+	stuckStart = 400 * time.Millisecond
+	stuckGap   = 200 * time.Millisecond
+	// stallRest is the time between two such questions to one upstream: its
+	// answer is some hundred milliseconds old.
+	stallRest = 250 * time.Millisecond
+	// stallTimeout bounds one.
+	stallTimeout = 150 * time.Millisecond
 	// oversleep is how late a look may be; after a later one this host itself
 	// was held up, and silence says nothing of upstreams.
 	oversleep = 40 * time.Millisecond
@@ -33,6 +44,9 @@
 	// Repath orders the first upstream of a path to go on with a request over
 	// other hops. An error means that it did not, or may not have.
 	Repath(ctx context.Context, requestID string, hops []balancer.Hop) error
+	// Stalled asks an upstream which of the requests that it is the first to run
+	// wait for another one, and returns the addresses of these.
+	Stalled(ctx context.Context, address string) ([]string, error)
 }
 
 // Watch looks for silent upstreams until ctx ends. One that does not take a
@@ -61,6 +75,9 @@
 		for _, h := range f.slow(now) {
 			f.ask(ctx, h, slowStart)
 		}
+		for _, h := range f.stuck(now) {
+			f.askStalled(ctx, h)
+		}
 		for _, h := range f.Balancer.Dead() {
 			f.ask(ctx, h, askAgain)
 		}
@@ -81,26 +98,110 @@
 	return out
 }
 
-// ask connects to an upstream once at a time, and not again before rest.
-func (f *Forwarder) ask(ctx context.Context, h balancer.Hop, rest time.Duration) {
+// stuck lists the first upstreams of streams that wait too long.
+func (f *Forwarder) stuck(now time.Duration) []balancer.Hop {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seen := make(map[string]bool)
+	var out []balancer.Hop
+	for a := range f.streams {
+		limit := stuckStart
+		if a.begun.Load() {
+			limit = stuckGap
+		}
+		if now-time.Duration(a.last.Load()) < limit {
+			continue
+		}
+		if first := f.Balancer.Path(a.lease)[0]; !seen[first.ID] {
+			seen[first.ID] = true
+			out = append(out, first)
+		}
+	}
+	return out
+}
+
+// askStalled asks an upstream what its requests wait for, and moves the streams
+// over those that it names.
+func (f *Forwarder) askStalled(ctx context.Context, h balancer.Hop) {
+	if !f.beginProbe("stalled " + h.ID) {
+		return
+	}
+	go func() {
+		defer f.endProbe("stalled "+h.ID, stallRest)
+		ctx, cancel := context.WithTimeout(ctx, stallTimeout)
+		defer cancel()
+		addresses, err := f.Engines.Stalled(ctx, h.Address)
+		if err != nil {
+			f.Log.Debug().Err(err).Str("upstream", h.ID).Msg("forwarder: stalled requests not learnt")
+			return
+		}
+		for _, address := range addresses {
+			f.stalledBy(ctx, h, address)
+		}
+	}()
+}
+
+// stalledBy draws what it tells that requests which one upstream was the first to
+// run wait for another: the way between two data centres is cut, or the other
+// one is out of reach.
+func (f *Forwarder) stalledBy(ctx context.Context, first balancer.Hop, address string) {
+	id := f.Balancer.ByAddress(address)
+	if id == "" {
+		return
+	}
+	h := balancer.Hop{ID: id, Address: address}
+	if f.Balancer.LinkDown(f.Now(), first.Address, address) {
+		moved := f.over(id)
+		moved = slices.DeleteFunc(moved, func(a *attempt) bool { return f.Balancer.Path(a.lease)[0].ID != first.ID })
+		f.Log.Warn().Str("upstream", id).Str("from", first.ID).Int("streams", len(moved)).Msg("forwarder: link down")
+		for _, a := range moved {
+			go f.move(context.WithoutCancel(ctx), a, h)
+		}
+		return
+	}
+	if !f.Balancer.Out(f.Now(), id) {
+		return
+	}
+	moved := f.over(id)
+	f.Log.Warn().Str("upstream", id).Str("address", address).Int("streams", len(moved)).Msg("forwarder: upstream out of reach of others")
+	for _, a := range moved {
+		go f.move(context.WithoutCancel(ctx), a, h)
+	}
+}
+
+// beginProbe reports whether a probe may start: one of each kind at a time.
+func (f *Forwarder) beginProbe(name string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.probing == nil {
 		f.probing = make(map[string]bool)
 	}
-	if f.probing[h.ID] {
+	if f.probing[name] {
+		return false
+	}
+	f.probing[name] = true
+	return true
+}
+
+// endProbe lets the next one start after rest.
+func (f *Forwarder) endProbe(name string, rest time.Duration) {
+	time.Sleep(rest)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.probing, name)
+}
+
+// ask connects to an upstream once at a time, and not again before rest.
+func (f *Forwarder) ask(ctx context.Context, h balancer.Hop, rest time.Duration) {
+	if !f.beginProbe(h.ID) {
 		return
 	}
-	f.probing[h.ID] = true
 	go func() {
+		defer f.endProbe(h.ID, rest)
 		alive := f.connects(ctx, h.Address)
 		if ctx.Err() == nil {
 			f.learn(ctx, h, alive)
 		}
-		time.Sleep(rest)
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		delete(f.probing, h.ID)
 	}()
 }
 
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -35,6 +35,8 @@
 	lease *balancer.Lease
 	// begun is set with the first event.
 	begun atomic.Bool
+	// last is when its last event came, or when it was sent.
+	last atomic.Int64
 	// moves counts changes of its path.
 	moves atomic.Int32
 	// began is when it was sent.
@@ -146,6 +148,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a := &attempt{id: k.id, lease: l, began: k.Now(), cancel: cancel}
+	a.last.Store(int64(a.began))
 	k.track(a)
 	defer k.untrack(a)
 	req := k.request(l)
@@ -154,6 +157,7 @@
 	}
 	resp, err := k.Pool.Do(ctx, req)
 	if err != nil {
+		k.inVain(a)
 		return k.unanswered(ctx, l, err)
 	}
 	defer resp.Done()
@@ -166,7 +170,18 @@
 		k.logAttempt(l, "stream without signature", nil)
 		return verdictMayHaveRun
 	}
-	return k.relay(ctx, a, resp)
+	v := k.relay(ctx, a, resp)
+	if !a.begun.Load() {
+		k.inVain(a)
+	}
+	return v
+}
+
+// inVain notes a stream that ended before its first event.
+func (k *call) inVain(a *attempt) {
+	if now := k.Now(); a.moves.Load() == 0 && now-a.began > k.route.Target {
+		k.Balancer.First(a.lease, now, now-a.began)
+	}
 }
 
 // refusedStream takes an answer that is no stream.
@@ -214,6 +229,7 @@
 				return k.callerGone()
 			}
 			now := k.Now()
+			a.last.Store(int64(now))
 			if begun {
 				k.Balancer.Progress(now, l)
 				gap = max(gap, now-last)
@@ -222,6 +238,7 @@
 				last = now
 				k.firstAfter = now - k.arrived
 				if a.moves.Load() == 0 {
+					k.Balancer.First(l, now, now-a.began)
 					k.Latency(k.service.Name).First(now, now-a.began, k.route.Target)
 				}
 				k.Balancer.Begun(now, l)
