--- a/balancer/links.go
+++ b/balancer/links.go
@@ -22,9 +22,6 @@
 	// linkPrice is how often the delay of a link counts: each path over it makes
 	// it slower for the others.
 	linkPrice = 2.0
-	// linkDown is the delay of a link over which two upstreams don't reach each
-	// other: more than any path elsewhere takes.
-	linkDown = 10 * time.Second
 	// baseWeight is the weight of one more first event of a path that stays in
 	// one data centre.
 	baseWeight = 0.05
@@ -60,18 +57,11 @@
 	}
 }
 
-// LinkDown notes that an upstream does not reach another one in another data
-// centre. It reports false where both are in the same.
-func (b *Balancer) LinkDown(now time.Duration, from, to string) bool {
+// Crosses reports whether a path goes over a link between data centres.
+func (b *Balancer) Crosses(l *Lease) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	u, v := b.byAddr[from], b.byAddr[to]
-	if u == nil || v == nil || u.DataCentre == v.DataCentre {
-		return false
-	}
-	k := b.link(now, pair(u.DataCentre, v.DataCentre))
-	k.delay, k.at = linkDown, now
-	return true
+	return len(b.crossed(l)) > 0
 }
 
 // crossed are the links that a path goes over.
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -92,9 +92,9 @@
 const keptBias = -0.9
 
 // Repath finds another path for a running request that keeps the first hop and
-// as many others as it can, and moves the reservation. It returns nil when there
+// as many others as it can without the one to avoid, and moves the reservation. It returns nil when there
 // is none; the lease is then as it was.
-func (b *Balancer) Repath(now time.Duration, l *Lease) []Hop {
+func (b *Balancer) Repath(now time.Duration, l *Lease, avoid string) []Hop {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.services[l.need.Service]
@@ -106,7 +106,7 @@
 	defer b.reserve(l)
 	var cands []picker.Candidate
 	for _, u := range b.ups {
-		if u.Service != s.Name || u.Holds.To <= first.To || u.ID == first.ID || !u.usable(now, nil) {
+		if u.Service != s.Name || u.Holds.To <= first.To || u.ID == first.ID || u.ID == avoid || !u.usable(now, nil) {
 			continue
 		}
 		c := b.candidate(now, e, u, l.need, l.tokens)
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"time"
 
 	"github.com/sardineward/sardineward/balancer"
@@ -45,8 +44,15 @@
 	// other hops. An error means that it did not, or may not have.
 	Repath(ctx context.Context, requestID string, hops []balancer.Hop) error
 	// Stalled asks an upstream which of the requests that it is the first to run
-	// wait for another one, and returns the addresses of these.
-	Stalled(ctx context.Context, address string) ([]string, error)
+	// wait for another one.
+	Stalled(ctx context.Context, address string) ([]Stall, error)
+}
+
+// Stall is a request that waits for an upstream of its path.
+type Stall struct {
+	RequestID string
+	// Address is the upstream's.
+	Address string
 }
 
 // Watch looks for silent upstreams until ctx ends. One that does not take a
@@ -130,43 +136,56 @@
 		defer f.endProbe("stalled "+h.ID, stallRest)
 		ctx, cancel := context.WithTimeout(ctx, stallTimeout)
 		defer cancel()
-		addresses, err := f.Engines.Stalled(ctx, h.Address)
+		stalls, err := f.Engines.Stalled(ctx, h.Address)
 		if err != nil {
 			f.Log.Debug().Err(err).Str("upstream", h.ID).Msg("forwarder: stalled requests not learnt")
 			return
 		}
-		for _, address := range addresses {
-			f.stalledBy(ctx, h, address)
+		for _, s := range stalls {
+			f.stalledBy(ctx, s)
 		}
 	}()
 }
 
-// stalledBy draws what it tells that requests which one upstream was the first to
-// run wait for another: the way between two data centres is cut, or the other
-// one is out of reach.
-func (f *Forwarder) stalledBy(ctx context.Context, first balancer.Hop, address string) {
-	id := f.Balancer.ByAddress(address)
-	if id == "" {
+// stalledBy draws what it tells that a request waits for an upstream. On a path
+// within one data centre that upstream is out of reach, and all streams over it
+// go on elsewhere. On a path over several the way between them may be cut, and
+// which upstream is named depends on the side that was asked; so only this
+// stream is moved, and the links count as slow as it has waited.
+func (f *Forwarder) stalledBy(ctx context.Context, s Stall) {
+	a := f.attempt(s.RequestID)
+	id := f.Balancer.ByAddress(s.Address)
+	if a == nil || id == "" {
 		return
 	}
-	h := balancer.Hop{ID: id, Address: address}
-	if f.Balancer.LinkDown(f.Now(), first.Address, address) {
-		moved := f.over(id)
-		moved = slices.DeleteFunc(moved, func(a *attempt) bool { return f.Balancer.Path(a.lease)[0].ID != first.ID })
-		f.Log.Warn().Str("upstream", id).Str("from", first.ID).Int("streams", len(moved)).Msg("forwarder: link down")
-		for _, a := range moved {
-			go f.move(context.WithoutCancel(ctx), a, h)
-		}
+	h := balancer.Hop{ID: id, Address: s.Address}
+	ctx = context.WithoutCancel(ctx)
+	if f.Balancer.Crosses(a.lease) {
+		now := f.Now()
+		f.Balancer.First(a.lease, now, now-time.Duration(a.last.Load()))
+		f.move(ctx, a, h)
 		return
 	}
 	if !f.Balancer.Out(f.Now(), id) {
 		return
 	}
 	moved := f.over(id)
-	f.Log.Warn().Str("upstream", id).Str("address", address).Int("streams", len(moved)).Msg("forwarder: upstream out of reach of others")
+	f.Log.Warn().Str("upstream", id).Str("address", s.Address).Int("streams", len(moved)).Msg("forwarder: upstream out of reach of others")
 	for _, a := range moved {
-		go f.move(context.WithoutCancel(ctx), a, h)
+		go f.move(ctx, a, h)
+	}
+}
+
+// attempt returns the stream of a request that is under way, or nil.
+func (f *Forwarder) attempt(requestID string) *attempt {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for a := range f.streams {
+		if a.id == requestID {
+			return a
+		}
 	}
+	return nil
 }
 
 // beginProbe reports whether a probe may start: one of each kind at a time.
@@ -260,7 +279,7 @@
 // request is sent again. Else the stream is resumed as a new request.
 func (f *Forwarder) move(ctx context.Context, a *attempt, dead balancer.Hop) {
 	if f.Balancer.Path(a.lease)[0].ID != dead.ID {
-		if hops := f.Balancer.Repath(f.Now(), a.lease); hops != nil {
+		if hops := f.Balancer.Repath(f.Now(), a.lease, dead.ID); hops != nil {
 			ctx, cancel := context.WithTimeout(ctx, repathTimeout)
 			defer cancel()
 			err := f.Engines.Repath(ctx, a.id, hops)
