--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -123,6 +123,8 @@
 	// ids are of the last event passed on.
 	last     eventID
 	answered bool
+	// sampled is set once it was told whether the stream is late.
+	sampled bool
 }
 
 // ServeHTTP implements http.Handler.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -177,6 +177,14 @@
 	return v
 }
 
+// sample tells the bound on streams whether this one is late; once.
+func (k *call) sample(now time.Duration, late bool) {
+	if !k.sampled {
+		k.sampled = true
+		k.Latency(k.service.Name).Sample(now, late)
+	}
+}
+
 // inVain notes a stream that ended before its first event.
 func (k *call) inVain(a *attempt) {
 	if now := k.Now(); a.moves.Load() == 0 && now-a.began > k.route.Target {
@@ -233,13 +241,18 @@
 			if begun {
 				k.Balancer.Progress(now, l)
 				gap = max(gap, now-last)
+				if k.route.Gap > 0 && now-last > k.route.Gap && a.moves.Load() == 0 {
+					k.sample(now, true)
+				}
 				last = now
 			} else {
 				last = now
 				k.firstAfter = now - k.arrived
 				if a.moves.Load() == 0 {
 					k.Balancer.First(l, now, now-a.began)
-					k.Latency(k.service.Name).First(now, now-a.began, k.route.Target)
+					if k.route.Target > 0 && now-a.began > k.route.Target {
+						k.sample(now, true)
+					}
 				}
 				k.Balancer.Begun(now, l)
 				begun = true
@@ -251,6 +264,7 @@
 		case errors.Is(err, io.EOF) && len(pending) == 0 && begun:
 			k.Balancer.Served(k.Now(), l.Hops[0].ID, nil)
 			k.served()
+			k.sample(k.Now(), false)
 			k.Log.Debug().Str("requestId", k.id).Str("route", k.route.Name).Dur("first", k.firstAfter).Dur("longestGap", gap).
 				Dur("whole", k.Now()-k.arrived).Int("runs", k.runs).Int32("moves", a.moves.Load()).Str("hops", FormatPath(k.Balancer.Path(l))).Msg("forwarder: stream answered")
 			return verdictAnswered
