launcher, placer, admitter: tests of what was built; a bound that settles

Change: near the height that was too much last it rises slowly for two seconds. Tests: a host whole in virtual time on stand-ins of the project (at most once, turned away, foreign answers, streams resumed and not, gone callers, timeouts, revoked keys, leaving, graceful stop), layouts on drawn fleets, retry windows.

--- a/admitter/latency.go
+++ b/admitter/latency.go
@@ -21,7 +21,9 @@
 	inFlight int
 	// late is the smoothed share of late streams.
 	late float64
+	// cut is when the bound last fell, high what was in flight then.
 	cut  time.Duration
+	high float64
 }
 
 const (
@@ -36,6 +38,12 @@
 	// started under the last bound have shown what it does.
 	decrease      = 0.9
 	decreaseEvery = 400 * time.Millisecond
+	// cautious is the part of the bound that was too high last from which it
+	// rises slowly, by increaseSlow with each stream in time: what was too much
+	// a moment ago mostly still is. It is forgotten after forget.
+	cautious     = 0.8
+	increaseSlow = 0.3
+	forget       = 2 * time.Second
 	// increase and increasePart are by how much the bound rises with each stream
 	// in time while it is reached: one, and a part of the bound, so that it
 	// is back within some lives of a stream after a loss that was made good.
@@ -81,9 +89,13 @@
 	l.late += lateWeight * (share - l.late)
 	switch {
 	case l.late > lateMost && now-l.cut > decreaseEvery:
-		l.limit = max(leastLimit, min(l.limit, float64(l.inFlight))*decrease)
+		l.high = min(l.limit, float64(l.inFlight))
+		l.limit = max(leastLimit, l.high*decrease)
 		l.cut = now
-	case !late && float64(l.inFlight) >= l.limit*reached:
+	case late || float64(l.inFlight) < l.limit*reached:
+	case now-l.cut < forget && l.limit > cautious*l.high:
+		l.limit += increaseSlow
+	default:
 		l.limit += increase + increasePart*l.limit
 	}
 }
--- /dev/null
+++ b/admitter/window_test.go
@@ -0,0 +1,99 @@
+package admitter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/admitter"
+)
+
+// TestWindow. Upstreams fail all they get. In any ten seconds the hosts together
+// may send as many retries as a part of the requests and a fixed number; each
+// used to count alone and all together sent four times that.
+func TestWindow(t *testing.T) {
+	const (
+		ratio, fixed = 0.2, 200
+		perSecond    = 25
+		hosts        = 4
+	)
+	is := is.New(t)
+	var all [hosts]admitter.Window
+	for i := range all {
+		all[i] = admitter.Window{Ratio: ratio, Length: 10 * time.Second, Fixed: fixed, Hosts: func() int { return hosts }}
+	}
+	var sent []int // retries in each tenth of a second
+	for n := range 400 {
+		now := time.Duration(n) * 100 * time.Millisecond
+		sent = append(sent, 0)
+		for i := range all {
+			for range perSecond / 10 {
+				all[i].Request(now)
+				for all[i].Spend(now) {
+					sent[n]++
+				}
+			}
+		}
+	}
+	requests := float64(hosts * (perSecond / 10) * 100)
+	total := 0
+	for from := 0; from+100 <= len(sent); from++ {
+		sum := 0
+		for _, n := range sent[from : from+100] {
+			sum += n
+		}
+		is.True(float64(sum) <= ratio*requests+fixed)
+		total = max(total, sum)
+	}
+	t.Logf("%d retries in the fullest ten seconds of %.0f allowed", total, ratio*requests+fixed)
+	is.True(float64(total) > 0.5*(ratio*requests+fixed)) // most of it can be used
+}
+
+// TestLatencyBound replays four times the arrivals that an engine bears. Each
+// stream in flight makes the others slower; without the bound all are late for
+// as long as the arrivals last. Once they are back to usual, the bound rises.
+func TestLatencyBound(t *testing.T) {
+	is := is.New(t)
+	const bears = 60 // streams in flight until which events come in time
+	l := new(admitter.Latency)
+	type stream struct{ ends time.Duration }
+	var open []stream
+	late, done, refused := 0, 0, 0
+	play := func(from, to time.Duration, perSecond int) {
+		late, done, refused = 0, 0, 0
+		step := time.Second / time.Duration(perSecond)
+		for now := from; now < to; now += step {
+			kept := open[:0]
+			for _, s := range open {
+				if s.ends > now {
+					kept = append(kept, s)
+					continue
+				}
+				l.Leave()
+				done++
+				slow := len(open) > bears
+				if slow {
+					late++
+				}
+				l.Sample(now, slow)
+			}
+			open = kept
+			if l.Enter() {
+				open = append(open, stream{now + 2*time.Second + time.Duration(len(open))*10*time.Millisecond})
+			} else {
+				refused++
+			}
+		}
+	}
+	play(0, 10*time.Second, 20)
+	is.Equal(refused, 0)
+	play(10*time.Second, 20*time.Second, 80)
+	play(20*time.Second, 40*time.Second, 80)
+	t.Logf("fourfold: %d done, %d late, %d refused", done, late, refused)
+	is.True(late*3 < done) // most of what is let in comes in time
+	is.True(done > 200)    // and the engine is kept busy
+	play(40*time.Second, 45*time.Second, 20)
+	play(45*time.Second, 50*time.Second, 20)
+	is.Equal(refused, 0)
+}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -306,6 +306,18 @@
 	}
 }
 
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		for _, c := range list {
+			c.Close()
+		}
+	}
+	p.idle = nil
+}
+
 // keepAlive is how long an upstream keeps an idle connection, less a margin.
 func keepAlive(h http.Header) time.Duration {
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
--- /dev/null
+++ b/faker/directory.go
@@ -0,0 +1,144 @@
+package faker
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/follower"
+	"github.com/sardineward/sardineward/matcher"
+)
+
+// errAway is what an unreachable Directory answers.
+var errAway = errors.New("faker: source is away")
+
+// Directory is a follower.Source in memory: a configuration, upstreams and hosts.
+type Directory struct {
+	mu       sync.Mutex
+	revision int64
+	cfg      *matcher.Configuration
+	ups      map[string]balancer.Upstream
+	log      []listing
+	away     bool
+	changed  chan struct{}
+}
+
+type listing struct {
+	revision int64
+	cfg      *matcher.Configuration
+	up       *balancer.Upstream
+	gone     string
+}
+
+// Configure puts a configuration into the source.
+func (d *Directory) Configure(cfg *matcher.Configuration) {
+	d.add(func(c *listing) { d.cfg, c.cfg = cfg, cfg })
+}
+
+// List writes an upstream's entry, Drop removes it.
+func (d *Directory) List(u balancer.Upstream) {
+	d.add(func(c *listing) {
+		if d.ups == nil {
+			d.ups = make(map[string]balancer.Upstream)
+		}
+		d.ups[u.ID] = u
+		c.up = &u
+	})
+}
+
+// Drop removes an upstream's entry.
+func (d *Directory) Drop(id string) {
+	d.add(func(c *listing) {
+		delete(d.ups, id)
+		c.gone = id
+	})
+}
+
+// SetAway makes the source unreachable, or reachable again.
+func (d *Directory) SetAway(away bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.away = away
+}
+
+// Compact forgets all history.
+func (d *Directory) Compact() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.log = nil
+}
+
+func (d *Directory) add(set func(*listing)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.revision++
+	c := listing{revision: d.revision}
+	set(&c)
+	d.log = append(d.log, c)
+	if d.changed != nil {
+		close(d.changed)
+		d.changed = nil
+	}
+}
+
+// Load implements follower.Source.
+func (d *Directory) Load(context.Context) (*follower.Changes, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.away {
+		return nil, errAway
+	}
+	out := &follower.Changes{Revision: d.revision, Configuration: d.cfg}
+	for _, u := range d.ups {
+		out.Listed = append(out.Listed, u)
+	}
+	return out, nil
+}
+
+// Changes implements follower.Source.
+func (d *Directory) Changes(ctx context.Context, after int64, wait time.Duration) (*follower.Changes, error) {
+	d.mu.Lock()
+	if d.revision <= after {
+		d.wait(ctx, wait)
+	}
+	defer d.mu.Unlock()
+	if d.away {
+		return nil, errAway
+	}
+	out := &follower.Changes{Revision: d.revision}
+	if d.revision <= after {
+		return out, nil
+	}
+	if len(d.log) == 0 || d.log[0].revision > after+1 {
+		return nil, follower.ErrCompacted
+	}
+	for _, c := range d.log {
+		switch {
+		case c.revision <= after:
+		case c.cfg != nil:
+			out.Configuration = c.cfg
+		case c.up != nil:
+			out.Listed = append(out.Listed, *c.up)
+		default:
+			out.Gone = append(out.Gone, c.gone)
+		}
+	}
+	return out, nil
+}
+
+// wait lets go of the lock until something changes.
+func (d *Directory) wait(ctx context.Context, limit time.Duration) {
+	if d.changed == nil {
+		d.changed = make(chan struct{})
+	}
+	changed := d.changed
+	d.mu.Unlock()
+	defer d.mu.Lock()
+	select {
+	case <-changed:
+	case <-time.After(limit):
+	case <-ctx.Done():
+	}
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -69,7 +69,12 @@
 	ReadyPath string
 	// Now is a clock that goes on while the machine is suspended.
 	Now func() time.Duration
-	Log zerolog.Logger
+	// Listen and Dial reach the network; nil means the machine's own.
+	Listen func(address string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	// Seed makes choices repeatable; 0 draws one.
+	Seed uint64
+	Log  zerolog.Logger
 
 	balancer *balancer.Balancer
 	follow   *follower.Follower
@@ -83,6 +88,7 @@
 	// hostless is since when data centres have no host, by name.
 	hostless sync.Map
 	mu       sync.Mutex
+	servers  []*http.Server
 	budgets  map[string]*admitter.Window
 	limits   map[string]*admitter.Latency
 }
@@ -110,9 +116,21 @@
 	<-ctx.Done()
 	err = h.stop(callers)
 	end()
+	h.close()
 	return err
 }
 
+// close ends what nobody needs after the stop.
+func (h *Host) close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.servers {
+		s.Close()
+	}
+	h.pool.Close()
+	h.share.HTTP.CloseIdleConnections()
+}
+
 // stop lets the balancer see that this host is leaving, and every open request
 // end, before the listener goes.
 func (h *Host) stop(callers *http.Server) error {
@@ -138,16 +156,17 @@
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * memoryShare * 1e6))
 	}
+	h.defaults()
 	h.budgets = make(map[string]*admitter.Window)
 	h.limits = make(map[string]*admitter.Latency)
 	h.meter = meter.New(meter.Labels(admitter.ReasonValues()), meter.Labels(streamer.CauseValues()))
 	h.balancer = &balancer.Balancer{
 		DataCentre: cfg.DataCentre,
 		Policy:     picker.Cheapest{Steepness: 2, Spread: 0.1},
-		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Rand:       rand.New(rand.NewPCG(h.Seed, 1)),
 	}
 	h.follow = &follower.Follower{Source: h.Source, Balancer: h.balancer, Now: h.Now, OnChange: h.tellHosts, Log: h.Log}
-	h.pool = &connector.Pool{Now: h.Now, RequestID: h.Headers.RequestID}
+	h.pool = &connector.Pool{Dial: h.Dial, Now: h.Now, RequestID: h.Headers.RequestID}
 	h.forward = &forwarder.Forwarder{
 		Tables:   h.follow,
 		Balancer: h.balancer,
@@ -175,7 +194,7 @@
 		Follower: h.follow,
 		Balancer: h.balancer,
 		Now:      h.Now,
-		HTTP:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
+		HTTP:     &http.Client{Transport: &http.Transport{DialContext: h.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
 		Log:      h.Log,
 	}
 	h.orders = &orderer.Orderer{
@@ -189,6 +208,20 @@
 	}
 }
 
+func (h *Host) defaults() {
+	if h.Listen == nil {
+		h.Listen = func(address string) (net.Listener, error) {
+			return new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+		}
+	}
+	if h.Dial == nil {
+		h.Dial = new(net.Dialer).DialContext
+	}
+	if h.Seed == 0 {
+		h.Seed = rand.Uint64()
+	}
+}
+
 // tellHosts hands the other hosts on to the balancer.
 func (h *Host) tellHosts() {
 	hosts := make(map[string]string)
@@ -291,10 +324,13 @@
 		{cfg.Peer, server(peer.NewShareServer(h.share))},
 		{cfg.Callers, callers},
 	} {
-		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", one.address)
+		l, err := h.Listen(one.address)
 		if err != nil {
 			return nil, fmt.Errorf("listening on %s: %w", one.address, err)
 		}
+		h.mu.Lock()
+		h.servers = append(h.servers, one.server)
+		h.mu.Unlock()
 		go func() {
 			if err := one.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 				h.Log.Error().Err(err).Str("address", one.address).Msg("launcher: listener ended")
--- /dev/null
+++ b/launcher/launcher_test.go
@@ -0,0 +1,255 @@
+package launcher_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/faker"
+	"github.com/sardineward/sardineward/forwarder"
+)
+
+func events(from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", n, n)
+	}
+	return b.String()
+}
+
+func TestForward(t *testing.T) {
+	run(t, 0, func(b *bench) {
+		is := is.New(t)
+		r := b.request(http.MethodPost, "/book/lots/7?grade=2", "r1", func(r *http.Request) {
+			r.Header.Set(forwarder.DefaultHeaders.Workspace, "someone-else")
+			r.Header.Set(forwarder.DefaultHeaders.Path, "10.9.9.9:80=0-1")
+			r.Header.Set("X-Kept", "yes")
+		})
+		is.NoErr(r.err)
+		is.Equal(r.status, http.StatusOK)
+		is.True(strings.HasPrefix(r.body, "answer of desk-"))
+		is.True(r.header.Get(forwarder.DefaultHeaders.Stamp) != "")
+		is.Equal(r.header.Get(forwarder.DefaultHeaders.Load), "")
+		got := b.seen("r1")
+		is.Equal(got.Target, "/book/lots/7?grade=2") // path and query unchanged
+		is.Equal(got.Body, "lot 12")                 // body unchanged
+		is.Equal(got.Workspace, "mill")              // from the key, not from the caller
+		is.Equal(got.Path, "")                       // callers choose no path
+		is.Equal(got.Key, "")                        // the key stays here
+		is.True(got.DeadlineMs > 4900 && got.DeadlineMs <= 5000)
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	run(t, 0, func(b *bench) {
+		t.Run("no route", func(t *testing.T) {
+			is.New(t).Equal(b.request(http.MethodGet, "/nowhere/", "a", nil).status, http.StatusNotFound)
+		})
+		t.Run("unknown key", func(t *testing.T) {
+			r := b.request(http.MethodGet, "/look/1", "b", func(r *http.Request) { r.Header.Set("Authorization", "Bearer other") })
+			is.New(t).Equal(r.status, http.StatusUnauthorized)
+		})
+		t.Run("public route needs no key", func(t *testing.T) {
+			r := b.request(http.MethodGet, "/public/1", "c", func(r *http.Request) { r.Header.Del("Authorization") })
+			is.New(t).Equal(r.status, http.StatusOK)
+		})
+		is.New(t).Equal(b.runs("a")+b.runs("b"), 0)
+	})
+}
+
+// TestBookingOnce. A trader confirms a lot and the upstream breaks the connection
+// after it took the booking. A second upstream used to get it as well, and the
+// lot was sold twice. Only what surely did not run may be sent again.
+func TestBookingOnce(t *testing.T) {
+	run(t, 0, func(b *bench) {
+		is := is.New(t)
+		b.troubleAll("desk", faker.TroubleReset)
+		r := b.request(http.MethodPost, "/book/1", "lost", nil)
+		is.Equal(r.status, http.StatusBadGateway) // it may have run
+		is.Equal(b.runs("lost"), 1)
+		b.troubleAll("desk", faker.TroubleFailed)
+		r = b.request(http.MethodPost, "/book/2", "failed", nil)
+		is.Equal(r.status, http.StatusInternalServerError) // the upstream's own answer
+		is.Equal(b.runs("failed"), 1)
+	})
+}
+
+// TestTurnedAway. An upstream is full and says that it did not run a booking;
+// the other one has room. The trader sees one answer and the lot is sold once.
+func TestTurnedAway(t *testing.T) {
+	run(t, 0, func(b *bench) {
+		is := is.New(t)
+		b.stages["desk-a"].Trouble(faker.TroubleFull, faker.TroubleFull, faker.TroubleFull)
+		for n := range 6 {
+			id := fmt.Sprint("r", n)
+			is.Equal(b.request(http.MethodPost, "/book/1", id, nil).status, http.StatusOK)
+			is.Equal(b.runs(id), 1)
+		}
+		b.troubleAll("desk", faker.TroubleFull, faker.TroubleFull, faker.TroubleFull, faker.TroubleFull)
+		r := b.request(http.MethodPost, "/book/1", "full", nil)
+		b.assertRefused(r)
+		is.Equal(b.runs("full"), 0) // the refusal says that it did not run
+	})
+}
+
+func TestLookupRetried(t *testing.T) {
+	for name, trouble := range map[string]faker.Trouble{
+		"reset": faker.TroubleReset, "status 500": faker.TroubleFailed, "no signature": faker.TroubleUnsigned,
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 0, func(b *bench) {
+				is := is.New(t)
+				b.stages["desk-a"].Trouble(trouble, trouble, trouble, trouble)
+				for n := range 4 {
+					id := fmt.Sprint("r", n)
+					is.Equal(b.request(http.MethodGet, "/look/1", id, nil).status, http.StatusOK)
+					is.True(b.runs(id) <= 2) // as many upstreams as the route allows
+				}
+			})
+		})
+	}
+}
+
+// TestForeignAnswer. An upstream sends a late answer to another request on a
+// kept connection, before the one to this. The caller used to get what another
+// caller had asked for.
+func TestForeignAnswer(t *testing.T) {
+	run(t, 0, func(b *bench) {
+		b.troubleAll("desk", faker.TroubleForeign)
+		r := b.request(http.MethodPost, "/book/1", "mine", nil)
+		is.New(t).Equal(r.body, "answer to mine")
+	})
+}
+
+// TestStreamResumed. An upstream crashes in the middle of an event. The foreman
+// sees the answer go on, with no event missing, twice or torn.
+func TestStreamResumed(t *testing.T) {
+	run(t, 0, func(b *bench) {
+		is := is.New(t)
+		b.troubleAll("model", faker.TroubleCut)
+		b.assertWhole(b.request(http.MethodPost, "/stream/1", "r1", nil))
+		is.True(b.runs("r1") >= 2)
+	})
+}
+
+// TestStreamNotResumable. The same on a route whose streams may not be run again:
+// the connection is broken, so that what came can't be taken for the whole.
+func TestStreamNotResumable(t *testing.T) {
+	run(t, 0, func(b *bench) {
+		is := is.New(t)
+		b.troubleAll("model", faker.TroubleCut)
+		r := b.request(http.MethodPost, "/stream/once/1", "r1", nil)
+		is.True(r.err != nil)
+		is.Equal(r.body, events(1, 2)) // whole events only
+		is.Equal(b.runs("r1"), 1)
+	})
+}
+
+func TestStreamFromLastEvent(t *testing.T) {
+	run(t, 0, func(b *bench) {
+		r := b.request(http.MethodPost, "/stream/1", "r1", func(r *http.Request) { r.Header.Set("Last-Event-Id", "4") })
+		is.New(t).Equal(r.body, events(5, 10))
+	})
+}
+
+// TestCallerGone. A caller closes its connection before the first event. The
+// upstream has to hear of it, or engines work for nobody.
+func TestCallerGone(t *testing.T) {
+	run(t, 0, func(b *bench) {
+		is := is.New(t)
+		b.troubleAll("model", faker.TroubleSilent)
+		b.client.Timeout = 300 * time.Millisecond
+		is.True(b.request(http.MethodPost, "/stream/1", "r1", nil).err != nil)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(b.stages["model-a"].Gone()+b.stages["model-b"].Gone(), 1)
+	})
+}
+
+// TestTimeout. An upstream never answers a booking. The caller has the final
+// answer when the route's time is over, not when its own is.
+func TestTimeout(t *testing.T) {
+	run(t, 0, func(b *bench) {
+		is := is.New(t)
+		b.troubleAll("desk", faker.TroubleSilent)
+		r := b.request(http.MethodPost, "/short/1", "r1", nil)
+		is.Equal(r.status, http.StatusGatewayTimeout)
+		is.Equal(r.took.Round(10*time.Millisecond), 800*time.Millisecond)
+	})
+}
+
+// TestRevokedKey. A key is taken away while the host can't reach its source, so
+// it never hears of it. After the time in which keys must be gone everywhere it
+// answers no keyed request, and never says that the key is wrong.
+func TestRevokedKey(t *testing.T) {
+	run(t, 5*time.Second, func(b *bench) {
+		is := is.New(t)
+		is.Equal(b.request(http.MethodGet, "/look/1", "before", nil).status, http.StatusOK)
+		b.source.SetAway(true)
+		cfg := b.cfg
+		cfg.Version, cfg.Workspaces = 2, nil
+		b.source.Configure(&cfg)
+		time.Sleep(5 * time.Second)
+		b.assertRefused(b.request(http.MethodGet, "/look/1", "away", nil))
+		is.Equal(b.runs("away"), 0)
+		r := b.request(http.MethodGet, "/public/1", "public", nil)
+		is.Equal(r.status, http.StatusOK) // what needs no key goes on
+	})
+}
+
+func TestConfigurationInForce(t *testing.T) {
+	run(t, 0, func(b *bench) {
+		is := is.New(t)
+		cfg := b.cfg
+		cfg.Version = 5
+		cfg.Routes = cfg.Routes[1:]
+		b.source.Configure(&cfg)
+		time.Sleep(time.Second)
+		is.Equal(b.request(http.MethodGet, "/look/1", "dropped", nil).status, http.StatusNotFound)
+		old := b.cfg
+		b.source.Configure(&old)
+		time.Sleep(time.Second)
+		is.Equal(b.request(http.MethodGet, "/look/1", "never back", nil).status, http.StatusNotFound)
+	})
+}
+
+// TestLeaving. An upstream reports that it leaves, right after its history was
+// dropped. No request may reach it two seconds later.
+func TestLeaving(t *testing.T) {
+	run(t, 0, func(b *bench) {
+		is := is.New(t)
+		b.source.Compact()
+		b.source.List(balancer.Upstream{ID: "desk-a", Service: "desk", Address: "10.1.0.desk-a:80", DataCentre: "here", Slots: 8, Leaving: true})
+		time.Sleep(2 * time.Second)
+		before := len(b.stages["desk-a"].Seen())
+		for n := range 10 {
+			is.Equal(b.request(http.MethodGet, "/look/1", fmt.Sprint("r", n), nil).status, http.StatusOK)
+		}
+		is.Equal(len(b.stages["desk-a"].Seen()), before)
+	})
+}
+
+// TestGracefulStop. The platform stops a host in the middle of a stream and of a
+// kept connection. The balancer sees at once that it is not ready, what is open
+// ends whole, and new requests are answered until the balancer has turned away.
+func TestGracefulStop(t *testing.T) {
+	run(t, 0, func(b *bench) {
+		is := is.New(t)
+		b.stages["model-a"].Gap, b.stages["model-b"].Gap = 300*time.Millisecond, 300*time.Millisecond
+		stream := make(chan reply, 1)
+		go func() { stream <- b.request(http.MethodPost, "/stream/1", "r1", nil) }()
+		time.Sleep(time.Second)
+		b.stop()
+		time.Sleep(time.Second)
+		resp, err := b.client.Get("http://" + ready + "/ready")
+		is.NoErr(err)
+		resp.Body.Close()
+		is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		is.Equal(b.request(http.MethodGet, "/look/1", "late", nil).status, http.StatusOK)
+		b.assertWhole(<-stream)
+	})
+}
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,280 @@
+package placer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/placer"
+)
+
+// model has 80 layers, with room for one usual request in about 6.5 MB a layer.
+var model = placer.Model{Layers: 80, LayerMB: 1750, TokenMB: 0.007375, Tokens: 879, Step: 1.02, Request: 0.01}
+
+// card is a kind of accelerator.
+type card struct{ mb, pace float64 }
+
+var (
+	large = card{72000, 2.4}
+	quick = card{14400, 5.3}
+	slow  = card{21600, 16}
+)
+
+// fleet makes members of a data centre.
+func fleet(dc string, larges, quicks, slows int) []placer.Member {
+	var out []placer.Member
+	for kind, n := range map[card]int{large: larges, quick: quicks, slow: slows} {
+		for i := range n {
+			out = append(out, placer.Member{ID: fmt.Sprintf("%s-%v-%02d", dc, kind.mb, i), DataCentre: dc, MB: kind.mb, Pace: kind.pace})
+		}
+	}
+	return out
+}
+
+// apply carries moves out.
+func apply(members []placer.Member, moves []placer.Move) {
+	for _, m := range moves {
+		for i := range members {
+			if members[i].ID == m.ID {
+				members[i].Held = m.Span
+			}
+		}
+	}
+}
+
+// holders counts who can be reached and holds each layer in a data centre.
+func holders(members []placer.Member, dc string) []int {
+	out := make([]int, model.Layers)
+	for _, x := range members {
+		if x.Missing || (dc != "" && x.DataCentre != dc) {
+			continue
+		}
+		for l := x.Held.From; l < x.Held.To; l++ {
+			out[l]++
+		}
+	}
+	return out
+}
+
+func assertCovered(t *testing.T, members []placer.Member, dc string) {
+	t.Helper()
+	for l, n := range holders(members, dc) {
+		if n == 0 {
+			t.Fatalf("nobody in %q holds layer %d", dc, l)
+		}
+	}
+}
+
+func assertFits(t *testing.T, members []placer.Member) {
+	t.Helper()
+	for _, x := range members {
+		if float64(x.Held.Len())*model.LayerMB > x.MB {
+			t.Fatalf("%s with %.0f MB holds %d layers", x.ID, x.MB, x.Held.Len())
+		}
+	}
+}
+
+func TestLayout(t *testing.T) {
+	for _, tc := range [][3]int{{1, 6, 6}, {1, 10, 4}, {2, 4, 4}, {3, 14, 16}, {0, 0, 12}, {0, 16, 0}, {4, 0, 0}, {0, 10, 10}} {
+		t.Run(fmt.Sprint(tc), func(t *testing.T) {
+			members := fleet("a", tc[0], tc[1], tc[2])
+			apply(members, placer.Plan(model, members))
+			assertCovered(t, members, "a")
+			assertFits(t, members)
+			is.New(t).Equal(len(placer.Plan(model, members)), 0) // settled
+		})
+	}
+}
+
+// rate is the highest rate of arrivals of a data centre by the cost model that
+// README of this package states: requests at once over the time of a token.
+func rate(members []placer.Member) float64 {
+	n := holders(members, "")
+	most, t0, t1 := 1e9, 0.0, 0.0
+	for _, x := range members {
+		if x.Held.Len() == 0 {
+			continue
+		}
+		share := 0.0
+		for l := x.Held.From; l < x.Held.To; l++ {
+			share = max(share, 1/float64(n[l]))
+		}
+		room := (x.MB - float64(x.Held.Len())*model.LayerMB) / model.TokenMB / float64(x.Held.Len()) / model.Tokens
+		most = min(most, room/share)
+		part := x.Pace * float64(x.Held.Len()) / float64(model.Layers) * share
+		t0 += part * model.Step
+		t1 += part * share * model.Request
+	}
+	return most / (t0 + t1*most)
+}
+
+// TestLoadStep. A third more callers than usual came and every answer was late,
+// though no card was out of memory: slow cards held 30 of 80 layers, each once,
+// and with each request in their batches every step took longer. The layout has
+// to bear more than the one with a fixed number of layers a card.
+func TestLoadStep(t *testing.T) {
+	for _, tc := range [][3]int{{1, 6, 6}, {1, 10, 4}, {2, 4, 4}} {
+		t.Run(fmt.Sprint(tc), func(t *testing.T) {
+			members := fleet("a", tc[0], tc[1], tc[2])
+			apply(members, placer.Plan(model, members))
+			fixed := fleet("a", tc[0], tc[1], tc[2])
+			at := 0
+			for i := range fixed {
+				n := map[float64]int{large.mb: 28, quick.mb: 5, slow.mb: 8}[fixed[i].MB]
+				at = min(at, model.Layers-n)
+				fixed[i].Held = placer.Span{From: at, To: at + n}
+				if at += n; at == model.Layers {
+					at = 0
+				}
+			}
+			got, base := rate(members), rate(fixed)
+			t.Logf("%.2f against %.2f requests a unit of time", got, base)
+			is.New(t).True(got > base)
+		})
+	}
+}
+
+// TestLost. A card is lost for good. What it held must be held again by one
+// order, by a member whose own layers others hold, or by the empty one that
+// replaces it; nobody else moves.
+func TestLost(t *testing.T) {
+	members := fleet("a", 1, 6, 6)
+	apply(members, placer.Plan(model, members))
+	for lost := range members {
+		t.Run(members[lost].ID, func(t *testing.T) {
+			is := is.New(t)
+			left := append(append([]placer.Member{}, members[:lost]...), members[lost+1:]...)
+			moves := placer.Plan(model, left)
+			apply(left, moves)
+			is.True(len(moves) <= 3)
+			assertFits(t, left)
+			assertCovered(t, left, "a")
+		})
+		t.Run(members[lost].ID+" replaced", func(t *testing.T) {
+			is := is.New(t)
+			again := append([]placer.Member{}, members...)
+			again[lost].Held = placer.Span{}
+			moves := placer.Plan(model, again)
+			if members[lost].Held.Len() > 0 && len(moves) > 0 {
+				is.Equal(len(moves), 1)
+				is.Equal(moves[0].ID, members[lost].ID)
+			}
+			apply(again, moves)
+			assertCovered(t, again, "a")
+		})
+	}
+}
+
+// TestMissing. An upstream crashes and is back in some seconds. Its layers are
+// no gap meanwhile: moving others there would cost them their own requests.
+func TestMissing(t *testing.T) {
+	members := fleet("a", 1, 6, 6)
+	apply(members, placer.Plan(model, members))
+	members[3].Missing = true
+	is.New(t).Equal(len(placer.Plan(model, members)), 0)
+}
+
+// TestAccepted. An upstream was ordered to take a lost range and drains first.
+// A second and a third one were ordered to the same range meanwhile, and left
+// theirs.
+func TestAccepted(t *testing.T) {
+	is := is.New(t)
+	members := fleet("a", 1, 6, 6)
+	apply(members, placer.Plan(model, members))
+	members = members[1:]
+	first := placer.Plan(model, members)
+	is.True(len(first) > 0)
+	apply(members, first)
+	for i := range members {
+		for _, m := range first {
+			members[i].Pending = members[i].Pending || members[i].ID == m.ID
+		}
+	}
+	is.Equal(len(placer.Plan(model, members)), 0)
+}
+
+// TestCutOff. A data centre is cut off and the entries of its members lapse one
+// after the other. Members of the others must not be moved into its gaps.
+func TestCutOff(t *testing.T) {
+	is := is.New(t)
+	members := append(fleet("a", 1, 6, 6), fleet("b", 1, 10, 4)...)
+	apply(members, placer.Plan(model, members))
+	var left []placer.Member
+	for i, x := range members {
+		if x.DataCentre == "b" || i%3 != 0 {
+			left = append(left, x)
+		}
+	}
+	for _, m := range placer.Plan(model, left) {
+		is.Equal(m.ID[:1], "a") // only within its own data centre
+	}
+}
+
+// TestPoorDataCentre. One data centre has too few cards for a model and holds
+// it together with another one.
+func TestPoorDataCentre(t *testing.T) {
+	members := append(fleet("a", 0, 2, 1), fleet("b", 1, 8, 6)...)
+	apply(members, placer.Plan(model, members))
+	assertCovered(t, members, "")
+	assertFits(t, members)
+}
+
+// TestSpare. An empty one that was added waits for the one that it replaces to
+// drain, and only then helps where the layers take most time.
+func TestSpare(t *testing.T) {
+	is := is.New(t)
+	members := fleet("a", 1, 6, 6)
+	apply(members, placer.Plan(model, members))
+	members = append(members, placer.Member{ID: "new", DataCentre: "a", MB: quick.mb, Pace: quick.pace, Waited: time.Second})
+	is.Equal(len(placer.Plan(model, members)), 0)
+	members[len(members)-1].Waited = 9 * time.Second
+	moves := placer.Plan(model, members)
+	is.Equal(len(moves), 1)
+	is.Equal(moves[0].ID, "new")
+}
+
+// TestDrawnFleets plays crashes, returns and losses on fleets that nobody has
+// seen: no order may overfill a card, and what is lost is held again while the
+// members that are left can hold the model.
+func TestDrawnFleets(t *testing.T) {
+	for seed := range uint64(200) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 1))
+			members := fleet("a", 1+r.IntN(4), 4+r.IntN(12), 4+r.IntN(12))
+			apply(members, placer.Plan(model, members))
+			assertCovered(t, members, "a")
+			for range 10 {
+				i := r.IntN(len(members))
+				switch r.IntN(3) {
+				case 0:
+					members[i].Held = placer.Span{}
+				case 1:
+					members[i].Missing = !members[i].Missing
+				default:
+					members[i].Pending = !members[i].Pending
+				}
+				apply(members, placer.Plan(model, members))
+				assertFits(t, members)
+			}
+			for i := range members {
+				members[i].Missing, members[i].Pending = false, false
+			}
+			apply(members, placer.Plan(model, members))
+			assertCovered(t, members, "a")
+		})
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []int{38, 93, 1000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			members := fleet("a", size/10, size/2, size-size/10-size/2)
+			for b.Loop() {
+				placer.Plan(model, members)
+			}
+		})
+	}
+}
