orderer, registrar, sharer, connector, balancer, follower, platform, loader: tests; neighbours as the last resort

Cause (found by the orderer's test of a slow drain): where each layer is held once and nobody can be spared, a layer lost for good was never held again. Change: as the last resort a neighbour with memory holds it beside its own.

--- /dev/null
+++ b/balancer/balancer_test.go
@@ -0,0 +1,233 @@
+package balancer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/matcher"
+	"github.com/sardineward/sardineward/picker"
+)
+
+const ms = time.Millisecond
+
+func engine() *matcher.Engine {
+	return &matcher.Engine{
+		Layers: 80, LayerMB: 1750, TokenBytes: 590000, StepMs: 1.02, PerSequenceMs: 0.0046, PerContextMs: 0.006,
+		ReadPerSecond: 164000, ActivationBytes: 29500, PipeMbps: 19000, Slots: 192, Prompt: 774, Answer: 210,
+		Cards: []matcher.Card{{Name: "large", MB: 144000, Pace: 2.4, ReadPace: 3.2}, {Name: "slow", MB: 21600, Pace: 16, ReadPace: 8}},
+	}
+}
+
+// newBalancer has two data centres that hold a model each in two halves, and a
+// desk in both.
+func newBalancer() *balancer.Balancer {
+	b := &balancer.Balancer{DataCentre: "a", Policy: picker.Cheapest{Steepness: 2}, Rand: rand.New(rand.NewPCG(1, 1))}
+	b.Configure(map[string]*matcher.Service{"model": {Name: "model", Engine: engine()}, "desk": {Name: "desk"}})
+	var list []balancer.Upstream
+	for _, dc := range []string{"a", "b"} {
+		list = append(list,
+			balancer.Upstream{ID: dc + "1", Service: "model", Address: dc + ":1", DataCentre: dc, Card: "large", Holds: balancer.Span{To: 40}},
+			balancer.Upstream{ID: dc + "2", Service: "model", Address: dc + ":2", DataCentre: dc, Card: "large", Holds: balancer.Span{From: 40, To: 80}},
+			balancer.Upstream{ID: dc + "desk", Service: "desk", Address: dc + ":3", DataCentre: dc, Slots: 6},
+		)
+	}
+	b.List(list, nil)
+	return b
+}
+
+var need = balancer.Need{Service: "model", Prompt: 700, Answer: 200}
+
+func ids(hops []balancer.Hop) string {
+	out := ""
+	for _, h := range hops {
+		out += h.ID + " "
+	}
+	return out
+}
+
+func acquire(t *testing.T, b *balancer.Balancer, now time.Duration, n balancer.Need) *balancer.Lease {
+	t.Helper()
+	l, reason := b.Acquire(now, n)
+	is.New(t).Equal(reason, balancer.ReasonNone)
+	return l
+}
+
+func TestPath(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	is.Equal(ids(acquire(t, b, 0, need).Hops), "a1 a2 ") // its own data centre first
+	is.True(b.SetDead(0, "a2", true))
+	is.Equal(ids(acquire(t, b, 0, need).Hops), "b1 b2 ") // a whole path elsewhere before a crossing
+	is.True(b.SetDead(0, "b1", true))
+	is.Equal(ids(acquire(t, b, 0, need).Hops), "a1 b2 ") // a crossing before none
+	is.True(b.SetDead(0, "b2", true))
+	_, reason := b.Acquire(0, need)
+	is.Equal(reason, balancer.ReasonNoUpstream)
+}
+
+// TestRoom. Each host took an engine for empty that all the others filled, and
+// the engine ran out of memory. What others have in flight counts.
+func TestRoom(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	free := 0
+	for {
+		if _, reason := b.Acquire(0, need); reason != balancer.ReasonNone {
+			is.Equal(reason, balancer.ReasonNoRoom)
+			break
+		}
+		free++
+	}
+	other := newBalancer()
+	other.SetHosts(map[string]string{"host-b": "a"})
+	other.Heard(0, "host-b", b.Own())
+	_, reason := other.Acquire(0, need)
+	is.Equal(reason, balancer.ReasonNoRoom)
+	_, reason = other.Acquire(10*time.Second, need) // what it told is too old
+	is.Equal(reason, balancer.ReasonNone)
+	t.Logf("%d requests fit", free)
+}
+
+func TestReleaseGivesAllBack(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	var leases []*balancer.Lease
+	for range 20 {
+		l := acquire(t, b, 0, need)
+		b.Begun(0, l)
+		leases = append(leases, l)
+	}
+	is.True(b.SetDead(0, "a2", true))
+	for _, l := range leases {
+		b.Repath(0, l, "a2")
+		b.Release(l)
+	}
+	is.True(b.SetDead(0, "a2", false))
+	is.Equal(len(b.Own()), 0)
+}
+
+// TestRepath. A hop in the middle of a path dies. The others keep what they have
+// read, and the first one has to stay.
+func TestRepath(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	l := acquire(t, b, 0, need)
+	is.True(b.SetDead(0, "a2", true))
+	is.Equal(ids(b.Repath(0, l, "a2")), "a1 b2 ")
+	is.Equal(ids(b.Path(l)), "a1 b2 ")
+	is.True(b.SetDead(0, "b2", true))
+	is.Equal(b.Repath(0, l, "b2"), nil)
+	is.Equal(ids(b.Path(l)), "a1 b2 ") // as it was
+}
+
+// TestSilent. An engine crashes under 25 streams. It is asked after 50 ms, since
+// 25 streams bring an event every few milliseconds; one stream alone may pause.
+func TestSilent(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	one := acquire(t, b, 0, need)
+	b.Begun(0, one)
+	is.Equal(len(b.Silent(100*ms)), 0)
+	is.Equal(len(b.Silent(300*ms)), 2)
+	for range 24 {
+		b.Begun(300*ms, acquire(t, b, 300*ms, need))
+	}
+	is.Equal(len(b.Silent(320*ms)), 0)
+	is.True(len(b.Silent(350*ms)) >= 2)
+	b.Progress(350*ms, one)
+	for _, h := range b.Silent(351 * ms) {
+		is.True(h.ID != "a1" && h.ID != "a2") // those that got an event
+	}
+}
+
+// TestRestarted. An upstream crashes and is listed under a new id at the same
+// address, empty, while its old entry still says that it holds layers. Paths
+// over the old entry were turned away and the new one was blamed.
+func TestRestarted(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	b.List([]balancer.Upstream{{ID: "a1-new", Service: "model", Address: "a:1", DataCentre: "a", Card: "large", Born: 7}}, nil)
+	is.Equal(ids(acquire(t, b, 0, need).Hops), "b1 b2 ")
+	b.List([]balancer.Upstream{{ID: "a1", Service: "model", Address: "a:1", DataCentre: "a", Card: "large", Holds: balancer.Span{To: 40}, Born: 3}}, nil)
+	is.Equal(b.ByAddress("a:1"), "a1-new") // a late heartbeat of the old one
+}
+
+// TestSlowLink. The pipe between two data centres is slower than declared. After
+// some first events over it, paths take another way.
+func TestSlowLink(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	b.List([]balancer.Upstream{
+		{ID: "c1", Service: "model", Address: "c:1", DataCentre: "c", Card: "slow", Holds: balancer.Span{From: 40, To: 50}},
+		{ID: "c2", Service: "model", Address: "c:2", DataCentre: "c", Card: "slow", Holds: balancer.Span{From: 50, To: 60}},
+		{ID: "c3", Service: "model", Address: "c:3", DataCentre: "c", Card: "slow", Holds: balancer.Span{From: 60, To: 70}},
+		{ID: "c4", Service: "model", Address: "c:4", DataCentre: "c", Card: "slow", Holds: balancer.Span{From: 70, To: 80}},
+	}, nil)
+	is.True(b.SetDead(0, "a2", true))
+	is.True(b.SetDead(0, "b1", true))
+	l := acquire(t, b, 0, need)
+	is.Equal(ids(l.Hops), "a1 b2 ")
+	for n := range 6 {
+		b.First(l, time.Duration(n)*ms, 2*time.Second)
+	}
+	b.Release(l)
+	is.True(!strings.Contains(ids(acquire(t, b, 7*ms, need).Hops), "a1 b2"))
+	is.Equal(ids(acquire(t, b, 20*time.Second, need).Hops), "a1 b2 ") // tried again
+}
+
+// TestTwoDead. A data centre is cut off. After the second dead upstream there
+// all others are asked at once, instead of one after the other by streams that
+// wait.
+func TestTwoDead(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	is.True(b.SetDead(0, "b1", true))
+	is.Equal(len(b.Suspects(0, "b1")), 0)
+	is.True(b.SetDead(100*ms, "b2", true))
+	is.Equal(ids(b.Suspects(100*ms, "b2")), "bdesk ")
+	is.Equal(len(b.Suspects(3*time.Second, "b2")), 0)
+}
+
+func TestPlain(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	n := balancer.Need{Service: "desk"}
+	is.Equal(ids(acquire(t, b, 0, n).Hops), "adesk ")
+	for range 20 {
+		b.Failed("adesk")
+	}
+	is.Equal(ids(acquire(t, b, 0, n).Hops), "bdesk ") // it fails what it gets
+	n.Avoid = []string{"bdesk"}
+	is.Equal(ids(acquire(t, b, 0, n).Hops), "adesk ")
+	b.List([]balancer.Upstream{{ID: "adesk", Service: "desk", Address: "a:3", DataCentre: "a", Leaving: true}}, []string{"bdesk"})
+	_, reason := b.Acquire(0, balancer.Need{Service: "desk"})
+	is.Equal(reason, balancer.ReasonNoUpstream)
+}
+
+func BenchmarkPath(b *testing.B) {
+	for _, size := range []int{38, 93, 1000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			bal := newBalancer()
+			var list []balancer.Upstream
+			for i := range size {
+				from := i % 16 * 5
+				list = append(list, balancer.Upstream{
+					ID: fmt.Sprint("x", i), Service: "model", Address: fmt.Sprint("x:", i), DataCentre: fmt.Sprint("dc", i%3),
+					Card: "slow", Holds: balancer.Span{From: from, To: from + 5},
+				})
+			}
+			bal.List(list, nil)
+			for b.Loop() {
+				if l, _ := bal.Acquire(0, need); l != nil {
+					bal.Release(l)
+				}
+			}
+		})
+	}
+}
--- a/balancer/others.go
+++ b/balancer/others.go
@@ -56,6 +56,17 @@
 	}
 }
 
+// Told lists what another host last told that it has in flight.
+func (b *Balancer) Told(host string) []Passing {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Passing
+	for _, p := range b.heard[host].passing {
+		out = append(out, p)
+	}
+	return out
+}
+
 // Listed returns the list of upstreams as it is known.
 func (b *Balancer) Listed() []Upstream {
 	b.mu.Lock()
--- a/cmd/sardineward/forward.go
+++ b/cmd/sardineward/forward.go
@@ -64,15 +64,21 @@
 
 // boundedLogger writes lines to standard output without ever waiting for it.
 func boundedLogger(level string) (zerolog.Logger, func()) {
+	errs := zerolog.New(os.Stderr).With().Timestamp().Logger()
 	w := diode.NewWriter(os.Stdout, logLines, logPoll, func(missed int) {
-		os.Stderr.WriteString(`{"level":"warn","message":"log: lines dropped"}` + "\n")
+		errs.Warn().Int("lines", missed).Msg("log: lines dropped")
 	})
 	l, err := zerolog.ParseLevel(level)
 	if err != nil {
 		l = zerolog.InfoLevel
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
-	return zerolog.New(w).Level(l).With().Timestamp().Logger(), func() { w.Close() }
+	log := zerolog.New(w).Level(l).With().Timestamp().Logger()
+	return log, func() {
+		if err := w.Close(); err != nil {
+			errs.Warn().Err(err).Msg("log: not closed")
+		}
+	}
 }
 
 // bootTime is the time since the machine started. Unlike the monotonic clock of
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -154,7 +154,7 @@
 	}
 	want := r.Header.Get(p.RequestID)
 	for range foreignAnswers + 1 {
-		h, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
+		h, err := http.ReadResponse(c.br, &http.Request{Method: r.Method}) //nolint:bodyclose // Response.Done ends its use
 		if err != nil {
 			return nil, true, err
 		}
@@ -201,7 +201,7 @@
 // whether the answer was read whole.
 func (r *Response) Done() bool {
 	live := r.stop()
-	if r.whole && live && !r.Response.Close && r.delimited() && r.written() {
+	if r.whole && live && !r.closes() && r.delimited() && r.written() {
 		r.pool.put(r.conn, r.Header)
 		return true
 	}
@@ -209,6 +209,9 @@
 	return r.whole
 }
 
+// closes reports whether the upstream closes the connection after the answer.
+func (r *Response) closes() bool { return r.Response.Close } //nolint:staticcheck // Close alone is the method
+
 // delimited reports whether the answer's end is told by its framing. One that
 // ends with its connection leaves nothing to keep.
 func (r *Response) delimited() bool {
--- /dev/null
+++ b/connector/connector_test.go
@@ -0,0 +1,212 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/connector"
+	"github.com/sardineward/sardineward/faker"
+)
+
+const address = "10.0.0.1:80"
+
+// run answers each connection by a script and makes requests, in virtual time.
+func run(t *testing.T, script func(n int, c net.Conn, br *bufio.Reader), f func(p *connector.Pool, opened *int)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		n := faker.NewNetwork()
+		l, err := n.Listen(address)
+		is.New(t).NoErr(err)
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				wg.Go(func() {
+					defer c.Close()
+					script(i, c, bufio.NewReader(c))
+				})
+			}
+		})
+		started := time.Now()
+		opened := 0
+		p := &connector.Pool{
+			Dial: n.Dialer("host"), Now: func() time.Duration { return time.Since(started) },
+			RequestID: "Id", Opened: func() { opened++ },
+		}
+		f(p, &opened)
+		p.Close()
+		l.Close()
+		wg.Wait()
+	})
+}
+
+// answer reads a request and writes an answer to it.
+func answer(c net.Conn, br *bufio.Reader, id, header, body string) bool {
+	r, err := http.ReadRequest(br)
+	if err != nil {
+		return false
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return false
+	}
+	if id == "" {
+		id = r.Header.Get("Id")
+	}
+	_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n%s\r\n%s", id, header, body)
+	return err == nil
+}
+
+func length(body string) string { return fmt.Sprintf("Content-Length: %d\r\n", len(body)) }
+
+func do(p *connector.Pool, id string, once bool) (string, error) {
+	resp, err := p.Do(context.Background(), &connector.Request{
+		Address: address, Method: http.MethodPost, Target: "/a?b=c", Host: "x", Header: http.Header{"Id": {id}}, Body: []byte("body"), Once: once,
+	})
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(resp)
+	if !resp.Done() && err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return string(body), err
+}
+
+func assertSent(t *testing.T, err error, sent bool) {
+	t.Helper()
+	var e *connector.Error
+	is := is.New(t)
+	is.True(errors.As(err, &e))
+	is.Equal(e.Sent, sent)
+}
+
+func TestKept(t *testing.T) {
+	run(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for answer(c, br, "", length("ok")+"Keep-Alive: timeout=3\r\n", "ok") {
+		}
+	}, func(p *connector.Pool, opened *int) {
+		is := is.New(t)
+		for n := range 3 {
+			body, err := do(p, fmt.Sprint(n), false)
+			is.NoErr(err)
+			is.Equal(body, "ok")
+		}
+		is.Equal(*opened, 1)
+		time.Sleep(2500 * time.Millisecond) // nearly as long as the upstream keeps it
+		_, err := do(p, "late", false)
+		is.NoErr(err)
+		is.Equal(*opened, 2)
+		time.Sleep(time.Second)
+		_, err = do(p, "booking", true) // may not be lost on a connection that is about to close
+		is.NoErr(err)
+		is.Equal(*opened, 3)
+	})
+}
+
+// TestNeverTwice. An upstream takes a booking on a kept connection and breaks it.
+// The standard client sends such a request again by itself; this one says that
+// it may have run.
+func TestNeverTwice(t *testing.T) {
+	got := 0
+	run(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		if answer(c, br, "", length("ok"), "ok") {
+			if r, err := http.ReadRequest(br); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				got++
+			}
+		}
+	}, func(p *connector.Pool, _ *int) {
+		is := is.New(t)
+		_, err := do(p, "first", false)
+		is.NoErr(err)
+		_, err = do(p, "second", true)
+		assertSent(t, err, true)
+		is.Equal(got, 1)
+	})
+}
+
+func TestNobodyListens(t *testing.T) {
+	run(t, func(int, net.Conn, *bufio.Reader) {}, func(p *connector.Pool, _ *int) {
+		_, err := p.Do(context.Background(), &connector.Request{Address: "10.0.0.9:80", Method: http.MethodGet, Target: "/"})
+		assertSent(t, err, false)
+	})
+}
+
+// TestForeign. A late answer to an earlier request stands first on a kept
+// connection.
+func TestForeign(t *testing.T) {
+	run(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		late := "late"
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: other\r\n%s\r\n%s", length(late), late)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n%s\r\nmine", r.Header.Get("Id"), length("mine"))
+	}, func(p *connector.Pool, _ *int) {
+		body, err := do(p, "this", true)
+		is.New(t).NoErr(err)
+		is.New(t).Equal(body, "mine")
+	})
+}
+
+func TestNotWhole(t *testing.T) {
+	for name, header := range map[string]string{
+		"shorter than its length": "Content-Length: 100\r\n",
+		"chunks without an end":   "Transfer-Encoding: chunked\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(_ int, c net.Conn, br *bufio.Reader) { answer(c, br, "", header, "4\r\npart\r\n") }, func(p *connector.Pool, _ *int) {
+				_, err := do(p, "a", false)
+				is.New(t).True(err != nil)
+			})
+		})
+	}
+	t.Run("no length ends with its connection", func(t *testing.T) {
+		run(t, func(_ int, c net.Conn, br *bufio.Reader) { answer(c, br, "", "", "all") }, func(p *connector.Pool, _ *int) {
+			body, err := do(p, "a", false)
+			is.New(t).NoErr(err)
+			is.New(t).Equal(body, "all")
+		})
+	})
+}
+
+// TestEarlyAnswer. An upstream answers before it has read a long body and reads
+// on later. Another request on that connection would be taken for the rest.
+func TestEarlyAnswer(t *testing.T) {
+	run(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		if r, err := http.ReadRequest(br); err == nil {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n%s\r\nno", r.Header.Get("Id"), length("no"))
+			time.Sleep(time.Second)
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+	}, func(p *connector.Pool, opened *int) {
+		is := is.New(t)
+		for n := range 2 {
+			resp, err := p.Do(context.Background(), &connector.Request{
+				Address: address, Method: http.MethodPost, Target: "/", Header: http.Header{"Id": {fmt.Sprint(n)}}, Body: []byte(strings.Repeat("x", 1<<20)),
+			})
+			is.NoErr(err)
+			_, err = io.ReadAll(resp)
+			is.NoErr(err)
+			resp.Done()
+		}
+		is.Equal(*opened, 2)
+	})
+}
--- a/faker/directory.go
+++ b/faker/directory.go
@@ -20,6 +20,7 @@
 	revision int64
 	cfg      *matcher.Configuration
 	ups      map[string]balancer.Upstream
+	hosts    []follower.Host
 	log      []listing
 	away     bool
 	changed  chan struct{}
@@ -30,6 +31,7 @@
 	cfg      *matcher.Configuration
 	up       *balancer.Upstream
 	gone     string
+	host     *follower.Host
 }
 
 // Configure puts a configuration into the source.
@@ -48,6 +50,14 @@
 	})
 }
 
+// Host writes the entry of an entry host.
+func (d *Directory) Host(h follower.Host) {
+	d.add(func(c *listing) {
+		d.hosts = append(d.hosts, h)
+		c.host = &h
+	})
+}
+
 // Drop removes an upstream's entry.
 func (d *Directory) Drop(id string) {
 	d.add(func(c *listing) {
@@ -90,7 +100,7 @@
 	if d.away {
 		return nil, errAway
 	}
-	out := &follower.Changes{Revision: d.revision, Configuration: d.cfg}
+	out := &follower.Changes{Revision: d.revision, Configuration: d.cfg, Hosts: d.hosts}
 	for _, u := range d.ups {
 		out.Listed = append(out.Listed, u)
 	}
@@ -121,6 +131,8 @@
 			out.Configuration = c.cfg
 		case c.up != nil:
 			out.Listed = append(out.Listed, *c.up)
+		case c.host != nil:
+			out.Hosts = append(out.Hosts, *c.host)
 		default:
 			out.Gone = append(out.Gone, c.gone)
 		}
--- a/faker/stage.go
+++ b/faker/stage.go
@@ -166,7 +166,7 @@
 		return
 	case <-time.After(s.Answer):
 	}
-	fmt.Fprintf(w, "answer of %s to %s", s.ID, r.Header.Get(forwarder.DefaultHeaders.RequestID))
+	_, _ = fmt.Fprintf(w, "answer of %s to %s", s.ID, r.Header.Get(forwarder.DefaultHeaders.RequestID))
 }
 
 // foreign writes a late answer to another request before the one to this.
@@ -179,7 +179,7 @@
 	defer conn.Close()
 	for _, name := range []string{"another", r.Header.Get(id)} {
 		text := "answer to " + name
-		fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp\r\nContent-Length: %d\r\n\r\n%s",
+		_, _ = fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp\r\nContent-Length: %d\r\n\r\n%s",
 			id, name, forwarder.DefaultHeaders.Stamp, len(text), text)
 	}
 	_ = buf.Flush()
@@ -197,11 +197,11 @@
 		case <-time.After(s.Gap):
 		}
 		if t == TroubleCut && n == from+3 {
-			fmt.Fprintf(w, "id: %d\nda", n)
+			_, _ = fmt.Fprintf(w, "id: %d\nda", n)
 			_ = ctl.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", n, n)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", n, n)
 		_ = ctl.Flush()
 	}
 }
--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,114 @@
+package follower_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/faker"
+	"github.com/sardineward/sardineward/follower"
+	"github.com/sardineward/sardineward/matcher"
+)
+
+// run follows a source in virtual time.
+func run(t *testing.T, f func(src *faker.Directory, fol *follower.Follower, b *balancer.Balancer)) {
+	t.Helper()
+	synctest.Test(t, func(_ *testing.T) {
+		src := new(faker.Directory)
+		src.Configure(&matcher.Configuration{Version: 3})
+		src.List(balancer.Upstream{ID: "one", Address: "1"})
+		b := new(balancer.Balancer)
+		started := time.Now()
+		fol := &follower.Follower{Source: src, Balancer: b, Now: func() time.Duration { return time.Since(started) + time.Second }}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			fol.Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		f(src, fol, b)
+		cancel()
+		<-done
+	})
+}
+
+// TestAge. Nothing changes at the source for long; each answered call still
+// shows that what is known is current. Once calls fail it grows old.
+func TestAge(t *testing.T) {
+	run(t, func(src *faker.Directory, fol *follower.Follower, _ *balancer.Balancer) {
+		is := is.New(t)
+		for range 100 {
+			time.Sleep(137 * time.Millisecond)
+			is.True(fol.Age() <= 2500*time.Millisecond)
+		}
+		src.SetAway(true)
+		time.Sleep(10 * time.Second)
+		is.True(fol.Age() > 9*time.Second)
+		src.SetAway(false)
+		time.Sleep(time.Second)
+		is.True(fol.Age() <= 2500*time.Millisecond)
+	})
+}
+
+// TestOutage. Entries lapse while the source is away, and upstreams write them
+// again after it is back. They must not be dropped for that moment; one that
+// does not come back is gone.
+func TestOutage(t *testing.T) {
+	run(t, func(src *faker.Directory, _ *follower.Follower, b *balancer.Balancer) {
+		is := is.New(t)
+		src.List(balancer.Upstream{ID: "two", Address: "2"})
+		time.Sleep(time.Second)
+		src.SetAway(true)
+		src.Drop("one")
+		src.Drop("two")
+		time.Sleep(5 * time.Second)
+		src.SetAway(false)
+		time.Sleep(time.Second)
+		is.Equal(len(b.IDs()), 2)
+		src.List(balancer.Upstream{ID: "one", Address: "1"})
+		time.Sleep(5 * time.Second)
+		is.Equal(b.IDs(), []string{"one"})
+		src.Drop("one")
+		time.Sleep(time.Second)
+		is.Equal(len(b.IDs()), 0) // with the source there, at once
+	})
+}
+
+// TestCompacted. The source forgets its history while something changes.
+func TestCompacted(t *testing.T) {
+	run(t, func(src *faker.Directory, fol *follower.Follower, b *balancer.Balancer) {
+		is := is.New(t)
+		src.SetAway(true)
+		src.Drop("one")
+		src.List(balancer.Upstream{ID: "two", Address: "2"})
+		src.Configure(&matcher.Configuration{Version: 9})
+		src.Compact()
+		src.SetAway(false)
+		time.Sleep(8 * time.Second)
+		is.Equal(b.IDs(), []string{"two"})
+		is.Equal(fol.Table().Version, int64(9))
+	})
+}
+
+// TestPeers. A host that its source turns away stays as fresh as the answers of
+// its peers are, and never goes back to an older configuration.
+func TestPeers(t *testing.T) {
+	run(t, func(src *faker.Directory, fol *follower.Follower, _ *balancer.Balancer) {
+		is := is.New(t)
+		src.SetAway(true)
+		time.Sleep(10 * time.Second)
+		sent := 12 * time.Second
+		fol.Heard(sent, time.Second, 4, nil) // the peer has a version that this host lacks
+		is.True(fol.Age() > 9*time.Second)
+		fol.Heard(sent, time.Second, 4, &matcher.Configuration{Version: 4})
+		is.True(fol.Age() < 2*time.Second)
+		is.True(fol.OwnAge() > 9*time.Second)
+		fol.Heard(sent, time.Second, 2, &matcher.Configuration{Version: 2})
+		is.Equal(fol.Table().Version, int64(4))
+	})
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -100,7 +100,7 @@
 	defer end()
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	callers, err := h.listen(&wg)
+	callers, err := h.listen()
 	if err != nil {
 		return err
 	}
@@ -312,7 +312,7 @@
 }
 
 // listen opens all addresses and returns the server of the callers.
-func (h *Host) listen(wg *sync.WaitGroup) (*http.Server, error) {
+func (h *Host) listen() (*http.Server, error) {
 	cfg := h.Settings
 	callers := server(h.forward)
 	for _, one := range []struct {
--- /dev/null
+++ b/orderer/orderer_test.go
@@ -0,0 +1,181 @@
+package orderer_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/matcher"
+	"github.com/sardineward/sardineward/orderer"
+	"github.com/sardineward/sardineward/picker"
+)
+
+// engines carries orders out after a while and lists what it holds.
+type engines struct {
+	mu     sync.Mutex
+	b      *balancer.Balancer
+	taken  map[string]int64
+	orders int
+	// refuse is how many orders of each engine are turned away.
+	refuse map[string]int
+	// drain is how long an engine takes to hold what it was ordered.
+	drain time.Duration
+	list  map[string]balancer.Upstream
+}
+
+func (e *engines) Place(_ context.Context, address string, s balancer.Span, expected int64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders++
+	if e.refuse[address] > 0 {
+		e.refuse[address]--
+		return orderer.ErrRefused
+	}
+	if e.taken[address] != expected {
+		return orderer.ErrRefused
+	}
+	e.taken[address]++
+	u := e.list[address]
+	u.Holds = s
+	e.list[address] = u
+	time.AfterFunc(e.drain, func() { e.b.List([]balancer.Upstream{u}, nil) })
+	return nil
+}
+
+func (e *engines) Taken(_ context.Context, address string) (int64, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.taken[address], nil
+}
+
+// run has an orderer look after twelve engines in virtual time.
+func run(t *testing.T, f func(e *engines, holds *bool)) {
+	t.Helper()
+	synctest.Test(t, func(_ *testing.T) {
+		service := &matcher.Service{Name: "model", Engine: &matcher.Engine{
+			Layers: 40, LayerMB: 1750, TokenBytes: 590000, StepMs: 1, PerSequenceMs: 0.005, LoadTime: 14 * time.Second, Prompt: 700, Answer: 200,
+			Cards: []matcher.Card{{Name: "x", MB: 14400, Pace: 1, ReadPace: 1}},
+		}}
+		services := map[string]*matcher.Service{"model": service}
+		b := &balancer.Balancer{Policy: picker.Cheapest{}, Rand: rand.New(rand.NewPCG(1, 1))}
+		b.Configure(services)
+		e := &engines{b: b, taken: make(map[string]int64), refuse: make(map[string]int), drain: time.Second, list: make(map[string]balancer.Upstream)}
+		for n := range 12 {
+			u := balancer.Upstream{ID: fmt.Sprint("e", n), Service: "model", Address: fmt.Sprint("10.0.0.", n), DataCentre: "a", Card: "x", Born: 1}
+			e.list[u.Address] = u
+			b.List([]balancer.Upstream{u}, nil)
+		}
+		holds := true
+		started := time.Now()
+		o := &orderer.Orderer{
+			Balancer: b, Engines: e, Services: func() map[string]*matcher.Service { return services },
+			Holds: func(string) bool { return holds }, HoldsAny: func() bool { return holds },
+			Now: func() time.Duration { return time.Since(started) + time.Second }, Log: zerolog.Nop(),
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			o.Run(ctx)
+		}()
+		f(e, &holds)
+		cancel()
+		<-done
+		time.Sleep(time.Minute)
+	})
+}
+
+// assertCovered checks that every layer is held by an engine that is listed.
+func (e *engines) assertCovered(t *testing.T) {
+	t.Helper()
+	held := make([]bool, 40)
+	for _, u := range e.b.Listed() {
+		for l := u.Holds.From; l < u.Holds.To; l++ {
+			held[l] = true
+		}
+	}
+	for l, ok := range held {
+		if !ok {
+			t.Fatalf("nobody holds layer %d", l)
+		}
+	}
+}
+
+func (e *engines) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.orders
+}
+
+func TestLaidOut(t *testing.T) {
+	run(t, func(e *engines, _ *bool) {
+		is := is.New(t)
+		time.Sleep(5 * time.Second)
+		e.assertCovered(t)
+		is.Equal(e.count(), 12) // one order an engine
+		time.Sleep(time.Minute)
+		is.Equal(e.count(), 12) // and none after
+	})
+}
+
+// TestNotHolder. A host that does not hold the duty gives no order.
+func TestNotHolder(t *testing.T) {
+	run(t, func(e *engines, holds *bool) {
+		*holds = false
+		time.Sleep(10 * time.Second)
+		is.New(t).Equal(e.count(), 0)
+	})
+}
+
+// TestCountWrong. A new holder does not know how many orders an engine has
+// taken. Its order is refused, and it asks before the next.
+func TestCountWrong(t *testing.T) {
+	run(t, func(e *engines, _ *bool) {
+		for address := range e.list {
+			e.taken[address] = 3
+		}
+		time.Sleep(10 * time.Second)
+		e.assertCovered(t)
+	})
+}
+
+// TestLeaves. An engine reports that it leaves, and an empty one comes. Its
+// layers are ordered from the new one at once.
+func TestLeaves(t *testing.T) {
+	run(t, func(e *engines, _ *bool) {
+		time.Sleep(10 * time.Second)
+		u := e.list["10.0.0.3"]
+		u.Leaving = true
+		fresh := balancer.Upstream{ID: "new", Service: "model", Address: "10.0.0.99", DataCentre: "a", Card: "x", Born: 9}
+		e.mu.Lock()
+		e.list[fresh.Address] = fresh
+		e.mu.Unlock()
+		e.b.List([]balancer.Upstream{u, fresh}, nil)
+		time.Sleep(1500 * time.Millisecond)
+		e.b.List(nil, []string{u.ID})
+		e.assertCovered(t)
+	})
+}
+
+// TestSlowDrain. An engine that was ordered to take a lost range drains for long
+// before it does. No second one may be sent there and leave its own.
+func TestSlowDrain(t *testing.T) {
+	run(t, func(e *engines, _ *bool) {
+		is := is.New(t)
+		time.Sleep(10 * time.Second)
+		before := e.count()
+		e.drain = 10 * time.Second
+		e.b.List(nil, []string{"e3"})
+		time.Sleep(18 * time.Second)
+		is.True(e.count() <= before+1)
+		e.assertCovered(t)
+	})
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -175,6 +175,9 @@
 	}
 	for gap := held.gap(); gap.Len() > 0; gap = held.gap() {
 		x, s := filler(m, members, moved, held, gap)
+		if s.Len() == 0 {
+			x, s = neighbour(m, members, moved, gap)
+		}
 		if s.Len() == 0 {
 			// Nobody can take it now; the other gaps are looked at all the same.
 			held.add(gap, 1)
@@ -217,6 +220,29 @@
 	return best, span
 }
 
+// neighbour is a member that holds layers beside a gap and has memory for some
+// more, and the range that it holds with them. It comes after members that can
+// be spared: what it lends, the streams of its data centre lack. Without it a
+// data centre in which each layer is held once never has a path of its own again
+// after a loss for good.
+func neighbour(m Model, members []Member, moved map[string]bool, gap Span) (Member, Span) {
+	best, span, closed := Member{}, Span{}, 0
+	for _, x := range members {
+		if x.Pending || x.Missing || moved[x.ID] || x.Held.Len() == 0 {
+			continue
+		}
+		n := min(gap.Len(), most(m, x.MB, leastRequests)-x.Held.Len())
+		switch {
+		case n <= closed:
+		case x.Held.To == gap.From:
+			best, span, closed = x, Span{x.Held.From, x.Held.To + n}, n
+		case x.Held.From == gap.To:
+			best, span, closed = x, Span{x.Held.From - n, x.Held.To}, n
+		}
+	}
+	return best, span
+}
+
 // relief is the range that an empty member holds beside others: the one of a
 // member whose layers take most time for those that hold them.
 func relief(m Model, members []Member, x Member) Span {
--- /dev/null
+++ b/registrar/registrar_test.go
@@ -0,0 +1,113 @@
+package registrar_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/sardineward/sardineward/faker"
+	"github.com/sardineward/sardineward/registrar"
+	"github.com/sardineward/sardineward/storer"
+)
+
+// host is one that runs, with a clock that a test can move on.
+type host struct {
+	*registrar.Registrar
+	cancel context.CancelFunc
+	done   chan struct{}
+	// asleep is how long it was suspended so far.
+	asleep time.Duration
+}
+
+func start(store storer.Store, name string, free func() []string) *host {
+	began := time.Now()
+	h := &host{done: make(chan struct{})}
+	h.Registrar = &registrar.Registrar{
+		Store: store, Entry: registrar.Entry{Name: name, Address: name + ":1", DataCentre: "a"},
+		Now: func() time.Duration { return time.Since(began) + h.asleep }, Free: free, Log: zerolog.Nop(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	go func() {
+		defer close(h.done)
+		h.Run(ctx)
+	}()
+	return h
+}
+
+func (h *host) stop() {
+	h.cancel()
+	<-h.done
+}
+
+// freeDuty lists a data centre while the store has no holder for it.
+func freeDuty(store storer.Store) func() []string {
+	return func() []string {
+		if _, err := store.Get(context.Background(), registrar.DutyPrefix+"a"); errors.Is(err, storer.ErrNotFound) {
+			return []string{"a"}
+		}
+		return nil
+	}
+}
+
+func TestDuty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := new(faker.Platform)
+		one, two := start(store, "one", freeDuty(store)), start(store, "two", freeDuty(store))
+		time.Sleep(3 * time.Second)
+		is.True(one.Holding("a") != two.Holding("a")) // one of them
+		is.True(!one.Holding("b") && !two.Holding("b"))
+		holder, other := one, two
+		if two.Holding("a") {
+			holder, other = two, one
+		}
+		holder.stop()
+		time.Sleep(2 * time.Second)
+		is.True(!holder.Holding("a"))
+		is.True(other.Holding("a")) // handed over at the stop
+		other.stop()
+		_, err := store.Get(context.Background(), registrar.HostPrefix+"one")
+		is.True(errors.Is(err, storer.ErrNotFound))
+	})
+}
+
+// TestSuspended. A host that gives orders is suspended past its lease. It wakes
+// up, its timers have not moved, and it must not believe that it still holds the
+// duty before it has asked.
+func TestSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := new(faker.Platform)
+		h := start(store, "one", freeDuty(store))
+		time.Sleep(2 * time.Second)
+		is.True(h.Holding("a"))
+		h.asleep = 5 * time.Second
+		is.True(!h.Holding("a"))
+		is.True(!h.HoldingAny())
+		h.stop()
+	})
+}
+
+// TestStoreAway. The store can't be reached for longer than the lease: the duty
+// ends in time, and is taken again when the store is back.
+func TestStoreAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := new(faker.Platform)
+		h := start(store, "one", freeDuty(store))
+		time.Sleep(2 * time.Second)
+		store.SetFaults(faker.Faults{Out: true})
+		time.Sleep(4 * time.Second)
+		is.True(!h.Holding("a"))
+		store.SetFaults(faker.Faults{})
+		time.Sleep(4 * time.Second)
+		is.True(h.Holding("a"))
+		h.stop()
+	})
+}
--- /dev/null
+++ b/sharer/sharer_test.go
@@ -0,0 +1,125 @@
+package sharer_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/faker"
+	"github.com/sardineward/sardineward/follower"
+	"github.com/sardineward/sardineward/matcher"
+	"github.com/sardineward/sardineward/peer"
+	"github.com/sardineward/sardineward/sharer"
+)
+
+// host follows a source of its own and exchanges with the others.
+type host struct {
+	source   *faker.Directory
+	follow   *follower.Follower
+	balancer *balancer.Balancer
+}
+
+// run joins hosts a, b and c in virtual time.
+func run(t *testing.T, f func(n *faker.Network, hosts map[string]*host)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		n := faker.NewNetwork()
+		hosts := make(map[string]*host)
+		ctx, cancel := context.WithCancel(context.Background())
+		started := time.Now()
+		now := func() time.Duration { return time.Since(started) + time.Second }
+		names := []string{"a", "b", "c"}
+		for _, name := range names {
+			h := &host{source: new(faker.Directory), balancer: new(balancer.Balancer)}
+			h.follow = &follower.Follower{Source: h.source, Balancer: h.balancer, Now: now}
+			h.source.Configure(&matcher.Configuration{Version: 1})
+			h.source.List(balancer.Upstream{ID: "one", Address: "1"})
+			for _, other := range names {
+				if other != name {
+					h.source.Host(follower.Host{Name: other, Address: other + ":1", DataCentre: other})
+				}
+			}
+			tr := &http.Transport{DialContext: n.Dialer(name)}
+			s := &sharer.Sharer{Self: name, Follower: h.follow, Balancer: h.balancer, Now: now, HTTP: &http.Client{Transport: tr}, Log: zerolog.Nop()}
+			n.Place(name+":1", name)
+			kill, err := faker.Serve(n.Listen, name+":1", peer.NewShareServer(s))
+			is.New(t).NoErr(err)
+			defer kill()
+			defer tr.CloseIdleConnections()
+			go h.follow.Run(ctx)
+			go s.Run(ctx)
+			hosts[name] = h
+		}
+		time.Sleep(2 * time.Second)
+		f(n, hosts)
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// TestTurnedAway. The store turns one host away and serves the others. It stays
+// as fresh as they are, has their configuration and their list.
+func TestTurnedAway(t *testing.T) {
+	run(t, func(_ *faker.Network, hosts map[string]*host) {
+		is := is.New(t)
+		hosts["c"].source.SetAway(true)
+		for _, name := range []string{"a", "b"} {
+			hosts[name].source.Configure(&matcher.Configuration{Version: 5})
+			hosts[name].source.List(balancer.Upstream{ID: "two", Address: "2"})
+			hosts[name].source.Drop("one")
+		}
+		time.Sleep(5 * time.Second)
+		c := hosts["c"]
+		is.True(c.follow.OwnAge() > 4*time.Second)
+		is.True(c.follow.Age() < 3*time.Second)
+		is.Equal(c.follow.Table().Version, int64(5))
+		is.Equal(c.balancer.IDs(), []string{"two"})
+	})
+}
+
+// TestAllAway. No host reaches the store: none may pass for fresh by what the
+// others say.
+func TestAllAway(t *testing.T) {
+	run(t, func(_ *faker.Network, hosts map[string]*host) {
+		for _, h := range hosts {
+			h.source.SetAway(true)
+		}
+		time.Sleep(10 * time.Second)
+		for name, h := range hosts {
+			if h.follow.Age() < 9*time.Second {
+				t.Fatalf("%s believes to be %v old", name, h.follow.Age())
+			}
+		}
+	})
+}
+
+// TestAlone. A host is cut off from the store and from its peers.
+func TestAlone(t *testing.T) {
+	run(t, func(n *faker.Network, hosts map[string]*host) {
+		hosts["c"].source.SetAway(true)
+		n.Cut("c", "a")
+		n.Cut("c", "b")
+		time.Sleep(10 * time.Second)
+		is.New(t).True(hosts["c"].follow.Age() > 9*time.Second)
+	})
+}
+
+func TestInFlightHeard(t *testing.T) {
+	run(t, func(_ *faker.Network, hosts map[string]*host) {
+		is := is.New(t)
+		for _, h := range hosts {
+			h.balancer.SetHosts(map[string]string{"a": "x", "b": "x", "c": "x"})
+		}
+		is.True(hosts["b"].balancer.SetDead(0, "one", true))
+		time.Sleep(time.Second)
+		is.Equal(fmt.Sprint(hosts["a"].balancer.Told("b")), "[{one 0 0 true}]")
+		is.Equal(fmt.Sprint(hosts["c"].balancer.Told("b")), "[{one 0 0 true}]")
+	})
+}
