cmd/sardineward: explain a request from logs, bounded logs, a host to try with curl

Change: explain prints a request's lines over hosts in order of time; lines beyond 1,000 a second or a stuck reader are dropped and counted; metrics for age, versions, upstreams by state, readiness, duty; dev-forward runs a host before stand-ins that cut, reset, turn away and take the key away.

--- /dev/null
+++ b/cmd/sardineward/devforward.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/faker"
+	"github.com/sardineward/sardineward/forwarder"
+	"github.com/sardineward/sardineward/launcher"
+	"github.com/sardineward/sardineward/loader"
+	"github.com/sardineward/sardineward/matcher"
+)
+
+func addDevForward(app *kingpin.Application) {
+	cmd := app.Command("dev-forward", "Run a host that forwards by a route table, with its source and upstreams on loopback.")
+	port := cmd.Flag("port", "First port; the 12 from it on are used.").Default("8180").Int()
+	cmd.Action(func(*kingpin.ParseContext) error { return devForward(*port) })
+}
+
+// devForward serves a desk and streams that can be cut and resumed. Requests to
+// the control address change what the upstreams do next.
+func devForward(port int) error {
+	address := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", port+n) }
+	source := new(faker.Directory)
+	cfg := devTable(1, devKey)
+	source.Configure(cfg)
+	stages := make(map[string]*faker.Stage)
+	for i, id := range []string{"desk-a", "desk-b", "model-a", "model-b"} {
+		stages[id] = &faker.Stage{ID: id, Events: 20, Gap: 200 * time.Millisecond, Answer: 20 * time.Millisecond}
+		kill, err := faker.Serve(listen, address(5+i), stages[id])
+		if err != nil {
+			return err
+		}
+		defer kill()
+		source.List(balancer.Upstream{ID: id, Service: id[:len(id)-2], Address: address(5 + i), DataCentre: "here", Slots: 8})
+	}
+	kill, err := faker.Serve(listen, address(4), devControl(source, stages))
+	if err != nil {
+		return err
+	}
+	defer kill()
+	out := &boundedLog{Out: os.Stdout}
+	defer out.Close()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	printDevForward(address)
+	h := &launcher.Host{
+		Settings: &loader.Forward{
+			Host: "dev", DataCentre: "here", Callers: address(0), Ready: address(1), Peer: address(2), Admin: address(3),
+			RetryRatio: 0.2, RetryFixed: 50, RetryWindowS: 10, RevokeMs: 5000, BalancerMs: 100, StopMs: 7500,
+		},
+		Store: new(faker.Platform), Source: source, Engines: faker.NoEngines{}, Headers: forwarder.DefaultHeaders,
+		ReadyPath: "/ready", Now: bootTime, Dropped: out.Dropped, Log: out.Start(),
+	}
+	return h.Run(ctx)
+}
+
+func devTable(version int64, keys ...string) *matcher.Configuration {
+	route := func(prefix, service string, kind matcher.Kind) matcher.Route {
+		return matcher.Route{
+			Name: prefix, Host: "127.0.0.1", Prefix: prefix, Kind: kind, Timeout: 30 * time.Second,
+			Splits: []matcher.Split{{Service: service, Weight: 1}}, MaxAttempts: 2, Resumable: kind == matcher.KindStreaming,
+		}
+	}
+	return &matcher.Configuration{
+		Version: version,
+		Routes: []matcher.Route{
+			route("/lots/", "desk", matcher.KindIdempotent), route("/bookings/", "desk", matcher.KindNonIdempotent),
+			route("/stream/", "model", matcher.KindStreaming),
+		},
+		Services:   []matcher.Service{{Name: "desk"}, {Name: "model"}},
+		Workspaces: []matcher.Workspace{{Name: "dev", Keys: keys}},
+	}
+}
+
+// devControl changes what upstreams do with the next request, and takes the key
+// away.
+func devControl(source *faker.Directory, stages map[string]*faker.Stage) http.Handler {
+	troubles := map[string]faker.Trouble{"/cut": faker.TroubleCut, "/reset": faker.TroubleReset, "/full": faker.TroubleFull}
+	mux := http.NewServeMux()
+	for path, trouble := range troubles {
+		mux.HandleFunc(path, func(http.ResponseWriter, *http.Request) {
+			for _, s := range stages {
+				s.Trouble(trouble)
+			}
+		})
+	}
+	mux.HandleFunc("/revoke", func(http.ResponseWriter, *http.Request) { source.Configure(devTable(2, "another-key")) })
+	return mux
+}
+
+func printDevForward(address func(int) string) {
+	fmt.Printf(`callers %[1]s, readiness %[2]s, metrics %[3]s, control of the stand-ins %[4]s
+
+curl -i -H 'Attempt-Id: 1' -H 'Authorization: Bearer %[5]s' http://%[1]s/lots/12
+curl -i -H 'Attempt-Id: 2' -H 'Authorization: Bearer %[5]s' http://%[1]s/bookings/ -d 'lot 12'
+curl -N -H 'Attempt-Id: 3' -H 'Authorization: Bearer %[5]s' http://%[1]s/stream/ -d 'Summarise lot 12.'
+curl http://%[4]s/cut      # the next stream breaks off in its third event, and goes on elsewhere
+curl http://%[4]s/reset    # the next booking loses its answer: 502, never sent again
+curl http://%[4]s/full     # the next requests are turned away as not run: 503 with Retry-After
+curl http://%[4]s/revoke   # the key is taken away: 401 within a second
+curl http://%[3]s/metrics
+
+`, address(0), address(1), address(3), address(4), devKey)
+}
--- a/cmd/sardineward/forward.go
+++ b/cmd/sardineward/forward.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 	"golang.org/x/sys/unix"
 
 	"github.com/sardineward/sardineward/launcher"
@@ -19,11 +17,6 @@
 )
 
 const (
-	// logLines is how many lines wait for a reader of the output; more are
-	// dropped and counted, since a request must not wait for a log.
-	logLines = 4096
-	// logPoll is the time between two looks for lines to write.
-	logPoll = 20 * time.Millisecond
 	// storeTimeout bounds a call on the platform's store: two hundred times
 	// the usual.
 	storeTimeout = 800 * time.Millisecond
@@ -42,8 +35,9 @@
 }
 
 func forward(cfg *loader.Forward) error {
-	log, done := boundedLogger(string(cfg.LogLevel))
-	defer done()
+	out := &boundedLog{Out: os.Stdout, Level: string(cfg.LogLevel)}
+	log := out.Start()
+	defer out.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP)
@@ -57,30 +51,12 @@
 		Headers:   platform.Headers,
 		ReadyPath: platform.ReadyPath,
 		Now:       bootTime,
+		Dropped:   out.Dropped,
 		Log:       log,
 	}
 	return h.Run(ctx)
 }
 
-// boundedLogger writes lines to standard output without ever waiting for it.
-func boundedLogger(level string) (zerolog.Logger, func()) {
-	errs := zerolog.New(os.Stderr).With().Timestamp().Logger()
-	w := diode.NewWriter(os.Stdout, logLines, logPoll, func(missed int) {
-		errs.Warn().Int("lines", missed).Msg("log: lines dropped")
-	})
-	l, err := zerolog.ParseLevel(level)
-	if err != nil {
-		l = zerolog.InfoLevel
-	}
-	zerolog.TimeFieldFormat = time.RFC3339Nano
-	log := zerolog.New(w).Level(l).With().Timestamp().Logger()
-	return log, func() {
-		if err := w.Close(); err != nil {
-			errs.Warn().Err(err).Msg("log: not closed")
-		}
-	}
-}
-
 // bootTime is the time since the machine started. Unlike the monotonic clock of
 // the standard library it goes on while the machine is suspended, during which
 // leases lapse and keys are taken away.
--- /dev/null
+++ b/cmd/sardineward/log_test.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// stuck is an output whose reader stopped reading.
+type stuck struct{ until chan struct{} }
+
+func (s stuck) Write(b []byte) (int, error) {
+	<-s.until
+	return len(b), nil
+}
+
+// TestStuckReader. The collector of the logs hangs. Requests write lines all the
+// same and none of them waits; what can't be kept is counted.
+func TestStuckReader(t *testing.T) {
+	is := is.New(t)
+	out := stuck{make(chan struct{})}
+	l := &boundedLog{Out: out, Level: "info"}
+	log := l.Start()
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 2 * logLines {
+				log.Warn().Str("requestId", "r1").Msg("forwarder: refused")
+			}
+		})
+	}
+	wg.Wait()
+	for range 2 * logBurst {
+		log.Info().Msg("forwarder: refused")
+	}
+	is.True(l.Dropped() >= logBurst)
+	close(out.until)
+	l.Close()
+}
+
+func BenchmarkLog(b *testing.B) {
+	l := &boundedLog{Out: discard{}, Level: "info"}
+	log := l.Start()
+	b.ReportAllocs()
+	for b.Loop() {
+		log.Warn().Str("requestId", "9c41d07be2a35f68").Str("upstream", "i-7f3a91c2").Int("runs", 1).Dur("left", 1).Msg("forwarder: turned away")
+	}
+	l.Close()
+}
+
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
--- a/cmd/sardineward/main.go
+++ b/cmd/sardineward/main.go
@@ -34,6 +34,8 @@
 	app.Version(version())
 	addRun(app)
 	addForward(app)
+	addExplain(app)
+	addDevForward(app)
 	addCheck(app)
 	addOperate(app)
 	addDev(app)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -248,6 +248,7 @@
 			} else {
 				last = now
 				k.firstAfter = now - k.arrived
+				k.Meter.FirstToken.Observe(k.firstAfter.Seconds())
 				if a.moves.Load() == 0 {
 					k.Balancer.First(l, now, now-a.began)
 					if k.route.Target > 0 && now-a.began > k.route.Target {
@@ -265,6 +266,7 @@
 			k.Balancer.Served(k.Now(), l.Hops[0].ID, nil)
 			k.served()
 			k.sample(k.Now(), false)
+			k.Meter.Gap.Observe(gap.Seconds())
 			k.Log.Debug().Str("requestId", k.id).Str("route", k.route.Name).Dur("first", k.firstAfter).Dur("longestGap", gap).
 				Dur("whole", k.Now()-k.arrived).Int("runs", k.runs).Int32("moves", a.moves.Load()).Str("hops", FormatPath(k.Balancer.Path(l))).Msg("forwarder: stream answered")
 			return verdictAnswered
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -74,7 +75,9 @@
 	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	// Seed makes choices repeatable; 0 draws one.
 	Seed uint64
-	Log  zerolog.Logger
+	// Dropped is how many log lines were not written; nil where none are.
+	Dropped func() float64
+	Log     zerolog.Logger
 
 	balancer *balancer.Balancer
 	follow   *follower.Follower
@@ -85,6 +88,7 @@
 	pool     *connector.Pool
 	meter    *meter.Meter
 
+	opened atomic.Int64
 	// hostless is since when data centres have no host, by name.
 	hostless sync.Map
 	mu       sync.Mutex
@@ -166,7 +170,7 @@
 		Rand:       rand.New(rand.NewPCG(h.Seed, 1)),
 	}
 	h.follow = &follower.Follower{Source: h.Source, Balancer: h.balancer, Now: h.Now, OnChange: h.tellHosts, Log: h.Log}
-	h.pool = &connector.Pool{Dial: h.Dial, Now: h.Now, RequestID: h.Headers.RequestID}
+	h.pool = &connector.Pool{Dial: h.Dial, Now: h.Now, RequestID: h.Headers.RequestID, Opened: func() { h.opened.Add(1) }}
 	h.forward = &forwarder.Forwarder{
 		Tables:   h.follow,
 		Balancer: h.balancer,
@@ -197,6 +201,7 @@
 		HTTP:     &http.Client{Transport: &http.Transport{DialContext: h.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
 		Log:      h.Log,
 	}
+	h.exportMetrics()
 	h.orders = &orderer.Orderer{
 		Balancer: h.balancer,
 		Engines:  h.Engines,
@@ -222,6 +227,37 @@
 	}
 }
 
+// exportMetrics registers what is read when it is asked for.
+func (h *Host) exportMetrics() {
+	m := h.meter
+	m.Func("knowledge_age_seconds", "Age of configuration, keys and list, also by what peers answered.", func() float64 { return h.follow.Age().Seconds() })
+	m.Func("source_age_seconds", "Age of what this host read from the store itself.", func() float64 { return h.follow.OwnAge().Seconds() })
+	m.Func("configuration_version", "Version of the configuration in force; 0 is none.", func() float64 {
+		if t := h.follow.Table(); t != nil {
+			return float64(t.Version)
+		}
+		return 0
+	})
+	m.Func("hosts", "Other entry hosts that are listed.", func() float64 { return float64(len(h.follow.Hosts())) })
+	m.Func("requests_in_flight", "Requests being answered.", func() float64 { return float64(h.forward.InFlight()) })
+	m.Func("ready", "1 while this host takes requests.", func() float64 { return one(h.forward.Ready()) })
+	m.Func("duty_held", "1 while this host gives orders to engines.", func() float64 { return one(h.register.HoldingAny()) })
+	for _, state := range balancer.StateValues() {
+		m.Func("upstreams_"+state.String(), "Upstreams in this state.", func() float64 { return float64(h.balancer.Count(h.Now(), state)) })
+	}
+	if h.Dropped != nil {
+		m.CounterFunc("log_lines_dropped_total", "Log lines that were too many, or whose reader was too slow.", h.Dropped)
+	}
+	m.CounterFunc("connections_opened_total", "Connections made to upstreams.", func() float64 { return float64(h.opened.Load()) })
+}
+
+func one(ok bool) float64 {
+	if ok {
+		return 1
+	}
+	return 0
+}
+
 // tellHosts hands the other hosts on to the balancer.
 func (h *Host) tellHosts() {
 	hosts := make(map[string]string)
