--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -388,9 +388,10 @@
 	// silenceOne is how long one stream may get no event before its upstreams
 	// are asked: five events, and well under the pause that callers expect at
 	// most. Over an upstream with more streams events come as many times more
-	// often, down to silenceLeast, which is one pass of the slowest engines.
+	// often, down to silenceLeast: streams that share a batch get theirs together,
+	// once in a pass over all engines of a path.
 	silenceOne   = 250 * time.Millisecond
-	silenceLeast = 45 * time.Millisecond
+	silenceLeast = 60 * time.Millisecond
 )
 
 // Silent lists upstreams over which streams have begun and none has got an
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -152,13 +152,6 @@
 	}
 }
 
-// Offered takes in a configuration that a peer sent by itself.
-func (f *Follower) Offered(cfg *matcher.Configuration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.configure(cfg)
-}
-
 // Listed takes in the upstreams that a peer knows.
 func (f *Follower) Listed(list []balancer.Upstream) {
 	known := make(map[string]bool, len(list))
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -73,6 +73,8 @@
 
 	stopping atomic.Bool
 	inFlight atomic.Int64
+	// heard is when an event or a connection last came from any upstream.
+	heard atomic.Int64
 
 	mu      sync.Mutex
 	streams map[*attempt]struct{}
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -217,14 +218,29 @@
 	}
 	go func() {
 		defer f.endProbe(h.ID, rest)
-		alive := f.connects(ctx, h.Address)
-		if ctx.Err() == nil {
-			f.learn(ctx, h, alive)
+		asked := f.Now()
+		err := f.connect(ctx, h.Address)
+		switch {
+		case ctx.Err() != nil:
+		case err == nil:
+			f.heard.Store(int64(f.Now()))
+			f.learn(ctx, h, true)
+		case !isTimeout(err) || f.heard.Load() >= int64(asked):
+			f.learn(ctx, h, false)
+		default:
+			// Nothing at all came since: this host's own link is full or cut.
+			f.Log.Debug().Err(err).Str("upstream", h.ID).Msg("forwarder: no answer, as from all others")
 		}
 	}()
 }
 
-func (f *Forwarder) connects(ctx context.Context, address string) bool {
+// isTimeout reports whether nobody answered, in contrast to a refusal.
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.Is(err, context.DeadlineExceeded) || (errors.As(err, &t) && t.Timeout())
+}
+
+func (f *Forwarder) connect(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	dial := f.Pool.Dial
@@ -233,10 +249,9 @@
 	}
 	c, err := dial(ctx, "tcp", address)
 	if err != nil {
-		return false
+		return err
 	}
-	c.Close()
-	return true
+	return c.Close()
 }
 
 // learn notes whether an upstream lives, and moves the streams over one that
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -238,6 +238,7 @@
 			}
 			now := k.Now()
 			a.last.Store(int64(now))
+			k.heard.Store(int64(now))
 			if begun {
 				k.Balancer.Progress(now, l)
 				gap = max(gap, now-last)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -76,14 +76,14 @@
 	// spareAfter is how long an empty member waits for a gap before it holds
 	// what others hold too: the one that it replaces drains only after it came.
 	spareAfter = 8 * time.Second
-	// mostRequests bounds the requests at once that a layout is made for: it is
-	// the largest batch of the known engines.
-	mostRequests = 192
+	// mostRequests bounds the requests at once that a layout is made for: ten
+	// full batches of the known engines.
+	mostRequests = 2000
 	// fill is the part of its room that a card is planned to have in use:
 	// arrivals clump, and answers are longer than expected.
 	fill = 0.85
 	// copies bounds how often one kind of card holds its part of the model.
-	copies = 4
+	copies = 6
 )
 
 // Plan returns the orders to give now. A fleet that holds nothing is laid out
@@ -372,7 +372,7 @@
 func divide(m Model, kinds []kind) []part {
 	var best []part
 	var rate float64
-	const steps, growth = 24, 1.12
+	const steps, growth = 40, 1.12
 	for n, i := float64(leastRequests), 0; i < steps && n <= mostRequests; n, i = n*growth, i+1 {
 		parts := make([]part, len(kinds))
 		tryRows(m, kinds, n, parts, 0, func(t float64) {
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -44,9 +44,8 @@
 	Log  zerolog.Logger
 
 	mu sync.Mutex
-	// versions are the configurations that other hosts had in force.
-	versions map[string]int64
-	busy     map[string]bool
+	// busy are the hosts with which an exchange is under way.
+	busy map[string]bool
 }
 
 // Run exchanges until ctx ends. Of two hosts the one whose name comes first
@@ -73,7 +72,6 @@
 	defer s.mu.Unlock()
 	if s.busy == nil {
 		s.busy = make(map[string]bool)
-		s.versions = make(map[string]int64)
 	}
 	if s.busy[host] {
 		return false
@@ -96,14 +94,13 @@
 	req := &peer.ShareRequest{Host: s.Self, Passing: s.own(), Behind: late}
 	if cfg := s.Follower.Configuration(); cfg != nil {
 		req.Version = cfg.Version
-		req.Configuration = s.newer(s.version(h.Name))
 	}
 	resp, err := peer.NewShareProtobufClient("http://"+h.Address, s.HTTP).Exchange(ctx, req)
 	if err != nil {
 		s.Log.Debug().Err(err).Str("peer", h.Name).Msg("sharer: exchange failed")
 		return
 	}
-	s.take(h.Name, resp.Passing, resp.Version)
+	s.take(h.Name, resp.Passing)
 	cfg, err := decode[matcher.Configuration](resp.Configuration)
 	if err != nil {
 		s.Log.Warn().Err(err).Str("peer", h.Name).Msg("sharer: configuration can't be read")
@@ -125,51 +122,33 @@
 
 // Exchange implements peer.Share.
 func (s *Sharer) Exchange(_ context.Context, req *peer.ShareRequest) (*peer.ShareResponse, error) {
-	cfg, err := decode[matcher.Configuration](req.Configuration)
-	if err != nil {
-		return nil, err
-	}
-	s.begin("")
-	s.end("")
-	s.take(req.Host, req.Passing, req.Version)
-	if cfg != nil {
-		s.Follower.Offered(cfg)
-	}
+	s.take(req.Host, req.Passing)
 	age := s.Follower.Age()
 	resp := &peer.ShareResponse{Host: s.Self, Passing: s.own(), AgeMs: age.Milliseconds() + 1}
 	if cfg := s.Follower.Configuration(); cfg != nil {
 		resp.Version = cfg.Version
+	}
+	// Only a host that can't read the source is sent what it lacks. A change of
+	// the configuration went from each host to all others otherwise, and filled
+	// their links for a third of a second.
+	if req.Behind {
 		resp.Configuration = s.newer(req.Version)
 	}
 	if req.Behind && s.Follower.OwnAge() < behind {
-		resp.Upstreams, err = json.Marshal(s.Balancer.Listed())
-		if err != nil {
+		var err error
+		if resp.Upstreams, err = json.Marshal(s.Balancer.Listed()); err != nil {
 			return nil, err
 		}
 	}
 	return resp, nil
 }
 
-func (s *Sharer) take(host string, list []*peer.Passing, version int64) {
+func (s *Sharer) take(host string, list []*peer.Passing) {
 	passing := make([]balancer.Passing, len(list))
 	for i, p := range list {
 		passing[i] = balancer.Passing{Upstream: p.Upstream, Requests: int(p.Requests), Room: p.Room, Dead: p.Dead}
 	}
 	s.Balancer.Heard(s.Now(), host, passing)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.versions[host] = version
-}
-
-func (s *Sharer) version(host string) int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	v, ok := s.versions[host]
-	if !ok {
-		// What it has is not known yet: nothing is sent.
-		return 1<<63 - 1
-	}
-	return v
 }
 
 func (s *Sharer) own() []*peer.Passing {
