--- a/admitter/latency.go
+++ b/admitter/latency.go
@@ -31,7 +31,7 @@
 	lateWeight = 0.1
 	// lateMost is the share of late streams from which the bound falls. What a
 	// lost upstream makes late for a moment is below it.
-	lateMost = 0.2
+	lateMost = 0.35
 	// reached is the part of the bound from which it counts as reached.
 	reached = 0.8
 	// decrease and decreaseEvery: a fifth less each time that streams which
@@ -42,8 +42,8 @@
 	// rises slowly, by increaseSlow with each stream in time: what was too much
 	// a moment ago mostly still is. It is forgotten after forget.
 	cautious     = 0.8
-	increaseSlow = 0.3
-	forget       = 2 * time.Second
+	increaseSlow = 0.5
+	forget       = time.Second
 	// increase and increasePart are by how much the bound rises with each stream
 	// in time while it is reached: one, and a part of the bound, so that it
 	// is back within some lives of a stream after a loss that was made good.
@@ -51,7 +51,7 @@
 	increasePart = 0.04
 	// leastLimit keeps some streams going whatever they show: about what a host
 	// has in flight on a quiet day.
-	leastLimit = 16
+	leastLimit = 24
 	// unbounded is the bound before anything came late.
 	unbounded = 1e6
 )
--- /dev/null
+++ b/forwarder/events_test.go
@@ -0,0 +1,71 @@
+package forwarder
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/balancer"
+)
+
+func TestCutEvents(t *testing.T) {
+	for _, tc := range []struct{ in, events, rest, ids string }{
+		{"", "", "", ""},
+		{"id: 1\ndata: a\n", "", "id: 1\ndata: a\n", ""},
+		{"id: 1\ndata: a\n\nid: 2", "id: 1\ndata: a\n\n", "id: 2", "1"},
+		{"id:1\r\n\r\nid: 2\n\n", "id:1\r\n\r\nid: 2\n\n", "", "1 2"},
+		{"data: no id\n\n", "data: no id\n\n", "", ""},
+		{"weights: 3\nid: x7\n\n", "weights: 3\nid: x7\n\n", "", "x7"},
+	} {
+		t.Run(tc.in, func(t *testing.T) {
+			is := is.New(t)
+			events, rest, ids := cutEvents([]byte(tc.in))
+			var got []string
+			for _, id := range ids {
+				got = append(got, id.text)
+			}
+			is.Equal(string(events), tc.events)
+			is.Equal(string(rest), tc.rest)
+			is.Equal(strings.Join(got, " "), tc.ids)
+		})
+	}
+}
+
+func TestFollows(t *testing.T) {
+	is := is.New(t)
+	is.True(parseEventID("1").follows(eventID{}))
+	is.True(parseEventID("5").follows(parseEventID("4")))
+	is.True(!parseEventID("6").follows(parseEventID("4"))) // one is missing
+	is.True(!parseEventID("4").follows(parseEventID("4"))) // one comes twice
+	is.True(parseEventID("b").follows(parseEventID("a")))
+}
+
+// FuzzCutEvents: whatever an upstream sends, in whatever pieces, is passed on
+// unchanged and in whole events.
+func FuzzCutEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\r\n\r\n", 3)
+	f.Fuzz(func(t *testing.T, in string, size int) {
+		if size < 1 {
+			size = 1
+		}
+		var out, pending []byte
+		for at := 0; at < len(in); at += size {
+			pending = append(pending, in[at:min(len(in), at+size)]...)
+			events, rest, _ := cutEvents(pending)
+			if len(events) > 0 && !strings.HasSuffix(string(events), "\n\n") && !strings.HasSuffix(string(events), "\r\n\r\n") {
+				t.Fatalf("%q does not end an event", events)
+			}
+			out = append(out, events...)
+			pending = append([]byte(nil), rest...)
+		}
+		if got := string(out) + string(pending); got != in {
+			t.Fatalf("%q became %q", in, got)
+		}
+	})
+}
+
+func TestFormatPath(t *testing.T) {
+	hops := []balancer.Hop{{Address: "10.1.0.1:80", To: 20}, {Address: "10.2.0.1:80", From: 20, To: 80}}
+	is.New(t).Equal(FormatPath(hops), "10.1.0.1:80=0-20,10.2.0.1:80=20-80")
+}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -89,8 +89,8 @@
 	}
 }
 
-// rate is the highest rate of arrivals of a data centre by the cost model that
-// README of this package states: requests at once over the time of a token.
+// rate is the highest rate of arrivals of a data centre: the requests at once
+// that fit over the time that each takes, with all of them in the batches.
 func rate(members []placer.Member) float64 {
 	n := holders(members, "")
 	most, t0, t1 := 1e9, 0.0, 0.0
