balancer, follower: split, and one hop that never changes

Change: health and fleet in files of their own; a lease's first hop is its own field and the rest is read under the lock. Behaviour is as before.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -51,10 +51,13 @@
 	From, To int
 }
 
-// Lease is a chosen path with its room reserved, until Release. A path may
-// change while it is held: Hops is read through Balancer.Path once shared.
+// Lease is a chosen path with its room reserved, until Release.
 type Lease struct {
-	Hops []Hop
+	// First is the hop that the request is sent to; it never changes.
+	First Hop
+	// hops is the whole path, which may change while the lease is held: it is
+	// read through Balancer.Path.
+	hops []Hop
 	// need is what it was reserved for.
 	need Need
 	// tokens is the room reserved on each hop for each layer.
@@ -259,8 +262,8 @@
 	return matcher.Card{Name: name, MB: e.LayerMB * float64(e.Layers) * 2, Pace: 1, ReadPace: 1}
 }
 
-// Acquire reserves a place at the cheapest upstreams. The error is nil exactly
-// when Reason is ReasonNone.
+// Acquire reserves a place at the cheapest upstreams. The lease is nil unless
+// the reason is ReasonNone.
 func (b *Balancer) Acquire(now time.Duration, n Need) (*Lease, Reason) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -320,7 +323,8 @@
 		return nil, ReasonNoUpstream
 	}
 	best.running++
-	return &Lease{need: n, Hops: []Hop{{ID: best.ID, Address: best.Address}}}, ReasonNone
+	hop := Hop{ID: best.ID, Address: best.Address}
+	return &Lease{need: n, First: hop, hops: []Hop{hop}}, ReasonNone
 }
 
 // pressure is the requests that an upstream is thought to hold.
@@ -341,7 +345,7 @@
 }
 
 func (b *Balancer) release(l *Lease) {
-	for i, h := range l.Hops {
+	for i, h := range l.hops {
 		u := b.ups[h.ID]
 		if u == nil {
 			continue
@@ -357,211 +361,11 @@
 	}
 }
 
-// Begun notes the first event of a stream, Progress every further one.
-func (b *Balancer) Begun(now time.Duration, l *Lease) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if l.first {
-		return
-	}
-	l.first = true
-	for _, h := range l.Hops {
-		if u := b.ups[h.ID]; u != nil {
-			u.flows++
-			u.progressed = now
-		}
-	}
-}
-
-// Progress notes an event of a stream.
-func (b *Balancer) Progress(now time.Duration, l *Lease) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, h := range l.Hops {
-		if u := b.ups[h.ID]; u != nil {
-			u.progressed = now
-		}
-	}
-}
-
-const (
-	// silenceOne is how long one stream may get no event before its upstreams
-	// are asked: five events, and well under the pause that callers expect at
-	// most. Over an upstream with more streams events come as many times more
-	// often, down to silenceLeast: streams that share a batch get theirs together,
-	// once in a pass over all engines of a path.
-	silenceOne   = 250 * time.Millisecond
-	silenceLeast = 60 * time.Millisecond
-)
-
-// Silent lists upstreams over which streams have begun and none has got an
-// event for longer than that many streams explain.
-func (b *Balancer) Silent(now time.Duration) []Hop {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var out []Hop
-	for _, u := range b.ups {
-		limit := max(silenceLeast, silenceOne/time.Duration(max(1, u.flows)))
-		if u.flows > 0 && !u.dead && now-u.progressed > limit {
-			out = append(out, Hop{ID: u.ID, Address: u.Address})
-		}
-	}
-	return out
-}
-
-// Stuck lists the hops of a path over which no event has come since a time.
-// Streams that wait for their first event show a dead upstream that has no
-// other streams.
-func (b *Balancer) Stuck(l *Lease, since time.Duration) []Hop {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var out []Hop
-	for _, h := range l.Hops {
-		if u := b.ups[h.ID]; u != nil && !u.dead && u.progressed < since {
-			out = append(out, h)
-		}
-	}
-	return out
-}
-
 // Path returns the hops of a lease now.
 func (b *Balancer) Path(l *Lease) []Hop {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return slices.Clone(l.Hops)
-}
-
-// Dead lists upstreams that take no connection.
-func (b *Balancer) Dead() []Hop {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var out []Hop
-	for _, u := range b.ups {
-		if u.dead {
-			out = append(out, Hop{ID: u.ID, Address: u.Address})
-		}
-	}
-	return out
-}
-
-// SetDead notes whether an upstream takes connections. It reports whether that
-// was news.
-func (b *Balancer) SetDead(now time.Duration, id string, dead bool) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	u := b.ups[id]
-	if u == nil || u.dead == dead {
-		return false
-	}
-	u.dead = dead
-	if dead {
-		u.died = now
-	}
-	return true
-}
-
-// together is the time within which the loss of two upstreams of one data centre
-// speaks of the way there.
-const together = time.Second
-
-// Suspects lists the other upstreams of the data centre of one that was found
-// dead, when another there was just before. A data centre that is cut off is
-// found one upstream after the other otherwise, each by streams that wait.
-func (b *Balancer) Suspects(now time.Duration, id string) []Hop {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	u := b.ups[id]
-	if u == nil {
-		return nil
-	}
-	var out []Hop
-	more := false
-	for _, v := range b.ups {
-		if v == u || v.DataCentre != u.DataCentre {
-			continue
-		}
-		if v.dead {
-			more = more || now-v.died < together
-			continue
-		}
-		out = append(out, Hop{ID: v.ID, Address: v.Address})
-	}
-	if !more {
-		return nil
-	}
-	return out
-}
-
-const (
-	// greyMemory is the weight of one more outcome: ten requests tell a third
-	// of failures from a slip.
-	greyMemory = 0.15
-	// outFirst and outMost bound how long an upstream that can't be reached is
-	// left alone; the list tells of its end after three heartbeats.
-	outFirst = 500 * time.Millisecond
-	outMost  = 4 * time.Second
-)
-
-// Served notes an answer of an upstream and what it said of its load.
-func (b *Balancer) Served(now time.Duration, id string, load *Load) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	u := b.ups[id]
-	if u == nil {
-		return
-	}
-	u.strikes = 0
-	u.grey -= greyMemory * u.grey
-	if load != nil {
-		u.load, u.loadAt = *load, now
-	}
-}
-
-// Failed notes a request that an upstream failed but for which it stays in use.
-func (b *Balancer) Failed(id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if u := b.ups[id]; u != nil {
-		u.grey += greyMemory * (1 - u.grey)
-	}
-}
-
-// Out takes an upstream that can't be reached out of use for a while, doubled
-// each time in a row. It reports whether it was in use.
-func (b *Balancer) Out(now time.Duration, id string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	u := b.ups[id]
-	if u == nil || u.outUntil > now {
-		return false
-	}
-	u.outUntil = now + min(outMost, outFirst<<min(u.strikes, 4))
-	u.strikes++
-	return true
-}
-
-// fullMemory is how long an upstream is kept fuller than this host's requests
-// make it: the time in which about a fifth of the streams there end.
-const fullMemory = 500 * time.Millisecond
-
-// Full notes that an upstream had no room. Other hosts fill it, or answers are
-// longer than expected.
-func (b *Balancer) Full(now time.Duration, id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if u := b.ups[id]; u != nil {
-		u.hidden = max(0, u.room-b.known(now, u).room)
-		u.fullAt = now
-	}
-}
-
-// filled are the token-layers that are thought to be taken of u's room.
-func (b *Balancer) filled(now time.Duration, u *upstream) float64 {
-	out := b.known(now, u).room
-	if age := now - u.fullAt; age < fullMemory {
-		out += u.hidden * (1 - float64(age)/float64(fullMemory))
-	}
-	return out
+	return slices.Clone(l.hops)
 }
 
 // ByAddress returns the id of the upstream at an address, or "".
@@ -573,92 +377,3 @@
 	}
 	return ""
 }
-
-// Usable reports whether new work may go to an upstream.
-func (b *Balancer) Usable(now time.Duration, id string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	u := b.ups[id]
-	return u != nil && u.usable(now, nil)
-}
-
-// Fleet lists the upstreams of services whose engines hold layers.
-func (b *Balancer) Fleet(now time.Duration, service string) []Member {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var out []Member
-	for _, u := range b.ups {
-		if u.Service == service {
-			out = append(out, Member{Upstream: u.Upstream, Out: u.dead || u.outUntil > now, Streams: int(b.known(now, u).requests)})
-		}
-	}
-	slices.SortFunc(out, func(a, b Member) int { return cmpString(a.Address, b.Address) })
-	return out
-}
-
-//go:generate enumer -type State -trimprefix State -transform lower -output state_gen.go
-
-// State is how an upstream stands.
-type State int
-
-// The states; each upstream is in one.
-const (
-	// StateUsable upstreams take new work.
-	StateUsable State = iota
-	// StateEmpty ones would, but hold no layers of their model.
-	StateEmpty
-	// StateLeaving ones are going.
-	StateLeaving
-	// StateDead ones take no connection from this host.
-	StateDead
-	// StateOut ones are left alone for a while.
-	StateOut
-)
-
-// Count returns how many upstreams are in a state.
-func (b *Balancer) Count(now time.Duration, state State) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	n := 0
-	for _, u := range b.ups {
-		if b.state(now, u) == state {
-			n++
-		}
-	}
-	return n
-}
-
-func (b *Balancer) state(now time.Duration, u *upstream) State {
-	s := b.services[u.Service]
-	switch {
-	case u.Leaving:
-		return StateLeaving
-	case u.dead:
-		return StateDead
-	case u.outUntil > now:
-		return StateOut
-	case s != nil && s.Engine != nil && s.Engine.Layers > 0 && u.Holds.Len() == 0:
-		return StateEmpty
-	default:
-		return StateUsable
-	}
-}
-
-// Member is an upstream with what this host saw of it.
-type Member struct {
-	Upstream
-	// Out is set while it can't be reached.
-	Out bool
-	// Streams are the requests whose path it is on, of all hosts.
-	Streams int
-}
-
-func cmpString(a, b string) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
-	}
-	return 0
-}
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -61,11 +61,11 @@
 func TestPath(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer()
-	is.Equal(ids(acquire(t, b, 0, need).Hops), "a1 a2 ") // its own data centre first
+	is.Equal(ids(b.Path(acquire(t, b, 0, need))), "a1 a2 ") // its own data centre first
 	is.True(b.SetDead(0, "a2", true))
-	is.Equal(ids(acquire(t, b, 0, need).Hops), "b1 b2 ") // a whole path elsewhere before a crossing
+	is.Equal(ids(b.Path(acquire(t, b, 0, need))), "b1 b2 ") // a whole path elsewhere before a crossing
 	is.True(b.SetDead(0, "b1", true))
-	is.Equal(ids(acquire(t, b, 0, need).Hops), "a1 b2 ") // a crossing before none
+	is.Equal(ids(b.Path(acquire(t, b, 0, need))), "a1 b2 ") // a crossing before none
 	is.True(b.SetDead(0, "b2", true))
 	_, reason := b.Acquire(0, need)
 	is.Equal(reason, balancer.ReasonNoUpstream)
@@ -153,7 +153,7 @@
 	is := is.New(t)
 	b := newBalancer()
 	b.List([]balancer.Upstream{{ID: "a1-new", Service: "model", Address: "a:1", DataCentre: "a", Card: "large", Born: 7}}, nil)
-	is.Equal(ids(acquire(t, b, 0, need).Hops), "b1 b2 ")
+	is.Equal(ids(b.Path(acquire(t, b, 0, need))), "b1 b2 ")
 	b.List([]balancer.Upstream{{ID: "a1", Service: "model", Address: "a:1", DataCentre: "a", Card: "large", Holds: balancer.Span{To: 40}, Born: 3}}, nil)
 	is.Equal(b.ByAddress("a:1"), "a1-new") // a late heartbeat of the old one
 }
@@ -172,13 +172,13 @@
 	is.True(b.SetDead(0, "a2", true))
 	is.True(b.SetDead(0, "b1", true))
 	l := acquire(t, b, 0, need)
-	is.Equal(ids(l.Hops), "a1 b2 ")
+	is.Equal(ids(b.Path(l)), "a1 b2 ")
 	for n := range 6 {
 		b.First(l, time.Duration(n)*ms, 2*time.Second)
 	}
 	b.Release(l)
-	is.True(!strings.Contains(ids(acquire(t, b, 7*ms, need).Hops), "a1 b2"))
-	is.Equal(ids(acquire(t, b, 20*time.Second, need).Hops), "a1 b2 ") // tried again
+	is.True(!strings.Contains(ids(b.Path(acquire(t, b, 7*ms, need))), "a1 b2"))
+	is.Equal(ids(b.Path(acquire(t, b, 20*time.Second, need))), "a1 b2 ") // tried again
 }
 
 // TestTwoDead. A data centre is cut off. After the second dead upstream there
@@ -198,13 +198,13 @@
 	is := is.New(t)
 	b := newBalancer()
 	n := balancer.Need{Service: "desk"}
-	is.Equal(ids(acquire(t, b, 0, n).Hops), "adesk ")
+	is.Equal(ids(b.Path(acquire(t, b, 0, n))), "adesk ")
 	for range 20 {
 		b.Failed("adesk")
 	}
-	is.Equal(ids(acquire(t, b, 0, n).Hops), "bdesk ") // it fails what it gets
+	is.Equal(ids(b.Path(acquire(t, b, 0, n))), "bdesk ") // it fails what it gets
 	n.Avoid = []string{"bdesk"}
-	is.Equal(ids(acquire(t, b, 0, n).Hops), "adesk ")
+	is.Equal(ids(b.Path(acquire(t, b, 0, n))), "adesk ")
 	b.List([]balancer.Upstream{{ID: "adesk", Service: "desk", Address: "a:3", DataCentre: "a", Leaving: true}}, []string{"bdesk"})
 	_, reason := b.Acquire(0, balancer.Need{Service: "desk"})
 	is.Equal(reason, balancer.ReasonNoUpstream)
--- a/balancer/links.go
+++ b/balancer/links.go
@@ -68,7 +68,7 @@
 func (b *Balancer) crossed(l *Lease) map[[2]string]bool {
 	out := make(map[[2]string]bool)
 	last := ""
-	for _, h := range l.Hops {
+	for _, h := range l.hops {
 		u := b.ups[h.ID]
 		if u == nil {
 			continue
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -60,18 +60,19 @@
 	if route == nil {
 		return nil, b.shortage(cands, e.Layers)
 	}
-	l := &Lease{need: n, tokens: tokens, Hops: make([]Hop, len(route))}
+	l := &Lease{need: n, tokens: tokens, hops: make([]Hop, len(route))}
 	for i, h := range route {
 		u := b.ups[h.Upstream]
-		l.Hops[i] = Hop{ID: u.ID, Address: u.Address, From: h.First, To: h.Last + 1}
+		l.hops[i] = Hop{ID: u.ID, Address: u.Address, From: h.First, To: h.Last + 1}
 	}
+	l.First = l.hops[0]
 	b.reserve(l)
 	return l, ReasonNone
 }
 
 // reserve takes the room of a lease.
 func (b *Balancer) reserve(l *Lease) {
-	for i, h := range l.Hops {
+	for i, h := range l.hops {
 		u := b.ups[h.ID]
 		if u == nil {
 			continue
@@ -98,10 +99,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.services[l.need.Service]
-	if s == nil || s.Engine == nil || len(l.Hops) < 2 {
+	if s == nil || s.Engine == nil || len(l.hops) < 2 {
 		return nil
 	}
-	e, first := s.Engine, l.Hops[0]
+	e, first := s.Engine, l.First
 	b.release(l)
 	defer b.reserve(l)
 	var cands []picker.Candidate
@@ -111,7 +112,7 @@
 		}
 		c := b.candidate(now, e, u, l.need, l.tokens)
 		c.First, c.Last = max(0, c.First-first.To), c.Last-first.To
-		for _, h := range l.Hops {
+		for _, h := range l.hops {
 			if h.ID == u.ID {
 				c.Bias = keptBias
 			}
@@ -127,7 +128,7 @@
 		u := b.ups[h.Upstream]
 		hops = append(hops, Hop{ID: u.ID, Address: u.Address, From: h.First + first.To, To: h.Last + 1 + first.To})
 	}
-	l.Hops = hops
+	l.hops = hops
 	return slices.Clone(hops)
 }
 
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -109,6 +109,8 @@
 	// the time from which they are taken as gone.
 	missing map[string]time.Duration
 	outage  bool
+	// grace is until when entries that are gone may come back after an outage.
+	grace time.Duration
 }
 
 // Table is what is in force; nil before the first was read.
@@ -287,7 +289,8 @@
 	if f.outage {
 		f.Log.Info().Dur("age", f.Age()).Msg("follower: source regained")
 		f.outage = false
-		f.missing = map[string]time.Duration{"": f.Now() + returning}
+		clear(f.missing)
+		f.grace = f.Now() + returning
 	}
 }
 
@@ -296,7 +299,6 @@
 	now := f.Now()
 	f.mu.Lock()
 	f.revision = ch.Revision
-	grace := f.missing[""]
 	for _, h := range ch.Hosts {
 		f.hosts[h.Name] = h
 	}
@@ -308,8 +310,8 @@
 	}
 	var gone []string
 	for _, id := range ch.Gone {
-		if grace > now {
-			f.missing[id] = grace
+		if f.grace > now {
+			f.missing[id] = f.grace
 		} else {
 			gone = append(gone, id)
 		}
@@ -318,13 +320,10 @@
 		delete(f.missing, ch.Listed[i].ID)
 	}
 	for id, until := range f.missing {
-		if until > now {
-			continue
-		}
-		if id != "" {
+		if until <= now {
 			gone = append(gone, id)
+			delete(f.missing, id)
 		}
-		delete(f.missing, id)
 	}
 	f.configure(ch.Configuration)
 	f.fresh.Store(max(f.fresh.Load(), int64(sent)))
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -122,8 +122,9 @@
 	runs, turned int
 	// offered is set once an upstream was sent it.
 	offered bool
-	// ids are of the last event passed on.
-	last     eventID
+	// last is the id of the last event that was passed on.
+	last eventID
+	// answered is set once the caller was sent a status.
 	answered bool
 	// sampled is set once it was told whether the stream is late.
 	sampled bool
@@ -276,15 +277,15 @@
 	h := k.header.Clone()
 	left := max(1, int64((k.deadline-k.Now())/time.Millisecond))
 	h.Set(k.Headers.DeadlineMs, strconv.FormatInt(left, 10))
-	h.Set(k.Headers.Instance, l.Hops[0].ID)
+	h.Set(k.Headers.Instance, l.First.ID)
 	if k.workspace != nil {
 		h.Set(k.Headers.Workspace, k.workspace.Name)
 	}
-	if l.Hops[0].To > 0 {
-		h.Set(k.Headers.Path, FormatPath(l.Hops))
+	if l.First.To > 0 {
+		h.Set(k.Headers.Path, FormatPath(k.Balancer.Path(l)))
 	}
 	return &connector.Request{
-		Address: l.Hops[0].Address,
+		Address: l.First.Address,
 		Method:  k.r.Method,
 		Target:  k.r.RequestURI,
 		Host:    k.r.Host,
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -57,7 +57,7 @@
 			k.pass(a)
 			return
 		}
-		k.avoid = append(k.avoid, l.Hops[0].ID)
+		k.avoid = append(k.avoid, l.First.ID)
 		if v == verdictFailed {
 			k.runs++
 			k.Meter.Retries.WithLabelValues(v.String()).Inc()
@@ -71,7 +71,7 @@
 
 // exchange sends the request to one upstream and reads its whole answer.
 func (k *call) exchange(ctx context.Context, l *balancer.Lease) (*answer, verdict) {
-	id := l.Hops[0].ID
+	id := l.First.ID
 	sent := k.Now()
 	resp, err := k.Pool.Do(ctx, k.request(l))
 	if err != nil {
@@ -99,11 +99,11 @@
 	}
 	if ctx.Err() == nil {
 		if e.Dial {
-			if k.Balancer.SetDead(k.Now(), l.Hops[0].ID, true) {
-				k.Log.Warn().Str("requestId", k.id).Str("upstream", l.Hops[0].ID).Str("address", l.Hops[0].Address).Err(err).Msg("forwarder: upstream out")
+			if k.Balancer.SetDead(k.Now(), l.First.ID, true) {
+				k.Log.Warn().Str("requestId", k.id).Str("upstream", l.First.ID).Str("address", l.First.Address).Err(err).Msg("forwarder: upstream out")
 			}
 		} else {
-			k.Balancer.Failed(l.Hops[0].ID)
+			k.Balancer.Failed(l.First.ID)
 		}
 		k.logAttempt(l, "no answer", err)
 	}
@@ -115,7 +115,7 @@
 
 // judge says what a whole answer tells.
 func (k *call) judge(l *balancer.Lease, a *answer, sent time.Duration) (*answer, verdict) {
-	id := l.Hops[0].ID
+	id := l.First.ID
 	if v, ok := k.refusedBy(l, a.Response, sent); ok {
 		return nil, v
 	}
@@ -146,7 +146,7 @@
 	if !misdirected && resp.Header.Get(k.Headers.NotRun) == "" {
 		return verdictAnswered, false
 	}
-	id, at := l.Hops[0].ID, resp.Header.Get(k.Headers.Fault)
+	id, at := l.First.ID, resp.Header.Get(k.Headers.Fault)
 	if at != "" {
 		// Two upstreams may be listed at one address: the hop's is meant.
 		for _, h := range k.Balancer.Path(l) {
@@ -168,7 +168,7 @@
 }
 
 func (k *call) logAttempt(l *balancer.Lease, what string, err error) {
-	k.Log.Info().Str("requestId", k.id).Str("upstream", l.Hops[0].ID).Str("hops", FormatPath(k.Balancer.Path(l))).Err(err).
+	k.Log.Info().Str("requestId", k.id).Str("upstream", l.First.ID).Str("hops", FormatPath(k.Balancer.Path(l))).Err(err).
 		Dur("left", k.deadline-k.Now()).Msg("forwarder: " + what)
 }
 
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -119,7 +119,7 @@
 		if now-time.Duration(a.last.Load()) < limit {
 			continue
 		}
-		if first := f.Balancer.Path(a.lease)[0]; !seen[first.ID] {
+		if first := a.lease.First; !seen[first.ID] {
 			seen[first.ID] = true
 			out = append(out, first)
 		}
@@ -293,7 +293,7 @@
 // is told to change the path: the others keep what they have read, and no
 // request is sent again. Else the stream is resumed as a new request.
 func (f *Forwarder) move(ctx context.Context, a *attempt, dead balancer.Hop) {
-	if f.Balancer.Path(a.lease)[0].ID != dead.ID {
+	if a.lease.First.ID != dead.ID {
 		if hops := f.Balancer.Repath(f.Now(), a.lease, dead.ID); hops != nil {
 			ctx, cancel := context.WithTimeout(ctx, repathTimeout)
 			defer cancel()
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -82,7 +82,7 @@
 // avoidFirst keeps a request that got no event off the upstream that took it.
 func (k *call) avoidFirst(l *balancer.Lease, v verdict) {
 	if v != verdictNotRun {
-		k.avoid = append(k.avoid, l.Hops[0].ID)
+		k.avoid = append(k.avoid, l.First.ID)
 	}
 }
 
@@ -166,7 +166,7 @@
 		return k.refusedStream(a, resp)
 	}
 	if resp.Header.Get(k.Headers.Stamp) == "" || resp.Header.Get("Content-Encoding") != "" {
-		k.Balancer.Failed(l.Hops[0].ID)
+		k.Balancer.Failed(l.First.ID)
 		k.logAttempt(l, "stream without signature", nil)
 		return verdictMayHaveRun
 	}
@@ -199,7 +199,7 @@
 	if v, ok := k.refusedBy(l, resp.Response, a.began); ok {
 		return v
 	}
-	k.Balancer.Failed(l.Hops[0].ID)
+	k.Balancer.Failed(l.First.ID)
 	k.logAttempt(l, "stream failed with status "+strconv.Itoa(resp.StatusCode), err)
 	if err != nil || !resp.Whole() {
 		return verdictMayHaveRun
@@ -264,7 +264,7 @@
 		pending = append(pending[:0], rest...)
 		switch {
 		case errors.Is(err, io.EOF) && len(pending) == 0 && begun:
-			k.Balancer.Served(k.Now(), l.Hops[0].ID, nil)
+			k.Balancer.Served(k.Now(), l.First.ID, nil)
 			k.served()
 			k.sample(k.Now(), false)
 			k.Meter.Gap.Observe(gap.Seconds())
@@ -283,7 +283,7 @@
 func (k *call) inOrder(l *balancer.Lease, ids []eventID) bool {
 	for _, id := range ids {
 		if !id.follows(k.last) {
-			k.Balancer.Failed(l.Hops[0].ID)
+			k.Balancer.Failed(l.First.ID)
 			k.logAttempt(l, "event "+id.text+" after "+k.last.text, nil)
 			return false
 		}
@@ -317,7 +317,7 @@
 		err = cause
 	}
 	if !errors.Is(err, errMoved) && ctx.Err() == nil {
-		k.Balancer.Failed(l.Hops[0].ID)
+		k.Balancer.Failed(l.First.ID)
 	}
 	k.logAttempt(l, "stream broke off after event "+k.last.text, err)
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -240,8 +240,8 @@
 	})
 	m.Func("hosts", "Other entry hosts that are listed.", func() float64 { return float64(len(h.follow.Hosts())) })
 	m.Func("requests_in_flight", "Requests being answered.", func() float64 { return float64(h.forward.InFlight()) })
-	m.Func("ready", "1 while this host takes requests.", func() float64 { return one(h.forward.Ready()) })
-	m.Func("duty_held", "1 while this host gives orders to engines.", func() float64 { return one(h.register.HoldingAny()) })
+	m.Func("ready", "1 while this host takes requests.", func() float64 { return gauge(h.forward.Ready()) })
+	m.Func("duty_held", "1 while this host gives orders to engines.", func() float64 { return gauge(h.register.HoldingAny()) })
 	for _, state := range balancer.StateValues() {
 		m.Func("upstreams_"+state.String(), "Upstreams in this state.", func() float64 { return float64(h.balancer.Count(h.Now(), state)) })
 	}
@@ -251,7 +251,7 @@
 	m.CounterFunc("connections_opened_total", "Connections made to upstreams.", func() float64 { return float64(h.opened.Load()) })
 }
 
-func one(ok bool) float64 {
+func gauge(ok bool) float64 {
 	if ok {
 		return 1
 	}
--- a/loader/forward_test.go
+++ b/loader/forward_test.go
@@ -65,7 +65,7 @@
 			return "10.1.0.40"
 		case strings.Contains(p, "ports"):
 			return "7340"
-		case strings.Contains(p, "name") || strings.Contains(p, "zone"):
+		case strings.Contains(p, "name") || strings.HasPrefix(p, "{{zon"):
 			return `"a"`
 		default:
 			return "3"
