placer, orderer, registrar: tests that repeat

Cause: the placer's test fleet came out of a map in any order, so that TestAccepted lost another kind of card each time and was red in 1 of 3 runs; tests wrote what goroutines read (race detector, TestCountWrong). Found by running under -race -count=3. Change: the fleet in a fixed order; locks and atomics in the tests. What they check is as before. 30 repeats under -race: green.

--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,7 +58,7 @@
 }
 
 // run has an orderer look after twelve engines in virtual time.
-func run(t *testing.T, f func(e *engines, holds *bool)) {
+func run(t *testing.T, f func(e *engines, holds *atomic.Bool)) {
 	t.Helper()
 	synctest.Test(t, func(_ *testing.T) {
 		service := &matcher.Service{Name: "model", Engine: &matcher.Engine{
@@ -73,11 +74,12 @@
 			e.list[u.Address] = u
 			b.List([]balancer.Upstream{u}, nil)
 		}
-		holds := true
+		var holds atomic.Bool
+		holds.Store(true)
 		started := time.Now()
 		o := &orderer.Orderer{
 			Balancer: b, Engines: e, Services: func() map[string]*matcher.Service { return services },
-			Holds: func(string) bool { return holds }, HoldsAny: func() bool { return holds },
+			Holds: func(string) bool { return holds.Load() }, HoldsAny: holds.Load,
 			Now: func() time.Duration { return time.Since(started) + time.Second }, Log: zerolog.Nop(),
 		}
 		ctx, cancel := context.WithCancel(context.Background())
@@ -116,7 +118,7 @@
 }
 
 func TestLaidOut(t *testing.T) {
-	run(t, func(e *engines, _ *bool) {
+	run(t, func(e *engines, _ *atomic.Bool) {
 		is := is.New(t)
 		time.Sleep(5 * time.Second)
 		e.assertCovered(t)
@@ -128,8 +130,8 @@
 
 // TestNotHolder. A host that does not hold the duty gives no order.
 func TestNotHolder(t *testing.T) {
-	run(t, func(e *engines, holds *bool) {
-		*holds = false
+	run(t, func(e *engines, holds *atomic.Bool) {
+		holds.Store(false)
 		time.Sleep(10 * time.Second)
 		is.New(t).Equal(e.count(), 0)
 	})
@@ -138,10 +140,12 @@
 // TestCountWrong. A new holder does not know how many orders an engine has
 // taken. Its order is refused, and it asks before the next.
 func TestCountWrong(t *testing.T) {
-	run(t, func(e *engines, _ *bool) {
+	run(t, func(e *engines, _ *atomic.Bool) {
+		e.mu.Lock()
 		for address := range e.list {
 			e.taken[address] = 3
 		}
+		e.mu.Unlock()
 		time.Sleep(10 * time.Second)
 		e.assertCovered(t)
 	})
@@ -150,12 +154,12 @@
 // TestLeaves. An engine reports that it leaves, and an empty one comes. Its
 // layers are ordered from the new one at once.
 func TestLeaves(t *testing.T) {
-	run(t, func(e *engines, _ *bool) {
+	run(t, func(e *engines, _ *atomic.Bool) {
 		time.Sleep(10 * time.Second)
-		u := e.list["10.0.0.3"]
-		u.Leaving = true
 		fresh := balancer.Upstream{ID: "new", Service: "model", Address: "10.0.0.99", DataCentre: "a", Card: "x", Born: 9}
 		e.mu.Lock()
+		u := e.list["10.0.0.3"]
+		u.Leaving = true
 		e.list[fresh.Address] = fresh
 		e.mu.Unlock()
 		e.b.List([]balancer.Upstream{u, fresh}, nil)
@@ -168,11 +172,13 @@
 // TestSlowDrain. An engine that was ordered to take a lost range drains for long
 // before it does. No second one may be sent there and leave its own.
 func TestSlowDrain(t *testing.T) {
-	run(t, func(e *engines, _ *bool) {
+	run(t, func(e *engines, _ *atomic.Bool) {
 		is := is.New(t)
 		time.Sleep(10 * time.Second)
 		before := e.count()
+		e.mu.Lock()
 		e.drain = 10 * time.Second
+		e.mu.Unlock()
 		e.b.List(nil, []string{"e3"})
 		time.Sleep(18 * time.Second)
 		is.True(e.count() <= before+1)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -26,8 +26,9 @@
 // fleet makes members of a data centre.
 func fleet(dc string, larges, quicks, slows int) []placer.Member {
 	var out []placer.Member
-	for kind, n := range map[card]int{large: larges, quick: quicks, slow: slows} {
-		for i := range n {
+	counts := [3]int{larges, quicks, slows}
+	for k, kind := range [3]card{large, quick, slow} {
+		for i := range counts[k] {
 			out = append(out, placer.Member{ID: fmt.Sprintf("%s-%v-%02d", dc, kind.mb, i), DataCentre: dc, MB: kind.mb, Pace: kind.pace})
 		}
 	}
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,7 +22,7 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 	// asleep is how long it was suspended so far.
-	asleep time.Duration
+	asleep atomic.Int64
 }
 
 func start(store storer.Store, name string, free func() []string) *host {
@@ -29,7 +30,7 @@
 	h := &host{done: make(chan struct{})}
 	h.Registrar = &registrar.Registrar{
 		Store: store, Entry: registrar.Entry{Name: name, Address: name + ":1", DataCentre: "a"},
-		Now: func() time.Duration { return time.Since(began) + h.asleep }, Free: free, Log: zerolog.Nop(),
+		Now: func() time.Duration { return time.Since(began) + time.Duration(h.asleep.Load()) }, Free: free, Log: zerolog.Nop(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
@@ -87,7 +88,7 @@
 		h := start(store, "one", freeDuty(store))
 		time.Sleep(2 * time.Second)
 		is.True(h.Holding("a"))
-		h.asleep = 5 * time.Second
+		h.asleep.Store(int64(5 * time.Second))
 		is.True(!h.Holding("a"))
 		is.True(!h.HoldingAny())
 		h.stop()
