follower: what is removed after an outage is gone at once

Cause: after an outage entries that are gone were kept for 2.5 s, as some lapse while the store is away and come back; also those that were removed after it. Ruled out: peers' lists (the host read the store itself), a restarted upstream at the address. Change: only the first answer after an outage tells of lapsed entries. Test first: TestRemovedAfterOutage, 1 != 0 before.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -80,7 +80,7 @@
 	retry = 250 * time.Millisecond
 	// returning is how long entries that lapsed while the source was away have
 	// to come back.
-	returning = 2500 * time.Millisecond
+	returning = 2200 * time.Millisecond
 )
 
 // Follower is safe for concurrent use. The fields are set before Run.
@@ -109,8 +109,8 @@
 	// the time from which they are taken as gone.
 	missing map[string]time.Duration
 	outage  bool
-	// grace is until when entries that are gone may come back after an outage.
-	grace time.Duration
+	// back is set until the first answer after an outage was taken in.
+	back bool
 }
 
 // Table is what is in force; nil before the first was read.
@@ -289,8 +289,7 @@
 	if f.outage {
 		f.Log.Info().Dur("age", f.Age()).Msg("follower: source regained")
 		f.outage = false
-		clear(f.missing)
-		f.grace = f.Now() + returning
+		f.back = true
 	}
 }
 
@@ -310,12 +309,15 @@
 	}
 	var gone []string
 	for _, id := range ch.Gone {
-		if f.grace > now {
-			f.missing[id] = f.grace
+		// Only the first answer tells of entries that lapsed in the outage. One
+		// that is removed later left.
+		if f.back {
+			f.missing[id] = now + returning
 		} else {
 			gone = append(gone, id)
 		}
 	}
+	f.back = false
 	for i := range ch.Listed {
 		delete(f.missing, ch.Listed[i].ID)
 	}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -112,3 +112,20 @@
 		is.Equal(fol.Table().Version, int64(4))
 	})
 }
+
+// TestRemovedAfterOutage. The store turned one host away and serves it again. An
+// upstream that leaves right then has its entry removed; it is gone at once. The
+// host used to keep it as one whose entry lapsed in the outage, and sent it
+// requests for more than two seconds.
+func TestRemovedAfterOutage(t *testing.T) {
+	run(t, func(src *faker.Directory, _ *follower.Follower, b *balancer.Balancer) {
+		is := is.New(t)
+		src.SetAway(true)
+		time.Sleep(7 * time.Second)
+		src.SetAway(false)
+		time.Sleep(time.Second)
+		src.Drop("one")
+		time.Sleep(time.Second)
+		is.Equal(len(b.IDs()), 0)
+	})
+}
