balancer, forwarder: streams whose path would cross twice go on elsewhere

Change: such a stream is resumed as a new request inside another data centre, its retry taken before; a stream that has begun shuns links altogether. Late first events take the place of pauses while a data centre has no path of its own; that is next.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -231,3 +231,39 @@
 		})
 	}
 }
+
+// TestElsewhere. An engine crashes under many streams and no other one of its
+// data centre holds its layers. A foreman saw his answer stand still for most of
+// a second: every path crossed to another data centre and back, and what each
+// stream had read queued up in the pipe. A whole path there reads it anew sooner.
+func TestElsewhere(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	few := acquire(t, b, 0, need)
+	is.True(!b.Elsewhere(0, few, "a2")) // one stream crosses fast enough
+	for range 20 {
+		acquire(t, b, 0, need)
+	}
+	is.True(b.SetDead(0, "a2", true))
+	is.True(b.Elsewhere(0, few, "a2"))
+	is.Equal(ids(b.Path(few)), "a1 a2 ") // as it was
+	is.True(b.SetDead(0, "b1", true))
+	is.True(!b.Elsewhere(0, few, "a2")) // no whole path is left: cross
+	is.Equal(ids(b.Repath(0, few, "a2")), "a1 b2 ")
+}
+
+// TestSpareInside. The same crash where another engine of the data centre holds
+// the layers: the path is changed there, and what was read is kept.
+func TestSpareInside(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	b.List([]balancer.Upstream{{ID: "a3", Service: "model", Address: "a:4", DataCentre: "a", Card: "large", Holds: balancer.Span{From: 40, To: 80}}}, nil)
+	l := acquire(t, b, 0, need)
+	for range 40 {
+		acquire(t, b, 0, need)
+	}
+	lost := strings.Fields(ids(b.Path(l)))[1]
+	is.True(b.SetDead(0, lost, true))
+	is.True(!b.Elsewhere(0, l, lost))
+	is.Equal(len(b.Repath(0, l, lost)), 2)
+}
--- a/balancer/links.go
+++ b/balancer/links.go
@@ -44,7 +44,7 @@
 func (b *Balancer) First(l *Lease, now, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	crossed := b.crossed(l)
+	crossed := b.crossed(l.hops)
 	if len(crossed) == 0 {
 		b.base += time.Duration(baseWeight * float64(took-b.base))
 		return
@@ -61,26 +61,35 @@
 func (b *Balancer) Crosses(l *Lease) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.crossed(l)) > 0
+	return b.crossings(l.hops) > 0
 }
 
-// crossed are the links that a path goes over.
-func (b *Balancer) crossed(l *Lease) map[[2]string]bool {
-	out := make(map[[2]string]bool)
+// crossed are the links that a path goes over, each as often as it does.
+func (b *Balancer) crossed(hops []Hop) map[[2]string]int {
+	out := make(map[[2]string]int)
 	last := ""
-	for _, h := range l.hops {
+	for _, h := range hops {
 		u := b.ups[h.ID]
 		if u == nil {
 			continue
 		}
 		if last != "" && last != u.DataCentre {
-			out[pair(last, u.DataCentre)] = true
+			out[pair(last, u.DataCentre)]++
 		}
 		last = u.DataCentre
 	}
 	return out
 }
 
+// crossings is how often a path goes from one data centre to another.
+func (b *Balancer) crossings(hops []Hop) int {
+	n := 0
+	for _, times := range b.crossed(hops) {
+		n += times
+	}
+	return n
+}
+
 // link returns what is known of a link, aged to now.
 func (b *Balancer) link(now time.Duration, p [2]string) *link {
 	if b.seen == nil {
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -22,6 +22,11 @@
 	// another with those of all others, so that a path that lies whole in
 	// another data centre is better unless that is nearly full.
 	crossing = 200 * time.Millisecond
+	// crossingBegun is what it costs more for a stream that has begun: its caller
+	// waits for the next event, and it comes with all others that lost the same
+	// upstream. It is above what any path inside a data centre costs, so that
+	// a link is taken only where no path goes without.
+	crossingBegun = 10 * time.Second
 	// tokenDelay is the delay of one link a token, where none is declared.
 	tokenDelay = time.Millisecond
 	// greyBias is how much dearer an upstream is that fails all it gets.
@@ -40,34 +45,42 @@
 
 // path takes the cheapest path over the layers with room on each hop.
 func (b *Balancer) path(now time.Duration, s *matcher.Service, n Need) (*Lease, Reason) {
+	hops, reason := b.choose(now, s, n)
+	if reason != ReasonNone {
+		return nil, reason
+	}
+	l := &Lease{need: n, tokens: n.tokens(), hops: hops, First: hops[0]}
+	b.reserve(l)
+	return l, ReasonNone
+}
+
+// tokens are what a request holds over its life: its prompt and half of its
+// answer; those on one upstream are at all stages of it.
+func (n Need) tokens() float64 { return n.Prompt + n.Answer/2 }
+
+// choose is the cheapest path; nil unless the reason is ReasonNone.
+func (b *Balancer) choose(now time.Duration, s *matcher.Service, n Need) ([]Hop, Reason) {
 	e := s.Engine
-	// Over its life a request holds its prompt and half of its answer; those on
-	// one upstream are at all stages of it.
-	tokens := n.Prompt + n.Answer/2
 	cands := make([]picker.Candidate, 0, len(b.ups))
-	covered := false
 	for _, u := range b.ups {
 		if u.Service != n.Service || u.Holds.Len() == 0 || !u.usable(now, n.Avoid) {
 			continue
 		}
-		covered = true
-		cands = append(cands, b.candidate(now, e, u, n, tokens))
+		cands = append(cands, b.candidate(now, e, u, n, n.tokens()))
 	}
-	if !covered {
+	if len(cands) == 0 {
 		return nil, ReasonNoUpstream
 	}
 	route := b.Policy.Pick(cands, picker.Need{Layers: e.Layers}, b.links(now, e, n, cands), b.Rand)
 	if route == nil {
 		return nil, b.shortage(cands, e.Layers)
 	}
-	l := &Lease{need: n, tokens: tokens, hops: make([]Hop, len(route))}
+	hops := make([]Hop, len(route))
 	for i, h := range route {
 		u := b.ups[h.Upstream]
-		l.hops[i] = Hop{ID: u.ID, Address: u.Address, From: h.First, To: h.Last + 1}
+		hops[i] = Hop{ID: u.ID, Address: u.Address, From: h.First, To: h.Last + 1}
 	}
-	l.First = l.hops[0]
-	b.reserve(l)
-	return l, ReasonNone
+	return hops, ReasonNone
 }
 
 // reserve takes the room of a lease.
@@ -93,18 +106,28 @@
 const keptBias = -0.9
 
 // Repath finds another path for a running request that keeps the first hop and
-// as many others as it can without the one to avoid, and moves the reservation. It returns nil when there
-// is none; the lease is then as it was.
+// as many others as it can without the one to avoid, and moves the reservation.
+// It returns nil when there is none; the lease is then as it was.
 func (b *Balancer) Repath(now time.Duration, l *Lease, avoid string) []Hop {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.release(l)
+	defer b.reserve(l)
+	hops := b.detour(now, l, avoid)
+	if hops == nil {
+		return nil
+	}
+	l.hops = hops
+	return slices.Clone(hops)
+}
+
+// detour is the path of Repath. The room of the lease itself has to be free.
+func (b *Balancer) detour(now time.Duration, l *Lease, avoid string) []Hop {
 	s := b.services[l.need.Service]
 	if s == nil || s.Engine == nil || len(l.hops) < 2 {
 		return nil
 	}
 	e, first := s.Engine, l.First
-	b.release(l)
-	defer b.reserve(l)
 	var cands []picker.Candidate
 	for _, u := range b.ups {
 		if u.Service != s.Name || u.Holds.To <= first.To || u.ID == first.ID || u.ID == avoid || !u.usable(now, nil) {
@@ -128,8 +151,52 @@
 		u := b.ups[h.Upstream]
 		hops = append(hops, Hop{ID: u.ID, Address: u.Address, From: h.First + first.To, To: h.Last + 1 + first.To})
 	}
-	l.hops = hops
-	return slices.Clone(hops)
+	return hops
+}
+
+// crossingWait is how long the streams of a lost upstream may take over a link
+// together. Callers expect a pause of 250 ms at most where they say, of which
+// finding a dark upstream takes 150 ms.
+const crossingWait = 50 * time.Millisecond
+
+// Elsewhere reports whether a running request should go on as a new one in
+// another data centre, rather than over a changed path around an upstream.
+//
+// The load it answers: an engine crashes whose layers no other one of its data
+// centre holds, under some fifty streams. Around it each path crosses to another
+// data centre and back, and all that a stream has read goes through the pipe
+// there, one stream after the other, 10 ms each: half of them stood still for
+// 840 ms. A whole path elsewhere reads the prompt anew and crosses nothing.
+func (b *Balancer) Elsewhere(now time.Duration, l *Lease, avoid string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u, s := b.ups[avoid], b.services[l.need.Service]
+	if u == nil || s == nil || s.Engine == nil {
+		return false
+	}
+	b.release(l)
+	defer b.reserve(l)
+	added := b.crossings(b.detour(now, l, avoid)) - b.crossings(l.hops)
+	if added <= 0 {
+		return false
+	}
+	wait := time.Duration(b.known(now, u).requests * float64(added) * float64(transfer(s.Engine, l.need)))
+	if wait <= crossingWait {
+		return false
+	}
+	n := l.need
+	n.Begun = true
+	whole, _ := b.choose(now, s, n)
+	return whole != nil && b.crossings(whole) == 0
+}
+
+// transfer is the time that a prompt's activations take through a pipe between
+// two data centres.
+func transfer(e *matcher.Engine, n Need) time.Duration {
+	if e.PipeMbps <= 0 {
+		return 0
+	}
+	return time.Duration(n.Prompt * e.ActivationBytes * 8 / (e.PipeMbps * 1e6) * float64(time.Second))
 }
 
 // candidate is an upstream as the path policy sees it: a sequence is one
@@ -165,9 +232,9 @@
 
 // links gives the cost of a link inside a path between any two data centres.
 func (b *Balancer) links(now time.Duration, e *matcher.Engine, n Need, cands []picker.Candidate) picker.Links {
-	cost := crossing + time.Duration(n.Answer)*tokenDelay
-	if e.PipeMbps > 0 {
-		cost += time.Duration(n.Prompt * e.ActivationBytes * 8 / (e.PipeMbps * 1e6) * float64(time.Second))
+	cost := crossing + time.Duration(n.Answer)*tokenDelay + transfer(e, n)
+	if n.Begun {
+		cost += crossingBegun
 	}
 	var centres []string
 	seen := make(map[string]bool)
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -291,18 +291,21 @@
 
 // move has a stream go on over another path. Where its first upstream lives, it
 // is told to change the path: the others keep what they have read, and no
-// request is sent again. Else the stream is resumed as a new request.
+// request is sent again. Else, or where that would hold it up for too long, the
+// stream is resumed as a new request.
 func (f *Forwarder) move(ctx context.Context, a *attempt, dead balancer.Hop) {
-	if a.lease.First.ID != dead.ID {
-		if hops := f.Balancer.Repath(f.Now(), a.lease, dead.ID); hops != nil {
-			ctx, cancel := context.WithTimeout(ctx, repathTimeout)
-			defer cancel()
-			err := f.Engines.Repath(ctx, a.id, hops)
-			f.Log.Info().Err(err).Str("requestId", a.id).Str("dead", dead.ID).Str("hops", FormatPath(hops)).Msg("forwarder: path changed")
-			if err == nil {
-				a.moves.Add(1)
-				return
-			}
+	if a.lease.First.ID == dead.ID || (f.Balancer.Elsewhere(f.Now(), a.lease, dead.ID) && a.prepay()) {
+		a.cancel(errMoved)
+		return
+	}
+	if hops := f.Balancer.Repath(f.Now(), a.lease, dead.ID); hops != nil {
+		ctx, cancel := context.WithTimeout(ctx, repathTimeout)
+		defer cancel()
+		err := f.Engines.Repath(ctx, a.id, hops)
+		f.Log.Info().Err(err).Str("requestId", a.id).Str("dead", dead.ID).Str("hops", FormatPath(hops)).Msg("forwarder: path changed")
+		if err == nil {
+			a.moves.Add(1)
+			return
 		}
 	}
 	a.cancel(errMoved)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -42,6 +42,20 @@
 	// began is when it was sent.
 	began  time.Duration
 	cancel context.CancelCauseFunc
+	// spend takes a retry for going on as a new request where the route allows
+	// one; paid is set once it was taken.
+	spend func() bool
+	paid  atomic.Bool
+}
+
+// prepay takes the retry that going on as a new request will need, or reports
+// that there is none.
+func (a *attempt) prepay() bool {
+	if !a.begun.Load() || !a.spend() {
+		return false
+	}
+	a.paid.Store(true)
+	return true
 }
 
 // stream answers a request by events as they come.
@@ -59,7 +73,7 @@
 		if l == nil {
 			return
 		}
-		v := k.runStream(ctx, l)
+		v, paid := k.runStream(ctx, l)
 		k.Balancer.Release(l)
 		if v == verdictAnswered {
 			return
@@ -72,13 +86,18 @@
 			continue
 		}
 		moves++
-		if ctx.Err() != nil || !k.route.Resumable || moves > resumptions || !k.Budget(k.service.Name).Spend(k.Now()) {
+		if ctx.Err() != nil || moves > resumptions || (!paid && !k.spendResume()) {
 			k.cut(moves)
 		}
 		k.Meter.Retries.WithLabelValues(verdictBroken.String()).Inc()
 	}
 }
 
+// spendResume takes a retry for a stream that has begun.
+func (k *call) spendResume() bool {
+	return k.route.Resumable && k.Budget(k.service.Name).Spend(k.Now())
+}
+
 // avoidFirst keeps a request that got no event off the upstream that took it.
 func (k *call) avoidFirst(l *balancer.Lease, v verdict) {
 	if v != verdictNotRun {
@@ -143,14 +162,22 @@
 	return n
 }
 
-// runStream sends the request over one path and passes its events on.
-func (k *call) runStream(ctx context.Context, l *balancer.Lease) verdict {
+// runStream sends the request over one path and passes its events on. paid tells
+// that the retry for going on elsewhere was taken already.
+func (k *call) runStream(ctx context.Context, l *balancer.Lease) (v verdict, paid bool) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a := &attempt{id: k.id, lease: l, began: k.Now(), cancel: cancel}
+	a := &attempt{id: k.id, lease: l, began: k.Now(), cancel: cancel, spend: k.spendResume}
 	a.last.Store(int64(a.began))
 	k.track(a)
 	defer k.untrack(a)
+	v = k.sendStream(ctx, a)
+	return v, a.paid.Load()
+}
+
+// sendStream is one run over a path.
+func (k *call) sendStream(ctx context.Context, a *attempt) verdict {
+	l := a.lease
 	req := k.request(l)
 	if k.last.text != "" {
 		req.Header.Set("Last-Event-Id", k.last.text)
