faker: connections take writes before they are read

Cause: a run of the runner's tests stood still for 11 minutes in TestTLS (13th of 13 whole-package runs with the race detector, other load on the machine; stacks read). At the end of the test http.Server.Close writes a TLS alert with its lock held, the caller's transport writes its own at the same time, both over net.Pipe, which takes nothing before it is read; a third goroutine waits for the lock, which keeps virtual time from passing, so neither write reaches its deadline. Ruled out: a hang of the hosts' own code; no goroutine but these three was blocked by anything but time. Change: bufconn's buffered connections in place of net.Pipe.

--- a/faker/network.go
+++ b/faker/network.go
@@ -14,6 +14,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"google.golang.org/grpc/test/bufconn"
 )
 
 // dialTimeout is how long a dial over a cut link hangs.
@@ -142,7 +144,10 @@
 	if l == nil {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
-	near, far := net.Pipe()
+	near, far, err := pipe()
+	if err != nil {
+		return nil, err
+	}
 	a := &conn{Conn: near, n: n, from: from, to: to}
 	b := &conn{Conn: far, n: n, from: to, to: from}
 	select {
@@ -158,6 +163,27 @@
 	return a, nil
 }
 
+// sendBuffer is what a connection takes before it is read: about a kernel's.
+const sendBuffer = 64 << 10
+
+// pipe is a connection whose writes don't wait for the other end to read, as
+// those of a kernel don't. net/http closes a TLS connection, which writes an
+// alert, with its lock held; with an unbuffered pipe both ends wrote to each
+// other while a third goroutine waited for the lock, and virtual time, which
+// does not pass while one does, never reached their deadline.
+func pipe() (near, far net.Conn, err error) {
+	l := bufconn.Listen(sendBuffer)
+	defer l.Close()
+	accepted := make(chan struct{})
+	go func() {
+		defer close(accepted)
+		far, err = l.Accept()
+	}()
+	near, dialErr := l.Dial()
+	<-accepted
+	return near, far, errors.Join(err, dialErr)
+}
+
 type conn struct {
 	net.Conn
 	n        *Network
--- a/faker/stage.go
+++ b/faker/stage.go
@@ -47,6 +47,9 @@
 	Gap    time.Duration
 	// Answer is how long a plain answer takes.
 	Answer time.Duration
+	// Crash is called, by itself, when a request comes whose body is Poison; nil
+	// answers it like any other.
+	Crash func()
 
 	mu       sync.Mutex
 	troubles []Trouble
@@ -126,6 +129,11 @@
 		return
 	}
 	t := s.next(r, body.String())
+	if s.Crash != nil && strings.Contains(body.String(), Poison) {
+		go s.Crash()
+		<-r.Context().Done()
+		return
+	}
 	w.Header().Set(h.RequestID, r.Header.Get(h.RequestID))
 	if t != TroubleUnsigned {
 		w.Header().Set(h.Stamp, "stamp-"+s.ID)
