faker: a small buffered connection in place of bufconn

Change: 64 pieces of 1 KB are queued on a net.Pipe by channels alone, bounded by bytes so that a long body still fills the connection (TestEarlyAnswer was red with a queue of writes), read to the end after a close (TestSlowBody, TestStopAtLastByte were red with a second's flush).

--- a/faker/network.go
+++ b/faker/network.go
@@ -14,8 +14,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"google.golang.org/grpc/test/bufconn"
 )
 
 // dialTimeout is how long a dial over a cut link hangs.
@@ -144,12 +142,10 @@
 	if l == nil {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
-	near, far, err := pipe()
-	if err != nil {
-		return nil, err
-	}
-	a := &conn{Conn: near, n: n, from: from, to: to}
-	b := &conn{Conn: far, n: n, from: to, to: from}
+	near, far := net.Pipe()
+	a := newConn(near, n, from, to)
+	b := newConn(far, n, to, from)
+	a.peer, b.peer = b, a
 	select {
 	case l.accept <- b:
 	case <-l.closed:
@@ -157,47 +153,14 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
+	go a.pump()
+	go b.pump()
 	n.mu.Lock()
 	n.conns[a], n.conns[b] = true, true
 	n.mu.Unlock()
 	return a, nil
 }
 
-// sendBuffer is what a connection takes before it is read: about a kernel's.
-const sendBuffer = 64 << 10
-
-// pipe is a connection whose writes don't wait for the other end to read, as
-// those of a kernel don't. net/http closes a TLS connection, which writes an
-// alert, with its lock held; with an unbuffered pipe both ends wrote to each
-// other while a third goroutine waited for the lock, and virtual time, which
-// does not pass while one does, never reached their deadline.
-func pipe() (near, far net.Conn, err error) {
-	l := bufconn.Listen(sendBuffer)
-	defer l.Close()
-	accepted := make(chan struct{})
-	go func() {
-		defer close(accepted)
-		far, err = l.Accept()
-	}()
-	near, dialErr := l.Dial()
-	<-accepted
-	return near, far, errors.Join(err, dialErr)
-}
-
-type conn struct {
-	net.Conn
-	n        *Network
-	from, to []string
-}
-
-// Close closes both ends, as a pipe does.
-func (c *conn) Close() error {
-	c.n.mu.Lock()
-	delete(c.n.conns, c)
-	c.n.mu.Unlock()
-	return c.Conn.Close()
-}
-
 type listener struct {
 	n       *Network
 	address string
--- a/faker/network_test.go
+++ b/faker/network_test.go
@@ -25,6 +25,7 @@
 		go func() {
 			c, err := l.Accept()
 			is.NoErr(err)
+			defer c.Close()
 			is.NoErr(c.SetDeadline(time.Now().Add(time.Second)))
 			_, err = c.Write([]byte("alert"))
 			is.NoErr(err)
@@ -36,5 +37,6 @@
 		is.NoErr(err)
 		time.Sleep(2 * time.Second)
 		is.NoErr(c.Close())
+		time.Sleep(2 * time.Second)
 	})
 }
