gossiper, deduplicator: a host that has just joined can be asked

Hosts that start at the same moment join in pairs; a pair learns of the other only when its healing, every fifth period, happens to try one of it. The order of joining came from the process's own randomness, not from the seed, so no seed repeated it. Change: peers of the settings that are not known are tried each period for the first 30; a record says where its host can be asked by one that does not know it; joining draws from the host's seed.

--- a/deduplicator/deduplicator.go
+++ b/deduplicator/deduplicator.go
@@ -44,7 +44,7 @@
 type Asker interface {
 	// Ask returns an error when the host can't be reached, or is not the one
 	// that claimed: the outcome is unknown then.
-	Ask(ctx context.Context, host string, incarnation int64, nonce string) (running, abandoned bool, err error)
+	Ask(ctx context.Context, rec Record) (running, abandoned bool, err error)
 }
 
 // Dispatch sends the call once. sent is false only when no upstream was sent
@@ -63,9 +63,11 @@
 // Deduplicator is safe for concurrent use. The fields are set before Start.
 type Deduplicator struct {
 	Store storer.Store
-	// Host and Incarnation name this process in records.
+	// Host and Incarnation name this process in records, Address is where other
+	// hosts ask it.
 	Host        string
 	Incarnation int64
+	Address     string
 	Asker       Asker
 	Checker     *checker.Checker
 	Log         zerolog.Logger
@@ -168,7 +170,7 @@
 }
 
 func (d *Deduplicator) insert(ctx context.Context, c Call, nonce, takeOver string) (Record, error) {
-	mine := &Record{Key: c.Key, Digest: c.Digest, Nonce: nonce, Host: d.Host, Incarnation: d.Incarnation}
+	mine := &Record{Key: c.Key, Digest: c.Digest, Nonce: nonce, Host: d.Host, Incarnation: d.Incarnation, Address: d.Address}
 	op := &operation{key: c.Key, apply: func(old *Record) *Record {
 		switch {
 		case old == nil, old.Nonce == takeOver && old.State == StateClaimed:
@@ -189,7 +191,7 @@
 	if rec.Host == d.Host {
 		return d.Answer(rec.Incarnation, rec.Nonce)
 	}
-	running, abandoned, err := d.Asker.Ask(ctx, rec.Host, rec.Incarnation, rec.Nonce)
+	running, abandoned, err := d.Asker.Ask(ctx, rec)
 	if err != nil {
 		d.Log.Info().Str("host", rec.Host).Err(err).Msg("deduplicator: host of a record can't be asked")
 		return false, false
--- a/deduplicator/deduplicator_test.go
+++ b/deduplicator/deduplicator_test.go
@@ -59,12 +59,12 @@
 }
 
 // Ask implements deduplicator.Asker.
-func (f *fleet) Ask(_ context.Context, host string, incarnation int64, nonce string) (running, abandoned bool, err error) {
-	d := f.host(host)
+func (f *fleet) Ask(_ context.Context, rec deduplicator.Record) (running, abandoned bool, err error) {
+	d := f.host(rec.Host)
 	if d == nil {
 		return false, false, errors.New("no such host")
 	}
-	running, abandoned = d.Answer(incarnation, nonce)
+	running, abandoned = d.Answer(rec.Incarnation, rec.Nonce)
 	return running, abandoned, nil
 }
 
--- a/deduplicator/record.go
+++ b/deduplicator/record.go
@@ -43,7 +43,10 @@
 	// Host and Incarnation are who claimed it.
 	Host        string `json:"host"`
 	Incarnation int64  `json:"incarnation"`
-	State       State  `json:"state"`
+	// Address is where that host can be asked by one that has not heard of it;
+	// empty in records of earlier versions.
+	Address string `json:"address,omitempty"`
+	State   State  `json:"state"`
 	// Outcome is set when State is StateDone.
 	Outcome *Outcome `json:"outcome,omitempty"`
 }
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -14,7 +13,6 @@
 func (g *Gossiper) probeNext(ctx context.Context) {
 	it := g.nextTarget()
 	if it == nil {
-		g.joinAny(ctx)
 		return
 	}
 	if g.exchange(ctx, it.Host.GetAddress(), g.state.News(messageBytes), true) {
@@ -201,23 +199,33 @@
 
 // join fetches the whole state from the first peer that answers.
 func (g *Gossiper) join(ctx context.Context) {
-	for _, i := range rand.Perm(len(g.Peers)) {
+	g.mu.Lock()
+	order := g.Rand.Perm(len(g.Peers))
+	g.mu.Unlock()
+	for _, i := range order {
 		if g.Peers[i] != g.Host.Address && g.sync(ctx, g.Peers[i]) {
 			return
 		}
 	}
 }
 
+// joinAny fetches the state of a peer of the settings that is no host known
+// here, if any. Hosts that all start at once join each other in twos and threes;
+// such groups did not know of each other for ten seconds and more, until one of
+// them happened to try a peer of another.
 func (g *Gossiper) joinAny(ctx context.Context) {
-	if len(g.Peers) == 0 {
+	known := map[string]bool{g.Host.Address: true}
+	for _, it := range g.state.All(peer.ItemKind_ITEM_KIND_HOST) {
+		known[it.Host.GetAddress()] = true
+	}
+	strangers := slices.DeleteFunc(slices.Clone(g.Peers), func(address string) bool { return known[address] })
+	if len(strangers) == 0 {
 		return
 	}
 	g.mu.Lock()
-	address := g.Peers[g.Rand.IntN(len(g.Peers))]
+	address := strangers[g.Rand.IntN(len(strangers))]
 	g.mu.Unlock()
-	if address != g.Host.Address {
-		g.sync(ctx, address)
-	}
+	g.sync(ctx, address)
 }
 
 func (g *Gossiper) sync(ctx context.Context, address string) bool {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -62,6 +62,9 @@
 	// healEvery is the number of periods between tries at a dead or settings
 	// peer, by which two halves of a partition find each other again.
 	healEvery = 5
+	// joinFor is the number of periods in which peers of the settings that are
+	// not known yet are tried each time; later they are most likely gone.
+	joinFor = 30
 	// bulkFrom is the number of differing buckets from which the whole state is
 	// fetched instead of repaired bit by bit, and bulkEvery how often at most.
 	bulkFrom  = digestBuckets / 4
@@ -134,6 +137,9 @@
 		case <-tick.C:
 		}
 		wg.Go(func() { g.probeNext(ctx) })
+		if n <= joinFor || n%healEvery == 0 {
+			wg.Go(func() { g.joinAny(ctx) })
+		}
 		if n%healEvery == 0 {
 			wg.Go(func() { g.heal(ctx) })
 		}
@@ -262,6 +268,16 @@
 	return g.Dial(it.Host.GetAddress())
 }
 
+// ClientAt is Client, but for a host that is not known here yet and can be asked
+// at the address that it gave elsewhere. One that joined a moment ago is known
+// to others only after some exchanges.
+func (g *Gossiper) ClientAt(name, address string) peer.Peer {
+	if address != "" && g.state.Get(peer.ItemKind_ITEM_KIND_HOST, name) == nil {
+		return g.Dial(address)
+	}
+	return g.Client(name)
+}
+
 func (g *Gossiper) announce() {
 	st := HostAlive
 	if g.leaving.Load() {
--- a/runner/bench_test.go
+++ b/runner/bench_test.go
@@ -56,6 +56,9 @@
 	key           = "key-a"
 	otherKey      = "key-b"
 	adminKey      = "admin"
+	// atFirst hosts know each other; one with a higher number has joined, and
+	// nobody has heard of it yet.
+	atFirst = 4
 )
 
 // configuration is two rows of engines that overlap, over three data centres,
@@ -105,7 +108,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, seed, configuration())
 		defer b.close()
-		for i := range 4 {
+		for i := range atFirst {
 			b.start(i)
 		}
 		b.submit(0, configuration())
@@ -116,7 +119,7 @@
 }
 
 func newBench(t *testing.T, seed uint64, cfg *builder.Configuration) *bench {
-	b := &bench{t: t, net: faker.NewNetwork(), seed: seed, log: new(lines), hosts: make([]*entry, 4)}
+	b := &bench{t: t, net: faker.NewNetwork(), seed: seed, log: new(lines), hosts: make([]*entry, atFirst)}
 	for _, u := range cfg.Upstreams {
 		b.net.Place(u.Address, u.DataCentre)
 	}
@@ -140,12 +143,18 @@
 		TLS:   b.tls,
 		Peers: []string{"10.0.0.1:81", "10.0.0.2:81", "10.0.0.3:81", "10.0.0.4:81"},
 	}
+	if i >= atFirst {
+		cfg.Peers = []string{cfg.Peer.Listen}
+	}
 	is.New(b.t).NoErr(cfg.Fill())
 	return cfg
 }
 
 // start runs a host; one that ran before must have ended.
 func (b *bench) start(i int) *entry {
+	if i == len(b.hosts) {
+		b.hosts = append(b.hosts, nil)
+	}
 	cfg := b.settings(i)
 	e := &entry{name: cfg.Host, dataCentre: cfg.DataCentre, done: make(chan error, 1)}
 	log := zerolog.New(b.log).With().Str("at", cfg.Host).Timestamp().Logger()
--- a/runner/build.go
+++ b/runner/build.go
@@ -155,6 +155,7 @@
 		Store:       h.store,
 		Host:        h.Settings.Host,
 		Incarnation: time.Now().UnixMilli(),
+		Address:     h.gossip.Host.GetAddress(),
 		Asker:       asker{h},
 		Checker:     h.Checker,
 		Log:         h.Log,
--- a/runner/news.go
+++ b/runner/news.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/sardineward/sardineward/deduplicator"
 	"github.com/sardineward/sardineward/gossiper"
 	"github.com/sardineward/sardineward/peer"
 	"github.com/sardineward/sardineward/prober"
@@ -102,14 +103,14 @@
 type asker struct{ *Host }
 
 // Ask implements deduplicator.Asker.
-func (a asker) Ask(ctx context.Context, host string, incarnation int64, nonce string) (running, abandoned bool, err error) {
-	c := a.gossip.Client(host)
+func (a asker) Ask(ctx context.Context, rec deduplicator.Record) (running, abandoned bool, err error) {
+	c := a.gossip.ClientAt(rec.Host, rec.Address)
 	if c == nil {
-		return false, false, fmt.Errorf("host %s is gone", host)
+		return false, false, fmt.Errorf("host %s is gone", rec.Host)
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	resp, err := c.Record(ctx, &peer.RecordRequest{Nonce: nonce, Incarnation: incarnation})
+	resp, err := c.Record(ctx, &peer.RecordRequest{Nonce: rec.Nonce, Incarnation: rec.Incarnation})
 	if err != nil {
 		return false, false, err
 	}
--- a/runner/once_test.go
+++ b/runner/once_test.go
@@ -48,6 +48,24 @@
 	})
 }
 
+// TestJoinedHostAsked. A booking runs on a host that has just joined, and its
+// caller repeats it through another one, which has not heard of the new host. It
+// took that host for gone and told the caller that the outcome will never be
+// known. The record says where the host can be asked.
+func TestJoinedHostAsked(t *testing.T) {
+	run(t, 31, func(b *bench) {
+		b.world.Services["desk"].SetDelay(2 * time.Second)
+		b.start(atFirst)
+		b.await(10*time.Second, b.hosts[atFirst].Ready)
+		first := make(chan reply, 1)
+		go func() { first <- b.post(atFirst, bookings, booking("lot"), nil) }()
+		time.Sleep(500 * time.Millisecond)
+		b.assertRefused(b.post(0, bookings, booking("lot"), nil), "running", false)
+		is.New(t).Equal((<-first).status, http.StatusOK)
+		b.assertOnce("lot")
+	})
+}
+
 // TestLostWriteAnswer. A trader confirms a lot, the platform's answer is lost on
 // the way back, and the program sends the confirmation again through another
 // entry host. The first host took the lost answer for a failure and tried a new
