forwarder: quarantine what crashes upstreams; no more upstreams than a route allows

Two causes, one commit as both count the runs of a request. Now a stream goes on only at upstreams that ran it before once there are as many as allowed; ones that are lost don't count. Missing: a request that crashes what runs it was sent on by every host as often as its caller came. Streams that have not begun and plain requests in flight at an upstream that refuses connections afterwards get a strike, shared in the exchanges between hosts; two that nobody shares, or three, refuse it as not run. tracker.Suspects serves both kinds of hosts. Ruled out for strikes: upstreams that can't be reached in time (a cut), and crashes beside two others within two seconds (WentDown).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -73,6 +73,8 @@
 	Prompt, Answer float64
 	// Avoid are upstreams that failed this request.
 	Avoid []string
+	// Firsts are the upstreams that it may be sent to; nil means any.
+	Firsts []string
 	// Begun is set for a stream that has to go on: it may take the room that is
 	// kept free otherwise.
 	Begun bool
@@ -277,6 +279,11 @@
 	return b.plain(now, n)
 }
 
+// first reports whether the request may be sent to an upstream.
+func (n *Need) first(id string) bool {
+	return n.Firsts == nil || slices.Contains(n.Firsts, id)
+}
+
 // usable reports whether new work may go to u.
 func (u *upstream) usable(now time.Duration, avoid []string) bool {
 	return !u.Leaving && !u.dead && u.outUntil <= now && !slices.Contains(avoid, u.ID)
@@ -304,7 +311,7 @@
 		if u.Service != n.Service {
 			continue
 		}
-		if !u.usable(now, n.Avoid) {
+		if !u.usable(now, n.Avoid) || !n.first(u.ID) {
 			continue
 		}
 		known = true
--- a/balancer/health.go
+++ b/balancer/health.go
@@ -69,6 +69,14 @@
 	return out
 }
 
+// Lost reports whether an upstream is gone or takes no connection.
+func (b *Balancer) Lost(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := b.ups[id]
+	return u == nil || u.dead
+}
+
 // Dead lists upstreams that take no connection.
 func (b *Balancer) Dead() []Hop {
 	b.mu.Lock()
@@ -98,6 +106,30 @@
 	return true
 }
 
+// WentDown lists the upstreams that were found dead at about a time.
+func (b *Balancer) WentDown(at, within time.Duration) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for id, u := range b.ups {
+		if u.died > 0 && max(u.died-at, at-u.died) <= within {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Born returns when an upstream was started, in Unix milliseconds; 0 when it is
+// not known.
+func (b *Balancer) Born(id string) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if u := b.ups[id]; u != nil {
+		return u.Born
+	}
+	return 0
+}
+
 // together is the time within which the loss of two upstreams of one data centre
 // speaks of the way there.
 const together = time.Second
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -217,7 +217,7 @@
 		Slots:      u.room*(1-free) - tokens*float64(span.To-span.From),
 		Bias:       greyBias * u.grey,
 		// Only what an upstream gets as the first of a path takes a slot.
-		Excluded: span.From == 0 && e.Slots > 0 && b.known(now, u).requests >= slotShare*float64(e.Slots),
+		Excluded: span.From == 0 && (!n.first(u.ID) || (e.Slots > 0 && b.known(now, u).requests >= slotShare*float64(e.Slots))),
 	}
 	if u.DataCentre != b.DataCentre {
 		c.Bias += remoteBias
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -26,6 +26,7 @@
 	"github.com/sardineward/sardineward/connector"
 	"github.com/sardineward/sardineward/matcher"
 	"github.com/sardineward/sardineward/meter"
+	"github.com/sardineward/sardineward/tracker"
 )
 
 const (
@@ -64,6 +65,8 @@
 	Budget func(service string) *admitter.Window
 	// Latency returns the bound of a service's streams in flight.
 	Latency func(service string) *admitter.Latency
+	// Suspects keeps the crashes that requests were in flight for.
+	Suspects *tracker.Suspects
 	// KeysValid is how old the knowledge of keys may be; 0 means any age.
 	KeysValid time.Duration
 	// Now is a clock that goes on while the machine is suspended.
@@ -111,8 +114,10 @@
 	workspace *matcher.Workspace
 	keyed     bool
 	body      []byte
-	header    http.Header
-	deadline  time.Duration
+	// fingerprint is the same when the caller sends the request once more.
+	fingerprint uint64
+	header      http.Header
+	deadline    time.Duration
 	// arrived is when it came, firstAfter how long its first event took.
 	arrived, firstAfter time.Duration
 	// avoid are upstreams that failed it.
@@ -120,12 +125,16 @@
 	// runs counts upstreams that may have run it, turned how often it was
 	// turned away as not run.
 	runs, turned int
+	// ran are the first upstreams of its runs as a stream, in order.
+	ran []string
 	// offered is set once an upstream was sent it.
 	offered bool
 	// last is the id of the last event that was passed on.
 	last eventID
 	// answered is set once the caller was sent a status.
 	answered bool
+	// comeBack is when trying again is worthwhile where that is known; 0 is not.
+	comeBack time.Duration
 	// sampled is set once it was told whether the stream is late.
 	sampled bool
 }
@@ -141,6 +150,10 @@
 	if !k.admit() || !k.readBody() {
 		return
 	}
+	k.fingerprint = fingerprintOf(k)
+	if k.quarantined() {
+		return
+	}
 	ctl := http.NewResponseController(w)
 	left := k.deadline - f.Now()
 	ctl.SetWriteDeadline(time.Now().Add(left + writeSlack))
@@ -252,7 +265,7 @@
 	code := status(reason)
 	h := k.w.Header()
 	if code == http.StatusServiceUnavailable {
-		wait := comeBack + time.Duration(rand.Float64()*float64(comeBack))
+		wait := max(k.comeBack, comeBack+time.Duration(rand.Float64()*float64(comeBack)))
 		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
 	}
 	if k.id != "" {
@@ -350,6 +363,9 @@
 	if k.runs >= k.route.MaxAttempts {
 		return k.refuse(admitter.ReasonUpstream, "no attempts left")
 	}
+	if k.quarantined() {
+		return false
+	}
 	if k.turned > rejections || !k.Budget(k.service.Name).Spend(k.Now()) {
 		if k.runs > 0 {
 			return k.refuse(admitter.ReasonRetryBudget, "no retries left")
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -106,6 +106,9 @@
 			k.Balancer.Failed(l.First.ID)
 		}
 		k.logAttempt(l, "no answer", err)
+		if e.Sent {
+			k.checkCrash(ctx, l.First)
+		}
 	}
 	if e.Sent {
 		return verdictMayHaveRun
@@ -188,4 +191,5 @@
 		name = k.workspace.Name
 	}
 	k.Meter.Requests.WithLabelValues(name, k.route.Kind.String()).Inc()
+	k.cleared()
 }
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -224,9 +224,9 @@
 		case ctx.Err() != nil:
 		case err == nil:
 			f.heard.Store(int64(f.Now()))
-			f.learn(ctx, h, true)
+			f.learn(ctx, h, nil)
 		case !isTimeout(err) || f.heard.Load() >= int64(asked):
-			f.learn(ctx, h, false)
+			f.learn(ctx, h, err)
 		default:
 			// Nothing at all came since: this host's own link is full or cut.
 			f.Log.Debug().Err(err).Str("upstream", h.ID).Msg("forwarder: no answer, as from all others")
@@ -255,12 +255,12 @@
 }
 
 // learn notes whether an upstream lives, and moves the streams over one that
-// does not.
-func (f *Forwarder) learn(ctx context.Context, h balancer.Hop, alive bool) {
-	if !f.Balancer.SetDead(f.Now(), h.ID, !alive) {
+// does not. down is why it does not.
+func (f *Forwarder) learn(ctx context.Context, h balancer.Hop, down error) {
+	if !f.Balancer.SetDead(f.Now(), h.ID, down != nil) {
 		return
 	}
-	if alive {
+	if down == nil {
 		f.Log.Info().Str("upstream", h.ID).Str("address", h.Address).Msg("forwarder: upstream back")
 		return
 	}
@@ -270,6 +270,9 @@
 	moved := f.over(h.ID)
 	f.Log.Warn().Str("upstream", h.ID).Str("address", h.Address).Int("streams", len(moved)).Msg("forwarder: silent upstream out")
 	for _, a := range moved {
+		if !isTimeout(down) && !a.begun.Load() {
+			f.strike(a.id, a.fingerprint, h)
+		}
 		go f.move(ctx, a, h)
 	}
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -30,9 +31,10 @@
 
 // attempt is one run of a stream over a path.
 type attempt struct {
-	// id is the request's.
-	id    string
-	lease *balancer.Lease
+	// id and fingerprint are the request's.
+	id          string
+	fingerprint uint64
+	lease       *balancer.Lease
 	// begun is set with the first event.
 	begun atomic.Bool
 	// last is when its last event came, or when it was sent.
@@ -42,8 +44,8 @@
 	// began is when it was sent.
 	began  time.Duration
 	cancel context.CancelCauseFunc
-	// spend takes a retry for going on as a new request where the route allows
-	// one; paid is set once it was taken.
+	// spend takes a retry for going on as a new request; nil where the route
+	// allows no run beside this one. paid is set once it was taken.
 	spend func() bool
 	paid  atomic.Bool
 }
@@ -51,7 +53,7 @@
 // prepay takes the retry that going on as a new request will need, or reports
 // that there is none.
 func (a *attempt) prepay() bool {
-	if !a.begun.Load() || !a.spend() {
+	if !a.begun.Load() || a.spend == nil || !a.spend() {
 		return false
 	}
 	a.paid.Store(true)
@@ -112,6 +114,7 @@
 	}
 	n.Service = k.service.Name
 	n.Begun = true
+	n.Firsts = k.firsts()
 	for until := k.Now() + resumeWait; ; {
 		n.Avoid = k.avoid
 		l, _ := k.Balancer.Acquire(k.Now(), n)
@@ -140,6 +143,23 @@
 	panic(http.ErrAbortHandler)
 }
 
+// firsts are the upstreams that may still run the request: nil for any, else
+// those that did and live, once they and the ones that are about to are as many
+// as its route allows. One that was lost does not count: it is no reason to
+// leave a caller without the rest.
+func (k *call) firsts(about ...string) []string {
+	var out []string
+	for _, id := range slices.Concat(k.ran, about) {
+		if !slices.Contains(out, id) && !k.Balancer.Lost(id) {
+			out = append(out, id)
+		}
+	}
+	if len(out) < k.route.MaxAttempts {
+		return nil
+	}
+	return out
+}
+
 // need is what the request asks for, with what it already got as a part of its
 // prompt.
 func (k *call) need() balancer.Need {
@@ -167,11 +187,17 @@
 func (k *call) runStream(ctx context.Context, l *balancer.Lease) (v verdict, paid bool) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a := &attempt{id: k.id, lease: l, began: k.Now(), cancel: cancel, spend: k.spendResume}
+	a := &attempt{id: k.id, fingerprint: k.fingerprint, lease: l, began: k.Now(), cancel: cancel}
+	if k.firsts(l.First.ID) == nil {
+		a.spend = k.spendResume
+	}
 	a.last.Store(int64(a.began))
 	k.track(a)
 	defer k.untrack(a)
 	v = k.sendStream(ctx, a)
+	if v != verdictNotRun {
+		k.ran = append(k.ran, l.First.ID)
+	}
 	return v, a.paid.Load()
 }
 
@@ -200,6 +226,9 @@
 	v := k.relay(ctx, a, resp)
 	if !a.begun.Load() {
 		k.inVain(a)
+		if v == verdictBroken && ctx.Err() == nil {
+			k.checkCrash(ctx, l.First)
+		}
 	}
 	return v
 }
--- a/launcher/bench_test.go
+++ b/launcher/bench_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +25,8 @@
 	callers = "10.0.0.1:80"
 	ready   = "10.0.0.1:81"
 	key     = "key-of-mill"
+	// crashed is how long a stage is down after a crash.
+	crashed = 2 * time.Second
 )
 
 // bench is one host before a fleet of stand-ins, in virtual time.
@@ -32,10 +35,12 @@
 	net    *faker.Network
 	source *faker.Directory
 	stages map[string]*faker.Stage
-	cfg    matcher.Configuration
-	client *http.Client
-	stop   context.CancelFunc
-	done   chan error
+	// crashes is how often a stage fell.
+	crashes atomic.Int64
+	cfg     matcher.Configuration
+	client  *http.Client
+	stop    context.CancelFunc
+	done    chan error
 }
 
 // run starts a host and lets it read its source.
@@ -107,15 +112,26 @@
 }
 
 // start runs an upstream and lists it.
-func (b *bench) start(id string) (kill func()) {
+func (b *bench) start(id string) (stop func()) {
 	s := &faker.Stage{ID: id, Events: 10, Gap: 20 * time.Millisecond, Answer: 10 * time.Millisecond}
 	address := "10.1.0." + id + ":80"
-	kill, err := faker.Serve(b.net.Listen, address, s)
-	is.New(b.t).NoErr(err)
+	var kill atomic.Value
+	serve := func() {
+		k, err := faker.Serve(b.net.Listen, address, s)
+		is.New(b.t).NoErr(err)
+		kill.Store(k)
+	}
+	serve()
+	s.Crash = func() {
+		b.crashes.Add(1)
+		kill.Load().(func())()
+		time.Sleep(crashed)
+		serve()
+	}
 	b.stages[id] = s
 	service, _, _ := strings.Cut(id, "-")
-	b.source.List(balancer.Upstream{ID: id, Service: service, Address: address, DataCentre: "here", Slots: 8})
-	return kill
+	b.source.List(balancer.Upstream{ID: id, Service: service, Address: address, DataCentre: "here", Slots: 8, Born: 1})
+	return func() { kill.Load().(func())() }
 }
 
 type reply struct {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -35,6 +35,7 @@
 	"github.com/sardineward/sardineward/sharer"
 	"github.com/sardineward/sardineward/storer"
 	"github.com/sardineward/sardineward/streamer"
+	"github.com/sardineward/sardineward/tracker"
 )
 
 const (
@@ -171,6 +172,7 @@
 	}
 	h.follow = &follower.Follower{Source: h.Source, Balancer: h.balancer, Now: h.Now, OnChange: h.tellHosts, Log: h.Log}
 	h.pool = &connector.Pool{Dial: h.Dial, Now: h.Now, RequestID: h.Headers.RequestID, Opened: func() { h.opened.Add(1) }}
+	suspects := new(tracker.Suspects)
 	h.forward = &forwarder.Forwarder{
 		Tables:   h.follow,
 		Balancer: h.balancer,
@@ -179,10 +181,12 @@
 		Headers:  h.Headers,
 		Budget:   h.budget,
 		Latency:  h.latency,
+		Suspects: suspects,
 		Now:      h.Now,
 		Meter:    h.meter,
 		Log:      h.Log,
 	}
+	suspects.WentDown = h.forward.WentDown
 	if cfg.RevokeMs > 0 {
 		h.forward.KeysValid = millis(cfg.RevokeMs) - keyMargin
 	}
@@ -197,6 +201,7 @@
 		Self:     cfg.Host,
 		Follower: h.follow,
 		Balancer: h.balancer,
+		Suspects: suspects,
 		Now:      h.Now,
 		HTTP:     &http.Client{Transport: &http.Transport{DialContext: h.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
 		Log:      h.Log,
@@ -343,6 +348,7 @@
 			return
 		case <-tick.C:
 			h.pool.Sweep()
+			h.forward.Suspects.Sweep(time.Now())
 		}
 	}
 }
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -137,6 +138,28 @@
 	})
 }
 
+// TestStreamRunsBounded. One upstream after the other breaks a draft off midway
+// and lives on. The draft ran on three of them where its route allows two. It
+// goes on at one that ran it before.
+func TestStreamRunsBounded(t *testing.T) {
+	run(t, 0, func(b *bench) {
+		is := is.New(t)
+		for _, id := range []string{"model-c", "model-d", "model-e", "model-f"} {
+			defer b.start(id)()
+		}
+		time.Sleep(time.Second)
+		b.troubleAll("model", faker.TroubleCut)
+		b.assertWhole(b.request(http.MethodPost, "/stream/1", "r1", nil))
+		upstreams := 0
+		for _, s := range b.stages {
+			if s.Runs("r1") > 0 {
+				upstreams++
+			}
+		}
+		is.Equal(upstreams, 2)
+	})
+}
+
 // TestStreamNotResumable. The same on a route whose streams may not be run again:
 // the connection is broken, so that what came can't be taken for the whole.
 func TestStreamNotResumable(t *testing.T) {
@@ -253,3 +276,31 @@
 		b.assertWhole(<-stream)
 	})
 }
+
+// TestPoison. A trader's draft crashes each engine that runs it, and his program
+// sends it again and again. Each try used to take two engines down, until the
+// desk had none left for anybody else. It is refused after two crashes, and what
+// others ask for is answered.
+func TestPoison(t *testing.T) {
+	for service, path := range map[string]string{"desk": "/look/1", "model": "/stream/1"} {
+		t.Run(service, func(t *testing.T) {
+			run(t, 0, func(b *bench) {
+				is := is.New(t)
+				poison := func(r *http.Request) {
+					r.Body = io.NopCloser(strings.NewReader(faker.Poison))
+					r.ContentLength = int64(len(faker.Poison))
+				}
+				for n := range 8 {
+					r := b.request(http.MethodPost, path, fmt.Sprint("bad", n), poison)
+					is.True(r.err != nil || r.status >= http.StatusInternalServerError)
+					time.Sleep(3 * time.Second) // engines are back
+				}
+				is.True(b.crashes.Load() <= 3)
+				r := b.request(http.MethodPost, path, "last", poison)
+				b.assertRefused(r) // as not run
+				is.Equal(b.runs("last"), 0)
+				is.Equal(b.request(http.MethodPost, path, "good", nil).status, http.StatusOK)
+			})
+		})
+	}
+}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -17,6 +17,7 @@
 	"github.com/sardineward/sardineward/follower"
 	"github.com/sardineward/sardineward/matcher"
 	"github.com/sardineward/sardineward/peer"
+	"github.com/sardineward/sardineward/tracker"
 )
 
 const (
@@ -31,6 +32,8 @@
 	// behind is the age of the own knowledge from which a host asks all others
 	// for theirs: it missed an answer of the source.
 	behind = 2 * time.Second
+	// mostStrikes bounds the crashes told in one exchange: 2 KB.
+	mostStrikes = 32
 )
 
 // Sharer is a peer.Share. The fields are set before Run.
@@ -38,6 +41,8 @@
 	Self     string
 	Follower *follower.Follower
 	Balancer *balancer.Balancer
+	// Suspects keeps the crashes that requests were in flight for.
+	Suspects *tracker.Suspects
 	// Now is a clock that goes on while the machine is suspended.
 	Now  func() time.Duration
 	HTTP *http.Client
@@ -91,7 +96,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := s.Now()
-	req := &peer.ShareRequest{Host: s.Self, Passing: s.own(), Behind: late}
+	req := &peer.ShareRequest{Host: s.Self, Passing: s.own(), Behind: late, Strikes: s.strikes()}
 	if cfg := s.Follower.Configuration(); cfg != nil {
 		req.Version = cfg.Version
 	}
@@ -101,6 +106,7 @@
 		return
 	}
 	s.take(h.Name, resp.Passing)
+	s.struck(h.Name, resp.Strikes)
 	cfg, err := decode[matcher.Configuration](resp.Configuration)
 	if err != nil {
 		s.Log.Warn().Err(err).Str("peer", h.Name).Msg("sharer: configuration can't be read")
@@ -123,8 +129,9 @@
 // Exchange implements peer.Share.
 func (s *Sharer) Exchange(_ context.Context, req *peer.ShareRequest) (*peer.ShareResponse, error) {
 	s.take(req.Host, req.Passing)
+	s.struck(req.Host, req.Strikes)
 	age := s.Follower.Age()
-	resp := &peer.ShareResponse{Host: s.Self, Passing: s.own(), AgeMs: age.Milliseconds() + 1}
+	resp := &peer.ShareResponse{Host: s.Self, Passing: s.own(), Strikes: s.strikes(), AgeMs: age.Milliseconds() + 1}
 	if cfg := s.Follower.Configuration(); cfg != nil {
 		resp.Version = cfg.Version
 	}
@@ -151,6 +158,30 @@
 	s.Balancer.Heard(s.Now(), host, passing)
 }
 
+// strikes are the newest crashes that requests were in flight for.
+func (s *Sharer) strikes() []*peer.Strike {
+	now := time.Now()
+	list := s.Suspects.Newest(now, mostStrikes)
+	out := make([]*peer.Strike, len(list))
+	for i, st := range list {
+		out[i] = &peer.Strike{Key: st.Key(), ExpiresInMs: st.Expires.Sub(now).Milliseconds(), Cleared: st.Cleared}
+	}
+	return out
+}
+
+// struck takes in the crashes that a peer told of.
+func (s *Sharer) struck(host string, list []*peer.Strike) {
+	now := time.Now()
+	for _, p := range list {
+		st, err := tracker.ParseStrike(p.Key, now.Add(time.Duration(p.ExpiresInMs)*time.Millisecond), p.Cleared)
+		if err != nil {
+			s.Log.Warn().Err(err).Str("peer", host).Msg("sharer: strike can't be read")
+			continue
+		}
+		s.Suspects.Add(st)
+	}
+}
+
 func (s *Sharer) own() []*peer.Passing {
 	list := s.Balancer.Own()
 	out := make([]*peer.Passing, len(list))
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -17,6 +17,7 @@
 	"github.com/sardineward/sardineward/matcher"
 	"github.com/sardineward/sardineward/peer"
 	"github.com/sardineward/sardineward/sharer"
+	"github.com/sardineward/sardineward/tracker"
 )
 
 // host follows a source of its own and exchanges with the others.
@@ -24,6 +25,7 @@
 	source   *faker.Directory
 	follow   *follower.Follower
 	balancer *balancer.Balancer
+	suspects *tracker.Suspects
 }
 
 // run joins hosts a, b and c in virtual time.
@@ -37,7 +39,7 @@
 		now := func() time.Duration { return time.Since(started) + time.Second }
 		names := []string{"a", "b", "c"}
 		for _, name := range names {
-			h := &host{source: new(faker.Directory), balancer: new(balancer.Balancer)}
+			h := &host{source: new(faker.Directory), balancer: new(balancer.Balancer), suspects: new(tracker.Suspects)}
 			h.follow = &follower.Follower{Source: h.source, Balancer: h.balancer, Now: now}
 			h.source.Configure(&matcher.Configuration{Version: 1})
 			h.source.List(balancer.Upstream{ID: "one", Address: "1"})
@@ -47,7 +49,7 @@
 				}
 			}
 			tr := &http.Transport{DialContext: n.Dialer(name)}
-			s := &sharer.Sharer{Self: name, Follower: h.follow, Balancer: h.balancer, Now: now, HTTP: &http.Client{Transport: tr}, Log: zerolog.Nop()}
+			s := &sharer.Sharer{Self: name, Follower: h.follow, Balancer: h.balancer, Suspects: h.suspects, Now: now, HTTP: &http.Client{Transport: tr}, Log: zerolog.Nop()}
 			n.Place(name+":1", name)
 			kill, err := faker.Serve(n.Listen, name+":1", peer.NewShareServer(s))
 			is.New(t).NoErr(err)
@@ -123,3 +125,25 @@
 		is.Equal(fmt.Sprint(hosts["c"].balancer.Told("b")), "[{one 0 0 true}]")
 	})
 }
+
+// TestStrikes. A request crashed an upstream at each of two hosts. A third host
+// that its caller tries next has to know of both, and of the answer that shows
+// another one to be innocent.
+func TestStrikes(t *testing.T) {
+	run(t, func(_ *faker.Network, hosts map[string]*host) {
+		is := is.New(t)
+		const guilty, innocent = 7, 8
+		for name, upstream := range map[string]string{"a": "one", "b": "two"} {
+			hosts[name].suspects.Add(tracker.NewStrike(time.Now(), guilty, upstream, 1))
+			hosts[name].suspects.Add(tracker.NewStrike(time.Now(), innocent, upstream, 1))
+		}
+		hosts["a"].suspects.Clear(time.Now(), innocent)
+		time.Sleep(time.Second)
+		hosts["b"].suspects.Clear(time.Now(), innocent)
+		time.Sleep(time.Second)
+		_, refused := hosts["c"].suspects.Quarantined(time.Now(), guilty)
+		is.True(refused)
+		_, refused = hosts["c"].suspects.Quarantined(time.Now(), innocent)
+		is.True(!refused)
+	})
+}
--- a/tracker/suspects.go
+++ b/tracker/suspects.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -109,6 +110,33 @@
 	return out
 }
 
+// Newest returns the strikes that expire last, a number of them at most, those
+// that were cleared included: other hosts have to hear of these too.
+func (s *Suspects) Newest(now time.Time, most int) []Strike {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Strike
+	for _, of := range s.strikes {
+		for _, st := range of {
+			if st.Expires.After(now) {
+				out = append(out, st)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Strike) int {
+		return cmp.Or(b.Expires.Compare(a.Expires), strings.Compare(a.Key(), b.Key()))
+	})
+	return out[:min(most, len(out))]
+}
+
+// Clear notes that a request was answered whole: nothing counts against it now.
+func (s *Suspects) Clear(now time.Time, fingerprint uint64) {
+	for _, st := range s.Of(now, fingerprint) {
+		st.Cleared = true
+		s.Add(st)
+	}
+}
+
 // Quarantined reports whether a fingerprint is to be refused, and until when.
 func (s *Suspects) Quarantined(now time.Time, fingerprint uint64) (time.Duration, bool) {
 	strikes := s.counted(s.Of(now, fingerprint))
