soaker, cmd/soak: a randomized soak of the real program

Change: cmd/soak starts hosts as processes, a stand-in of the platform's store (platform.StandIn), upstreams, and a loopback proxy for each link, draws faults from a seed (kill, pause, planned stop, store and upstream links reset, silent, one way or slow, crashes, upstreams that leave, keys that go, a route that moves, answers lost, spoiled or cut), and checks at the end what callers and upstreams saw. Ruled out: checking from the hosts' own logs, which a broken host would write wrongly too.

--- a/faker/conn.go
+++ b/faker/conn.go
@@ -147,7 +147,7 @@
 		delete(c.n.conns, c)
 		c.n.mu.Unlock()
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(flush))
-		_ = c.Conn.SetReadDeadline(time.Now())
+		_ = c.SetReadDeadline(time.Now())
 		close(c.closed)
 		if c.peer.isClosed() {
 			// Nobody is left to read.
--- a/faker/stage.go
+++ b/faker/stage.go
@@ -37,11 +37,13 @@
 	TroubleSilent
 )
 
-// Stage is an upstream that speaks forwarder.DefaultHeaders: it answers plain
+// Stage is an upstream that speaks Headers: it answers plain
 // requests, and streams events over the layers that its path names. It is also
 // a launcher.Engines for one whose address it has.
 type Stage struct {
 	ID string
+	// Headers are the names it speaks; nil means forwarder.DefaultHeaders.
+	Headers *forwarder.Headers
 	// Events is how many a stream has, Gap the time between two.
 	Events int
 	Gap    time.Duration
@@ -64,6 +66,15 @@
 	DeadlineMs                                    int
 	// Ran is false where it was turned away.
 	Ran bool
+	// At is when it came.
+	At time.Time
+}
+
+func (s *Stage) headers() *forwarder.Headers {
+	if s.Headers != nil {
+		return s.Headers
+	}
+	return &forwarder.DefaultHeaders
 }
 
 // Trouble sets what becomes of the next requests, one each.
@@ -105,7 +116,7 @@
 	if len(s.troubles) > 0 {
 		t, s.troubles = s.troubles[0], s.troubles[1:]
 	}
-	h := forwarder.DefaultHeaders
+	h := s.headers()
 	left, _ := strconv.Atoi(r.Header.Get(h.DeadlineMs))
 	s.seen = append(s.seen, Seen{
 		RequestID:   r.Header.Get(h.RequestID),
@@ -117,13 +128,14 @@
 		LastEventID: r.Header.Get("Last-Event-Id"),
 		DeadlineMs:  left,
 		Ran:         t != TroubleFull,
+		At:          time.Now(),
 	})
 	return t
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Stage) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h := forwarder.DefaultHeaders
+	h := s.headers()
 	body := new(strings.Builder)
 	if _, err := bufio.NewReader(r.Body).WriteTo(body); err != nil {
 		return
@@ -174,12 +186,12 @@
 		return
 	case <-time.After(s.Answer):
 	}
-	_, _ = fmt.Fprintf(w, "answer of %s to %s", s.ID, r.Header.Get(forwarder.DefaultHeaders.RequestID))
+	_, _ = fmt.Fprintf(w, "answer of %s to %s", s.ID, r.Header.Get(s.headers().RequestID))
 }
 
 // foreign writes a late answer to another request before the one to this.
 func (s *Stage) foreign(w http.ResponseWriter, r *http.Request) {
-	id := forwarder.DefaultHeaders.RequestID
+	id := s.headers().RequestID
 	conn, buf, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
@@ -188,7 +200,7 @@
 	for _, name := range []string{"another", r.Header.Get(id)} {
 		text := "answer to " + name
 		_, _ = fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp\r\nContent-Length: %d\r\n\r\n%s",
-			id, name, forwarder.DefaultHeaders.Stamp, len(text), text)
+			id, name, s.headers().Stamp, len(text), text)
 	}
 	_ = buf.Flush()
 }
--- /dev/null
+++ b/soaker/checks.go
@@ -0,0 +1,208 @@
+package soaker
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+// call is one request as its caller saw it.
+type call struct {
+	id, path, key string
+	host          int
+	sent, ended   time.Time
+	// status is 0 when no answer came; body is what came.
+	status int
+	body   string
+	err    error
+}
+
+// incident is a time in which something was harmed.
+type incident struct {
+	from, to time.Time
+	// what names the fault, host the one that it befell; -1 is all.
+	what string
+	host int
+	// planned is set for what operators do.
+	planned bool
+}
+
+// ledger collects what happened, for the checks at the end.
+type ledger struct {
+	mu        sync.Mutex
+	calls     []call
+	incidents []incident
+	// revoked and left are when keys and upstreams were taken away, as
+	// acknowledged by the store; moved is when the moving route changed.
+	revoked, left map[string]time.Time
+	exits         []string
+}
+
+func newLedger() *ledger {
+	return &ledger{revoked: make(map[string]time.Time), left: make(map[string]time.Time)}
+}
+
+func (l *ledger) add(c call) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls = append(l.calls, c)
+}
+
+func (l *ledger) note(i incident) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.incidents = append(l.incidents, i)
+}
+
+// settle is how long after a fault what it broke may still show.
+const settle = 3 * time.Second
+
+// calm reports whether no unplanned fault touched a host between two times.
+func (l *ledger) calm(host int, from, to time.Time) bool {
+	for _, i := range l.incidents {
+		if !i.planned && (i.host < 0 || i.host == host) && i.from.Before(to) && i.to.Add(settle).After(from) {
+			return false
+		}
+	}
+	return true
+}
+
+// check returns what was broken.
+func (l *ledger) check(w *world) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	found := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
+	runs := make(map[string]int)
+	for _, u := range w.ups {
+		for _, s := range u.stage.Seen() {
+			if s.Ran {
+				runs[s.RequestID]++
+			}
+			if s.Key != "" {
+				found("%s was shown the key of %s", u.ID, s.RequestID)
+			}
+		}
+	}
+	for i := range l.calls {
+		l.checkCall(&l.calls[i], runs[l.calls[i].id], found)
+	}
+	l.checkMoving(found)
+	l.checkLeaving(w, found)
+	for _, text := range l.exits {
+		found("%s", text)
+	}
+	return out
+}
+
+func (l *ledger) checkCall(c *call, runs int, found func(string, ...any)) {
+	if strings.HasPrefix(c.path, "/book/") && runs > 1 {
+		found("booking %s ran %d times", c.id, runs)
+	}
+	switch c.status {
+	case 503, 429, 421, 408:
+		if runs > 0 && !strings.HasPrefix(c.path, "/look/") && !strings.HasPrefix(c.path, "/moving/") {
+			found("%s %s was refused with %d as not run, and ran", c.path, c.id, c.status)
+		}
+	case 200:
+		l.checkBody(c, found)
+	}
+	if at, ok := l.revoked[c.key]; ok && c.sent.After(at.Add(revokeAfter)) && runs > 0 {
+		found("%s ran with %s, sent %v after it was taken away", c.id, c.key, c.sent.Sub(at))
+	}
+	if c.status == 0 && c.err != nil {
+		l.checkCut(c, found)
+	}
+}
+
+// checkBody: the answer is the caller's own and whole.
+func (l *ledger) checkBody(c *call, found func(string, ...any)) {
+	if strings.HasPrefix(c.path, "/stream/") {
+		rest := c.body
+		for n := 1; rest != ""; n++ {
+			event := fmt.Sprintf("id: %d\ndata: event %d\n\n", n, n)
+			var ok bool
+			if rest, ok = strings.CutPrefix(rest, event); !ok {
+				if c.err == nil {
+					found("stream %s: want event %d, have %.40q", c.id, n, rest)
+				}
+				return
+			}
+		}
+		if c.err == nil && !strings.HasSuffix(c.body, "event 20\n\n") {
+			found("stream %s ended as whole after %d bytes", c.id, len(c.body))
+		}
+		return
+	}
+	if c.err == nil && !strings.HasSuffix(c.body, " to "+c.id) {
+		found("%s got the answer %q", c.id, c.body)
+	}
+}
+
+// checkCut: a planned stop alone breaks no connection with a request on it.
+func (l *ledger) checkCut(c *call, found func(string, ...any)) {
+	if !l.calm(c.host, c.sent, c.ended) {
+		return
+	}
+	for _, i := range l.incidents {
+		if i.planned && i.host == c.host && c.sent.Before(i.to) && c.ended.After(i.from) {
+			found("%s %s was cut off by %s: %v", c.path, c.id, i.what, c.err)
+		}
+	}
+}
+
+// checkMoving: once a host has answered by the newer service of a route, it
+// answers by the older one no more.
+func (l *ledger) checkMoving(found func(string, ...any)) {
+	const slack = 250 * time.Millisecond
+	first := make(map[int]time.Time)
+	for _, c := range l.calls {
+		if c.status == 200 && strings.HasPrefix(c.body, "answer of other") {
+			if at, ok := first[c.host]; !ok || c.ended.Before(at) {
+				first[c.host] = c.ended
+			}
+		}
+	}
+	for _, c := range l.calls {
+		at, ok := first[c.host]
+		if !ok || !strings.HasPrefix(c.path, "/moving/") || c.status != 200 || !strings.HasPrefix(c.body, "answer of desk") {
+			continue
+		}
+		if c.sent.After(at.Add(slack)) && !l.restarted(c.host, at, c.sent) {
+			found("%s: host %d went back to an older configuration", c.id, c.host)
+		}
+	}
+}
+
+func (l *ledger) restarted(host int, from, to time.Time) bool {
+	for _, i := range l.incidents {
+		if i.host == host && (i.what == "kill" || i.what == "stop") && i.from.Before(to) && i.to.After(from) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkLeaving: an upstream that leaves gets nothing after a while, if no host
+// was harmed meanwhile.
+func (l *ledger) checkLeaving(w *world, found func(string, ...any)) {
+	for _, u := range w.ups {
+		at, ok := l.left[u.ID]
+		if !ok {
+			continue
+		}
+		for _, s := range u.stage.Seen() {
+			if !s.At.After(at.Add(leaveAfter)) {
+				continue
+			}
+			calm := true
+			for n := range w.hosts {
+				calm = calm && l.calm(n, at.Add(-settle), s.At)
+			}
+			if calm {
+				found("%s got %s %v after it began to leave", u.ID, s.RequestID, s.At.Sub(at))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/soaker/soaker.go
@@ -0,0 +1,351 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sardineward/sardineward/faker"
+	"github.com/sardineward/sardineward/matcher"
+	"github.com/sardineward/sardineward/platform"
+)
+
+// Run is one soak. The fields are set before Play.
+type Run struct {
+	Seed uint64
+	// Length is how long faults come.
+	Length time.Duration
+	// Hosts is the number of processes of the program, Callers of requests at a
+	// time.
+	Hosts, Callers int
+	// Binary is the program, Dir where settings and logs go.
+	Binary, Dir string
+	Log         zerolog.Logger
+
+	w *world
+	l *ledger
+	// out are the hosts that the balancer sends nothing to, by number.
+	mu  sync.Mutex
+	out map[int]bool
+}
+
+// Report is what a run found.
+type Report struct {
+	Seed uint64
+	// Calls is how many requests were sent, Answered those with a 2xx.
+	Calls, Answered int
+	Faults          []string
+	// Broken are promises that were not kept.
+	Broken []string
+}
+
+const (
+	// warmUp is how long hosts have to be ready before faults begin.
+	warmUp = 3 * time.Second
+	// coolDown is how long after the last fault what is under way may end, and
+	// what was refused may show that it runs all the same.
+	coolDown = 6 * time.Second
+	// callTimeout is the time that callers allow.
+	callTimeout = 6 * time.Second
+	// takeOut is when the balancer has seen that a host leaves.
+	takeOut = 2 * time.Second
+)
+
+// Play runs the soak and checks what was seen.
+func (r *Run) Play() (*Report, error) {
+	var err error
+	if r.w, err = newWorld(r.Dir, r.Binary, r.Hosts); err != nil {
+		return nil, err
+	}
+	defer r.w.close()
+	r.l = newLedger()
+	r.out = make(map[int]bool)
+	for _, h := range r.w.hosts {
+		if err := r.w.start(h); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(warmUp)
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers, faults sync.WaitGroup
+	for n := range r.Callers {
+		callers.Go(func() { r.call(ctx, n) })
+	}
+	faults.Go(func() { r.harm(&faults) })
+	faults.Wait()
+	time.Sleep(coolDown)
+	cancel()
+	callers.Wait()
+	return r.report(), nil
+}
+
+func (r *Run) report() *Report {
+	out := &Report{Seed: r.Seed, Calls: len(r.l.calls), Broken: r.l.check(r.w)}
+	for _, c := range r.l.calls {
+		if c.status == http.StatusOK && c.err == nil {
+			out.Answered++
+		}
+	}
+	for _, i := range r.l.incidents {
+		out.Faults = append(out.Faults, fmt.Sprintf("%s@%d", i.what, i.host))
+	}
+	if 3*out.Answered < out.Calls {
+		out.Broken = append(out.Broken, fmt.Sprintf("%d of %d requests answered", out.Answered, out.Calls))
+	}
+	return out
+}
+
+// call sends one request after the other over kept connections.
+func (r *Run) call(ctx context.Context, n int) {
+	rnd := rand.New(rand.NewPCG(r.Seed, uint64(n)+1))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}, Timeout: callTimeout}
+	defer client.CloseIdleConnections()
+	paths := []string{"/look/", "/book/", "/moving/", "/stream/"}
+	for k := 0; ctx.Err() == nil; k++ {
+		c := call{id: fmt.Sprintf("%d-%d-%d", r.Seed, n, k), path: paths[rnd.IntN(len(paths))], key: keyName(rnd.IntN(keys)), host: r.pick(rnd)}
+		r.send(client, &c)
+		r.l.add(c)
+		time.Sleep(time.Duration(rnd.IntN(40)) * time.Millisecond)
+	}
+}
+
+// pick chooses a host that is in the balancer's rotation.
+func (r *Run) pick(rnd *rand.Rand) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := rnd.IntN(r.Hosts)
+	for range r.Hosts {
+		if !r.out[n] {
+			break
+		}
+		n = (n + 1) % r.Hosts
+	}
+	return n
+}
+
+func (r *Run) setOut(n int, out bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.out[n] = out
+}
+
+func (r *Run) send(client *http.Client, c *call) {
+	c.sent = time.Now()
+	defer func() { c.ended = time.Now() }()
+	method := http.MethodPost
+	if strings.HasPrefix(c.path, "/look/") {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+r.w.hosts[c.host].callers+c.path+c.id, strings.NewReader("lot 12"))
+	if err != nil {
+		c.err = err
+		return
+	}
+	// Without it the client sends a request again by itself, and its id runs twice.
+	req.GetBody = nil
+	req.Host = hostName
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	req.Header.Set(platform.Headers.RequestID, c.id)
+	req.Header.Set(platform.Headers.DeadlineMs, "5000")
+	resp, err := client.Do(req)
+	if err != nil {
+		c.err = err
+		return
+	}
+	defer resp.Body.Close()
+	c.status = resp.StatusCode
+	body, err := io.ReadAll(resp.Body)
+	c.body, c.err = string(body), err
+}
+
+// fault is one way to harm the world; it returns when it is over.
+type fault func(r *Run, rnd *rand.Rand, n int, lasts time.Duration)
+
+// harm draws faults that come in series and overlap.
+func (r *Run) harm(wg *sync.WaitGroup) {
+	rnd := rand.New(rand.NewPCG(r.Seed, 0))
+	faults := []fault{kill, pause, stop, cutStore, crash, harmLink, leave, revoke, move, trouble}
+	for end := time.Now().Add(r.Length); time.Now().Before(end); {
+		one := faults[rnd.IntN(len(faults))]
+		n := rnd.IntN(r.Hosts)
+		lasts := time.Duration(500+rnd.IntN(3500)) * time.Millisecond
+		own := rand.New(rand.NewPCG(r.Seed, rnd.Uint64()))
+		wg.Go(func() { one(r, own, n, lasts) })
+		time.Sleep(time.Duration(200+rnd.IntN(1500)) * time.Millisecond)
+	}
+}
+
+// during notes a fault that lasts.
+func (r *Run) during(what string, host int, lasts time.Duration, planned bool) {
+	now := time.Now()
+	r.Log.Info().Str("fault", what).Int("on", host).Dur("lasts", lasts).Msg("soaker: fault")
+	r.l.note(incident{from: now, to: now.Add(lasts), what: what, host: host, planned: planned})
+}
+
+// claim takes a host for a fault of its process; one at a time.
+func (h *host) claim() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.stopped {
+		return false
+	}
+	h.stopped = true
+	return true
+}
+
+func kill(r *Run, _ *rand.Rand, n int, lasts time.Duration) {
+	h := r.w.hosts[n]
+	if !h.claim() {
+		return
+	}
+	r.during("kill", n, lasts+warmUp, false)
+	h.signal(syscall.SIGKILL)
+	h.end()
+	time.Sleep(lasts)
+	r.restart(h)
+}
+
+func (r *Run) restart(h *host) {
+	if err := r.w.start(h); err != nil {
+		r.Log.Error().Err(err).Str("host", h.name).Msg("soaker: host not started")
+	}
+}
+
+func pause(r *Run, _ *rand.Rand, n int, lasts time.Duration) {
+	h := r.w.hosts[n]
+	if !h.claim() {
+		return
+	}
+	r.during("pause", n, lasts, false)
+	h.signal(syscall.SIGSTOP)
+	time.Sleep(lasts)
+	h.signal(syscall.SIGCONT)
+	h.mu.Lock()
+	h.stopped = false
+	h.mu.Unlock()
+}
+
+// stop is a planned one. The balancer turns away, and what is open has to end.
+func stop(r *Run, _ *rand.Rand, n int, _ time.Duration) {
+	h := r.w.hosts[n]
+	if !h.claim() {
+		return
+	}
+	const grace = 8 * time.Second
+	r.during("stop", n, grace, true)
+	began := time.Now()
+	h.signal(syscall.SIGTERM)
+	time.Sleep(takeOut)
+	r.setOut(n, true)
+	code := h.end()
+	if took := time.Since(began); took > grace || (code != 0 && r.l.calmNow(n, began)) {
+		r.l.mu.Lock()
+		r.l.exits = append(r.l.exits, fmt.Sprintf("host %d ended %v after SIGTERM with code %d", n, took, code))
+		r.l.mu.Unlock()
+	}
+	r.restart(h)
+	time.Sleep(warmUp)
+	r.setOut(n, false)
+}
+
+func (l *ledger) calmNow(host int, from time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.calm(host, from, time.Now())
+}
+
+func cutStore(r *Run, rnd *rand.Rand, n int, lasts time.Duration) {
+	mode := Mode(1 + rnd.IntN(len(ModeValues())-1))
+	r.during("store "+mode.String(), n, lasts, false)
+	r.w.hosts[n].store.Set(mode)
+	time.Sleep(lasts)
+	r.w.hosts[n].store.Set(ModePass)
+}
+
+func crash(r *Run, rnd *rand.Rand, _ int, lasts time.Duration) {
+	u := r.w.ups[rnd.IntN(len(r.w.ups))]
+	r.during("crash "+u.ID, -1, lasts, false)
+	u.crash()
+	time.Sleep(lasts)
+	if err := u.serve(); err != nil {
+		r.Log.Error().Err(err).Str("upstream", u.ID).Msg("soaker: upstream not started")
+	}
+}
+
+func harmLink(r *Run, rnd *rand.Rand, _ int, lasts time.Duration) {
+	u := r.w.ups[rnd.IntN(len(r.w.ups))]
+	mode := Mode(1 + rnd.IntN(len(ModeValues())-1))
+	r.during("link "+mode.String()+" "+u.ID, -1, lasts, false)
+	u.link.Set(mode)
+	time.Sleep(lasts)
+	u.link.Set(ModePass)
+}
+
+// leave has an upstream leave for good; one of each service stays.
+func leave(r *Run, rnd *rand.Rand, _ int, _ time.Duration) {
+	u := r.w.ups[rnd.IntN(len(r.w.ups))]
+	if strings.HasSuffix(u.ID, "-a") {
+		return
+	}
+	r.l.mu.Lock()
+	_, left := r.l.left[u.ID]
+	r.l.mu.Unlock()
+	if left {
+		return
+	}
+	entry := u.Upstream
+	entry.Leaving = true
+	r.w.store.List(entry)
+	r.l.mu.Lock()
+	r.l.left[u.ID] = time.Now()
+	r.l.mu.Unlock()
+	r.during("leave "+u.ID, -1, 0, true)
+}
+
+func revoke(r *Run, rnd *rand.Rand, _ int, _ time.Duration) {
+	key := keyName(rnd.IntN(keys / 2))
+	at := r.w.configure(func(c *matcher.Configuration) {
+		var left []string
+		for _, k := range c.Workspaces[0].Keys {
+			if k != key {
+				left = append(left, k)
+			}
+		}
+		c.Workspaces = []matcher.Workspace{{Name: "mill", Keys: left}}
+	})
+	r.l.mu.Lock()
+	if _, ok := r.l.revoked[key]; !ok {
+		r.l.revoked[key] = at
+	}
+	r.l.mu.Unlock()
+	r.during("revoke "+key, -1, 0, true)
+}
+
+// move sends a route to another service, for good.
+func move(r *Run, _ *rand.Rand, _ int, _ time.Duration) {
+	r.w.configure(func(c *matcher.Configuration) {
+		routes := append([]matcher.Route(nil), c.Routes...)
+		for i := range routes {
+			if routes[i].Prefix == "/moving/" {
+				routes[i].Splits = []matcher.Split{{Service: "other", Weight: 1}}
+			}
+		}
+		c.Routes = routes
+	})
+	r.during("move", -1, 0, true)
+}
+
+func trouble(r *Run, rnd *rand.Rand, _ int, _ time.Duration) {
+	u := r.w.ups[rnd.IntN(len(r.w.ups))]
+	list := []faker.Trouble{faker.TroubleFull, faker.TroubleReset, faker.TroubleFailed, faker.TroubleForeign, faker.TroubleUnsigned, faker.TroubleCut}
+	r.during("trouble "+u.ID, -1, 0, false)
+	u.stage.Trouble(list[rnd.IntN(len(list))], list[rnd.IntN(len(list))], list[rnd.IntN(len(list))])
+}
