--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -2,10 +2,13 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -23,17 +26,29 @@
 	jobs := app.Flag("jobs", "How many seeds at a time.").Default("2").Int()
 	length := app.Flag("length", "How long faults come.").Default("15s").Duration()
 	hosts := app.Flag("hosts", "Processes of the program.").Default("4").Int()
-	callers := app.Flag("callers", "Requests at a time.").Default("16").Int()
+	callers := app.Flag("callers", "Requests at a time.").Default("32").Int()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	gate := make(chan struct{}, *jobs)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	red := playAll(*seeds, *jobs, func(n int) bool {
+		return play(ctx, *binary, *dir, *first+uint64(n), *length, *hosts, *callers)
+	})
+	stop()
+	fmt.Printf("%d seeds, %d red\n", *seeds, red)
+	if red > 0 {
+		os.Exit(1)
+	}
+}
+
+// playAll plays runs, some at a time, and returns how many found something.
+func playAll(runs, jobs int, one func(n int) bool) (red int) {
+	gate := make(chan struct{}, jobs)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	red := 0
-	for n := range *seeds {
+	for n := range runs {
 		gate <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-gate }()
-			ok := play(*binary, *dir, *first+uint64(n), *length, *hosts, *callers)
+			ok := one(n)
 			mu.Lock()
 			defer mu.Unlock()
 			if !ok {
@@ -42,13 +57,10 @@
 		})
 	}
 	wg.Wait()
-	fmt.Printf("%d seeds, %d red\n", *seeds, red)
-	if red > 0 {
-		os.Exit(1)
-	}
+	return red
 }
 
-func play(binary, dir string, seed uint64, length time.Duration, hosts, callers int) bool {
+func play(ctx context.Context, binary, dir string, seed uint64, length time.Duration, hosts, callers int) bool {
 	dir = filepath.Join(dir, fmt.Sprint(seed))
 	if err := os.RemoveAll(dir); err != nil {
 		fmt.Println(err)
@@ -65,7 +77,7 @@
 	}
 	defer log.Close()
 	r := &soaker.Run{Seed: seed, Length: length, Hosts: hosts, Callers: callers, Binary: binary, Dir: dir, Log: zerolog.New(log).With().Timestamp().Logger()}
-	report, err := r.Play()
+	report, err := r.Play(ctx)
 	if err != nil {
 		fmt.Printf("seed %d: %v\n", seed, err)
 		return false
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -68,6 +68,17 @@
 	return true
 }
 
+// inTouch reports whether neither a host nor its link to the store was harmed
+// between two times.
+func (l *ledger) inTouch(host int, from, to time.Time) bool {
+	for _, i := range l.incidents {
+		if i.host == host && i.from.Before(to) && i.to.Add(settle).After(from) {
+			return false
+		}
+	}
+	return true
+}
+
 // check returns what was broken.
 func (l *ledger) check(w *world) []string {
 	l.mu.Lock()
@@ -184,23 +195,20 @@
 	return false
 }
 
-// checkLeaving: an upstream that leaves gets nothing after a while, if no host
-// was harmed meanwhile.
+// checkLeaving: an upstream that leaves gets nothing after a while from a host
+// that was not harmed meanwhile.
 func (l *ledger) checkLeaving(w *world, found func(string, ...any)) {
+	hosts := make(map[string]int, len(l.calls))
+	for _, c := range l.calls {
+		hosts[c.id] = c.host
+	}
 	for _, u := range w.ups {
 		at, ok := l.left[u.ID]
 		if !ok {
 			continue
 		}
 		for _, s := range u.stage.Seen() {
-			if !s.At.After(at.Add(leaveAfter)) {
-				continue
-			}
-			calm := true
-			for n := range w.hosts {
-				calm = calm && l.calm(n, at.Add(-settle), s.At)
-			}
-			if calm {
+			if s.At.After(at.Add(leaveAfter)) && l.inTouch(hosts[s.RequestID], at.Add(-settle), s.At) {
 				found("%s got %s %v after it began to leave", u.ID, s.RequestID, s.At.Sub(at))
 			}
 		}
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -42,9 +42,9 @@
 	conns map[net.Conn]bool
 }
 
-// Start opens the link and returns its address.
-func (p *Proxy) Start() (string, error) {
-	l, err := listen("127.0.0.1:0")
+// Start opens the link at an address and returns it.
+func (p *Proxy) Start(address string) (string, error) {
+	l, err := listen(address)
 	if err != nil {
 		return "", err
 	}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -59,10 +59,11 @@
 	takeOut = 2 * time.Second
 )
 
-// Play runs the soak and checks what was seen.
-func (r *Run) Play() (*Report, error) {
+// Play runs the soak and checks what was seen. When ctx ends it stops what it
+// started and returns early.
+func (r *Run) Play(ctx context.Context) (*Report, error) {
 	var err error
-	if r.w, err = newWorld(r.Dir, r.Binary, r.Hosts); err != nil {
+	if r.w, err = newWorld(r.Dir, r.Binary, r.Hosts, r.Seed); err != nil {
 		return nil, err
 	}
 	defer r.w.close()
@@ -74,12 +75,13 @@
 		}
 	}
 	time.Sleep(warmUp)
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var callers, faults sync.WaitGroup
 	for n := range r.Callers {
 		callers.Go(func() { r.call(ctx, n) })
 	}
-	faults.Go(func() { r.harm(&faults) })
+	faults.Go(func() { r.harm(ctx, &faults) })
 	faults.Wait()
 	time.Sleep(coolDown)
 	cancel()
@@ -113,7 +115,7 @@
 		c := call{id: fmt.Sprintf("%d-%d-%d", r.Seed, n, k), path: paths[rnd.IntN(len(paths))], key: keyName(rnd.IntN(keys)), host: r.pick(rnd)}
 		r.send(client, &c)
 		r.l.add(c)
-		time.Sleep(time.Duration(rnd.IntN(40)) * time.Millisecond)
+		time.Sleep(time.Duration(rnd.IntN(20)) * time.Millisecond)
 	}
 }
 
@@ -169,17 +171,22 @@
 // fault is one way to harm the world; it returns when it is over.
 type fault func(r *Run, rnd *rand.Rand, n int, lasts time.Duration)
 
-// harm draws faults that come in series and overlap.
-func (r *Run) harm(wg *sync.WaitGroup) {
+// harm draws faults that come in series and overlap. Seeds differ in how many
+// kinds they draw from and how dense these come: with all kinds all the time a
+// promise that holds for calm hosts is never put to the test.
+func (r *Run) harm(ctx context.Context, wg *sync.WaitGroup) {
 	rnd := rand.New(rand.NewPCG(r.Seed, 0))
 	faults := []fault{kill, pause, stop, cutStore, crash, harmLink, leave, revoke, move, trouble}
-	for end := time.Now().Add(r.Length); time.Now().Before(end); {
+	rnd.Shuffle(len(faults), func(i, j int) { faults[i], faults[j] = faults[j], faults[i] })
+	faults = faults[:3+rnd.IntN(len(faults)-2)]
+	rest := 300 + rnd.IntN(1500)
+	for end := time.Now().Add(r.Length); time.Now().Before(end) && ctx.Err() == nil; {
 		one := faults[rnd.IntN(len(faults))]
 		n := rnd.IntN(r.Hosts)
 		lasts := time.Duration(500+rnd.IntN(3500)) * time.Millisecond
 		own := rand.New(rand.NewPCG(r.Seed, rnd.Uint64()))
 		wg.Go(func() { one(r, own, n, lasts) })
-		time.Sleep(time.Duration(200+rnd.IntN(1500)) * time.Millisecond)
+		time.Sleep(time.Duration(200+rnd.IntN(rest)) * time.Millisecond)
 	}
 }
 
@@ -224,6 +231,8 @@
 	if !h.claim() {
 		return
 	}
+	// Some last longer than leases, and than a key may be known.
+	lasts *= 2
 	r.during("pause", n, lasts, false)
 	h.signal(syscall.SIGSTOP)
 	time.Sleep(lasts)
@@ -264,6 +273,8 @@
 
 func cutStore(r *Run, rnd *rand.Rand, n int, lasts time.Duration) {
 	mode := Mode(1 + rnd.IntN(len(ModeValues())-1))
+	// Long enough for keys to grow too old.
+	lasts *= 3
 	r.during("store "+mode.String(), n, lasts, false)
 	r.w.hosts[n].store.Set(mode)
 	time.Sleep(lasts)
@@ -343,9 +354,16 @@
 	r.during("move", -1, 0, true)
 }
 
+// troubles is how many requests in a row an upstream spoils.
+const troubles = 12
+
 func trouble(r *Run, rnd *rand.Rand, _ int, _ time.Duration) {
 	u := r.w.ups[rnd.IntN(len(r.w.ups))]
 	list := []faker.Trouble{faker.TroubleFull, faker.TroubleReset, faker.TroubleFailed, faker.TroubleForeign, faker.TroubleUnsigned, faker.TroubleCut}
 	r.during("trouble "+u.ID, -1, 0, false)
-	u.stage.Trouble(list[rnd.IntN(len(list))], list[rnd.IntN(len(list))], list[rnd.IntN(len(list))])
+	next := make([]faker.Trouble, troubles)
+	for n := range next {
+		next[n] = list[rnd.IntN(len(list))]
+	}
+	u.stage.Trouble(next...)
 }
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -52,6 +52,9 @@
 	store  *platform.StandIn
 	server *http.Server
 
+	// port is the next one to be tried.
+	port int
+
 	mu  sync.Mutex
 	cfg matcher.Configuration
 }
@@ -71,15 +74,25 @@
 	return new(net.ListenConfig).Listen(context.Background(), "tcp", address)
 }
 
-// free is an address on loopback that nothing listens at.
-func free() string {
-	l, err := listen("127.0.0.1:0")
-	if err != nil {
-		panic("soaker: no free port on loopback: " + err.Error())
+// portRange is how many ports a run takes at most; runs that are played side by
+// side take blocks of their own, below the ports that outgoing connections get.
+const (
+	portRange = 60
+	firstPort = 10000
+	blocks    = 300
+)
+
+// free is the next address of the run's block that nothing listens at.
+func (w *world) free() string {
+	for range portRange {
+		address := fmt.Sprintf("127.0.0.1:%d", w.port)
+		w.port++
+		if l, err := listen(address); err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	address := l.Addr().String()
-	_ = l.Close()
-	return address
+	panic("soaker: no free port on loopback")
 }
 
 func keyName(n int) string { return fmt.Sprintf("key-%d", n) }
@@ -92,8 +105,8 @@
 }
 
 // newWorld starts the stand-ins; hosts are started by start.
-func newWorld(dir, binary string, hosts int) (*world, error) {
-	w := &world{dir: dir, binary: binary, store: new(platform.StandIn)}
+func newWorld(dir, binary string, hosts int, seed uint64) (*world, error) {
+	w := &world{dir: dir, binary: binary, store: new(platform.StandIn), port: firstPort + int(seed%blocks)*portRange}
 	all := make([]string, keys)
 	for n := range all {
 		all[n] = keyName(n)
@@ -108,7 +121,7 @@
 		Workspaces: []matcher.Workspace{{Name: "mill", Keys: all}},
 	}
 	w.configure(func(*matcher.Configuration) {})
-	storeAddress := free()
+	storeAddress := w.free()
 	l, err := listen(storeAddress)
 	if err != nil {
 		return nil, err
@@ -142,11 +155,11 @@
 func (w *world) addUpstream(id string) error {
 	service := id[:len(id)-2]
 	u := &upstream{
-		stage: &faker.Stage{ID: id, Headers: &platform.Headers, Events: 20, Gap: 50 * time.Millisecond, Answer: 20 * time.Millisecond},
-		real:  free(),
+		stage: &faker.Stage{ID: id, Headers: &platform.Headers, Events: 20, Gap: 50 * time.Millisecond, Answer: 100 * time.Millisecond},
+		real:  w.free(),
 	}
 	u.link = &Proxy{Target: u.real}
-	address, err := u.link.Start()
+	address, err := u.link.Start(w.free())
 	if err != nil {
 		return err
 	}
@@ -178,15 +191,15 @@
 }
 
 func (w *world) addHost(n int, store string) error {
-	h := &host{name: fmt.Sprintf("host-%d", n), callers: free(), ready: free(), store: &Proxy{Target: store}}
-	link, err := h.store.Start()
+	h := &host{name: fmt.Sprintf("host-%d", n), callers: w.free(), ready: w.free(), store: &Proxy{Target: store}}
+	link, err := h.store.Start(w.free())
 	if err != nil {
 		return err
 	}
 	h.settings = filepath.Join(w.dir, h.name+".jsonc")
 	text := fmt.Sprintf(`{"host": %q, "dataCentre": %q, "callers": %q, "ready": %q, "peer": %q, "admin": %q, "platform": %q,
 		"retryRatio": 0.2, "retryFixed": 200, "retryWindowS": 10, "revokeMs": %d}`,
-		h.name, dataCentre, h.callers, h.ready, free(), free(), link, revokeAfter.Milliseconds())
+		h.name, dataCentre, h.callers, h.ready, w.free(), w.free(), link, revokeAfter.Milliseconds())
 	w.hosts = append(w.hosts, h)
 	return os.WriteFile(h.settings, []byte(text), 0o600)
 }
