follower, sharer: a peer's list of upstreams never undoes what was read later

One host is paused, asks its peers for their list when it wakes, reads the store, and then takes in an answer that is older; its list, with the upstream not leaving, goes on to others that ask, and no change of the entry comes that would mend it. Hosts asked peers all the time, as in a store without changes an answered call is up to 2.4 s old and peers are asked from 2 s on. Ruled out: the choice among upstreams (leaving ones are passed over) and the stand-in of the store (the hosts had read the entry: they sent nothing for seconds before). Change: lists carry the revision of the source they are of; one that is not above what was read, or taken before, is passed over. A call waits 0.5 s in place of 1 s where there is nothing to tell. Tests: TestOlderList was red.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -72,7 +72,9 @@
 	pause = 400 * time.Millisecond
 	// wait bounds a call that has nothing to tell, so that the knowledge of a
 	// quiet source does not age.
-	wait = time.Second
+	// Twice that and pause are below the age from which peers are asked, so that
+	// a quiet source does not look like one that is away.
+	wait = 500 * time.Millisecond
 	// slack is how long beyond wait an answer may take: a hundred times the
 	// usual, and short enough to try twice before keys have to be doubted.
 	slack = 700 * time.Millisecond
@@ -102,7 +104,9 @@
 
 	mu       sync.Mutex
 	revision int64
-	hosts    map[string]Host
+	// listed is the highest revision of a list that a peer told.
+	listed int64
+	hosts  map[string]Host
 	// holders are the hosts that hold duties, by data centre.
 	holders map[string]string
 	// missing are upstreams whose entry lapsed while the source was away, with
@@ -154,8 +158,18 @@
 	}
 }
 
-// Listed takes in the upstreams that a peer knows.
-func (f *Follower) Listed(list []balancer.Upstream) {
+// Listed takes in the upstreams that a peer knew at a revision of the source,
+// unless this host has read a later one. An answer of a peer that was some
+// seconds on its way, to a host that was suspended, put an upstream back into use
+// that had begun to leave, and no change of its entry came after.
+func (f *Follower) Listed(list []balancer.Upstream, revision int64) {
+	f.mu.Lock()
+	newest := max(f.revision, f.listed)
+	f.listed = max(newest, revision)
+	f.mu.Unlock()
+	if revision <= newest {
+		return
+	}
 	known := make(map[string]bool, len(list))
 	for i := range list {
 		known[list[i].ID] = true
@@ -169,6 +183,14 @@
 	f.Balancer.List(list, gone)
 }
 
+// Revision is the one of the source up to which this host has read; 0 before the
+// first.
+func (f *Follower) Revision() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
 // Hosts returns the other entry hosts that are known.
 func (f *Follower) Hosts() []Host {
 	f.mu.Lock()
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -129,3 +129,25 @@
 		is.Equal(len(b.IDs()), 0)
 	})
 }
+
+// TestOlderList. A host was suspended, and an answer that a peer gave it
+// meanwhile arrives when it has read the source again. It put an upstream back
+// into use that had begun to leave, and sent it requests three seconds later.
+func TestOlderList(t *testing.T) {
+	run(t, func(src *faker.Directory, fol *follower.Follower, b *balancer.Balancer) {
+		is := is.New(t)
+		leaving := func() bool { return b.Listed()[0].Leaving }
+		before := fol.Revision()
+		src.List(balancer.Upstream{ID: "one", Address: "1", Leaving: true})
+		time.Sleep(time.Second)
+		is.True(leaving())
+		fol.Listed([]balancer.Upstream{{ID: "one", Address: "1"}}, before)
+		is.True(leaving())
+		fol.Listed([]balancer.Upstream{{ID: "one", Address: "1"}}, fol.Revision())
+		is.True(leaving()) // what this host read itself holds
+		fol.Listed([]balancer.Upstream{{ID: "one", Address: "1"}, {ID: "two", Address: "2"}}, fol.Revision()+2)
+		is.Equal(len(b.IDs()), 2)
+		fol.Listed([]balancer.Upstream{{ID: "one", Address: "1"}}, fol.Revision()+1)
+		is.Equal(len(b.IDs()), 2) // a peer that is further behind
+	})
+}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -122,7 +122,7 @@
 		return
 	}
 	if list != nil {
-		s.Follower.Listed(*list)
+		s.Follower.Listed(*list, resp.Revision)
 	}
 }
 
@@ -143,6 +143,8 @@
 	}
 	if req.Behind && s.Follower.OwnAge() < behind {
 		var err error
+		// Read before the list: what changes in between is in it as well.
+		resp.Revision = s.Follower.Revision()
 		if resp.Upstreams, err = json.Marshal(s.Balancer.Listed()); err != nil {
 			return nil, err
 		}
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -209,7 +209,7 @@
 		}
 		for _, s := range u.stage.Seen() {
 			if s.At.After(at.Add(leaveAfter)) && l.inTouch(hosts[s.RequestID], at.Add(-settle), s.At) {
-				found("%s got %s %v after it began to leave", u.ID, s.RequestID, s.At.Sub(at))
+				found("%s got %s by host %d %v after it began to leave", u.ID, s.RequestID, hosts[s.RequestID], s.At.Sub(at))
 			}
 		}
 	}
