--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -321,23 +321,32 @@
 	r.during("leave "+u.ID, -1, 0, true)
 }
 
+// revoked is how many keys go at a time: enough that requests under them wait
+// at a paused host.
+const revoked = 8
+
 func revoke(r *Run, rnd *rand.Rand, _ int, _ time.Duration) {
-	key := keyName(rnd.IntN(keys / 2))
+	gone := make(map[string]bool)
+	for range revoked {
+		gone[keyName(rnd.IntN(keys/2))] = true
+	}
 	at := r.w.configure(func(c *matcher.Configuration) {
 		var left []string
 		for _, k := range c.Workspaces[0].Keys {
-			if k != key {
+			if !gone[k] {
 				left = append(left, k)
 			}
 		}
 		c.Workspaces = []matcher.Workspace{{Name: "mill", Keys: left}}
 	})
 	r.l.mu.Lock()
-	if _, ok := r.l.revoked[key]; !ok {
-		r.l.revoked[key] = at
+	for key := range gone {
+		if _, ok := r.l.revoked[key]; !ok {
+			r.l.revoked[key] = at
+		}
 	}
 	r.l.mu.Unlock()
-	r.during("revoke "+key, -1, 0, true)
+	r.during("revoke", -1, 0, true)
 }
 
 // move sends a route to another service, for good.
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -70,8 +71,17 @@
 	keys = 40
 )
 
+// listen opens an address. One that was closed a moment ago may still be in use:
+// a process that is just being started has it open until it runs its program.
 func listen(address string) (net.Listener, error) {
-	return new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+	const tries, pause = 50, 20 * time.Millisecond
+	for n := 0; ; n++ {
+		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+		if err == nil || n == tries || !errors.Is(err, syscall.EADDRINUSE) {
+			return l, err
+		}
+		time.Sleep(pause)
+	}
 }
 
 // portRange is how many ports a run takes at most; runs that are played side by
