soaker: the balancer asks hosts whether they are ready

Change: readiness is asked once a second, two misses take a host out, as the platform does. At most six lines a seed are printed. Hosts' code is unchanged.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -17,6 +17,9 @@
 	"github.com/sardineward/sardineward/soaker"
 )
 
+// mostBroken is how many broken promises of one seed are printed.
+const mostBroken = 6
+
 func main() {
 	app := kingpin.New("soak", "Runs the program as separate processes, harms them from outside, and checks what callers and upstreams see.")
 	binary := app.Flag("binary", "The program, built by `go build ./cmd/sardineward`.").Required().ExistingFile()
@@ -87,7 +90,11 @@
 		return false
 	}
 	fmt.Printf("seed %d: %d requests, %d answered, %d faults, %d broken\n", seed, report.Calls, report.Answered, len(report.Faults), len(report.Broken))
-	for _, text := range report.Broken {
+	for n, text := range report.Broken {
+		if n == mostBroken {
+			fmt.Println("  …")
+			break
+		}
 		fmt.Println("  " + text)
 	}
 	return len(report.Broken) == 0
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -55,8 +55,6 @@
 	coolDown = 6 * time.Second
 	// callTimeout is the time that callers allow.
 	callTimeout = 6 * time.Second
-	// takeOut is when the balancer has seen that a host leaves.
-	takeOut = 2 * time.Second
 )
 
 // Play runs the soak and checks what was seen. When ctx ends it stops what it
@@ -81,6 +79,7 @@
 	for n := range r.Callers {
 		callers.Go(func() { r.call(ctx, n) })
 	}
+	callers.Go(func() { r.balance(ctx) })
 	faults.Go(func() { r.harm(ctx, &faults) })
 	faults.Wait()
 	time.Sleep(coolDown)
@@ -119,24 +118,63 @@
 	}
 }
 
-// pick chooses a host that is in the balancer's rotation.
+// pick chooses a host that is in the balancer's rotation; any when fewer than
+// half are.
 func (r *Run) pick(rnd *rand.Rand) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := rnd.IntN(r.Hosts)
-	for range r.Hosts {
-		if !r.out[n] {
-			break
-		}
+	if 2*len(r.out) > r.Hosts {
+		return n
+	}
+	for r.out[n] {
 		n = (n + 1) % r.Hosts
 	}
 	return n
 }
 
-func (r *Run) setOut(n int, out bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.out[n] = out
+// balance asks each host whether it is ready, as the balancer does: two misses
+// take it out until it answers again.
+func (r *Run) balance(ctx context.Context) {
+	const period, timeout, most = time.Second, 500 * time.Millisecond, 2
+	client := &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	misses := make([]int, r.Hosts)
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for n, h := range r.w.hosts {
+			if isReady(ctx, client, h) {
+				misses[n] = 0
+			} else {
+				misses[n]++
+			}
+			r.mu.Lock()
+			if misses[n] >= most {
+				r.out[n] = true
+			} else {
+				delete(r.out, n)
+			}
+			r.mu.Unlock()
+		}
+	}
+}
+
+func isReady(ctx context.Context, client *http.Client, h *host) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.ready+platform.ReadyPath, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
 }
 
 func (r *Run) send(client *http.Client, c *call) {
@@ -252,8 +290,6 @@
 	r.during("stop", n, grace, true)
 	began := time.Now()
 	h.signal(syscall.SIGTERM)
-	time.Sleep(takeOut)
-	r.setOut(n, true)
 	code := h.end()
 	if took := time.Since(began); took > grace || (code != 0 && r.l.calmNow(n, began)) {
 		r.l.mu.Lock()
@@ -261,8 +297,6 @@
 		r.l.mu.Unlock()
 	}
 	r.restart(h)
-	time.Sleep(warmUp)
-	r.setOut(n, false)
 }
 
 func (l *ledger) calmNow(host int, from time.Time) bool {
