--- /dev/null
+++ b/forwarder/quarantine_test.go
@@ -0,0 +1,42 @@
+package forwarder
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/connector"
+	"github.com/sardineward/sardineward/tracker"
+)
+
+// TestCallerGoneInCheck. An upstream breaks a connection off, and the caller
+// leaves while the host looks whether the upstream has crashed. The look ends
+// with the caller, which shows nothing; yet the upstream is taken out of use and
+// the request gets a strike.
+func TestCallerGoneInCheck(t *testing.T) {
+	is := is.New(t)
+	ctx, leave := context.WithCancel(context.Background())
+	b := &balancer.Balancer{Rand: rand.New(rand.NewPCG(1, 1))}
+	b.List([]balancer.Upstream{{ID: "one", Service: "desk", Address: "10.0.0.1:1", Born: 1}}, nil)
+	dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		leave()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	f := &Forwarder{
+		Balancer: b, Pool: &connector.Pool{Dial: dial}, Suspects: new(tracker.Suspects),
+		Now: func() time.Duration { return time.Second }, Log: zerolog.Nop(),
+	}
+	k := &call{Forwarder: f, r: new(http.Request), id: "r", fingerprint: 7}
+	k.checkCrash(ctx, balancer.Hop{ID: "one", Address: "10.0.0.1:1"})
+	is.True(!b.Lost("one"))
+	is.Equal(len(b.Dead()), 0)
+	is.Equal(len(f.Suspects.Of(time.Now(), 7)), 0)
+}
