forwarder: the look for a crash outlives its caller

Cause: checkCrash connected under the request's context. A caller that left during the look ended it, and its error passed for a refused connection: a live upstream was out of use for some 0.4 s and the request got a strike. Ruled out: to drop the look when the context ends. A request that crashes what runs it is often one whose caller has given up, and its strike would be lost. Before: TestCallerGoneInCheck red each time. After: green, and the whole package (go test ./forwarder).

--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -39,9 +39,11 @@
 
 // checkCrash looks whether the upstream that took a request and did not answer
 // has crashed. Then nothing listens at its address; one that merely broke the
-// connection off takes a new one.
+// connection off takes a new one. The look goes on when the caller leaves: its
+// end would pass for a refused connection, and take an upstream that lives out of
+// use with a strike against the request.
 func (k *call) checkCrash(ctx context.Context, h balancer.Hop) {
-	err := k.connect(ctx, h.Address)
+	err := k.connect(context.WithoutCancel(ctx), h.Address)
 	if err == nil || isTimeout(err) {
 		return
 	}
