--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -225,6 +225,7 @@
 		Tokens:  e.Prompt + e.Answer/2,
 		Step:    e.StepMs,
 		Request: e.PerSequenceMs + e.PerContextMs*(e.Prompt+e.Answer/2)/1e3,
+		Slots:   e.Slots,
 	}
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -36,6 +36,9 @@
 	// Step is the time of a token step over all layers, Request what each
 	// request in the batch adds to it, in one unit.
 	Step, Request float64
+	// Slots is how many requests a member that holds the first layer is sent at
+	// once; 0 is any number.
+	Slots int
 }
 
 // Member is an upstream that may hold layers.
@@ -81,8 +84,6 @@
 	// fill is the part of its room that a card is planned to have in use:
 	// arrivals clump, and answers are longer than expected.
 	fill = 0.85
-	// copies bounds how often one kind of card holds its part of the model.
-	copies = 6
 )
 
 // Plan returns the orders to give now. A fleet that holds nothing is laid out
