--- a/placer/layout.go
+++ b/placer/layout.go
@@ -14,7 +14,7 @@
 	// above is worth less than layers that outlive the loss of a member: a fleet
 	// has more rate than it needs on most days, and no rate at all at the layer
 	// that nobody holds.
-	keptRate = 0.5
+	keptRate = 0.9
 	// roomGrowth is the step between two rooms that layouts are tried with.
 	roomGrowth = 1.15
 	// mostDivisions bounds the ways to divide the layers that are tried, for
