placer: every layer twice where the fleet has memory for it

Change: the layout of the highest rate in which every layer has two holders is taken if it bears four fifths of the highest rate at all; else the latter. Ways to share the layers are estimated first, the best forty of each sort built in full. An empty member holds what fewest hold at once where as many are empty as hold a layer alone.

--- a/placer/layout.go
+++ b/placer/layout.go
@@ -10,16 +10,20 @@
 	// sameBand is by how much the paces of members may differ that hold one part
 	// of the model together: a path takes any of them for a layer.
 	sameBand = 1.5
-	// keptRate is the part of the highest rate that a layout must bear. What is
-	// above is worth less than layers that outlive the loss of a member: a fleet
-	// has more rate than it needs on most days, and no rate at all at the layer
-	// that nobody holds.
-	keptRate = 0.9
-	// roomGrowth is the step between two rooms that layouts are tried with.
-	roomGrowth = 1.15
+	// keptRate is the part of the highest rate that a layout must bear in which
+	// every layer has two holders. A fleet has more rate than it needs on most
+	// days, and none at all at a layer that nobody holds.
+	keptRate = 0.8
+	// atOnceGrowth is the step between two numbers of requests at once that
+	// layouts are tried for.
+	atOnceGrowth = 1.12
+	// copies bounds how many rows a band is cut into.
+	copies = 8
+	// built is how many ways to share the layers are laid out in full.
+	built = 40
 	// mostDivisions bounds the ways to divide the layers that are tried, for
 	// fleets of many kinds.
-	mostDivisions = 400
+	mostDivisions = 900
 )
 
 // layAll gives every member its range of a new layout.
@@ -38,32 +42,29 @@
 // The load it answers: a member is lost, with a layer that no other one in its
 // data centre holds. Every request there has to cross to another data centre or
 // to go there whole, each running one reads its prompt anew, and the others have
-// to bear what it bore, until a member was found, drained and loaded. So of the
-// layouts that bear enough requests, the one is taken in which fewest members
-// hold a layer alone, and of these the one that bears most.
+// to bear what it bore, until a member was found, drained and loaded. Where the
+// fleet has memory for every layer twice and still bears nearly as much, that is
+// taken; else what bears most.
 func layout(m Model, members []Member) []Span {
 	bands := bandsOf(members)
-	var plans []plan
-	highest := 0.0
-	for room := float64(leastRequests); room <= mostRequests; room *= roomGrowth {
-		sizes := make([]int, len(members))
-		for i, x := range members {
-			sizes[i] = most(m, x.MB, room)
+	var fastest, safe plan
+	for _, d := range divisions(m, members, bands) {
+		p := build(m, members, bands, d)
+		if p.rate > fastest.rate {
+			fastest = p
 		}
-		for _, layers := range divisions(m.Layers, sizes, bands) {
-			if p := build(m, members, bands, sizes, layers); p.rate > 0 {
-				plans = append(plans, p)
-				highest = max(highest, p.rate)
-			}
+		if p.alone == 0 && p.rate > safe.rate {
+			safe = p
 		}
 	}
-	if len(plans) == 0 {
+	switch {
+	case fastest.rate == 0:
 		return squeeze(m, members, bands)
+	case safe.rate >= keptRate*fastest.rate:
+		return safe.spans
+	default:
+		return fastest.spans
 	}
-	plans = slices.DeleteFunc(plans, func(p plan) bool { return p.rate < keptRate*highest })
-	return slices.MinFunc(plans, func(a, b plan) int {
-		return cmp.Or(cmp.Compare(a.alone, b.alone), cmp.Compare(b.rate, a.rate))
-	}).spans
 }
 
 // band is the members of about one pace, as indices into the group's.
@@ -93,31 +94,88 @@
 	return out
 }
 
-// divisions are ways to share the layers among bands, as the number of each. A
-// band without any stands beside the others.
-func divisions(layers int, sizes []int, bands []band) [][]int {
+// division is a way to share the layers among bands for some requests at once.
+type division struct {
+	atOnce float64
+	// layers are those of each band. One without any stands beside the others.
+	layers []int
+	// rate is about what it bears; twice is set where each band holds its layers
+	// twice or more.
+	rate  float64
+	twice bool
+}
+
+// divisions are the ways that bear most, and among those that hold every layer
+// twice the ones that bear most.
+func divisions(m Model, members []Member, bands []band) []division {
 	step := 1
-	for ways(layers/step, len(bands)-1) > mostDivisions {
+	for ways(m.Layers/step, len(bands)-1) > mostDivisions {
 		step++
 	}
-	var out [][]int
-	var share func(k, left int, to []int)
-	share = func(k, left int, to []int) {
-		holds := 0
-		for _, i := range bands[k] {
-			holds += sizes[i]
+	var all []division
+	for atOnce := float64(leastRequests); atOnce <= mostRequests; atOnce *= atOnceGrowth {
+		tables := make([][]int, len(bands))
+		for k, b := range bands {
+			tables[k] = rowTable(m, members, b, atOnce)
 		}
-		if k == len(bands)-1 {
-			if holds >= left {
-				out = append(out, append(slices.Clone(to), left))
+		share(m.Layers, step, tables, nil, func(layers []int) {
+			d := division{atOnce: atOnce, layers: slices.Clone(layers), twice: true}
+			t := 0.0
+			for k, b := range bands {
+				if layers[k] == 0 {
+					continue
+				}
+				n := tables[k][layers[k]]
+				d.twice = d.twice && n > 1
+				t += members[b[0]].Pace * float64(layers[k]) / float64(m.Layers) * (m.Step + m.Request*atOnce/float64(n))
 			}
-			return
+			d.rate = atOnce / t
+			all = append(all, d)
+		})
+	}
+	slices.SortFunc(all, func(a, b division) int { return cmp.Compare(b.rate, a.rate) })
+	var out []division
+	any, twice := 0, 0
+	for _, d := range all {
+		switch {
+		case d.twice && twice < built:
+			twice++
+		case any < built:
+			any++
+		default:
+			continue
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+// share calls found with every way to share layers among bands that hold them, in
+// steps but for the last one.
+func share(left, step int, tables [][]int, layers []int, found func(layers []int)) {
+	table := tables[len(layers)]
+	if len(layers) == len(tables)-1 {
+		if left == 0 || table[left] > 0 {
+			found(append(layers, left))
 		}
-		for n := 0; n <= min(left, holds); n += step {
-			share(k+1, left-n, append(slices.Clone(to), n))
+		return
+	}
+	for n := 0; n <= left && (n == 0 || table[n] > 0); n += step {
+		share(left-n, step, tables, append(layers, n), found)
+	}
+}
+
+// rowTable is how often a band holds any number of layers.
+func rowTable(m Model, members []Member, b band, atOnce float64) []int {
+	out := make([]int, m.Layers+1)
+	for n := min(len(b), copies); n > 0; n-- {
+		sizes := sizesOf(m, members, b, atOnce/float64(n)/fill)
+		for l := 1; l <= m.Layers; l++ {
+			if out[l] == 0 && len(rowEnds(sizes, l)) >= n {
+				out[l] = n
+			}
 		}
 	}
-	share(0, layers, nil)
 	return out
 }
 
@@ -140,74 +198,113 @@
 	rate float64
 }
 
-// build lays the bands out one after the other. In each, members fill rows that
-// hold its layers whole; those that are left over stand beside the layers that
-// fewest hold.
-func build(m Model, members []Member, bands []band, sizes, layers []int) plan {
+// build lays the bands out one after the other.
+// In each, members fill rows that hold its layers whole; those that are left over
+// stand beside the layers that fewest hold.
+func build(m Model, members []Member, bands []band, d division) plan {
 	p := plan{spans: make([]Span, len(members))}
 	held := newCover(m)
 	var left []int
+	var sizes []int
 	at := 0
 	for k, b := range bands {
-		left = append(left, rows(b, sizes, Span{at, at + layers[k]}, p.spans)...)
-		at += layers[k]
+		rest, size := rows(m, members, b, d.atOnce, Span{at, at + d.layers[k]}, p.spans)
+		left = append(left, rest...)
+		sizes = append(sizes, size...)
+		at += d.layers[k]
 	}
 	for _, s := range p.spans {
 		held.add(s, 1)
 	}
-	for _, i := range left {
-		p.spans[i] = beside(held, sizes[i], p.spans)
+	if slices.Contains(held.n, 0) {
+		return p
+	}
+	for n, i := range left {
+		p.spans[i] = beside(held, sizes[n], p.spans)
 		held.add(p.spans[i], 1)
 	}
 	p.alone, p.rate = worth(m, members, p.spans, held)
 	return p
 }
 
-// rows fills a span with members as often as they hold it whole, each row spread
-// over it evenly, and returns the members that are left.
-func rows(b band, sizes []int, whole Span, spans []Span) []int {
+// rows fills a span with members as often as they hold it whole with room for
+// their part of the requests, each row spread over it evenly. It returns the
+// members that are left, and how many layers each holds.
+func rows(m Model, members []Member, b band, atOnce float64, whole Span, spans []Span) (rest []int, sizes []int) {
+	n := min(len(b), copies)
 	if whole.Len() == 0 {
-		return b
+		return b, sizesOf(m, members, b, atOnce/float64(n)/fill)
 	}
-	rest := b
-	for len(rest) > 0 {
-		n, sum := 0, 0
-		for n < len(rest) && sum < whole.Len() {
-			sum += sizes[rest[n]]
-			n++
+	for ; n > 0; n-- {
+		sizes = sizesOf(m, members, b, atOnce/float64(n)/fill)
+		ends := rowEnds(sizes, whole.Len())
+		if len(ends) < n {
+			continue
 		}
-		if sum < whole.Len() {
-			break
+		from := 0
+		for _, to := range ends {
+			spread(b[from:to], sizes[from:to], whole, spans)
+			from = to
 		}
-		at, done := whole.From, 0
-		for _, i := range rest[:n] {
-			done += sizes[i]
-			to := whole.From + int(math.Round(float64(done)*float64(whole.Len())/float64(sum)))
-			spans[i] = Span{at, to}
-			at = to
+		return b[from:], sizes[from:]
+	}
+	return b, make([]int, len(b))
+}
+
+// sizesOf is how many layers each member of a band holds beside room for some
+// requests.
+func sizesOf(m Model, members []Member, b band, requests float64) []int {
+	out := make([]int, len(b))
+	for n, i := range b {
+		out[n] = most(m, members[i].MB, requests)
+	}
+	return out
+}
+
+// rowEnds cuts sizes into rows that each hold a number of layers; what is too
+// small for one more is left over.
+func rowEnds(sizes []int, layers int) []int {
+	var out []int
+	sum := 0
+	for n, size := range sizes {
+		if sum += size; sum >= layers {
+			out = append(out, n+1)
+			sum = 0
 		}
-		rest = rest[n:]
 	}
-	return rest
+	return out
+}
+
+// spread shares a span among the members of one row by their sizes.
+func spread(row []int, sizes []int, whole Span, spans []Span) {
+	sum := 0
+	for _, size := range sizes {
+		sum += size
+	}
+	at, done := whole.From, 0
+	for n, i := range row {
+		done += sizes[n]
+		to := whole.From + int(math.Round(float64(done)*float64(whole.Len())/float64(sum)))
+		spans[i] = Span{at, to}
+		at = to
+	}
 }
 
 // beside is the range of a size that fewest members hold, from the start of
 // another one's range on or up to its end: each boundary more is a hop more for
 // the paths over it.
 func beside(held *cover, size int, spans []Span) Span {
-	best, fewest := Span{}, math.Inf(1)
+	best, most := Span{}, 0.0
 	try := func(s Span) {
 		if s.From < 0 || s.To > len(held.n) || s.Len() == 0 {
 			return
 		}
 		sum := 0.0
 		for _, n := range held.n[s.From:s.To] {
-			// A layer that one member holds is far more urgent than one that two
-			// hold.
-			sum -= math.Pow(beneath, -float64(n))
+			sum += urgency[min(n, len(urgency)-1)]
 		}
-		if sum < fewest {
-			best, fewest = s, sum
+		if sum > most {
+			best, most = s, sum
 		}
 	}
 	size = min(size, len(held.n))
@@ -220,8 +317,9 @@
 	return best
 }
 
-// beneath is how much more it counts that a layer has one holder less.
-const beneath = 8.0
+// urgency is what one more holder of a layer is worth, by how many it has: a
+// layer that one member holds goes far before all that two hold.
+var urgency = [...]float64{512, 64, 8, 1, 1.0 / 8, 1.0 / 64, 1.0 / 512}
 
 // worth is how many members hold a layer alone and the requests that a layout
 // bears in a unit of time: as many at once as have room everywhere, over the time
--- /dev/null
+++ b/placer/layout_test.go
@@ -0,0 +1,65 @@
+package placer_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/placer"
+)
+
+// ample is a model of which the fleets below have memory for several copies.
+var ample = placer.Model{Layers: 80, LayerMB: 1750, TokenMB: 0.005325, Tokens: 844, Step: 0.85, Request: 0.006, Slots: 192}
+
+// assertOutlived checks that every layer is held once any one member is lost.
+func assertOutlived(t *testing.T, members []placer.Member) {
+	t.Helper()
+	for i := range members {
+		lost := slices.Delete(slices.Clone(members), i, i+1)
+		assertCovered(t, lost, "")
+	}
+}
+
+// TestOutlived. An engine crashed for some seconds, and all streams of its data
+// centre stood still or were sent to another one: the fast cards held their part
+// of the model each alone, though the slow ones had memory for all of it. A fleet
+// with memory for every layer twice loses no layer with any one member.
+func TestOutlived(t *testing.T) {
+	medium := card{36000, 3.1}
+	for _, tc := range [][3]int{{2, 13, 22}, {1, 22, 12}, {4, 9, 14}, {0, 30, 0}, {0, 14, 14}, {6, 0, 30}} {
+		t.Run(fmt.Sprint(tc), func(t *testing.T) {
+			var members []placer.Member
+			for k, kind := range [3]card{medium, slow, {14400, 15}} {
+				for i := range tc[k] {
+					members = append(members, placer.Member{ID: fmt.Sprint(k, "-", i), DataCentre: "a", MB: kind.mb, Pace: kind.pace})
+				}
+			}
+			apply(members, placer.Plan(ample, members))
+			assertFits(t, members)
+			assertOutlived(t, members)
+		})
+	}
+}
+
+// TestReturned. An engine crashed while another one held its layers as well, so
+// that nothing was missing. It came back empty and stood idle for eight seconds;
+// the next crash took the other one. One that is empty holds the layers that
+// fewest hold at once, unless it may be there to replace one that leaves.
+func TestReturned(t *testing.T) {
+	is := is.New(t)
+	var members []placer.Member
+	for i := range 30 {
+		members = append(members, placer.Member{ID: fmt.Sprint(i), DataCentre: "a", MB: slow.mb, Pace: slow.pace})
+	}
+	apply(members, placer.Plan(ample, members))
+	members[7].Held = placer.Span{}
+	members[7].Waited = time.Second
+	moves := placer.Plan(ample, members)
+	is.Equal(len(moves), 1)
+	is.Equal(moves[0].ID, "7")
+	apply(members, moves)
+	assertOutlived(t, members)
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -75,8 +75,8 @@
 	// fillerRequests is the room that a card keeps when it takes the layers of
 	// another: less than planned, as those beside it have more.
 	fillerRequests = 48
-	// spareAfter is how long an empty member waits for a gap before it holds
-	// what others hold too: the one that it replaces drains only after it came.
+	// spareAfter is how long an empty member waits for a gap, where more members
+	// than there are empty ones hold a layer alone.
 	spareAfter = 8 * time.Second
 	// mostRequests bounds the requests at once that a layout is made for: ten
 	// full batches of the known engines.
@@ -185,17 +185,45 @@
 		}
 		give(x, s)
 	}
-	for _, x := range members {
-		if x.Held.Len() > 0 || x.Pending || moved[x.ID] || x.Waited < spareAfter {
-			continue
-		}
-		if s := relief(m, members, x); s.Len() > 0 {
+	for _, x := range idle(members, moved, held) {
+		if s := beside(held, most(m, x.MB, fillerRequests), spansOf(members)); s.Len() > 0 {
 			give(x, s)
 		}
 	}
 	return out
 }
 
+// idle are the empty members that are to hold layers beside others. Those that
+// replace members which hold a layer alone wait for that one to leave: it drains
+// only after they came.
+func idle(members []Member, moved map[string]bool, held *cover) []Member {
+	var out []Member
+	alone := 0
+	for _, x := range members {
+		switch {
+		case x.Held.Len() > 0:
+			if !held.spare(x.Held) {
+				alone++
+			}
+		case !x.Pending && !x.Missing && !moved[x.ID]:
+			out = append(out, x)
+		}
+	}
+	if alone <= len(out) {
+		return out
+	}
+	return slices.DeleteFunc(out, func(x Member) bool { return x.Waited < spareAfter })
+}
+
+// spansOf are the ranges that members hold.
+func spansOf(members []Member) []Span {
+	out := make([]Span, len(members))
+	for i, x := range members {
+		out[i] = x.Held
+	}
+	return out
+}
+
 // filler is the member that closes most of a gap, and the range it takes: the
 // empty one that fits best, else the one that can best be spared.
 func filler(m Model, members []Member, moved map[string]bool, held *cover, gap Span) (Member, Span) {
@@ -242,24 +270,3 @@
 	}
 	return best, span
 }
-
-// relief is the range that an empty member holds beside others: the one of a
-// member whose layers take most time for those that hold them.
-func relief(m Model, members []Member, x Member) Span {
-	best, load := Span{}, 0.0
-	for _, y := range members {
-		if y.Held.Len() == 0 || y.Held.Len() > most(m, x.MB, fillerRequests) {
-			continue
-		}
-		holders := 0.0
-		for _, z := range members {
-			if z.Held == y.Held {
-				holders++
-			}
-		}
-		if l := y.Pace * float64(y.Held.Len()) / holders; l > load {
-			best, load = y.Held, l
-		}
-	}
-	return best
-}
