sharer: a host that is behind asks two others for what they read

The store turned one host away while 25 configurations of some 300 KB came; it asked 24 others for each of them, its link of 50 Mbit/s was full, it took 75 upstreams for dead within a second (22.4 s), changed 138 paths and cut its streams. Ruled out: crashes (no other host saw any in these seconds), the store's answers (it gave none to that host). Change: freshness still comes from all others; configuration and list are asked of two at a time, in turn, first of those that answered last. Tests: TestLinkOfOneTurnedAway red before, TestSourcesLost green before as well.

--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,9 @@
 	// behind is the age of the own knowledge from which a host asks all others
 	// for theirs: it missed an answer of the source.
 	behind = 2 * time.Second
+	// asked is how many others a host that is behind asks at once for what they
+	// read, the configuration and the list. One may be behind as well.
+	asked = 2
 	// mostStrikes bounds the crashes told in one exchange: 2 KB.
 	mostStrikes = 32
 )
@@ -51,17 +55,26 @@
 	mu sync.Mutex
 	// busy are the hosts with which an exchange is under way.
 	busy map[string]bool
+	// silent are the hosts that did not answer the last one.
+	silent map[string]bool
+	// turn counts the rounds, so that each other host is asked in turn.
+	turn int
 }
 
 // Run exchanges until ctx ends. Of two hosts the one whose name comes first
-// calls the other; one that is behind calls all.
+// calls the other; one that is behind calls all, and asks some for what they
+// read.
 func (s *Sharer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		hosts := s.Follower.Hosts()
 		late := s.Follower.OwnAge() > behind
+		var sources map[string]bool
+		if late {
+			sources = s.sources(hosts)
+		}
 		for _, h := range hosts {
 			if (late || s.Self < h.Name) && s.begin(h.Name) {
-				go s.exchange(ctx, h, late)
+				go s.exchange(ctx, h, sources[h.Name])
 			}
 		}
 		select {
@@ -71,6 +84,50 @@
 	}
 }
 
+// sources are the hosts to ask for what they read, in turn: those that answered
+// last, where there are any.
+//
+// The load it answers: the store turns one host away while configurations of a
+// megabyte come in quick succession. Asked for by that host, every other one sent
+// it each of them; its link was full for seconds, no answer of an upstream came
+// through, it took them all for dead and cut the streams over them.
+func (s *Sharer) sources(hosts []follower.Host) map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for _, answering := range []bool{true, false} {
+		for _, h := range hosts {
+			if s.silent[h.Name] != answering {
+				names = append(names, h.Name)
+			}
+		}
+		if len(names) >= asked {
+			break
+		}
+	}
+	slices.Sort(names)
+	out := make(map[string]bool)
+	for i := range min(asked, len(names)) {
+		out[names[(s.turn+i)%len(names)]] = true
+	}
+	s.turn += asked
+	return out
+}
+
+// heard notes whether a host answered.
+func (s *Sharer) heard(host string, answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silent == nil {
+		s.silent = make(map[string]bool)
+	}
+	if answered {
+		delete(s.silent, host)
+	} else {
+		s.silent[host] = true
+	}
+}
+
 // begin reports whether no exchange with a host is under way, and notes one.
 func (s *Sharer) begin(host string) bool {
 	s.mu.Lock()
@@ -91,16 +148,19 @@
 	delete(s.busy, host)
 }
 
-func (s *Sharer) exchange(ctx context.Context, h follower.Host, late bool) {
+// exchange tells a host what this one has in flight and takes in the same, and
+// with ask what the other one read.
+func (s *Sharer) exchange(ctx context.Context, h follower.Host, ask bool) {
 	defer s.end(h.Name)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := s.Now()
-	req := &peer.ShareRequest{Host: s.Self, Passing: s.own(), Behind: late, Strikes: s.strikes()}
+	req := &peer.ShareRequest{Host: s.Self, Passing: s.own(), Behind: ask, Strikes: s.strikes()}
 	if cfg := s.Follower.Configuration(); cfg != nil {
 		req.Version = cfg.Version
 	}
 	resp, err := peer.NewShareProtobufClient("http://"+h.Address, s.HTTP).Exchange(ctx, req)
+	s.heard(h.Name, err == nil)
 	if err != nil {
 		s.Log.Debug().Err(err).Str("peer", h.Name).Msg("sharer: exchange failed")
 		return
@@ -113,7 +173,7 @@
 		return
 	}
 	s.Follower.Heard(sent, time.Duration(resp.AgeMs)*time.Millisecond, resp.Version, cfg)
-	if !late {
+	if !ask {
 		return
 	}
 	list, err := decode[[]balancer.Upstream](resp.Upstreams)
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,10 +28,31 @@
 	follow   *follower.Follower
 	balancer *balancer.Balancer
 	suspects *tracker.Suspects
+	// asked is how often others asked for what this host read.
+	asked atomic.Int64
+}
+
+// counter counts what a host is asked for.
+type counter struct {
+	peer.Share
+	*host
+}
+
+func (c counter) Exchange(ctx context.Context, req *peer.ShareRequest) (*peer.ShareResponse, error) {
+	if req.Behind {
+		c.asked.Add(1)
+	}
+	return c.Share.Exchange(ctx, req)
 }
 
 // run joins hosts a, b and c in virtual time.
 func run(t *testing.T, f func(n *faker.Network, hosts map[string]*host)) {
+	t.Helper()
+	runHosts(t, []string{"a", "b", "c"}, f)
+}
+
+// runHosts joins hosts in virtual time.
+func runHosts(t *testing.T, names []string, f func(n *faker.Network, hosts map[string]*host)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		n := faker.NewNetwork()
@@ -37,7 +60,6 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		started := time.Now()
 		now := func() time.Duration { return time.Since(started) + time.Second }
-		names := []string{"a", "b", "c"}
 		for _, name := range names {
 			h := &host{source: new(faker.Directory), balancer: new(balancer.Balancer), suspects: new(tracker.Suspects)}
 			h.follow = &follower.Follower{Source: h.source, Balancer: h.balancer, Now: now}
@@ -51,7 +73,7 @@
 			tr := &http.Transport{DialContext: n.Dialer(name)}
 			s := &sharer.Sharer{Self: name, Follower: h.follow, Balancer: h.balancer, Suspects: h.suspects, Now: now, HTTP: &http.Client{Transport: tr}, Log: zerolog.Nop()}
 			n.Place(name+":1", name)
-			kill, err := faker.Serve(n.Listen, name+":1", peer.NewShareServer(s))
+			kill, err := faker.Serve(n.Listen, name+":1", peer.NewShareServer(counter{s, h}))
 			is.New(t).NoErr(err)
 			defer kill()
 			defer tr.CloseIdleConnections()
@@ -86,6 +108,56 @@
 	})
 }
 
+// TestLinkOfOneTurnedAway. The store turns one of twelve hosts away while
+// configurations come ten times a second. That host asked all others for each of
+// them, and its link was full of what it had already: its own streams broke off.
+// However many there are, it asks two at a time, and is as fresh by that.
+func TestLinkOfOneTurnedAway(t *testing.T) {
+	names := strings.Split("abcdefghijkl", "")
+	runHosts(t, names, func(_ *faker.Network, hosts map[string]*host) {
+		is := is.New(t)
+		hosts["l"].source.SetAway(true)
+		time.Sleep(3 * time.Second)
+		for _, h := range hosts {
+			h.asked.Store(0)
+		}
+		const length, rounds = 5 * time.Second, 25
+		version := int64(1)
+		for range 10 * length / time.Second {
+			version++
+			for _, name := range names[:len(names)-1] {
+				hosts[name].source.Configure(&matcher.Configuration{Version: version})
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		asked := int64(0)
+		for _, h := range hosts {
+			asked += h.asked.Load()
+		}
+		is.True(asked <= 2*(rounds+1))
+		time.Sleep(2 * time.Second)
+		is.Equal(hosts["l"].follow.Table().Version, version)
+		is.True(hosts["l"].follow.Age() < 3*time.Second)
+	})
+}
+
+// TestSourcesLost. The store turns a host away, and a cut leaves it one other
+// host of six. It must find that one within some rounds.
+func TestSourcesLost(t *testing.T) {
+	runHosts(t, []string{"a", "b", "c", "d", "e", "f"}, func(n *faker.Network, hosts map[string]*host) {
+		is := is.New(t)
+		hosts["f"].source.SetAway(true)
+		for _, other := range []string{"a", "b", "d", "e"} {
+			n.Cut("f", other)
+		}
+		time.Sleep(3 * time.Second)
+		hosts["c"].source.Configure(&matcher.Configuration{Version: 9})
+		time.Sleep(3 * time.Second)
+		is.Equal(hosts["f"].follow.Table().Version, int64(9))
+		is.True(hosts["f"].follow.Age() < 3*time.Second)
+	})
+}
+
 // TestAllAway. No host reaches the store: none may pass for fresh by what the
 // others say.
 func TestAllAway(t *testing.T) {
