balancer: what turns requests away with room to spare is doubted by all hosts

A 503 passed for full for half a second, and every host learnt alone. Ruled out: full upstreams (these were empty), dead ones (they answered). Change: an upstream that turns a request away though less than half of its room is known to be taken is left alone, doubled each time, and doubted for four seconds; hosts tell each other in their exchanges. One that is doubted anywhere is eleven times as dear, so it is taken where nobody else holds its layers. The first event of a stream ends the own doubt. Test: TestTurnedAway, 105 times turned away before, 22 after; bound 36, once for each host and upstream that is gone.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -105,6 +105,8 @@
 	room, reserved float64
 	// outUntil keeps new work off it after a failure that no list knows yet.
 	outUntil time.Duration
+	// doubtUntil is until when it is dearer after it was out, unless it serves.
+	doubtUntil time.Duration
 	// strikes counts failures in a row that took it out.
 	strikes int
 	// dead is set while it takes no connection, until it does again; died is
--- a/balancer/health.go
+++ b/balancer/health.go
@@ -14,6 +14,7 @@
 		if u := b.ups[h.ID]; u != nil {
 			u.flows++
 			u.progressed = now
+			u.strikes, u.doubtUntil = 0, 0
 		}
 	}
 }
@@ -183,6 +184,9 @@
 	// left alone; the list tells of its end after three heartbeats.
 	outFirst = 500 * time.Millisecond
 	outMost  = 4 * time.Second
+	// doubtMemory is how long after that it stays dearer than others: the list
+	// tells of its end by then.
+	doubtMemory = 4 * time.Second
 )
 
 // Served notes an answer of an upstream and what it said of its load.
@@ -215,10 +219,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u := b.ups[id]
-	if u == nil || u.outUntil > now {
+	return u != nil && u.out(now)
+}
+
+// out is Out.
+func (u *upstream) out(now time.Duration) bool {
+	if u.outUntil > now {
 		return false
 	}
 	u.outUntil = now + min(outMost, outFirst<<min(u.strikes, 4))
+	u.doubtUntil = u.outUntil + doubtMemory
 	u.strikes++
 	return true
 }
@@ -227,15 +237,28 @@
 // make it: the time in which about a fifth of the streams there end.
 const fullMemory = 500 * time.Millisecond
 
-// Full notes that an upstream had no room. Other hosts fill it, or answers are
-// longer than expected.
-func (b *Balancer) Full(now time.Duration, id string) {
+// turnedBelow is the part of its room up to which an upstream that turns a request
+// away surely has another reason: it is leaving or gives up layers, and the list
+// does not tell yet.
+const turnedBelow = 0.5
+
+// Turned notes that an upstream turned a request away. One that should have had
+// room is left alone for a while; else other hosts fill it, or answers are longer
+// than expected.
+func (b *Balancer) Turned(now time.Duration, id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if u := b.ups[id]; u != nil {
-		u.hidden = max(0, u.room-b.known(now, u).room)
-		u.fullAt = now
+	u := b.ups[id]
+	if u == nil {
+		return
+	}
+	known := b.known(now, u).room
+	if known < turnedBelow*u.room {
+		u.out(now)
+		return
 	}
+	u.hidden = max(0, u.room-known)
+	u.fullAt = now
 }
 
 // filled are the token-layers that are thought to be taken of u's room.
--- a/balancer/others.go
+++ b/balancer/others.go
@@ -11,6 +11,9 @@
 	Room float64
 	// Dead is set while the upstream takes no connection from that host.
 	Dead bool
+	// Doubted is set for some seconds after the upstream was taken out of use by
+	// that host and served nothing there since.
+	Doubted bool
 }
 
 // news is what another host has in flight.
@@ -24,13 +27,14 @@
 const newsAge = 1500 * time.Millisecond
 
 // Own lists what this host has in flight.
-func (b *Balancer) Own() []Passing {
+func (b *Balancer) Own(now time.Duration) []Passing {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []Passing
 	for id, u := range b.ups {
-		if u.passing > 0 || u.reserved > 0 || u.dead {
-			out = append(out, Passing{Upstream: id, Requests: u.passing, Room: u.reserved, Dead: u.dead})
+		p := Passing{Upstream: id, Requests: u.passing, Room: u.reserved, Dead: u.dead, Doubted: u.doubtUntil > now}
+		if p.Requests > 0 || p.Room > 0 || p.Dead || p.Doubted {
+			out = append(out, p)
 		}
 	}
 	return out
@@ -97,6 +101,24 @@
 	return n
 }
 
+// doubted reports whether this host or another one doubts an upstream.
+//
+// The load it answers: upstreams that left during an outage of the source and
+// turn everything away. A path has a dozen hops; with one in twelve upstreams
+// gone four tries were mostly in vain, and each of many hosts had to learn each
+// of them by itself.
+func (b *Balancer) doubted(now time.Duration, u *upstream) bool {
+	if u.doubtUntil > now {
+		return true
+	}
+	for _, n := range b.heard {
+		if now-n.at <= newsAge && n.passing[u.ID].Doubted {
+			return true
+		}
+	}
+	return false
+}
+
 // load is what is known to be in flight over an upstream.
 type load struct{ requests, room float64 }
 
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -28,6 +28,9 @@
 	crossing = 10 * time.Second
 	// tokenDelay is the delay of one link a token, where none is declared.
 	tokenDelay = time.Millisecond
+	// doubtBias is how much dearer an upstream is that some host doubts: taken only
+	// where hardly another one holds its layers.
+	doubtBias = 10.0
 	// greyBias is how much dearer an upstream is that fails all it gets.
 	greyBias = 20.0
 	// batchWeight is how much of the time that the requests in a batch add to
@@ -224,6 +227,9 @@
 	if u.DataCentre != b.DataCentre {
 		c.Bias += remoteBias
 	}
+	if b.doubted(now, u) {
+		c.Bias += doubtBias
+	}
 	return c
 }
 
--- /dev/null
+++ b/balancer/turned_test.go
@@ -0,0 +1,93 @@
+package balancer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/matcher"
+	"github.com/sardineward/sardineward/picker"
+)
+
+// hosts are some entry hosts before one fleet: twelve ranges of layers that three
+// upstreams hold each.
+func hosts(n int) []*balancer.Balancer {
+	const ranges, holders = 12, 3
+	e := engine()
+	e.Layers = ranges * 6
+	var list []balancer.Upstream
+	for i := range ranges {
+		for k := range holders {
+			id := fmt.Sprintf("%d-%d", i, k)
+			list = append(list, balancer.Upstream{ID: id, Service: "model", Address: id, DataCentre: "a", Card: "slow", Holds: balancer.Span{From: 6 * i, To: 6 * (i + 1)}})
+		}
+	}
+	out := make([]*balancer.Balancer, n)
+	for i := range out {
+		b := &balancer.Balancer{DataCentre: "a", Policy: picker.Cheapest{Steepness: 2, Spread: 0.1}, Rand: rand.New(rand.NewPCG(uint64(i), 1))}
+		b.Configure(map[string]*matcher.Service{"model": {Name: "model", Engine: e}})
+		b.List(list, nil)
+		out[i] = b
+	}
+	return out
+}
+
+// share has all hosts tell each other what they have in flight.
+func share(now time.Duration, hosts []*balancer.Balancer) {
+	for i, from := range hosts {
+		for k, to := range hosts {
+			if i != k {
+				to.Heard(now, fmt.Sprint(i), from.Own(now))
+			}
+		}
+	}
+}
+
+// TestTurnedAway. Three of thirty-six engines left while the source was out, and
+// are still listed for two seconds after it is back. Each turns away at once what
+// it is sent. Every one of twelve hosts met them again and again: an engine that
+// turned a request away passed for full for a moment, and after four tries callers
+// were told to come back. Once a host was turned away, none sends there while
+// others hold the layers.
+func TestTurnedAway(t *testing.T) {
+	is := is.New(t)
+	const length, exchange, tries = 2 * time.Second, 375 * ms, 4
+	all := hosts(12)
+	gone := []string{"1-0", "5-1", "8-2"}
+	turned, refused := 0, 0
+	next := exchange
+	for now := time.Duration(0); now < length; now += 10 * ms {
+		if now >= next {
+			share(now, all)
+			next += exchange
+		}
+		b := all[int(now/(10*ms))%len(all)]
+		n := need
+		for try := range tries {
+			l, reason := b.Acquire(now, n)
+			is.Equal(reason, balancer.ReasonNone)
+			at := slices.IndexFunc(b.Path(l), func(h balancer.Hop) bool { return slices.Contains(gone, h.ID) })
+			if at < 0 {
+				b.Begun(now, l)
+				b.Release(l)
+				break
+			}
+			turned++
+			id := b.Path(l)[at].ID
+			b.Release(l)
+			b.Turned(now, id)
+			n.Avoid = append(n.Avoid, id)
+			if try == tries-1 {
+				refused++
+			}
+		}
+	}
+	t.Logf("turned away %d times, refused %d", turned, refused)
+	is.Equal(refused, 0)
+	is.True(turned <= len(all)*len(gone))
+}
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -162,7 +162,7 @@
 	if misdirected || (at != "" && k.Now()-sent > stalled) {
 		k.Balancer.Out(k.Now(), id)
 	} else if at != "" {
-		k.Balancer.Full(k.Now(), id)
+		k.Balancer.Turned(k.Now(), id)
 	} else if load := parseLoad(resp.Header.Get(k.Headers.Load)); load != nil {
 		k.Balancer.Served(k.Now(), id, load)
 	}
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -192,9 +192,10 @@
 			h.balancer.SetHosts(map[string]string{"a": "x", "b": "x", "c": "x"})
 		}
 		is.True(hosts["b"].balancer.SetDead(0, "one", true))
+		is.True(hosts["b"].balancer.Out(10*time.Second, "one"))
 		time.Sleep(time.Second)
-		is.Equal(fmt.Sprint(hosts["a"].balancer.Told("b")), "[{one 0 0 true}]")
-		is.Equal(fmt.Sprint(hosts["c"].balancer.Told("b")), "[{one 0 0 true}]")
+		is.Equal(fmt.Sprint(hosts["a"].balancer.Told("b")), "[{one 0 0 true true}]")
+		is.Equal(fmt.Sprint(hosts["c"].balancer.Told("b")), "[{one 0 0 true true}]")
 	})
 }
 
