follower: the more hosts, the longer between two calls on the store

Ruled out: waiting calls (they return at each heartbeat), stale reads (they prove nothing about keys). Change: 36 ms a host between two calls, 0.4 s at least, 0.9 s at most. Four hosts ask as before. Test: TestCallsOfMany red before. Shared reads within a data centre stay open.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -70,9 +70,13 @@
 	// new work for two seconds at most; a fifth of that leaves time for a lost
 	// call.
 	pause = 400 * time.Millisecond
+	// pausePerHost stretches the pause where there are many hosts, up to
+	// mostPause, so that all of them together call the source as often as a dozen.
+	pausePerHost = 36 * time.Millisecond
+	mostPause    = 900 * time.Millisecond
 	// wait bounds a call that has nothing to tell, so that the knowledge of a
 	// quiet source does not age.
-	// Twice that and pause are below the age from which peers are asked, so that
+	// Twice that and mostPause are below the age from which peers are asked, so that
 	// a quiet source does not look like one that is away.
 	wait = 500 * time.Millisecond
 	// slack is how long beyond wait an answer may take: a hundred times the
@@ -218,7 +222,7 @@
 	f.missing = make(map[string]time.Duration)
 	f.mu.Unlock()
 	for ctx.Err() == nil {
-		next := pause
+		next := f.pause()
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.lost(err)
 			next = retry
@@ -230,6 +234,14 @@
 	}
 }
 
+// pause is the time between two calls. The source counts each call and serves
+// only so many: the more hosts ask, the less often each of them does.
+func (f *Follower) pause() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return min(mostPause, max(pause, pausePerHost*time.Duration(len(f.hosts)+1)))
+}
+
 func (f *Follower) step(ctx context.Context) error {
 	sent := f.Now()
 	f.mu.Lock()
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +18,12 @@
 
 // run follows a source in virtual time.
 func run(t *testing.T, f func(src *faker.Directory, fol *follower.Follower, b *balancer.Balancer)) {
+	t.Helper()
+	runCounted(t, func(src *faker.Directory, fol *follower.Follower, b *balancer.Balancer, _ *counted) { f(src, fol, b) })
+}
+
+// runCounted is run, with a count of the calls on the source.
+func runCounted(t *testing.T, f func(src *faker.Directory, fol *follower.Follower, b *balancer.Balancer, c *counted)) {
 	t.Helper()
 	synctest.Test(t, func(_ *testing.T) {
 		src := new(faker.Directory)
@@ -23,7 +31,8 @@
 		src.List(balancer.Upstream{ID: "one", Address: "1"})
 		b := new(balancer.Balancer)
 		started := time.Now()
-		fol := &follower.Follower{Source: src, Balancer: b, Now: func() time.Duration { return time.Since(started) + time.Second }}
+		c := &counted{Source: src}
+		fol := &follower.Follower{Source: c, Balancer: b, Now: func() time.Duration { return time.Since(started) + time.Second }}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() {
@@ -31,7 +40,7 @@
 			fol.Run(ctx)
 		}()
 		time.Sleep(time.Second)
-		f(src, fol, b)
+		f(src, fol, b, c)
 		cancel()
 		<-done
 	})
@@ -55,6 +64,45 @@
 	})
 }
 
+// counted counts the calls on a source.
+type counted struct {
+	follower.Source
+	calls atomic.Int64
+}
+
+func (c *counted) Changes(ctx context.Context, after int64, wait time.Duration) (*follower.Changes, error) {
+	c.calls.Add(1)
+	return c.Source.Changes(ctx, after, wait)
+}
+
+// TestCallsOfMany. The source serves a few thousand calls a second and each is
+// paid for. Twenty-five hosts asked two and a half times a second each, since the
+// heartbeats of upstreams answer every call at once. They may ask 30 times a
+// second together; four hosts still learn within half a second what leaves.
+func TestCallsOfMany(t *testing.T) {
+	for _, tc := range []struct {
+		hosts int
+		most  float64
+	}{{4, 3}, {25, 30.0 / 25}} {
+		t.Run(strconv.Itoa(tc.hosts), func(t *testing.T) {
+			runCounted(t, func(src *faker.Directory, fol *follower.Follower, _ *balancer.Balancer, c *counted) {
+				for i := range tc.hosts - 1 {
+					src.Host(follower.Host{Name: strconv.Itoa(i), Address: "1", DataCentre: "a"})
+				}
+				time.Sleep(2 * time.Second)
+				c.calls.Store(0)
+				const length = 20 * time.Second
+				for range length / (20 * time.Millisecond) {
+					src.List(balancer.Upstream{ID: "one", Address: "1"})
+					time.Sleep(20 * time.Millisecond)
+				}
+				is.New(t).True(float64(c.calls.Load()) <= tc.most*length.Seconds())
+				is.New(t).True(fol.Age() <= 2*time.Second)
+			})
+		})
+	}
+}
+
 // TestOutage. Entries lapse while the source is away, and upstreams write them
 // again after it is back. They must not be dropped for that moment; one that
 // does not come back is gone.
