forwarder, balancer: upstreams beyond a cut are asked in turn

Change: four of each data centre in a round, in turn; the first that takes a connection has all of its data centre asked. Test: TestDeadInTurn.

--- /dev/null
+++ b/balancer/dead_test.go
@@ -0,0 +1,42 @@
+package balancer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/balancer"
+)
+
+// TestDeadInTurn. A data centre is cut off, and each of sixteen hosts asked each of
+// its thirty-three upstreams for a connection two and a half times a second: a
+// thousand connections a second into the cut. Some are asked in turn; a single
+// crashed one elsewhere is asked each time.
+func TestDeadInTurn(t *testing.T) {
+	is := is.New(t)
+	const cut, most = 33, 4
+	b := newBalancer()
+	var list []balancer.Upstream
+	for i := range cut {
+		list = append(list, balancer.Upstream{ID: fmt.Sprint("c", i), Service: "model", Address: fmt.Sprint("c", i), DataCentre: "c"})
+	}
+	b.List(list, nil)
+	for i := range cut {
+		is.True(b.SetDead(0, fmt.Sprint("c", i), true))
+	}
+	is.True(b.SetDead(0, "a1", true))
+	seen := make(map[string]int)
+	const turns = (cut + most - 1) / most
+	for turn := range turns {
+		dead := b.Dead(turn, most)
+		is.Equal(len(dead), most+1)
+		for _, h := range dead {
+			seen[h.ID]++
+		}
+	}
+	is.Equal(len(seen), cut+1)
+	is.Equal(seen["a1"], turns)
+	is.Equal(len(b.DeadBeside("c0")), cut-1)
+	is.Equal(len(b.DeadBeside("a1")), 0)
+}
--- a/balancer/health.go
+++ b/balancer/health.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // Begun notes the first event of a stream, Progress every further one.
 func (b *Balancer) Begun(now time.Duration, l *Lease) {
@@ -89,14 +93,41 @@
 	return u == nil || u.ended
 }
 
-// Dead lists upstreams that take no connection.
-func (b *Balancer) Dead() []Hop {
+// Dead lists upstreams that take no connection, of each data centre at most some,
+// in turn: most of the time a whole data centre is out of reach, and one that
+// takes a connection again tells of all of it.
+func (b *Balancer) Dead(turn, most int) []Hop {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var out []Hop
+	centres := make(map[string][]Hop)
 	for _, u := range b.ups {
 		if u.dead {
-			out = append(out, Hop{ID: u.ID, Address: u.Address})
+			centres[u.DataCentre] = append(centres[u.DataCentre], Hop{ID: u.ID, Address: u.Address})
+		}
+	}
+	var out []Hop
+	for _, dead := range centres {
+		slices.SortFunc(dead, func(a, b Hop) int { return strings.Compare(a.ID, b.ID) })
+		for i := range min(most, len(dead)) {
+			out = append(out, dead[(turn*most+i)%len(dead)])
+		}
+	}
+	return out
+}
+
+// DeadBeside lists the upstreams of the data centre of one that take no
+// connection.
+func (b *Balancer) DeadBeside(id string) []Hop {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := b.ups[id]
+	if u == nil {
+		return nil
+	}
+	var out []Hop
+	for _, v := range b.ups {
+		if v.dead && v != u && v.DataCentre == u.DataCentre {
+			out = append(out, Hop{ID: v.ID, Address: v.Address})
 		}
 	}
 	return out
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -20,8 +20,10 @@
 	slowStart = 250 * time.Millisecond
 	// askTimeout is how long an upstream has to take a connection.
 	askTimeout = 80 * time.Millisecond
-	// askAgain is the time between two questions to a dead upstream.
-	askAgain = 400 * time.Millisecond
+	// askAgain is the time between two rounds of questions to dead upstreams,
+	// askedAgain how many of each data centre are asked in one.
+	askAgain   = 400 * time.Millisecond
+	askedAgain = 4
 	// stuckStart and stuckGap are how long a stream may wait for its first and
 	// for a further event before its first upstream is asked what holds it up:
 	// some upstreams take connections and don't reach each other.
@@ -64,6 +66,8 @@
 	tick := time.NewTicker(watchPeriod)
 	defer tick.Stop()
 	before := f.Now()
+	var asked time.Duration
+	turn := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -85,9 +89,14 @@
 		for _, h := range f.stuck(now) {
 			f.askStalled(ctx, h)
 		}
-		for _, h := range f.Balancer.Dead() {
-			f.ask(ctx, h, askAgain)
+		if now-asked < askAgain {
+			continue
+		}
+		asked = now
+		for _, h := range f.Balancer.Dead(turn, askedAgain) {
+			f.ask(ctx, h, askRest)
 		}
+		turn++
 	}
 }
 
@@ -266,6 +275,9 @@
 	}
 	if down == nil {
 		f.Log.Info().Str("upstream", h.ID).Str("address", h.Address).Msg("forwarder: upstream back")
+		for _, other := range f.Balancer.DeadBeside(h.ID) {
+			f.ask(ctx, other, askRest)
+		}
 		return
 	}
 	for _, other := range f.Balancer.Suspects(f.Now(), h.ID) {
