pacer: engines that report to be slow are given less

The report of an engine tells its pace; nobody read it. Ruled out: guessing from events (a path of 14 hops has one or two of them; events do not tell which). Change: each engine is asked once a second by one host of its data centre, found by hashing; the pace goes to the others with what is in flight, and multiplies the time of a hop. Impossible figures are logged and ignored.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -107,6 +107,10 @@
 	outUntil time.Duration
 	// doubtUntil is until when it is dearer after it was out, unless it serves.
 	doubtUntil time.Duration
+	// pace is how many times as long as its kind of accelerator it takes, as it
+	// reported at paceAt; 0 before the first report.
+	pace   float64
+	paceAt time.Duration
 	// strikes counts failures in a row that took it out.
 	strikes int
 	// dead is set while it takes no connection, until it does again; died is
--- a/balancer/others.go
+++ b/balancer/others.go
@@ -14,6 +14,9 @@
 	// Doubted is set for some seconds after the upstream was taken out of use by
 	// that host and served nothing there since.
 	Doubted bool
+	// Pace is how many times as long as its kind of accelerator it takes, as it
+	// told that host; 0 where it did not.
+	Pace float64
 }
 
 // news is what another host has in flight.
@@ -32,8 +35,8 @@
 	defer b.mu.Unlock()
 	var out []Passing
 	for id, u := range b.ups {
-		p := Passing{Upstream: id, Requests: u.passing, Room: u.reserved, Dead: u.dead, Doubted: u.doubtUntil > now}
-		if p.Requests > 0 || p.Room > 0 || p.Dead || p.Doubted {
+		p := Passing{Upstream: id, Requests: u.passing, Room: u.reserved, Dead: u.dead, Doubted: u.doubtUntil > now, Pace: u.ownPace(now)}
+		if p.Requests > 0 || p.Room > 0 || p.Dead || p.Doubted || p.Pace > 1 {
 			out = append(out, p)
 		}
 	}
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -209,7 +209,7 @@
 		free = 0
 	}
 	perStep := e.StepMs + batchWeight*b.known(now, u).requests*(e.PerSequenceMs+e.PerContextMs*tokens/1e3)
-	perLayer := (n.Prompt/e.ReadPerSecond*card.ReadPace + n.Answer*perStep/1e3*card.Pace) / float64(e.Layers)
+	perLayer := b.pace(now, u) * (n.Prompt/e.ReadPerSecond*card.ReadPace + n.Answer*perStep/1e3*card.Pace) / float64(e.Layers)
 	c := picker.Candidate{
 		Name:       u.ID,
 		DataCentre: u.DataCentre,
--- a/faker/stage.go
+++ b/faker/stage.go
@@ -238,5 +238,8 @@
 // Repath implements forwarder.Engines.
 func (NoEngines) Repath(context.Context, string, []balancer.Hop) error { return errAway }
 
+// Pace implements pacer.Engines.
+func (NoEngines) Pace(context.Context, string) (float64, error) { return 1, nil }
+
 // Stalled implements forwarder.Engines.
 func (NoEngines) Stalled(context.Context, string) ([]forwarder.Stall, error) { return nil, nil }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -29,6 +29,7 @@
 	"github.com/sardineward/sardineward/matcher"
 	"github.com/sardineward/sardineward/meter"
 	"github.com/sardineward/sardineward/orderer"
+	"github.com/sardineward/sardineward/pacer"
 	"github.com/sardineward/sardineward/peer"
 	"github.com/sardineward/sardineward/picker"
 	"github.com/sardineward/sardineward/registrar"
@@ -58,6 +59,7 @@
 type Engines interface {
 	orderer.Engines
 	forwarder.Engines
+	pacer.Engines
 }
 
 // Host is one entry host. The fields are set before Run.
@@ -86,6 +88,7 @@
 	register *registrar.Registrar
 	orders   *orderer.Orderer
 	share    *sharer.Sharer
+	paces    *pacer.Pacer
 	pool     *connector.Pool
 	meter    *meter.Meter
 
@@ -116,6 +119,7 @@
 	wg.Go(func() { h.register.Run(duty) })
 	wg.Go(func() { h.orders.Run(duty) })
 	wg.Go(func() { h.share.Run(work) })
+	wg.Go(func() { h.paces.Run(work) })
 	wg.Go(func() { h.sweep(work) })
 	h.Log.Info().Str("host", h.Settings.Host).Str("dataCentre", h.Settings.DataCentre).Msg("launcher: started")
 	<-ctx.Done()
@@ -206,6 +210,15 @@
 		HTTP:     &http.Client{Transport: &http.Transport{DialContext: h.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
 		Log:      h.Log,
 	}
+	h.paces = &pacer.Pacer{
+		Self:       cfg.Host,
+		DataCentre: cfg.DataCentre,
+		Balancer:   h.balancer,
+		Engines:    h.Engines,
+		Hosts:      h.neighbours,
+		Now:        h.Now,
+		Log:        h.Log,
+	}
 	h.exportMetrics()
 	h.orders = &orderer.Orderer{
 		Balancer: h.balancer,
@@ -305,6 +318,17 @@
 	return out
 }
 
+// neighbours are the other hosts of this one's data centre.
+func (h *Host) neighbours() []string {
+	var out []string
+	for _, other := range h.follow.Hosts() {
+		if other.DataCentre == h.Settings.DataCentre {
+			out = append(out, other.Name)
+		}
+	}
+	return out
+}
+
 func (h *Host) services() map[string]*matcher.Service {
 	if t := h.follow.Table(); t != nil {
 		return t.Services
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -215,7 +215,7 @@
 func (s *Sharer) take(host string, list []*peer.Passing) {
 	passing := make([]balancer.Passing, len(list))
 	for i, p := range list {
-		passing[i] = balancer.Passing{Upstream: p.Upstream, Requests: int(p.Requests), Room: p.Room, Dead: p.Dead, Doubted: p.Doubted}
+		passing[i] = balancer.Passing{Upstream: p.Upstream, Requests: int(p.Requests), Room: p.Room, Dead: p.Dead, Doubted: p.Doubted, Pace: p.Pace}
 	}
 	s.Balancer.Heard(s.Now(), host, passing)
 }
@@ -248,7 +248,7 @@
 	list := s.Balancer.Own(s.Now())
 	out := make([]*peer.Passing, len(list))
 	for i, p := range list {
-		out[i] = &peer.Passing{Upstream: p.Upstream, Requests: uint32(p.Requests), Room: p.Room, Dead: p.Dead, Doubted: p.Doubted}
+		out[i] = &peer.Passing{Upstream: p.Upstream, Requests: uint32(p.Requests), Room: p.Room, Dead: p.Dead, Doubted: p.Doubted, Pace: p.Pace}
 	}
 	return out
 }
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -193,9 +192,11 @@
 		}
 		is.True(hosts["b"].balancer.SetDead(0, "one", true))
 		is.True(hosts["b"].balancer.Out(10*time.Second, "one"))
+		is.True(hosts["b"].balancer.SetPace(3*time.Second, "one", 4))
 		time.Sleep(time.Second)
-		is.Equal(fmt.Sprint(hosts["a"].balancer.Told("b")), "[{one 0 0 true true}]")
-		is.Equal(fmt.Sprint(hosts["c"].balancer.Told("b")), "[{one 0 0 true true}]")
+		want := []balancer.Passing{{Upstream: "one", Dead: true, Doubted: true, Pace: 4}}
+		is.Equal(hosts["a"].balancer.Told("b"), want)
+		is.Equal(hosts["c"].balancer.Told("b"), want)
 	})
 }
 
