--- a/placer/placer.go
+++ b/placer/placer.go
@@ -76,7 +76,7 @@
 	// another: less than planned, as those beside it have more.
 	fillerRequests = 48
 	// spareAfter is how long an empty member waits for a gap, where more members
-	// than there are empty ones hold a layer alone.
+	// hold a layer alone than there are empty ones.
 	spareAfter = 8 * time.Second
 	// mostRequests bounds the requests at once that a layout is made for: ten
 	// full batches of the known engines.
@@ -185,34 +185,46 @@
 		}
 		give(x, s)
 	}
-	for _, x := range idle(members, moved, held) {
-		if s := beside(held, most(m, x.MB, fillerRequests), spansOf(members)); s.Len() > 0 {
+	// Where as many are empty as hold a layer alone, these can all be relieved at
+	// once. Else an empty one may be there to replace one of them, which drains only
+	// after it came.
+	empty := idle(members, moved)
+	enough := alone(members, held) <= len(empty)
+	for _, x := range empty {
+		var s Span
+		switch {
+		case enough:
+			s = beside(held, most(m, x.MB, fillerRequests), spansOf(members))
+		case x.Waited >= spareAfter:
+			s = relief(m, members, x)
+		}
+		if s.Len() > 0 {
 			give(x, s)
 		}
 	}
 	return out
 }
 
-// idle are the empty members that are to hold layers beside others. Those that
-// replace members which hold a layer alone wait for that one to leave: it drains
-// only after they came.
-func idle(members []Member, moved map[string]bool, held *cover) []Member {
+// idle are the empty members that can be given layers.
+func idle(members []Member, moved map[string]bool) []Member {
 	var out []Member
-	alone := 0
 	for _, x := range members {
-		switch {
-		case x.Held.Len() > 0:
-			if !held.spare(x.Held) {
-				alone++
-			}
-		case !x.Pending && !x.Missing && !moved[x.ID]:
+		if x.Held.Len() == 0 && !x.Pending && !x.Missing && !moved[x.ID] {
 			out = append(out, x)
 		}
 	}
-	if alone <= len(out) {
-		return out
+	return out
+}
+
+// alone is how many members hold a layer that no other one holds.
+func alone(members []Member, held *cover) int {
+	out := 0
+	for _, x := range members {
+		if x.Held.Len() > 0 && !held.spare(x.Held) {
+			out++
+		}
 	}
-	return slices.DeleteFunc(out, func(x Member) bool { return x.Waited < spareAfter })
+	return out
 }
 
 // spansOf are the ranges that members hold.
@@ -270,3 +282,24 @@
 	}
 	return best, span
 }
+
+// relief is the range that an empty member holds beside others: the one of a
+// member whose layers take most time for those that hold them.
+func relief(m Model, members []Member, x Member) Span {
+	best, load := Span{}, 0.0
+	for _, y := range members {
+		if y.Held.Len() == 0 || y.Held.Len() > most(m, x.MB, fillerRequests) {
+			continue
+		}
+		holders := 0.0
+		for _, z := range members {
+			if z.Held == y.Held {
+				holders++
+			}
+		}
+		if l := y.Pace * float64(y.Held.Len()) / holders; l > load {
+			best, load = y.Held, l
+		}
+	}
+	return best
+}
