orderer: every host remembers what was listed, not only the holder

Only the holder of the duty remembered who was listed a moment ago. Change: every host remembers; only the holder gives orders.

--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -112,20 +112,24 @@
 			return
 		case <-tick.C:
 		}
-		if !o.HoldsAny() {
+		holds := o.HoldsAny()
+		if !holds {
 			o.forget()
-			continue
 		}
 		for _, s := range o.Services() {
 			if s.Engine != nil && s.Engine.Layers > 0 {
-				o.place(ctx, s)
+				o.place(ctx, s, holds)
 			}
 		}
 	}
 }
 
-// place looks at one service.
-func (o *Orderer) place(ctx context.Context, s *matcher.Service) {
+// place looks at one service, and gives orders where this host holds a duty. Where
+// it does not, it still remembers what was listed: a duty is mostly taken right
+// after an outage or a cut, while entries that lapsed in it are on their way back.
+// A holder that did not know of these took their layers for lost and had all their
+// neighbours move.
+func (o *Orderer) place(ctx context.Context, s *matcher.Service, holds bool) {
 	fleet := o.Balancer.Fleet(o.Now(), s.Name)
 	if len(fleet) == 0 || !o.settle(len(fleet)) {
 		return
@@ -145,6 +149,9 @@
 		members = append(members, o.member(s.Engine, u))
 	}
 	members = o.remember(members, addresses)
+	if !holds {
+		return
+	}
 	for _, m := range placer.Plan(model(s.Engine), members) {
 		u := byID[m.ID]
 		if u == nil || u.Out || !o.Holds(u.DataCentre) {
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -169,6 +169,38 @@
 	})
 }
 
+// TestTakenOver. A data centre is cut off from the source; its holder's duty and
+// the entries of its engines lapse. When the cut ends, another host takes the duty
+// while some entries are not back yet. It took their layers for lost, and six
+// engines that lived moved to close the gaps. A holder that saw them listed a
+// moment ago waits for them.
+func TestTakenOver(t *testing.T) {
+	run(t, func(e *engines, holds *atomic.Bool) {
+		is := is.New(t)
+		time.Sleep(10 * time.Second)
+		holds.Store(false)
+		before := e.count()
+		time.Sleep(5 * time.Second)
+		late := []string{"10.0.0.3", "10.0.0.4", "10.0.0.8"}
+		e.mu.Lock()
+		var back []balancer.Upstream
+		var gone []string
+		for _, address := range late {
+			back = append(back, e.list[address])
+			gone = append(gone, e.list[address].ID)
+		}
+		e.mu.Unlock()
+		e.b.List(nil, gone)
+		time.Sleep(time.Second)
+		holds.Store(true)
+		time.Sleep(1500 * time.Millisecond)
+		e.b.List(back, nil)
+		time.Sleep(10 * time.Second)
+		is.Equal(e.count(), before)
+		e.assertCovered(t)
+	})
+}
+
 // TestSlowDrain. An engine that was ordered to take a lost range drains for long
 // before it does. No second one may be sent there and leave its own.
 func TestSlowDrain(t *testing.T) {
