--- a/placer/cover.go
+++ b/placer/cover.go
@@ -27,12 +27,9 @@
 }
 
 // spare reports whether others than its holder hold every layer of a span.
-func (c *cover) spare(s Span) bool { return c.holders(s, 2) }
-
-// holders reports whether every layer of a span has some holders or more.
-func (c *cover) holders(s Span, least int) bool {
+func (c *cover) spare(s Span) bool {
 	for l := s.From; l < min(s.To, len(c.n)); l++ {
-		if c.n[l] < least {
+		if c.n[l] < 2 {
 			return false
 		}
 	}
--- a/placer/gaps.go
+++ b/placer/gaps.go
@@ -12,10 +12,6 @@
 	// spareAfter is how long an empty member waits for a gap, where more members
 	// hold a layer alone than there are empty ones.
 	spareAfter = 8 * time.Second
-	// fewAlone is the part of the members, as a divisor, that may hold a layer alone
-	// for a second holder to be sought. Where more do, the fleet has no memory for
-	// each layer twice, and one that moves is missed where it was.
-	fewAlone = 4
 )
 
 // planGroup closes the gaps of a group, or lays it out.
@@ -64,39 +60,9 @@
 			give(x, s)
 		}
 	}
-	if x, ok := second(members, moved, held); ok {
-		if s := beside(held, most(m, x.MB, fillerRequests), spansOf(members)); s.Len() > 0 {
-			give(x, s)
-		}
-	}
 	return out
 }
 
-// second is a member to hold a layer beside the one that holds it alone.
-//
-// The load it answers: engines are lost for good one after the other, and nobody
-// comes. The first loss leaves layers with one holder, the second leaves them with
-// none, and a data centre sends all its callers elsewhere for as long as a member
-// drains and loads. Where few members hold a layer alone, one that two others can
-// do without moves there in time; one at a time, as it drains first.
-func second(members []Member, moved map[string]bool, held *cover) (Member, bool) {
-	n := alone(members, held)
-	if n == 0 || n*fewAlone > len(members) {
-		return Member{}, false
-	}
-	best, found := Member{}, false
-	for _, x := range members {
-		switch {
-		case x.Pending || moved[x.ID]:
-			return Member{}, false
-		case x.Missing || x.Held.Len() == 0 || !held.holders(x.Held, 3):
-		case !found || x.Streams < best.Streams:
-			best, found = x, true
-		}
-	}
-	return best, found
-}
-
 // idle are the empty members that can be given layers.
 func idle(members []Member, moved map[string]bool) []Member {
 	var out []Member
