pacer: engines are asked for their pace where events come late

Change: a stream's event that takes over half of what callers allow, on a path that was not changed, counts against its upstreams; from three within a second on these are asked, by whoever saw it, unless another host told a moment ago. What is known to be slow is asked about once a second until it is back.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -111,6 +111,9 @@
 	// reported at paceAt; 0 before the first report.
 	pace   float64
 	paceAt time.Duration
+	// slow counts slow events over it since slowSince.
+	slow      int
+	slowSince time.Duration
 	// strikes counts failures in a row that took it out.
 	strikes int
 	// dead is set while it takes no connection, until it does again; died is
--- a/balancer/others.go
+++ b/balancer/others.go
@@ -36,7 +36,7 @@
 	var out []Passing
 	for id, u := range b.ups {
 		p := Passing{Upstream: id, Requests: u.passing, Room: u.reserved, Dead: u.dead, Doubted: u.doubtUntil > now, Pace: u.ownPace(now)}
-		if p.Requests > 0 || p.Room > 0 || p.Dead || p.Doubted || p.Pace > 1 {
+		if p.Requests > 0 || p.Room > 0 || p.Dead || p.Doubted || p.Pace > 0 {
 			out = append(out, p)
 		}
 	}
--- a/balancer/pace.go
+++ b/balancer/pace.go
@@ -2,11 +2,66 @@
 
 import "time"
 
-// paceAge is how long a reported pace is believed: three reports.
-const paceAge = 3 * time.Second
+const (
+	// paceAge is how long a reported pace is believed, and paceRest how long an
+	// engine is not asked again by anybody.
+	paceAge  = 3 * time.Second
+	paceRest = time.Second
+	// paceNews is the change of pace, as a ratio, that is worth a word.
+	paceNews = 1.5
+	// slowLeast is how many slow events within slowWindow make an engine one to
+	// ask: a single stream that waited says little of a path of a dozen.
+	slowLeast  = 3
+	slowWindow = time.Second
+)
 
-// paceNews is the change of pace, as a ratio, that is worth a word.
-const paceNews = 1.5
+// Slow notes an event of a stream that came late for no reason that is known: its
+// path was not changed. One of its upstreams may take longer than it should.
+func (b *Balancer) Slow(now time.Duration, l *Lease) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, h := range l.hops {
+		u := b.ups[h.ID]
+		if u == nil {
+			continue
+		}
+		if now-u.slowSince > slowWindow {
+			u.slow, u.slowSince = 0, now
+		}
+		u.slow++
+	}
+}
+
+// Ask lists the upstreams whose pace is to be asked for: those over which events
+// came late just now, and those known to be slow, unless some host asked a moment
+// ago. Questions are paid for; on a calm day there is none.
+func (b *Balancer) Ask(now time.Duration) []Hop {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Hop
+	for _, u := range b.ups {
+		tellers := b.tellers(now, u)
+		rested := u.paceAt == 0 || now-u.paceAt >= paceRest
+		late := u.slow >= slowLeast && now-u.slowSince <= 2*slowWindow && tellers == 0
+		// Of the hosts that know it to be slow one at a time asks again, on average.
+		again := u.ownPace(now) > 1 && b.Rand.Float64()*float64(tellers+1) < 1
+		if rested && (late || again) {
+			out = append(out, Hop{ID: u.ID, Address: u.Address})
+		}
+	}
+	return out
+}
+
+// tellers is how many other hosts tell the pace of an upstream.
+func (b *Balancer) tellers(now time.Duration, u *upstream) int {
+	n := 0
+	for _, news := range b.heard {
+		if now-news.at <= newsAge && news.passing[u.ID].Pace > 0 {
+			n++
+		}
+	}
+	return n
+}
 
 // SetPace notes how many times as long as its kind of accelerator an upstream
 // takes for its work. It reports whether that differs much from before.
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -11,6 +11,10 @@
 	"github.com/sardineward/sardineward/connector"
 )
 
+// slowPart is the part of the time that callers allow, as a divisor, from which an
+// event counts as slow: twice the usual, and early enough to go elsewhere.
+const slowPart = 2
+
 // progress is how far a run has come.
 type progress struct {
 	begun bool
@@ -72,6 +76,9 @@
 		if !moved && k.route.Target > 0 && now-a.began > k.route.Target {
 			k.sample(now, true)
 		}
+		if !moved && k.route.Target > 0 && now-a.began > k.route.Target/slowPart {
+			k.Balancer.Slow(now, a.lease)
+		}
 		k.Balancer.Begun(now, a.lease)
 		a.begun.Store(true)
 		at.begun, at.last = true, now
@@ -83,6 +90,9 @@
 	if !moved && k.route.Gap > 0 && pause > k.route.Gap {
 		k.sample(now, true)
 	}
+	if !moved && k.route.Gap > 0 && pause > k.route.Gap/slowPart {
+		k.Balancer.Slow(now, a.lease)
+	}
 }
 
 // streamed notes a stream that was passed on whole.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -210,15 +210,7 @@
 		HTTP:     &http.Client{Transport: &http.Transport{DialContext: h.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
 		Log:      h.Log,
 	}
-	h.paces = &pacer.Pacer{
-		Self:       cfg.Host,
-		DataCentre: cfg.DataCentre,
-		Balancer:   h.balancer,
-		Engines:    h.Engines,
-		Hosts:      h.neighbours,
-		Now:        h.Now,
-		Log:        h.Log,
-	}
+	h.paces = &pacer.Pacer{Balancer: h.balancer, Engines: h.Engines, Now: h.Now, Log: h.Log}
 	h.exportMetrics()
 	h.orders = &orderer.Orderer{
 		Balancer: h.balancer,
@@ -318,17 +310,6 @@
 	return out
 }
 
-// neighbours are the other hosts of this one's data centre.
-func (h *Host) neighbours() []string {
-	var out []string
-	for _, other := range h.follow.Hosts() {
-		if other.DataCentre == h.Settings.DataCentre {
-			out = append(out, other.Name)
-		}
-	}
-	return out
-}
-
 func (h *Host) services() map[string]*matcher.Service {
 	if t := h.follow.Table(); t != nil {
 		return t.Services
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -4,24 +4,22 @@
 // The load it answers: some engines of a fleet take many times as long for each
 // step. Every stream over one of them gets its events that much later, requests
 // pile up before it, and nothing that a host sees of a path of a dozen tells which
-// one it is. The hosts of a data centre share the engines there among them, so
-// that each engine is asked by one, and tell each other what they learnt with
-// what they have in flight.
+// one it is. So the engines of paths on which events came late are asked, and
+// hosts tell each other what they learnt with what they have in flight.
 package pacer
 
 import (
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/sardineward/sardineward/balancer"
 )
 
 const (
-	// period is the time between two questions to an engine.
-	period = time.Second
+	// period is the time between two looks for engines to ask.
+	period = 250 * time.Millisecond
 	// timeout bounds one: a hundred times the usual.
 	timeout = 200 * time.Millisecond
 	// slowest is the highest pace that is believed; a report above it is taken
@@ -38,12 +36,8 @@
 
 // Pacer asks engines. The fields are set before Run.
 type Pacer struct {
-	// Self is this host's name, DataCentre where it is.
-	Self, DataCentre string
-	Balancer         *balancer.Balancer
-	Engines          Engines
-	// Hosts returns the names of the other hosts of the data centre.
-	Hosts func() []string
+	Balancer *balancer.Balancer
+	Engines  Engines
 	// Now is a clock that goes on while the machine is suspended.
 	Now func() time.Duration
 	Log zerolog.Logger
@@ -59,28 +53,13 @@
 			return
 		case <-tick.C:
 		}
-		hosts := p.Hosts()
-		for _, u := range p.Balancer.Listed() {
-			if u.DataCentre == p.DataCentre && u.Holds.Len() > 0 && p.mine(hosts, u.ID) {
-				go p.ask(ctx, u)
-			}
+		for _, h := range p.Balancer.Ask(p.Now()) {
+			go p.ask(ctx, h)
 		}
 	}
 }
 
-// mine reports whether this host asks an upstream: the one of all hosts of the
-// data centre that hashes highest with it, so that few change when one is lost.
-func (p *Pacer) mine(hosts []string, upstream string) bool {
-	own := xxhash.Sum64String(p.Self + " " + upstream)
-	for _, h := range hosts {
-		if xxhash.Sum64String(h+" "+upstream) > own {
-			return false
-		}
-	}
-	return true
-}
-
-func (p *Pacer) ask(ctx context.Context, u balancer.Upstream) {
+func (p *Pacer) ask(ctx context.Context, u balancer.Hop) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	pace, err := p.Engines.Pace(ctx, u.Address)
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,7 +14,14 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/matcher"
 	"github.com/sardineward/sardineward/pacer"
+	"github.com/sardineward/sardineward/picker"
+)
+
+const (
+	ranges = 10
+	slow   = "engine-3"
 )
 
 // engines report a pace each; 0 means that they do not answer.
@@ -24,6 +31,14 @@
 	asked map[string]int
 }
 
+func newEngines() *engines {
+	e := &engines{paces: make(map[string]float64), asked: make(map[string]int)}
+	for i := range ranges {
+		e.paces[fmt.Sprint("engine-", i)] = 1
+	}
+	return e
+}
+
 func (e *engines) Pace(_ context.Context, address string) (float64, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -35,97 +50,151 @@
 	return p, nil
 }
 
-// run has hosts of one data centre ask its engines for some seconds in virtual
-// time. What each host learnt is told to all others at the end.
-func run(t *testing.T, e *engines, hosts []string, length time.Duration) map[string]*balancer.Balancer {
+// total is how often all engines were asked.
+func (e *engines) total() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := 0
+	for _, n := range e.asked {
+		out += n
+	}
+	return out
+}
+
+// run has some hosts pass streams over ten engines in a row, in virtual time. Each
+// host tells the others what it knows every 200 ms, and notes an event of a stream
+// every 50 ms: a slow one while late says so.
+func run(t *testing.T, e *engines, hosts int, length time.Duration, late func(at time.Duration) bool) []*balancer.Balancer {
 	t.Helper()
-	out := make(map[string]*balancer.Balancer)
+	all := make([]*balancer.Balancer, hosts)
 	synctest.Test(t, func(*testing.T) {
 		started := time.Now()
 		now := func() time.Duration { return time.Since(started) + time.Second }
 		ctx, cancel := context.WithCancel(context.Background())
-		var list []balancer.Upstream
-		for address := range e.paces {
-			list = append(list, balancer.Upstream{ID: address, Address: address, DataCentre: "a", Holds: balancer.Span{To: 8}})
-		}
-		list = append(list, balancer.Upstream{ID: "far", Address: "far", DataCentre: "b", Holds: balancer.Span{To: 8}})
-		for _, name := range hosts {
-			b := new(balancer.Balancer)
-			b.List(list, nil)
-			out[name] = b
-			others := slices.DeleteFunc(slices.Clone(hosts), func(h string) bool { return h == name })
-			p := &pacer.Pacer{Self: name, DataCentre: "a", Balancer: b, Engines: e, Hosts: func() []string { return others }, Now: now, Log: zerolog.Nop()}
+		leases := make([]*balancer.Lease, hosts)
+		for i := range all {
+			all[i] = row()
+			leases[i], _ = all[i].Acquire(now(), balancer.Need{Service: "model", Prompt: 700, Answer: 200})
+			p := &pacer.Pacer{Balancer: all[i], Engines: e, Now: now, Log: zerolog.Nop()}
 			go p.Run(ctx)
 		}
-		time.Sleep(length)
-		for name, from := range out {
-			for other, to := range out {
-				if other != name {
-					to.Heard(now(), name, from.Own(now()))
+		const event = 50 * time.Millisecond
+		for n := 0; time.Since(started) < length; n++ {
+			time.Sleep(event)
+			for i, b := range all {
+				if late(time.Since(started)) {
+					b.Slow(now(), leases[i])
+				}
+				if n%4 == 0 {
+					tell(now(), i, all)
 				}
 			}
 		}
 		cancel()
 		synctest.Wait()
 	})
-	return out
+	return all
 }
 
-// paces is what hosts tell each other of an upstream.
-func paces(hosts map[string]*balancer.Balancer, id string) []float64 {
-	var out []float64
-	for name := range hosts {
-		for _, b := range hosts {
-			for _, p := range b.Told(name) {
-				if p.Upstream == id {
-					out = append(out, p.Pace)
-				}
-			}
+// row is a balancer before engines that hold a part of a model each.
+func row() *balancer.Balancer {
+	b := &balancer.Balancer{Policy: picker.Cheapest{}, Rand: rand.New(rand.NewPCG(1, 1))}
+	e := &matcher.Engine{Layers: 4 * ranges, LayerMB: 1750, TokenBytes: 590000, StepMs: 1, ReadPerSecond: 164000}
+	b.Configure(map[string]*matcher.Service{"model": {Name: "model", Engine: e}})
+	for i := range ranges {
+		id := fmt.Sprint("engine-", i)
+		b.List([]balancer.Upstream{{ID: id, Address: id, Service: "model", Holds: balancer.Span{From: 4 * i, To: 4 * (i + 1)}}}, nil)
+	}
+	return b
+}
+
+// tell has one host tell all others what it has in flight.
+func tell(now time.Duration, from int, all []*balancer.Balancer) {
+	for i, to := range all {
+		if i != from {
+			to.Heard(now, fmt.Sprint(from), all[from].Own(now))
 		}
 	}
-	return out
 }
 
-// TestShared. Two of thirty engines take twelve times as long. Each engine is asked
-// once a second by one host, whatever the number of hosts, and all hosts know of
-// the slow ones; engines of other data centres are left to the hosts there.
-func TestShared(t *testing.T) {
-	for _, n := range []int{1, 3, 9} {
+// told is the pace that one host last told another of an engine; 0 is none.
+func told(b *balancer.Balancer, from int, id string) float64 {
+	for _, p := range b.Told(fmt.Sprint(from)) {
+		if p.Upstream == id {
+			return p.Pace
+		}
+	}
+	return 0
+}
+
+// TestCalm. Questions to engines are paid for. While every event comes in time none
+// is asked, and a single late one is no reason.
+func TestCalm(t *testing.T) {
+	e := newEngines()
+	run(t, e, 4, 10*time.Second, func(at time.Duration) bool { return at == 5*time.Second })
+	is.New(t).Equal(e.total(), 0)
+}
+
+// TestSlowLearnt. One of ten engines in a row takes twelve times as long, and every
+// event is late at all hosts; nothing tells which engine it is. Within a second all
+// hosts know, and while it lasts each engine is asked about once a second, however
+// many hosts there are.
+func TestSlowLearnt(t *testing.T) {
+	for _, n := range []int{1, 4, 9} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			is := is.New(t)
-			const seconds = 5
-			e := &engines{paces: make(map[string]float64), asked: make(map[string]int)}
-			for i := range 30 {
-				e.paces[fmt.Sprint("engine-", i)] = 1
-			}
-			e.paces["engine-3"], e.paces["engine-17"] = 12, 12
-			var names []string
-			for i := range n {
-				names = append(names, fmt.Sprint("host-", i))
-			}
-			hosts := run(t, e, names, seconds*time.Second+time.Millisecond)
-			for address := range e.paces {
-				is.Equal(e.asked[address], seconds)
-			}
-			is.Equal(e.asked["far"], 0)
-			for _, id := range []string{"engine-3", "engine-17"} {
-				is.Equal(len(paces(hosts, id)), n-1)
-				for _, p := range paces(hosts, id) {
-					is.Equal(p, 12.0)
+			const seconds = 6
+			e := newEngines()
+			e.paces[slow] = 12
+			all := run(t, e, n, seconds*time.Second, func(time.Duration) bool { return true })
+			known := 0
+			for i, b := range all {
+				for k := range all {
+					if k != i && told(b, k, slow) == 12 {
+						known++
+						break
+					}
 				}
 			}
+			is.True(n == 1 || known >= n-1) // the one that asked may be the only one to tell
+			// All hosts may ask at first, before any has told; then one does.
+			is.True(e.total() <= ranges*(n+2*seconds))
 		})
 	}
 }
 
+// TestBack. The engine is fast again after four seconds: it is asked until it says
+// so, though no event over it is late any more.
+func TestBack(t *testing.T) {
+	is := is.New(t)
+	e := newEngines()
+	e.paces[slow] = 12
+	all := run(t, e, 1, 8*time.Second, func(at time.Duration) bool {
+		if at >= 4*time.Second {
+			e.mu.Lock()
+			e.paces[slow] = 1
+			e.mu.Unlock()
+		}
+		return at < time.Second
+	})
+	is.True(e.asked[slow] >= 3)
+	for _, p := range all[0].Own(9 * time.Second) {
+		is.True(p.Upstream != slow || p.Pace <= 1)
+	}
+}
+
 // TestImpossible. An engine that reports a figure that can't be, or does not
 // answer, is taken to be as fast as declared.
 func TestImpossible(t *testing.T) {
 	for _, pace := range []float64{0, -3, 1e9} {
 		t.Run(fmt.Sprint(pace), func(t *testing.T) {
-			e := &engines{paces: map[string]float64{"odd": pace}, asked: make(map[string]int)}
-			hosts := run(t, e, []string{"host-0", "host-1"}, 3*time.Second)
-			is.New(t).Equal(len(paces(hosts, "odd")), 0)
+			e := newEngines()
+			e.paces[slow] = pace
+			all := run(t, e, 2, 3*time.Second, func(time.Duration) bool { return true })
+			is := is.New(t)
+			is.True(e.asked[slow] > 0)
+			is.Equal(told(all[0], 1, slow), 0.0)
+			is.Equal(told(all[1], 0, slow), 0.0)
 		})
 	}
 }
