balancer: a benchmark of one choice of a path

What other hosts told is looked up once for each of them and upstream, now three times over (in flight, doubt, pace). Open: add it up once as it is heard.

--- /dev/null
+++ b/balancer/path_bench_test.go
@@ -0,0 +1,42 @@
+package balancer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/matcher"
+	"github.com/sardineward/sardineward/picker"
+)
+
+// BenchmarkAcquire is one choice of a path, with what all other hosts have in
+// flight over every upstream known.
+func BenchmarkAcquire(b *testing.B) {
+	for _, size := range []struct{ upstreams, hosts int }{{40, 4}, {100, 25}, {200, 25}} {
+		b.Run(fmt.Sprintf("%d upstreams %d hosts", size.upstreams, size.hosts), func(b *testing.B) {
+			const ranges = 10
+			bal := &balancer.Balancer{DataCentre: "dc0", Policy: picker.Cheapest{Steepness: 2, Spread: 0.1}, Rand: rand.New(rand.NewPCG(1, 1))}
+			bal.Configure(map[string]*matcher.Service{"model": {Name: "model", Engine: engine()}})
+			var list []balancer.Upstream
+			var passing []balancer.Passing
+			for i := range size.upstreams {
+				id, at := fmt.Sprint("u", i), i%ranges
+				list = append(list, balancer.Upstream{ID: id, Service: "model", Address: id, DataCentre: fmt.Sprint("dc", i/ranges%3), Card: "slow", Holds: balancer.Span{From: 8 * at, To: 8 * (at + 1)}})
+				passing = append(passing, balancer.Passing{Upstream: id, Requests: 3, Room: 1000})
+			}
+			bal.List(list, nil)
+			for h := range size.hosts - 1 {
+				bal.Heard(time.Second, fmt.Sprint("h", h), passing)
+			}
+			for b.Loop() {
+				l, reason := bal.Acquire(time.Second, need)
+				if reason != balancer.ReasonNone {
+					b.Fatal(reason)
+				}
+				bal.Release(l)
+			}
+		})
+	}
+}
