--- a/balancer/path.go
+++ b/balancer/path.go
@@ -15,16 +15,14 @@
 	// pass it has to wait for and the transfer to it.
 	hopTime = 2 * time.Millisecond
 	// remoteBias makes upstreams of other data centres dearer: callers there
-	// come first, and a lost link cuts the stream. At 0.2, data centres with faster
-	// cards drew load from all others: 0.11 GB went between them on a calm day in
-	// place of 0.07, 0.38 in place of 0.26 on one with more callers than usual.
+	// come first, and a lost link cuts the stream. With little of it, data centres
+	// with faster cards draw load from all others.
 	remoteBias = 1.0
 	// crossing is what a link between data centres inside a path costs beyond
 	// its time: more than any path inside one, so that a link is taken only where
 	// no path goes without. All that a request has read goes over it, one request
-	// after the other: at 200 ms in place of 10 s, full data centres sent each
-	// other so much that first events took 0.5 to 1.9 s; mean worth of three days
-	// with trouble on each of two sites 0.67 and 0.70, against 0.70 and 0.77.
+	// after the other, so that full data centres which send each other their load
+	// hold up every first event.
 	crossing = 10 * time.Second
 	// tokenDelay is the delay of one link a token, where none is declared.
 	tokenDelay = time.Millisecond
