sharer, balancer, follower: relays in each data centre

Cause: every host exchanged with every other one, in rounds of 15 ms a host, and each choice of a path went through what all of them had told, for each upstream: 5.8 ms at 205 upstreams and 119 hosts, on half a core.

Ruled out: asking some random hosts a round (each choice still grows with hosts), upstreams' own reports (a path answers through its first engine only).

Change: two hosts of each data centre are its relays. They keep a report of each host, exchange sums with the relays of other data centres, and answer with the sum over all others. One relay reads the store; the others are told what changed since their revision, with the age of that knowledge, and read themselves once it is 1.2 s old or the configuration changed. Impossible figures are left out and logged once.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -18,8 +18,9 @@
 
 // Span is a range of layers that an upstream holds.
 type Span struct {
-	// From is the first layer, To the one after the last.
-	From, To int
+	From int `json:"from"`
+	// To is the one after the last.
+	To int `json:"to"`
 }
 
 // Len is the number of layers.
@@ -28,20 +29,20 @@
 // Upstream is what the list says of one.
 type Upstream struct {
 	// ID is unique to an incarnation, unless Born tells otherwise.
-	ID         string
-	Service    string
-	Address    string
-	DataCentre string
+	ID         string `json:"id"`
+	Service    string `json:"service"`
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
 	// Slots is how many requests it runs at once.
-	Slots int
+	Slots int `json:"slots"`
 	// Leaving upstreams take no new work.
-	Leaving bool
+	Leaving bool `json:"leaving"`
 	// Card is its kind of accelerator; empty where the service names none.
-	Card string
+	Card string `json:"card"`
 	// Holds are its layers; empty means that it holds none, or needs none.
-	Holds Span
+	Holds Span `json:"holds"`
 	// Born is when it was started, in Unix milliseconds.
-	Born int64
+	Born int64 `json:"born"`
 }
 
 // Hop is one upstream of a path and the layers it runs; both 0 for a plain one.
@@ -105,8 +106,8 @@
 	room, reserved float64
 	// outUntil keeps new work off it after a failure that no list knows yet.
 	outUntil time.Duration
-	// doubtUntil is until when it is dearer after it was out, unless it serves.
-	doubtUntil time.Duration
+	// suspectUntil is until when it is dearer after it was out, unless it serves.
+	suspectUntil time.Duration
 	// pace is how many times as long as its kind of accelerator it takes, as it
 	// reported at paceAt; 0 before the first report.
 	pace   float64
@@ -151,14 +152,13 @@
 	Rand       *rand.Rand
 
 	mu sync.Mutex
-	// hosts are the other hosts, each with its data centre.
-	hosts map[string]string
+	// hosts counts the other hosts, by data centre.
+	hosts map[string]int
 	// base is the smoothed time to the first event of paths that stay in one
 	// data centre, seen what is known of the links between them.
-	base time.Duration
-	seen map[[2]string]*link
-	// heard is what other hosts have in flight, by host.
-	heard    map[string]news
+	base     time.Duration
+	seen     map[[2]string]*link
+	peers    reports
 	services map[string]*matcher.Service
 	ups      map[string]*upstream
 	byAddr   map[string]*upstream
@@ -174,8 +174,9 @@
 	}
 }
 
-// List takes in changes of the list.
-func (b *Balancer) List(listed []Upstream, gone []string) {
+// List takes in changes of the list. It returns those that differ from what was
+// known: upstreams repeat their entry with each heartbeat.
+func (b *Balancer) List(listed []Upstream, gone []string) (changed []Upstream, dropped []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.ups == nil {
@@ -183,10 +184,17 @@
 		b.byAddr = make(map[string]*upstream)
 	}
 	for _, id := range gone {
+		if b.ups[id] != nil {
+			dropped = append(dropped, id)
+		}
 		b.drop(id)
 	}
 	for _, l := range listed {
 		u := b.ups[l.ID]
+		if u != nil && u.Upstream == l {
+			continue
+		}
+		changed = append(changed, l)
 		if u != nil && (u.Born != l.Born || u.Address != l.Address) {
 			b.drop(l.ID)
 			u = nil
@@ -199,6 +207,7 @@
 		u.measure(b.services[l.Service])
 		b.supersede(u)
 	}
+	return changed, dropped
 }
 
 // supersede drops the older of two upstreams with one address. One that was
@@ -229,6 +238,17 @@
 	}
 }
 
+// Listed returns the list of upstreams as it is known.
+func (b *Balancer) Listed() []Upstream {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]Upstream, 0, len(b.ups))
+	for _, u := range b.ups {
+		out = append(out, u.Upstream)
+	}
+	return out
+}
+
 // IDs lists the known upstreams.
 func (b *Balancer) IDs() []string {
 	b.mu.Lock()
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -86,7 +86,7 @@
 	}
 	other := newBalancer()
 	other.SetHosts(map[string]string{"host-b": "a"})
-	other.Heard(0, "host-b", b.Own(0))
+	is.NoErr(other.SetReport(0, "host-b", b.Usage(0)))
 	_, reason := other.Acquire(0, need)
 	is.Equal(reason, balancer.ReasonNoRoom)
 	_, reason = other.Acquire(10*time.Second, need) // what it told is too old
@@ -109,7 +109,7 @@
 		b.Release(l)
 	}
 	is.True(b.SetDead(0, "a2", false))
-	is.Equal(len(b.Own(0)), 0)
+	is.Equal(len(b.Usage(0).Usage), 0)
 }
 
 // TestRepath. A hop in the middle of a path dies. The others keep what they have
--- a/balancer/health.go
+++ b/balancer/health.go
@@ -18,7 +18,7 @@
 		if u := b.ups[h.ID]; u != nil {
 			u.flows++
 			u.progressed = now
-			u.strikes, u.doubtUntil = 0, 0
+			u.strikes, u.suspectUntil = 0, 0
 		}
 	}
 }
@@ -215,9 +215,9 @@
 	// left alone; the list tells of its end after three heartbeats.
 	outFirst = 500 * time.Millisecond
 	outMost  = 4 * time.Second
-	// doubtMemory is how long after that it stays dearer than others: the list
+	// suspectMemory is how long after that it stays dearer than others: the list
 	// tells of its end by then.
-	doubtMemory = 4 * time.Second
+	suspectMemory = 4 * time.Second
 )
 
 // Served notes an answer of an upstream and what it said of its load.
@@ -259,7 +259,7 @@
 		return false
 	}
 	u.outUntil = now + min(outMost, outFirst<<min(u.strikes, 4))
-	u.doubtUntil = u.outUntil + doubtMemory
+	u.suspectUntil = u.outUntil + suspectMemory
 	u.strikes++
 	return true
 }
@@ -292,11 +292,11 @@
 	u.fullAt = now
 }
 
-// filled are the token-layers that are thought to be taken of u's room.
-func (b *Balancer) filled(now time.Duration, u *upstream) float64 {
-	out := b.known(now, u).room
+// filled are the token-layers that are thought to be taken of u's room, of which
+// known are told of.
+func (u *upstream) filled(now time.Duration, known float64) float64 {
 	if age := now - u.fullAt; age < fullMemory {
-		out += u.hidden * (1 - float64(age)/float64(fullMemory))
+		known += u.hidden * (1 - float64(age)/float64(fullMemory))
 	}
-	return out
+	return known
 }
--- a/balancer/pace.go
+++ b/balancer/pace.go
@@ -40,7 +40,11 @@
 	defer b.mu.Unlock()
 	var out []Hop
 	for _, u := range b.ups {
-		tellers := b.tellers(now, u)
+		others := b.reported(now, u)
+		tellers := int64(0)
+		if others != nil {
+			tellers = others.Paced
+		}
 		rested := u.paceAt == 0 || now-u.paceAt >= paceRest
 		late := u.slow >= slowLeast && now-u.slowSince <= 2*slowWindow && tellers == 0
 		// Of the hosts that know it to be slow one at a time asks again, on average.
@@ -52,17 +56,6 @@
 	return out
 }
 
-// tellers is how many other hosts tell the pace of an upstream.
-func (b *Balancer) tellers(now time.Duration, u *upstream) int {
-	n := 0
-	for _, news := range b.heard {
-		if now-news.at <= newsAge && news.passing[u.ID].Pace > 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // SetPace notes how many times as long as its kind of accelerator an upstream
 // takes for its work. It reports whether that differs much from before.
 func (b *Balancer) SetPace(now time.Duration, id string, pace float64) bool {
@@ -87,16 +80,13 @@
 }
 
 // pace is how many times as long as its kind of accelerator an upstream takes, by
-// this host's own question or by the highest that others told.
+// this host's own question or by the highest that others reported.
 func (b *Balancer) pace(now time.Duration, u *upstream) float64 {
 	if own := u.ownPace(now); own > 0 {
 		return own
 	}
-	out := 1.0
-	for _, n := range b.heard {
-		if now-n.at <= newsAge {
-			out = max(out, n.passing[u.ID].Pace)
-		}
+	if sum := b.reported(now, u); sum != nil {
+		return max(1, sum.Pace)
 	}
-	return out
+	return 1
 }
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -26,9 +26,9 @@
 	crossing = 10 * time.Second
 	// tokenDelay is the delay of one link a token, where none is declared.
 	tokenDelay = time.Millisecond
-	// doubtBias is how much dearer an upstream is that some host doubts: taken only
+	// suspectBias is how much dearer an upstream is that some host suspects: taken only
 	// where hardly another one holds its layers.
-	doubtBias = 10.0
+	suspectBias = 10.0
 	// greyBias is how much dearer an upstream is that fails all it gets.
 	greyBias = 20.0
 	// batchWeight is how much of the time that the requests in a batch add to
@@ -206,7 +206,8 @@
 	if n.Begun {
 		free = 0
 	}
-	perStep := e.StepMs + batchWeight*b.known(now, u).requests*(e.PerSequenceMs+e.PerContextMs*tokens/1e3)
+	known := b.known(now, u)
+	perStep := e.StepMs + batchWeight*known.requests*(e.PerSequenceMs+e.PerContextMs*tokens/1e3)
 	perLayer := b.pace(now, u) * (n.Prompt/e.ReadPerSecond*card.ReadPace + n.Answer*perStep/1e3*card.Pace) / float64(e.Layers)
 	c := picker.Candidate{
 		Name:       u.ID,
@@ -216,17 +217,17 @@
 		Step:       hopTime,
 		Layer:      time.Duration(perLayer * float64(time.Second)),
 		Batch:      1,
-		Sequences:  b.filled(now, u),
+		Sequences:  u.filled(now, known.room),
 		Slots:      u.room*(1-free) - tokens*float64(span.To-span.From),
 		Bias:       greyBias * u.grey,
 		// Only what an upstream gets as the first of a path takes a slot.
-		Excluded: span.From == 0 && (!n.first(u.ID) || (e.Slots > 0 && b.known(now, u).requests >= slotShare*float64(e.Slots))),
+		Excluded: span.From == 0 && (!n.first(u.ID) || (e.Slots > 0 && known.requests >= slotShare*float64(e.Slots))),
 	}
 	if u.DataCentre != b.DataCentre {
 		c.Bias += remoteBias
 	}
-	if b.doubted(now, u) {
-		c.Bias += doubtBias
+	if b.suspected(now, u) {
+		c.Bias += suspectBias
 	}
 	return c
 }
--- a/balancer/path_bench_test.go
+++ b/balancer/path_bench_test.go
@@ -14,22 +14,25 @@
 // BenchmarkAcquire is one choice of a path, with what all other hosts have in
 // flight over every upstream known.
 func BenchmarkAcquire(b *testing.B) {
-	for _, size := range []struct{ upstreams, hosts int }{{40, 4}, {100, 25}, {200, 25}} {
+	for _, size := range []struct{ upstreams, hosts int }{{40, 4}, {100, 25}, {200, 25}, {205, 119}, {205, 300}} {
 		b.Run(fmt.Sprintf("%d upstreams %d hosts", size.upstreams, size.hosts), func(b *testing.B) {
 			const ranges = 10
 			bal := &balancer.Balancer{DataCentre: "dc0", Policy: picker.Cheapest{Steepness: 2, Spread: 0.1}, Rand: rand.New(rand.NewPCG(1, 1))}
 			bal.Configure(map[string]*matcher.Service{"model": {Name: "model", Engine: engine()}})
 			var list []balancer.Upstream
-			var passing []balancer.Passing
+			var usage []balancer.Usage
 			for i := range size.upstreams {
 				id, at := fmt.Sprint("u", i), i%ranges
 				list = append(list, balancer.Upstream{ID: id, Service: "model", Address: id, DataCentre: fmt.Sprint("dc", i/ranges%3), Card: "slow", Holds: balancer.Span{From: 8 * at, To: 8 * (at + 1)}})
-				passing = append(passing, balancer.Passing{Upstream: id, Requests: 3, Room: 1000})
+				usage = append(usage, balancer.Usage{Upstream: id, Requests: min(1, 119/int64(size.hosts)), Room: 24000 / int64(size.hosts)})
 			}
 			bal.List(list, nil)
 			for h := range size.hosts - 1 {
-				bal.Heard(time.Second, fmt.Sprint("h", h), passing)
+				if err := bal.SetReport(time.Second, fmt.Sprint("h", h), balancer.Report{Hosts: map[string]int{"dc0": 1}, Usage: usage}); err != nil {
+					b.Fatal(err)
+				}
 			}
+			b.ReportAllocs()
 			for b.Loop() {
 				l, reason := bal.Acquire(time.Second, need)
 				if reason != balancer.ReasonNone {
--- a/balancer/turned_test.go
+++ b/balancer/turned_test.go
@@ -42,7 +42,9 @@
 	for i, from := range hosts {
 		for k, to := range hosts {
 			if i != k {
-				to.Heard(now, fmt.Sprint(i), from.Own(now))
+				if err := to.SetReport(now, fmt.Sprint(i), from.Usage(now)); err != nil {
+					panic(err)
+				}
 			}
 		}
 	}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -43,16 +43,16 @@
 // Duty is the giving of orders to the engines of a data centre, which one host
 // holds at a time.
 type Duty struct {
-	DataCentre string
+	DataCentre string `json:"dataCentre"`
 	// Holder is a host's name; empty when nobody holds it.
-	Holder string
+	Holder string `json:"holder"`
 }
 
 // Host is another entry host.
 type Host struct {
-	Name       string
-	Address    string
-	DataCentre string
+	Name       string `json:"name"`
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
 }
 
 // Source is where configuration and upstreams are declared.
@@ -70,8 +70,8 @@
 	// new work for two seconds at most; a fifth of that leaves time for a lost
 	// call.
 	pause = 400 * time.Millisecond
-	// pausePerHost stretches the pause where there are many hosts, up to
-	// mostPause, so that all of them together call the source as often as a dozen.
+	// pausePerHost stretches the pause where many hosts read the source, up to
+	// mostPause, so that all of them together call it as often as a dozen.
 	pausePerHost = 36 * time.Millisecond
 	mostPause    = 900 * time.Millisecond
 	// wait bounds a call that has nothing to tell, so that the knowledge of a
@@ -84,6 +84,12 @@
 	slack = 700 * time.Millisecond
 	// retry is the pause after a failed call.
 	retry = 250 * time.Millisecond
+	// fallback is the age of what was read from which a host that relays serve reads
+	// the source itself: some exchanges with relays that don't answer, or can't
+	// reach the source.
+	fallback = 1200 * time.Millisecond
+	// leastIdle is the shortest time between two looks whether to fall back.
+	leastIdle = 50 * time.Millisecond
 	// returning is how long entries that lapsed while the source was away have
 	// to come back.
 	returning = 2200 * time.Millisecond
@@ -97,14 +103,22 @@
 	Now func() time.Duration
 	// OnChange is called after each change that was taken in; nil is none.
 	OnChange func()
-	Log      zerolog.Logger
+	// Reads reports whether this host is to read the source itself. The others are
+	// told by peers, and read it only while these are silent or out of date; nil is
+	// always.
+	Reads func() bool
+	// Readers is how many hosts read the source; nil is all of them.
+	Readers func() int
+	Log     zerolog.Logger
 
 	table atomic.Pointer[matcher.Table]
 	// cfg is what table was made of.
 	cfg atomic.Pointer[matcher.Configuration]
 	// fresh is when the last answered call was sent, on the clock of Now, by
-	// this host or by a peer; own is when this host's was.
-	fresh, own atomic.Int64
+	// this host or by a peer; own is when this host's was. Up to read everything is
+	// known, and not the configuration alone.
+	fresh, read, own atomic.Int64
+	wake             chan struct{}
 
 	mu       sync.Mutex
 	revision int64
@@ -113,6 +127,9 @@
 	hosts  map[string]Host
 	// holders are the hosts that hold duties, by data centre.
 	holders map[string]string
+	history history
+	// newestVersion and newestRevision are what peers know that could not tell it.
+	newestVersion, newestRevision int64
 	// missing are upstreams whose entry lapsed while the source was away, with
 	// the time from which they are taken as gone.
 	missing map[string]time.Duration
@@ -124,22 +141,23 @@
 // Table is what is in force; nil before the first was read.
 func (f *Follower) Table() *matcher.Table { return f.table.Load() }
 
-// Age is how old the knowledge is; it is very large before the first answer.
-func (f *Follower) Age() time.Duration {
-	at := f.fresh.Load()
-	if at == 0 {
-		return time.Hour
-	}
-	return f.Now() - time.Duration(at)
-}
+// Age is how old the knowledge of the configuration is; it is very large before the
+// first answer.
+func (f *Follower) Age() time.Duration { return f.since(&f.fresh) }
 
 // OwnAge is the age of what this host read itself.
-func (f *Follower) OwnAge() time.Duration {
-	at := f.own.Load()
-	if at == 0 {
+func (f *Follower) OwnAge() time.Duration { return f.since(&f.own) }
+
+// ReadAge is the age of all that is known of the source, read by this host or by a
+// peer that told the changes.
+func (f *Follower) ReadAge() time.Duration { return f.since(&f.read) }
+
+func (f *Follower) since(at *atomic.Int64) time.Duration {
+	t := at.Load()
+	if t == 0 {
 		return time.Hour
 	}
-	return f.Now() - time.Duration(at)
+	return f.Now() - time.Duration(t)
 }
 
 // Configuration is what is in force; nil before the first was read.
@@ -168,12 +186,14 @@
 // that had begun to leave, and no change of its entry came after.
 func (f *Follower) Listed(list []balancer.Upstream, revision int64) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	newest := max(f.revision, f.listed)
 	f.listed = max(newest, revision)
-	f.mu.Unlock()
 	if revision <= newest {
 		return
 	}
+	// What this changes belongs to no revision that this host has read to.
+	f.history = history{}
 	known := make(map[string]bool, len(list))
 	for i := range list {
 		known[list[i].ID] = true
@@ -220,26 +240,55 @@
 	f.hosts = make(map[string]Host)
 	f.holders = make(map[string]string)
 	f.missing = make(map[string]time.Duration)
+	f.wake = make(chan struct{}, 1)
 	f.mu.Unlock()
 	for ctx.Err() == nil {
 		next := f.pause()
-		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+		if f.served() {
+			next = max(leastIdle, fallback-f.ReadAge())
+		} else if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.lost(err)
 			next = retry
 		}
 		select {
 		case <-ctx.Done():
+		case <-f.wake:
 		case <-time.After(next):
 		}
 	}
 }
 
+// Wake makes Run look at once whether to read the source.
+func (f *Follower) Wake() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// served reports whether peers tell this host what changes.
+func (f *Follower) served() bool {
+	return f.Reads != nil && !f.Reads() && !f.outdated() && f.ReadAge() < fallback
+}
+
+// outdated reports whether a peer knows more than this host that it could not tell.
+func (f *Follower) outdated() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.table.Load()
+	return t == nil || t.Version < f.newestVersion || f.revision < f.newestRevision
+}
+
 // pause is the time between two calls. The source counts each call and serves
 // only so many: the more hosts ask, the less often each of them does.
 func (f *Follower) pause() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return min(mostPause, max(pause, pausePerHost*time.Duration(len(f.hosts)+1)))
+	readers := len(f.Hosts()) + 1
+	if f.Readers != nil {
+		readers = f.Readers()
+	}
+	return min(mostPause, max(pause, pausePerHost*time.Duration(readers)))
 }
 
 func (f *Follower) step(ctx context.Context) error {
@@ -296,9 +345,15 @@
 			ch.HostsGone = append(ch.HostsGone, name)
 		}
 	}
-	f.mu.Unlock()
-	f.mu.Lock()
-	clear(f.holders)
+	held := make(map[string]bool, len(ch.Duties))
+	for _, d := range ch.Duties {
+		held[d.DataCentre] = true
+	}
+	for dc := range f.holders {
+		if !held[dc] {
+			ch.Duties = append(ch.Duties, Duty{DataCentre: dc})
+		}
+	}
 	f.mu.Unlock()
 	f.take(ch, sent)
 	return nil
@@ -327,20 +382,25 @@
 	}
 }
 
-// take puts changes in force.
+// take puts changes in force that this host read.
 func (f *Follower) take(ch *Changes, sent time.Duration) {
-	now := f.Now()
 	f.mu.Lock()
-	f.revision = ch.Revision
-	for _, h := range ch.Hosts {
-		f.hosts[h.Name] = h
-	}
-	for _, name := range ch.HostsGone {
-		delete(f.hosts, name)
-	}
-	for _, d := range ch.Duties {
-		f.holders[d.DataCentre] = d.Holder
+	gone := f.lapse(ch)
+	f.configure(ch.Configuration)
+	f.advance(&Update{
+		After: f.revision, Revision: ch.Revision, Listed: ch.Listed, Gone: gone,
+		Hosts: ch.Hosts, HostsGone: ch.HostsGone, Duties: ch.Duties,
+	}, sent)
+	f.own.Store(int64(sent))
+	f.mu.Unlock()
+	if f.OnChange != nil {
+		f.OnChange()
 	}
+}
+
+// lapse returns the upstreams that are gone for good. f.mu is held.
+func (f *Follower) lapse(ch *Changes) []string {
+	now := f.Now()
 	var gone []string
 	for _, id := range ch.Gone {
 		// Only the first answer tells of entries that lapsed in the outage. One
@@ -361,14 +421,26 @@
 			delete(f.missing, id)
 		}
 	}
-	f.configure(ch.Configuration)
-	f.fresh.Store(max(f.fresh.Load(), int64(sent)))
-	f.own.Store(int64(sent))
-	f.mu.Unlock()
-	f.Balancer.List(ch.Listed, gone)
-	if f.OnChange != nil {
-		f.OnChange()
+	return gone
+}
+
+// advance puts an update in force that shows what the source held at a time, and
+// remembers what it changed. f.mu is held.
+func (f *Follower) advance(u *Update, at time.Duration) {
+	for _, h := range u.Hosts {
+		f.hosts[h.Name] = h
+	}
+	for _, name := range u.HostsGone {
+		delete(f.hosts, name)
+	}
+	for _, d := range u.Duties {
+		f.holders[d.DataCentre] = d.Holder
 	}
+	u.Listed, u.Gone = f.Balancer.List(u.Listed, u.Gone)
+	f.revision = u.Revision
+	f.history.add(u)
+	f.read.Store(max(f.read.Load(), int64(at)))
+	f.fresh.Store(max(f.fresh.Load(), int64(at)))
 }
 
 // configure puts a configuration in force unless a newer one is. f.mu is held.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -202,14 +202,16 @@
 		Log:   h.Log,
 	}
 	h.share = &sharer.Sharer{
-		Self:     cfg.Host,
-		Follower: h.follow,
-		Balancer: h.balancer,
-		Suspects: suspects,
-		Now:      h.Now,
-		HTTP:     &http.Client{Transport: &http.Transport{DialContext: h.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
-		Log:      h.Log,
+		Self:       cfg.Host,
+		DataCentre: cfg.DataCentre,
+		Follower:   h.follow,
+		Balancer:   h.balancer,
+		Suspects:   suspects,
+		Now:        h.Now,
+		HTTP:       &http.Client{Transport: &http.Transport{DialContext: h.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
+		Log:        h.Log,
 	}
+	h.follow.Reads, h.follow.Readers = h.share.Reads, h.share.Readers
 	h.paces = &pacer.Pacer{Balancer: h.balancer, Engines: h.Engines, Now: h.Now, Log: h.Log}
 	h.exportMetrics()
 	h.orders = &orderer.Orderer{
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -112,14 +112,16 @@
 func tell(now time.Duration, from int, all []*balancer.Balancer) {
 	for i, to := range all {
 		if i != from {
-			to.Heard(now, fmt.Sprint(from), all[from].Own(now))
+			if err := to.SetReport(now, fmt.Sprint(from), all[from].Usage(now)); err != nil {
+				panic(err)
+			}
 		}
 	}
 }
 
 // told is the pace that one host last told another of an engine; 0 is none.
 func told(b *balancer.Balancer, from int, id string) float64 {
-	for _, p := range b.Told(fmt.Sprint(from)) {
+	for _, p := range b.ReportOf(fmt.Sprint(from)).Usage {
 		if p.Upstream == id {
 			return p.Pace
 		}
@@ -178,7 +180,7 @@
 		return at < time.Second
 	})
 	is.True(e.asked[slow] >= 3)
-	for _, p := range all[0].Own(9 * time.Second) {
+	for _, p := range all[0].Usage(9 * time.Second).Usage {
 		is.True(p.Upstream != slow || p.Pace <= 1)
 	}
 }
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -1,7 +1,12 @@
 // Package sharer exchanges soft state with the other entry hosts: what each has
-// in flight over which upstream, which configuration is in force and how old
-// that knowledge is. All of it can be lost and comes again with the next
-// exchange.
+// in flight over which upstream, what the source holds, how old that knowledge is,
+// and which requests crashed upstreams. All of it can be lost and comes again with
+// the next exchanges.
+//
+// A few hosts of each data centre are its relays: they add up what the hosts of their
+// data centre report, and one of them reads the source. The other hosts exchange with
+// them alone, and relays of different data centres with each other. Who is a relay
+// follows from the list of hosts and from who answers; nothing is agreed on.
 package sharer
 
 import (
@@ -9,6 +14,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,16 +31,18 @@
 	// period is the time between two exchanges with a host, up to some hosts:
 	// a tenth of the life of a stream.
 	period = 200 * time.Millisecond
-	// perHost stretches the period, so that a host spends a fixed part of its
-	// processor on exchanges however many there are.
-	perHost = 15 * time.Millisecond
+	// perHost stretches the period, so that a relay spends a fixed part of its
+	// processor on the hosts of its data centre however many there are.
+	perHost = 10 * time.Millisecond
 	// timeout bounds one exchange: a hundred times the way there and back.
 	timeout = 300 * time.Millisecond
-	// behind is the age of the own knowledge from which a host asks all others
-	// for theirs: it missed an answer of the source.
+	// behind is the age of what was read from which a host is no source for others,
+	// and of the own reading from which it asks others.
 	behind = 2 * time.Second
+	// unserved is the age of all that was read or told from which such a host asks.
+	unserved = 1600 * time.Millisecond
 	// asked is how many others a host that is behind asks at once for what they
-	// read, the configuration and the list. One may be behind as well.
+	// read. One may be behind as well.
 	asked = 2
 	// mostStrikes bounds the crashes told in one exchange: 2 KB.
 	mostStrikes = 32
@@ -42,9 +50,10 @@
 
 // Sharer is a peer.Share. The fields are set before Run.
 type Sharer struct {
-	Self     string
-	Follower *follower.Follower
-	Balancer *balancer.Balancer
+	Self       string
+	DataCentre string
+	Follower   *follower.Follower
+	Balancer   *balancer.Balancer
 	// Suspects keeps the crashes that requests were in flight for.
 	Suspects *tracker.Suspects
 	// Now is a clock that goes on while the machine is suspended.
@@ -52,205 +61,225 @@
 	HTTP *http.Client
 	Log  zerolog.Logger
 
-	mu sync.Mutex
+	roles roles
+	mu    sync.Mutex
 	// busy are the hosts with which an exchange is under way.
 	busy map[string]bool
-	// silent are the hosts that did not answer the last one.
-	silent map[string]bool
-	// turn counts the rounds, so that each other host is asked in turn.
+	// turn counts the rounds, so that hosts are asked in turn.
 	turn int
+	// impossible are the hosts whose report was logged as such.
+	impossible map[string]bool
 }
 
-// Run exchanges until ctx ends. Of two hosts the one whose name comes first
-// calls the other; one that is behind calls all, and asks some for what they
-// read.
+// Run exchanges until ctx ends.
 func (s *Sharer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		hosts := s.Follower.Hosts()
-		late := s.Follower.OwnAge() > behind
-		var sources map[string]bool
-		if late {
-			sources = s.sources(hosts)
+		p := s.assign(hosts)
+		for _, c := range s.calls(p) {
+			s.begin(ctx, c)
 		}
-		for _, h := range hosts {
-			if (late || s.Self < h.Name) && s.begin(h.Name) {
-				go s.exchange(ctx, h, sources[h.Name])
+		for _, h := range s.roles.probes(s.Now()) {
+			s.begin(ctx, call{host: h})
+		}
+		if s.roles.standsIn(s.Now(), s.Follower.ReadAge()) {
+			s.Follower.Wake()
+		}
+		if s.Follower.OwnAge() > behind && s.Follower.ReadAge() > unserved {
+			for _, h := range s.sources(hosts) {
+				s.begin(ctx, call{host: h, behind: true})
 			}
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(max(period, time.Duration(len(hosts))*perHost)):
+		case <-time.After(s.pause(hosts, p)):
 		}
 	}
 }
 
+// call is one exchange to begin.
+type call struct {
+	host  follower.Host
+	scope peer.Scope
+	// behind asks for everything, and changes for what the source holds that this
+	// host does not know yet.
+	behind, changes bool
+}
+
+// calls are the exchanges of one round. Of two relays of different data centres
+// the one whose name comes first calls the other.
+func (s *Sharer) calls(p plan) []call {
+	if !p.relay {
+		if len(p.near) == 0 {
+			return nil
+		}
+		return []call{{host: p.near[s.next(1)%len(p.near)], scope: peer.Scope_SCOPE_HOST, changes: true}}
+	}
+	var out []call
+	for _, h := range p.near {
+		out = append(out, call{host: h, scope: peer.Scope_SCOPE_HOST, changes: true})
+	}
+	for _, h := range p.far {
+		if s.Self < h.Name {
+			out = append(out, call{host: h, scope: peer.Scope_SCOPE_DATA_CENTRE})
+		}
+	}
+	return out
+}
+
+// pause is the time between two rounds. A host that is no relay calls one relay in
+// each, in turn, and hears from all of them within a period.
+func (s *Sharer) pause(hosts []follower.Host, p plan) time.Duration {
+	near := 1
+	for _, h := range hosts {
+		if h.DataCentre == s.DataCentre {
+			near++
+		}
+	}
+	out := max(period, time.Duration(near)*perHost)
+	if !p.relay {
+		out /= time.Duration(max(1, len(p.near)))
+	}
+	return out
+}
+
 // sources are the hosts to ask for what they read, in turn: those that answered
-// last, where there are any.
-//
-// The load it answers: the store turns one host away while configurations of a
-// megabyte come in quick succession. Asked for by that host, every other one sent
-// it each of them; its link was full for seconds, no answer of an upstream came
-// through, it took them all for dead and cut the streams over them.
-func (s *Sharer) sources(hosts []follower.Host) map[string]bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var names []string
+// last, where there are any. They are few, since all of them together would fill
+// the link of the one that asks.
+func (s *Sharer) sources(hosts []follower.Host) []follower.Host {
+	var list []follower.Host
 	for _, answering := range []bool{true, false} {
 		for _, h := range hosts {
-			if s.silent[h.Name] != answering {
-				names = append(names, h.Name)
+			if s.roles.isSilent(h.Name) != answering {
+				list = append(list, h)
 			}
 		}
-		if len(names) >= asked {
+		if len(list) >= asked {
 			break
 		}
 	}
-	slices.Sort(names)
-	out := make(map[string]bool)
-	for i := range min(asked, len(names)) {
-		out[names[(s.turn+i)%len(names)]] = true
+	sortByName(list)
+	turn := s.next(asked)
+	var out []follower.Host
+	for i := range min(asked, len(list)) {
+		out = append(out, list[(turn+i)%len(list)])
 	}
-	s.turn += asked
 	return out
 }
 
-// heard notes whether a host answered.
-func (s *Sharer) heard(host string, answered bool) {
+// next returns the turn and adds to it.
+func (s *Sharer) next(n int) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.silent == nil {
-		s.silent = make(map[string]bool)
-	}
-	if answered {
-		delete(s.silent, host)
-	} else {
-		s.silent[host] = true
-	}
+	turn := s.turn
+	s.turn += n
+	return turn
 }
 
-// begin reports whether no exchange with a host is under way, and notes one.
-func (s *Sharer) begin(host string) bool {
+// begin starts an exchange unless one with that host is under way.
+func (s *Sharer) begin(ctx context.Context, c call) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.busy == nil {
 		s.busy = make(map[string]bool)
 	}
-	if s.busy[host] {
-		return false
+	if s.busy[c.host.Name] {
+		return
 	}
-	s.busy[host] = true
-	return true
-}
-
-func (s *Sharer) end(host string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.busy, host)
+	s.busy[c.host.Name] = true
+	go func() {
+		s.exchange(ctx, c)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.busy, c.host.Name)
+	}()
 }
 
-// exchange tells a host what this one has in flight and takes in the same, and
-// with ask what the other one read.
-func (s *Sharer) exchange(ctx context.Context, h follower.Host, ask bool) {
-	defer s.end(h.Name)
+// exchange makes one call and takes the answer in.
+func (s *Sharer) exchange(ctx context.Context, c call) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := s.Now()
-	req := &peer.ShareRequest{Host: s.Self, Passing: s.own(), Behind: ask, Strikes: s.strikes()}
+	req := &peer.ShareRequest{Host: s.Self, DataCentre: s.DataCentre, Report: s.report(c.scope, c.host.Name), Behind: c.behind, Strikes: s.strikes()}
 	if cfg := s.Follower.Configuration(); cfg != nil {
 		req.Version = cfg.Version
 	}
-	resp, err := peer.NewShareProtobufClient("http://"+h.Address, s.HTTP).Exchange(ctx, req)
-	s.heard(h.Name, err == nil)
+	if c.changes || c.behind {
+		req.Revision = s.Follower.Revision()
+	}
+	resp, err := peer.NewShareProtobufClient("http://"+c.host.Address, s.HTTP).Exchange(ctx, req)
+	s.roles.answered(s.Now(), c.host, err == nil)
 	if err != nil {
-		s.Log.Debug().Err(err).Str("peer", h.Name).Msg("sharer: exchange failed")
+		s.Log.Debug().Err(err).Str("peer", c.host.Name).Msg("sharer: exchange failed")
 		return
 	}
-	s.take(h.Name, resp.Passing)
-	s.struck(h.Name, resp.Strikes)
+	s.takeReport(c.host.Name, c.host.DataCentre, resp.Report)
+	s.takeStrikes(c.host.Name, resp.Strikes)
+	if err := s.takeState(sent, c, resp); err != nil {
+		s.Log.Warn().Err(err).Str("peer", c.host.Name).Msg("sharer: answer can't be read")
+	}
+}
+
+// takeState takes in what a peer knows of the source.
+func (s *Sharer) takeState(sent time.Duration, c call, resp *peer.ShareResponse) error {
 	cfg, err := decode[matcher.Configuration](resp.Configuration)
 	if err != nil {
-		s.Log.Warn().Err(err).Str("peer", h.Name).Msg("sharer: configuration can't be read")
-		return
+		return err
 	}
-	s.Follower.Heard(sent, time.Duration(resp.AgeMs)*time.Millisecond, resp.Version, cfg)
-	if !ask {
-		return
+	s.Follower.Heard(sent, millis(resp.AgeMs), resp.Version, cfg)
+	if !c.behind && !c.changes {
+		return nil
 	}
+	update, err := decode[follower.Update](resp.Changes)
+	if err != nil {
+		return err
+	}
+	if update != nil {
+		if err := update.Check(); err != nil {
+			return err
+		}
+	}
+	s.Follower.Told(sent, &follower.State{Version: resp.Version, Revision: resp.Revision, ReadAge: millis(resp.ReadAgeMs), Update: update})
 	list, err := decode[[]balancer.Upstream](resp.Upstreams)
 	if err != nil {
-		s.Log.Warn().Err(err).Str("peer", h.Name).Msg("sharer: upstreams can't be read")
-		return
+		return err
 	}
 	if list != nil {
 		s.Follower.Listed(*list, resp.Revision)
 	}
+	return nil
 }
 
 // Exchange implements peer.Share.
 func (s *Sharer) Exchange(_ context.Context, req *peer.ShareRequest) (*peer.ShareResponse, error) {
-	s.take(req.Host, req.Passing)
-	s.struck(req.Host, req.Strikes)
-	age := s.Follower.Age()
-	resp := &peer.ShareResponse{Host: s.Self, Passing: s.own(), Strikes: s.strikes(), AgeMs: age.Milliseconds() + 1}
-	if cfg := s.Follower.Configuration(); cfg != nil {
-		resp.Version = cfg.Version
+	s.takeReport(req.Host, req.DataCentre, req.Report)
+	s.takeStrikes(req.Host, req.Strikes)
+	if req.GetReport().GetScope() == peer.Scope_SCOPE_HOST && s.roles.asked(s.Now()) {
+		s.Follower.Wake()
 	}
-	// Only a host that can't read the source is sent what it lacks. A change of
-	// the configuration went from each host to all others otherwise, and filled
-	// their links for a third of a second.
-	if req.Behind {
-		resp.Configuration = s.newer(req.Version)
+	state := s.Follower.State(req.Revision)
+	resp := &peer.ShareResponse{
+		Host: s.Self, Report: s.report(answering(req.GetReport().GetScope()), req.Host), Strikes: s.strikes(),
+		Version: state.Version, Revision: state.Revision, AgeMs: state.Age.Milliseconds() + 1, ReadAgeMs: state.ReadAge.Milliseconds() + 1,
 	}
-	if req.Behind && s.Follower.OwnAge() < behind {
-		var err error
-		// Read before the list: what changes in between is in it as well.
-		resp.Revision = s.Follower.Revision()
-		if resp.Upstreams, err = json.Marshal(s.Balancer.Listed()); err != nil {
+	var err error
+	if state.Update != nil {
+		if resp.Changes, err = json.Marshal(state.Update); err != nil {
 			return nil, err
 		}
 	}
-	return resp, nil
-}
-
-func (s *Sharer) take(host string, list []*peer.Passing) {
-	passing := make([]balancer.Passing, len(list))
-	for i, p := range list {
-		passing[i] = balancer.Passing{Upstream: p.Upstream, Requests: int(p.Requests), Room: p.Room, Dead: p.Dead, Doubted: p.Doubted, Pace: p.Pace}
+	if !req.Behind {
+		return resp, nil
 	}
-	s.Balancer.Heard(s.Now(), host, passing)
-}
-
-// strikes are the newest crashes that requests were in flight for.
-func (s *Sharer) strikes() []*peer.Strike {
-	now := time.Now()
-	list := s.Suspects.Newest(now, mostStrikes)
-	out := make([]*peer.Strike, len(list))
-	for i, st := range list {
-		out[i] = &peer.Strike{Key: st.Key(), ExpiresInMs: st.Expires.Sub(now).Milliseconds(), Cleared: st.Cleared}
-	}
-	return out
-}
-
-// struck takes in the crashes that a peer told of.
-func (s *Sharer) struck(host string, list []*peer.Strike) {
-	now := time.Now()
-	for _, p := range list {
-		st, err := tracker.ParseStrike(p.Key, now.Add(time.Duration(p.ExpiresInMs)*time.Millisecond), p.Cleared)
-		if err != nil {
-			s.Log.Warn().Err(err).Str("peer", host).Msg("sharer: strike can't be read")
-			continue
+	// Only a host that can't read the source is sent the configuration: a change of
+	// it went from each host to all others otherwise, and filled their links.
+	resp.Configuration = s.newer(req.Version)
+	if state.Update == nil && state.ReadAge < behind {
+		if resp.Upstreams, err = json.Marshal(s.Balancer.Listed()); err != nil {
+			return nil, err
 		}
-		s.Suspects.Add(st)
-	}
-}
-
-func (s *Sharer) own() []*peer.Passing {
-	list := s.Balancer.Own(s.Now())
-	out := make([]*peer.Passing, len(list))
-	for i, p := range list {
-		out[i] = &peer.Passing{Upstream: p.Upstream, Requests: uint32(p.Requests), Room: p.Room, Dead: p.Dead, Doubted: p.Doubted, Pace: p.Pace}
 	}
-	return out
+	return resp, nil
 }
 
 // newer is the configuration in force when it is above a version, else nil.
@@ -278,3 +307,33 @@
 	}
 	return out, nil
 }
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// strikes are the newest crashes that requests were in flight for.
+func (s *Sharer) strikes() []*peer.Strike {
+	now := time.Now()
+	list := s.Suspects.Newest(now, mostStrikes)
+	out := make([]*peer.Strike, len(list))
+	for i, st := range list {
+		out[i] = &peer.Strike{Key: st.Key(), ExpiresInMs: st.Expires.Sub(now).Milliseconds(), Cleared: st.Cleared}
+	}
+	return out
+}
+
+// takeStrikes takes in the crashes that a peer told of.
+func (s *Sharer) takeStrikes(host string, list []*peer.Strike) {
+	now := time.Now()
+	for _, p := range list {
+		st, err := tracker.ParseStrike(p.Key, now.Add(millis(p.ExpiresInMs)), p.Cleared)
+		if err != nil {
+			s.Log.Warn().Err(err).Str("peer", host).Msg("sharer: strike can't be read")
+			continue
+		}
+		s.Suspects.Add(st)
+	}
+}
+
+func sortByName(hosts []follower.Host) {
+	slices.SortFunc(hosts, func(a, b follower.Host) int { return strings.Compare(a.Name, b.Name) })
+}
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -70,7 +70,7 @@
 				}
 			}
 			tr := &http.Transport{DialContext: n.Dialer(name)}
-			s := &sharer.Sharer{Self: name, Follower: h.follow, Balancer: h.balancer, Suspects: h.suspects, Now: now, HTTP: &http.Client{Transport: tr}, Log: zerolog.Nop()}
+			s := &sharer.Sharer{Self: name, DataCentre: name, Follower: h.follow, Balancer: h.balancer, Suspects: h.suspects, Now: now, HTTP: &http.Client{Transport: tr}, Log: zerolog.Nop()}
 			n.Place(name+":1", name)
 			kill, err := faker.Serve(n.Listen, name+":1", peer.NewShareServer(counter{s, h}))
 			is.New(t).NoErr(err)
@@ -194,9 +194,9 @@
 		is.True(hosts["b"].balancer.Out(10*time.Second, "one"))
 		is.True(hosts["b"].balancer.SetPace(3*time.Second, "one", 4))
 		time.Sleep(time.Second)
-		want := []balancer.Passing{{Upstream: "one", Dead: true, Doubted: true, Pace: 4}}
-		is.Equal(hosts["a"].balancer.Told("b"), want)
-		is.Equal(hosts["c"].balancer.Told("b"), want)
+		want := []balancer.Usage{{Upstream: "one", Dead: 1, Suspected: 1, Pace: 4, Paced: 1}}
+		is.Equal(hosts["a"].balancer.ReportOf("dataCentre:b").Usage, want)
+		is.Equal(hosts["c"].balancer.ReportOf("dataCentre:b").Usage, want)
 	})
 }
 
