follower, sharer: a quiet source is read often enough

Cause: a call that has nothing to tell waited 0.5 s, and 0.4 s passed between two, so that what a reader knew was up to 1.4 s old while nothing changed.

Ruled out: lost exchanges and changes that can't be told (no such line, revisions stood still); calls that don't wait at all (more calls on small fleets).

Change: calls wait 0.25 s, the other relay stands in at 1.2 s, all read at 1.5 s.

Figures: TestQuietSource holds 120 hosts to 15 calls a second before a source in which nothing changes; red before.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -76,9 +76,9 @@
 	mostPause    = 900 * time.Millisecond
 	// wait bounds a call that has nothing to tell, so that the knowledge of a
 	// quiet source does not age.
-	// Twice that and mostPause are below the age from which peers are asked, so that
-	// a quiet source does not look like one that is away.
-	wait = 500 * time.Millisecond
+	// Twice that and the pause are below the age from which other hosts read in place
+	// of this one, so that a quiet source does not look like one that is away.
+	wait = 250 * time.Millisecond
 	// slack is how long beyond wait an answer may take: a hundred times the
 	// usual, and short enough to try twice before keys have to be doubted.
 	slack = 700 * time.Millisecond
@@ -87,7 +87,7 @@
 	// fallback is the age of what was read from which a host that relays serve reads
 	// the source itself: some exchanges with relays that don't answer, or can't
 	// reach the source.
-	fallback = 1200 * time.Millisecond
+	fallback = 1500 * time.Millisecond
 	// leastIdle is the shortest time between two looks whether to fall back.
 	leastIdle = 50 * time.Millisecond
 	// returning is how long entries that lapsed while the source was away have
--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -39,7 +39,9 @@
 	source  *faker.Directory
 	members []*member
 	calls   atomic.Int64
-	now     func() time.Duration
+	// quiet stops the upstream that repeats its entry.
+	quiet atomic.Bool
+	now   func() time.Duration
 }
 
 // view is the source as one host reads it: its own entry is left out.
@@ -107,7 +109,9 @@
 
 func (fl *fleet) beat(ctx context.Context) {
 	for ctx.Err() == nil {
-		fl.source.List(balancer.Upstream{ID: "steady", Address: "0"})
+		if !fl.quiet.Load() {
+			fl.source.List(balancer.Upstream{ID: "steady", Address: "0"})
+		}
 		time.Sleep(50 * time.Millisecond)
 	}
 }
@@ -272,6 +276,22 @@
 	}
 }
 
+// TestQuietSource guards against hosts that read a source in which nothing changes
+// themselves, since what their relays read seems too old.
+func TestQuietSource(t *testing.T) {
+	runFleet(t, 5, 24, func(is *is.I, fl *fleet) {
+		const seconds = 10
+		fl.quiet.Store(true)
+		time.Sleep(2 * time.Second)
+		fl.calls.Store(0)
+		for range 10 * seconds {
+			time.Sleep(100 * time.Millisecond)
+			is.True(oldest(fl.members) <= 1500*time.Millisecond)
+		}
+		is.True(fl.calls.Load() <= 3*5*seconds)
+	})
+}
+
 // TestUrgentNews guards against crash suspects that reach distant hosts too late to
 // spare an upstream.
 func TestUrgentNews(t *testing.T) {
--- a/sharer/roles.go
+++ b/sharer/roles.go
@@ -25,7 +25,7 @@
 	acting = 2 * time.Second
 	// standIn is the age of what was read from which the other relay stands in for the
 	// reader, before all hosts of the data centre fall back to reading themselves.
-	standIn = 800 * time.Millisecond
+	standIn = 1200 * time.Millisecond
 )
 
 // roles decides who is a relay. It does no input or output; time comes in as an
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -40,7 +40,7 @@
 	// and of the own reading from which it asks others.
 	behind = 2 * time.Second
 	// unserved is the age of all that was read or told from which such a host asks.
-	unserved = 1600 * time.Millisecond
+	unserved = 1800 * time.Millisecond
 	// asked is how many others a host that is behind asks at once for what they
 	// read. One may be behind as well.
 	asked = 2
