forwarder: the path of a stream is changed once at a time

Change: changes of one stream's path wait for each other; what was lost meanwhile and is not on the new path needs none. Without its first engine a stream is resumed as a new request at once, also while a change is under way.

--- /dev/null
+++ b/forwarder/moves_test.go
@@ -0,0 +1,89 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/connector"
+	"github.com/sardineward/sardineward/matcher"
+	"github.com/sardineward/sardineward/picker"
+	"github.com/sardineward/sardineward/tracker"
+)
+
+// repaths counts the orders to change a path, each of which takes a while.
+type repaths struct {
+	mu   sync.Mutex
+	took time.Duration
+	hops [][]balancer.Hop
+}
+
+func (e *repaths) Repath(ctx context.Context, _ string, hops []balancer.Hop) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(e.took):
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hops = append(e.hops, hops)
+	return nil
+}
+
+func (e *repaths) Stalled(context.Context, string) ([]Stall, error) { return nil, nil }
+
+// dialAny takes every connection.
+func dialAny(context.Context, string, string) (net.Conn, error) {
+	c, _ := net.Pipe()
+	return c, nil
+}
+
+// TestLostTogether guards against a stream whose path is changed once for each of the
+// upstreams that are lost at the same moment.
+func TestLostTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const ranges, layers = 6, 24
+		b := &balancer.Balancer{DataCentre: "a", Policy: picker.Cheapest{Steepness: 2}, Rand: rand.New(rand.NewPCG(1, 1))}
+		e := &matcher.Engine{Layers: layers, LayerMB: 1750, TokenBytes: 590000, StepMs: 1, ReadPerSecond: 164000}
+		b.Configure(map[string]*matcher.Service{"model": {Name: "model", Engine: e}})
+		for i := range ranges {
+			for _, holder := range []string{"x", "y", "z"} {
+				id := fmt.Sprint(holder, i)
+				b.List([]balancer.Upstream{{ID: id, Address: id, Service: "model", DataCentre: "a", Holds: balancer.Span{From: 4 * i, To: 4 * (i + 1)}}}, nil)
+			}
+		}
+		engines := &repaths{took: 20 * time.Millisecond}
+		started := time.Now()
+		f := &Forwarder{
+			Balancer: b, Engines: engines, Pool: &connector.Pool{Dial: dialAny}, Suspects: new(tracker.Suspects),
+			Now: func() time.Duration { return time.Since(started) + time.Second }, Log: zerolog.Nop(),
+		}
+		l, reason := b.Acquire(f.Now(), balancer.Need{Service: "model", Prompt: 700, Answer: 200})
+		is.Equal(reason, balancer.ReasonNone)
+		a := &attempt{id: "r", lease: l, cancel: func(error) { t.Error("stream resumed as a new request") }}
+		a.begun.Store(true)
+		f.track(a)
+		path := b.Path(l)
+		lost := []balancer.Hop{path[1], path[2], path[4]}
+		for _, h := range lost {
+			f.learn(t.Context(), h, errors.New("refused"))
+		}
+		time.Sleep(time.Second)
+		is.True(len(engines.hops) <= 2) // the first order, and one for what was lost while it was under way
+		for _, h := range b.Path(l) {
+			is.True(!slices.ContainsFunc(lost, func(o balancer.Hop) bool { return o.ID == h.ID }))
+		}
+	})
+}
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -308,20 +308,35 @@
 	return out
 }
 
-// move has a stream go on over another path. Where its first upstream lives, it
-// is told to change the path: the others keep what they have read, and no
-// request is sent again. Else, or where that would hold it up for too long, the
-// stream is resumed as a new request.
-func (f *Forwarder) move(ctx context.Context, a *attempt, dead balancer.Hop) {
-	if a.lease.First.ID == dead.ID || (f.Balancer.Elsewhere(f.Now(), a.lease, dead.ID) && a.prepay()) {
+// move has a stream go on over another path, without the upstreams of its path that
+// are lost. Without its first one it is resumed as a new request at once.
+func (f *Forwarder) move(ctx context.Context, a *attempt, lost balancer.Hop) {
+	if a.lease.First.ID == lost.ID {
 		a.cancel(errMoved)
 		return
 	}
-	if hops := f.Balancer.Repath(f.Now(), a.lease, dead.ID); hops != nil {
+	if !a.moving.begin(lost) {
+		return
+	}
+	for again := true; again; {
+		f.moveOnce(ctx, a, lost)
+		lost, again = a.moving.end(f.Balancer.Path(a.lease))
+	}
+}
+
+// moveOnce has the first upstream change the path: the others keep what they have read,
+// and no request is sent again. Where that would hold the stream up for too long, or
+// can't be done, it is resumed as a new request.
+func (f *Forwarder) moveOnce(ctx context.Context, a *attempt, lost balancer.Hop) {
+	if f.Balancer.Elsewhere(f.Now(), a.lease, lost.ID) && a.prepay() {
+		a.cancel(errMoved)
+		return
+	}
+	if hops := f.Balancer.Repath(f.Now(), a.lease, lost.ID); hops != nil {
 		ctx, cancel := context.WithTimeout(ctx, repathTimeout)
 		defer cancel()
 		err := f.Engines.Repath(ctx, a.id, hops)
-		f.Log.Info().Err(err).Str("requestId", a.id).Str("dead", dead.ID).Str("hops", FormatPath(hops)).Msg("forwarder: path changed")
+		f.Log.Info().Err(err).Str("requestId", a.id).Str("dead", lost.ID).Str("hops", FormatPath(hops)).Msg("forwarder: path changed")
 		if err == nil {
 			a.moves.Add(1)
 			return
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -40,7 +40,8 @@
 	// last is when its last event came, or when it was sent.
 	last atomic.Int64
 	// moves counts changes of its path.
-	moves atomic.Int32
+	moves  atomic.Int32
+	moving moves
 	// began is when it was sent.
 	began  time.Duration
 	cancel context.CancelCauseFunc
