admitter: the bound on streams works with many hosts

Cause: each host keeps 24 streams going whatever they show.

Ruled out: a fixed smaller number (a host that has just started refused callers that all came back at once).

Change: half of what a host usually has in flight is kept, observed while streams come in time, 24 for a host that has just started. Whether the bound was reached is noted as streams come: with few in flight it was never seen as reached when one ended, and did not rise again.

--- a/admitter/latency.go
+++ b/admitter/latency.go
@@ -8,12 +8,9 @@
 // Latency bounds the streams that a host has in flight so that their events come
 // in time.
 //
-// The load it answers: more arrivals than the engines can bear, after a loss or
-// in a burst. Each further stream makes every batch slower, until no answer
-// comes in time though all are worked on. The bound falls while streams are late
-// and rises while they aren't and it is reached; what is above it is refused at
-// once, when it can still be answered elsewhere or later. Safe for concurrent
-// use.
+// Past what the engines bear each further stream makes every batch slower, until no
+// answer comes in time. The bound falls while streams are late and rises while they
+// aren't and it is reached. Safe for concurrent use.
 type Latency struct {
 	mu sync.Mutex
 	// limit is the bound; 0 before the first sample.
@@ -24,6 +21,11 @@
 	// cut is when the bound last fell, high what was in flight then.
 	cut  time.Duration
 	high float64
+	// pressed is set once the bound was reached since the last sample.
+	pressed bool
+	// usual is the smoothed number in flight while streams come in time and the bound
+	// is not reached.
+	usual float64
 }
 
 const (
@@ -34,13 +36,12 @@
 	lateMost = 0.35
 	// reached is the part of the bound from which it counts as reached.
 	reached = 0.8
-	// decrease and decreaseEvery: a fifth less each time that streams which
-	// started under the last bound have shown what it does.
+	// decrease and decreaseEvery: a tenth less each time that streams which started
+	// under the last bound have shown what it does.
 	decrease      = 0.9
 	decreaseEvery = 400 * time.Millisecond
 	// cautious is the part of the bound that was too high last from which it
-	// rises slowly, by increaseSlow with each stream in time: what was too much
-	// a moment ago mostly still is. It is forgotten after forget.
+	// rises slowly, by increaseSlow with each stream in time, until forget has passed.
 	cautious     = 0.8
 	increaseSlow = 0.5
 	forget       = time.Second
@@ -49,9 +50,16 @@
 	// is back within some lives of a stream after a loss that was made good.
 	increase     = 1.0
 	increasePart = 0.04
-	// leastLimit keeps some streams going whatever they show: about what a host
-	// has in flight on a quiet day.
-	leastLimit = 24
+	// leastPart of what is usual, and leastLimit at least, are kept going whatever they
+	// show: lateness may have another cause than load.
+	leastPart  = 0.5
+	leastLimit = 4
+	// firstUsual is taken for usual by a host that has just started.
+	firstUsual = 48
+	// usualWeight is the weight of one more stream in what is usual, calm the share of
+	// late ones up to which it counts.
+	usualWeight = 0.05
+	calm        = 0.05
 	// unbounded is the bound before anything came late.
 	unbounded = 1e6
 )
@@ -61,13 +69,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.limit == 0 {
-		l.limit = unbounded
+		l.limit, l.usual = unbounded, firstUsual
 	}
-	if float64(l.inFlight) >= l.limit {
-		return false
+	admitted := float64(l.inFlight) < l.limit
+	if admitted {
+		l.inFlight++
 	}
-	l.inFlight++
-	return true
+	l.pressed = l.pressed || float64(l.inFlight) >= l.limit*reached
+	return admitted
 }
 
 // Leave gives a place back.
@@ -87,12 +96,17 @@
 		share = 1
 	}
 	l.late += lateWeight * (share - l.late)
+	pressed := l.pressed
+	l.pressed = float64(l.inFlight) >= l.limit*reached
+	if l.late < calm && !pressed {
+		l.usual += usualWeight * (float64(l.inFlight) - l.usual)
+	}
 	switch {
 	case l.late > lateMost && now-l.cut > decreaseEvery:
 		l.high = min(l.limit, float64(l.inFlight))
-		l.limit = max(leastLimit, l.high*decrease)
+		l.limit = max(leastLimit, leastPart*l.usual, l.high*decrease)
 		l.cut = now
-	case late || float64(l.inFlight) < l.limit*reached:
+	case late || !pressed:
 	case now-l.cut < forget && l.limit > cautious*l.high:
 		l.limit += increaseSlow
 	default:
--- a/admitter/window.go
+++ b/admitter/window.go
@@ -9,10 +9,6 @@
 // fixed number, each shared among the hosts. It needs no messages: every host
 // keeps to its part of the fixed number and to the ratio of its own requests,
 // so that all together keep to the whole.
-//
-// The load it answers: upstreams that fail what they get, so that every request
-// is sent again and the service gets twice the load just when half of it is
-// left.
 type Window struct {
 	// Ratio is how many retries a request allows.
 	Ratio float64
--- a/admitter/window_test.go
+++ b/admitter/window_test.go
@@ -1,6 +1,8 @@
 package admitter_test
 
 import (
+	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -9,9 +11,7 @@
 	"github.com/sardineward/sardineward/admitter"
 )
 
-// TestWindow. Upstreams fail all they get. In any ten seconds the hosts together
-// may send as many retries as a part of the requests and a fixed number; each
-// used to count alone and all together sent four times that.
+// TestWindow guards against retries that each host counts alone.
 func TestWindow(t *testing.T) {
 	const (
 		ratio, fixed = 0.2, 200
@@ -50,9 +50,7 @@
 	is.True(float64(total) > 0.5*(ratio*requests+fixed)) // most of it can be used
 }
 
-// TestLatencyBound replays four times the arrivals that an engine bears. Each
-// stream in flight makes the others slower; without the bound all are late for
-// as long as the arrivals last. Once they are back to usual, the bound rises.
+// TestLatencyBound guards against overload in which every stream is late.
 func TestLatencyBound(t *testing.T) {
 	is := is.New(t)
 	const bears = 60 // streams in flight until which events come in time
@@ -97,3 +95,64 @@
 	play(45*time.Second, 50*time.Second, 20)
 	is.Equal(refused, 0)
 }
+
+// TestLatencyBoundOfMany guards against hosts that each keep so many streams going,
+// whatever these show, that together they overload what a loss has left.
+func TestLatencyBoundOfMany(t *testing.T) {
+	for _, size := range []struct{ hosts, arrivals int }{{4, 63}, {25, 179}, {119, 456}} {
+		t.Run(strconv.Itoa(size.hosts), func(t *testing.T) {
+			is := is.New(t)
+			const life, seconds = 3 * time.Second, 20
+			hosts, arrivals := size.hosts, time.Duration(size.arrivals) // a second, of all hosts
+			usual := float64(arrivals) * life.Seconds()
+			limits := make([]*admitter.Latency, hosts)
+			for i := range limits {
+				limits[i] = new(admitter.Latency)
+			}
+			type stream struct {
+				host int
+				ends time.Duration
+			}
+			var open []stream
+			late, done, refused := 0, 0, 0
+			rnd := rand.New(rand.NewPCG(1, 1))
+			play := func(from, to time.Duration, bears float64) {
+				late, done, refused = 0, 0, 0
+				for now := from; now < to; now += time.Second / arrivals {
+					kept := open[:0]
+					for _, s := range open {
+						if s.ends > now {
+							kept = append(kept, s)
+							continue
+						}
+						limits[s.host].Leave()
+						done++
+						slow := float64(len(open)) > bears
+						if slow {
+							late++
+						}
+						limits[s.host].Sample(now, slow)
+					}
+					open = kept
+					i := rnd.IntN(hosts)
+					if limits[i].Enter() {
+						open = append(open, stream{i, now + life/2 + time.Duration(rnd.Float64()*float64(life))})
+					} else {
+						refused++
+					}
+				}
+			}
+			play(0, seconds*time.Second, 1.5*usual)
+			is.Equal(refused, 0)
+			play(seconds*time.Second, 2*seconds*time.Second, 0.6*usual)
+			play(2*seconds*time.Second, 3*seconds*time.Second, 0.6*usual)
+			t.Logf("%d done, %d late, %d refused", done, late, refused)
+			is.True(late*2 < done)
+			is.True(float64(done) > 0.4*float64(arrivals*seconds)) // of 0.6 that are borne
+			play(3*seconds*time.Second, 4*seconds*time.Second, 1.5*usual)
+			play(4*seconds*time.Second, 5*seconds*time.Second, 1.5*usual)
+			t.Logf("usual arrivals again: %d done, %d refused", done, refused)
+			is.True(refused*50 < done)
+		})
+	}
+}
