forwarder: streams whose callers leave before the first event count as late

Cause: a stream told the bound that it was late when its first event came late, and nothing when its caller had left before.

Ruled out: dead upstreams on the paths (found within 0.35 s and moved).

Change: a stream counts as late once its first event is.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -136,7 +136,7 @@
 	// comeBack is when trying again is worthwhile where that is known; 0 is not.
 	comeBack time.Duration
 	// sampled is set once it was told whether the stream is late.
-	sampled bool
+	sampled atomic.Bool
 }
 
 // ServeHTTP implements http.Handler.
--- a/forwarder/quarantine_test.go
+++ b/forwarder/quarantine_test.go
@@ -16,10 +16,7 @@
 	"github.com/sardineward/sardineward/tracker"
 )
 
-// TestCallerGoneInCheck. An upstream breaks a connection off, and the caller
-// leaves while the host looks whether the upstream has crashed. The look ends
-// with the caller, which shows nothing; yet the upstream is taken out of use and
-// the request gets a strike.
+// TestCallerGoneInCheck guards against an upstream blamed for a caller who left.
 func TestCallerGoneInCheck(t *testing.T) {
 	is := is.New(t)
 	ctx, leave := context.WithCancel(context.Background())
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -195,6 +195,7 @@
 	a.last.Store(int64(a.began))
 	k.track(a)
 	defer k.untrack(a)
+	defer k.watchFirst(a).Stop()
 	v = k.sendStream(ctx, a)
 	if v != verdictNotRun {
 		k.ran = append(k.ran, l.First.ID)
@@ -236,12 +237,25 @@
 
 // sample tells the bound on streams whether this one is late; once.
 func (k *call) sample(now time.Duration, late bool) {
-	if !k.sampled {
-		k.sampled = true
+	if k.sampled.CompareAndSwap(false, true) {
 		k.Latency(k.service.Name).Sample(now, late)
 	}
 }
 
+// watchFirst counts a stream as late once its first event is: where engines are
+// overloaded most callers leave before it comes.
+func (k *call) watchFirst(a *attempt) *time.Timer {
+	target := k.route.Target
+	if target <= 0 {
+		target = defaultTimeout
+	}
+	return time.AfterFunc(target, func() {
+		if now := k.Now(); !a.begun.Load() && a.moves.Load() == 0 {
+			k.sample(now, true)
+		}
+	})
+}
+
 // inVain notes a stream that ended before its first event.
 func (k *call) inVain(a *attempt) {
 	if now := k.Now(); a.moves.Load() == 0 && now-a.began > k.route.Target {
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -1,10 +1,13 @@
 package launcher_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,9 +66,7 @@
 	})
 }
 
-// TestBookingOnce. A trader confirms a lot and the upstream breaks the connection
-// after it took the booking. A second upstream used to get it as well, and the
-// lot was sold twice. Only what surely did not run may be sent again.
+// TestBookingOnce guards against a booking that runs twice.
 func TestBookingOnce(t *testing.T) {
 	run(t, 0, func(b *bench) {
 		is := is.New(t)
@@ -80,8 +81,8 @@
 	})
 }
 
-// TestTurnedAway. An upstream is full and says that it did not run a booking;
-// the other one has room. The trader sees one answer and the lot is sold once.
+// TestTurnedAway guards against a booking refused though another upstream has room, or
+// run twice.
 func TestTurnedAway(t *testing.T) {
 	run(t, 0, func(b *bench) {
 		is := is.New(t)
@@ -98,6 +99,35 @@
 	})
 }
 
+// TestStreamsInVain guards against streams that are all let in, and given up by their
+// callers before the first event, since none of them counts as late.
+func TestStreamsInVain(t *testing.T) {
+	run(t, 0, func(b *bench) {
+		is := is.New(t)
+		const perSecond, seconds, patience = 40, 10, 2 * time.Second
+		silent := make([]faker.Trouble, perSecond*seconds)
+		for i := range silent {
+			silent[i] = faker.TroubleSilent
+		}
+		b.troubleAll("model", silent...)
+		var refused atomic.Int64
+		var wg sync.WaitGroup
+		for n := range perSecond * seconds {
+			wg.Go(func() {
+				ctx, leave := context.WithTimeout(context.Background(), patience)
+				defer leave()
+				r := b.request(http.MethodPost, "/stream/1", fmt.Sprint("r", n), func(r *http.Request) { *r = *r.WithContext(ctx) })
+				if r.err == nil && r.status == http.StatusServiceUnavailable && r.took < 50*time.Millisecond && n >= perSecond*seconds/2 {
+					refused.Add(1)
+				}
+			})
+			time.Sleep(time.Second / perSecond)
+		}
+		wg.Wait()
+		is.True(refused.Load() > perSecond*seconds/4) // half of those that came in the second half
+	})
+}
+
 func TestLookupRetried(t *testing.T) {
 	for name, trouble := range map[string]faker.Trouble{
 		"reset": faker.TroubleReset, "status 500": faker.TroubleFailed, "no signature": faker.TroubleUnsigned,
@@ -116,9 +146,7 @@
 	}
 }
 
-// TestForeignAnswer. An upstream sends a late answer to another request on a
-// kept connection, before the one to this. The caller used to get what another
-// caller had asked for.
+// TestForeignAnswer guards against an answer that belongs to another request.
 func TestForeignAnswer(t *testing.T) {
 	run(t, 0, func(b *bench) {
 		b.troubleAll("desk", faker.TroubleForeign)
@@ -127,8 +155,8 @@
 	})
 }
 
-// TestStreamResumed. An upstream crashes in the middle of an event. The foreman
-// sees the answer go on, with no event missing, twice or torn.
+// TestStreamResumed guards against events that are missing, twice or torn after a
+// crash.
 func TestStreamResumed(t *testing.T) {
 	run(t, 0, func(b *bench) {
 		is := is.New(t)
@@ -138,9 +166,8 @@
 	})
 }
 
-// TestStreamRunsBounded. One upstream after the other breaks a draft off midway
-// and lives on. The draft ran on three of them where its route allows two. It
-// goes on at one that ran it before.
+// TestStreamRunsBounded guards against a stream that runs on more upstreams than its
+// route allows.
 func TestStreamRunsBounded(t *testing.T) {
 	run(t, 0, func(b *bench) {
 		is := is.New(t)
@@ -160,8 +187,8 @@
 	})
 }
 
-// TestStreamNotResumable. The same on a route whose streams may not be run again:
-// the connection is broken, so that what came can't be taken for the whole.
+// TestStreamNotResumable guards against a broken stream that can be taken for the
+// whole.
 func TestStreamNotResumable(t *testing.T) {
 	run(t, 0, func(b *bench) {
 		is := is.New(t)
@@ -180,8 +207,7 @@
 	})
 }
 
-// TestCallerGone. A caller closes its connection before the first event. The
-// upstream has to hear of it, or engines work for nobody.
+// TestCallerGone guards against engines that work for a caller who left.
 func TestCallerGone(t *testing.T) {
 	run(t, 0, func(b *bench) {
 		is := is.New(t)
@@ -193,8 +219,7 @@
 	})
 }
 
-// TestTimeout. An upstream never answers a booking. The caller has the final
-// answer when the route's time is over, not when its own is.
+// TestTimeout guards against an answer that comes after the route's time.
 func TestTimeout(t *testing.T) {
 	run(t, 0, func(b *bench) {
 		is := is.New(t)
@@ -205,9 +230,8 @@
 	})
 }
 
-// TestRevokedKey. A key is taken away while the host can't reach its source, so
-// it never hears of it. After the time in which keys must be gone everywhere it
-// answers no keyed request, and never says that the key is wrong.
+// TestRevokedKey guards against a revoked key that is served, or a valid one called
+// wrong.
 func TestRevokedKey(t *testing.T) {
 	run(t, 5*time.Second, func(b *bench) {
 		is := is.New(t)
@@ -240,8 +264,8 @@
 	})
 }
 
-// TestLeaving. An upstream reports that it leaves, right after its history was
-// dropped. No request may reach it two seconds later.
+// TestLeaving guards against requests to an upstream that left when history was
+// dropped.
 func TestLeaving(t *testing.T) {
 	run(t, 0, func(b *bench) {
 		is := is.New(t)
@@ -256,9 +280,7 @@
 	})
 }
 
-// TestGracefulStop. The platform stops a host in the middle of a stream and of a
-// kept connection. The balancer sees at once that it is not ready, what is open
-// ends whole, and new requests are answered until the balancer has turned away.
+// TestGracefulStop guards against requests cut by a planned stop.
 func TestGracefulStop(t *testing.T) {
 	run(t, 0, func(b *bench) {
 		is := is.New(t)
@@ -277,10 +299,7 @@
 	})
 }
 
-// TestPoison. A trader's draft crashes each engine that runs it, and his program
-// sends it again and again. Each try used to take two engines down, until the
-// desk had none left for anybody else. It is refused after two crashes, and what
-// others ask for is answered.
+// TestPoison guards against a request that crashes one upstream after the other.
 func TestPoison(t *testing.T) {
 	for service, path := range map[string]string{"desk": "/look/1", "model": "/stream/1"} {
 		t.Run(service, func(t *testing.T) {
