balancer: late first events make a data centre dearer

Cause: after a loss the streams of a data centre queue at the one engine left for some layers, while other data centres have room. That engine's own steps hardly show in the price of a path of a dozen.

Change: what is learnt of first events over links is learnt of paths inside a data centre as well; as late as callers want at most, its engines count as dear as those of another one. Tests have one line of what they guard against.

Figures: TestNarrowStage: all of 100 streams at home before, 70 and more elsewhere now, none while events come in time.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -79,6 +79,8 @@
 	// Begun is set for a stream that has to go on: it may take the room that is
 	// kept free otherwise.
 	Begun bool
+	// Target is how soon the first event is wanted; 0 is not known.
+	Target time.Duration
 }
 
 //go:generate enumer -type Reason -trimprefix Reason -transform title-lower -output reason_gen.go
@@ -155,9 +157,11 @@
 	// hosts counts the other hosts, by data centre.
 	hosts map[string]int
 	// base is the smoothed time to the first event of paths that stay in one
-	// data centre, seen what is known of the links between them.
+	// data centre, seen what is known of the links between them, and local of the
+	// paths that stay in one.
 	base     time.Duration
 	seen     map[[2]string]*link
+	local    map[string]*link
 	peers    reports
 	services map[string]*matcher.Service
 	ups      map[string]*upstream
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -71,8 +71,7 @@
 	is.Equal(reason, balancer.ReasonNoUpstream)
 }
 
-// TestRoom. Each host took an engine for empty that all the others filled, and
-// the engine ran out of memory. What others have in flight counts.
+// TestRoom guards against an upstream that passes for empty while other hosts fill it.
 func TestRoom(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer()
@@ -112,8 +111,7 @@
 	is.Equal(len(b.Usage(0).Usage), 0)
 }
 
-// TestRepath. A hop in the middle of a path dies. The others keep what they have
-// read, and the first one has to stay.
+// TestRepath guards against a changed path that drops more than the lost hop.
 func TestRepath(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer()
@@ -126,8 +124,8 @@
 	is.Equal(ids(b.Path(l)), "a1 b2 ") // as it was
 }
 
-// TestSilent. An engine crashes under 25 streams. It is asked after 70 ms, since
-// 25 streams bring an event every few milliseconds; one stream alone may pause.
+// TestSilent guards against a crashed upstream that is found late, or a pausing one
+// that is asked.
 func TestSilent(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer()
@@ -146,9 +144,8 @@
 	}
 }
 
-// TestRestarted. An upstream crashes and is listed under a new id at the same
-// address, empty, while its old entry still says that it holds layers. Paths
-// over the old entry were turned away and the new one was blamed.
+// TestRestarted guards against paths over the old entry of an upstream that was started
+// again.
 func TestRestarted(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer()
@@ -158,8 +155,7 @@
 	is.Equal(b.ByAddress("a:1"), "a1-new") // a late heartbeat of the old one
 }
 
-// TestSlowLink. The pipe between two data centres is slower than declared. After
-// some first events over it, paths take another way.
+// TestSlowLink guards against paths that keep to a pipe slower than declared.
 func TestSlowLink(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer()
@@ -181,9 +177,41 @@
 	is.Equal(ids(b.Path(acquire(t, b, 20*time.Second, need))), "a1 b2 ") // tried again
 }
 
-// TestTwoDead. A data centre is cut off. After the second dead upstream there
-// all others are asked at once, instead of one after the other by streams that
-// wait.
+// TestNarrowStage guards against streams that queue in a data centre with one upstream
+// left for some layers, while another one has room.
+func TestNarrowStage(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	n := need
+	n.Target = 500 * ms
+	first := func(now, took time.Duration) string {
+		l := acquire(t, b, now, n)
+		defer b.Release(l)
+		b.First(l, now+took, took)
+		return ids(b.Path(l))
+	}
+	for i := range 100 {
+		is.Equal(first(time.Duration(i)*100*ms, 60*ms), "a1 a2 ") // in time, and at home
+	}
+	elsewhere := 0
+	for i := range 100 {
+		now := 10*time.Second + time.Duration(i)*100*ms
+		l := acquire(t, b, now, n)
+		took := 60 * ms
+		if ids(b.Path(l)) == "b1 b2 " {
+			elsewhere++
+		} else {
+			took = 1500 * ms
+		}
+		b.First(l, now+took, took)
+		b.Release(l)
+	}
+	is.True(elsewhere >= 70)
+	is.Equal(first(40*time.Second, 60*ms), "a1 a2 ") // tried again at home
+}
+
+// TestTwoDead guards against a cut data centre that is found one upstream after the
+// other.
 func TestTwoDead(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer()
@@ -232,10 +260,8 @@
 	}
 }
 
-// TestElsewhere. An engine crashes under many streams and no other one of its
-// data centre holds its layers. A foreman saw his answer stand still for most of
-// a second: every path crossed to another data centre and back, and what each
-// stream had read queued up in the pipe. A whole path there reads it anew sooner.
+// TestElsewhere guards against streams that queue in a pipe between data centres after
+// a loss.
 func TestElsewhere(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer()
@@ -252,8 +278,8 @@
 	is.Equal(ids(b.Repath(0, few, "a2")), "a1 b2 ")
 }
 
-// TestSpareInside. The same crash where another engine of the data centre holds
-// the layers: the path is changed there, and what was read is kept.
+// TestSpareInside guards against streams that read all anew though their data centre
+// holds the lost layers.
 func TestSpareInside(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer()
@@ -268,10 +294,8 @@
 	is.Equal(len(b.Repath(0, l, lost)), 2)
 }
 
-// TestLinksLast. Callers press on one data centre until its engines are full.
-// Paths then went back and forth between all of them, through pipes that each
-// activation of a prompt fills, and first events took a second and more. A whole
-// path elsewhere comes first, a link only where no path goes without.
+// TestLinksLast guards against full data centres that send each other their load
+// through the pipes.
 func TestLinksLast(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer()
@@ -290,9 +314,8 @@
 	}
 }
 
-// TestLost. An upstream that is silent may go on with a request, so the run
-// counts among those that a route allows; one that refuses connections or is no
-// longer listed has ended.
+// TestLost guards against a run that counts as ended while its upstream may go on with
+// it.
 func TestLost(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer()
--- a/balancer/dead_test.go
+++ b/balancer/dead_test.go
@@ -9,10 +9,8 @@
 	"github.com/sardineward/sardineward/balancer"
 )
 
-// TestDeadInTurn. A data centre is cut off, and each of sixteen hosts asked each of
-// its thirty-three upstreams for a connection two and a half times a second: a
-// thousand connections a second into the cut. Some are asked in turn; a single
-// crashed one elsewhere is asked each time.
+// TestDeadInTurn guards against connections into a cut that grow with hosts times
+// upstreams.
 func TestDeadInTurn(t *testing.T) {
 	is := is.New(t)
 	const cut, most = 33, 4
--- a/balancer/links.go
+++ b/balancer/links.go
@@ -36,24 +36,22 @@
 }
 
 // First takes in how long the first event of a path took, or how long it was
-// waited for in vain.
-//
-// The load it answers: a pipe between two data centres that is slower than it
-// is declared, or full. Prompts queue up in it, and the requests that cross it
-// get no event within the time that callers wait.
+// waited for in vain. A pipe between data centres may be slower than declared, or
+// full; a data centre may have too few holders of some layers.
 func (b *Balancer) First(l *Lease, now, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	crossed := b.crossed(l.hops)
 	if len(crossed) == 0 {
 		b.base += time.Duration(baseWeight * float64(took-b.base))
+		if u := b.ups[l.First.ID]; u != nil {
+			b.localDelay(now, u.DataCentre).add(took)
+		}
 		return
 	}
 	late := max(0, took-b.base)
 	for p := range crossed {
-		k := b.link(now, p)
-		k.delay += time.Duration(linkWeight * float64(late-k.delay))
-		k.at = now
+		b.link(now, p).add(late)
 	}
 }
 
@@ -95,12 +93,30 @@
 	if b.seen == nil {
 		b.seen = make(map[[2]string]*link)
 	}
-	k := b.seen[p]
+	return aged(b.seen, p, now)
+}
+
+// localDelay is how late first events of paths inside a data centre came, aged to now.
+func (b *Balancer) localDelay(now time.Duration, dataCentre string) *link {
+	if b.local == nil {
+		b.local = make(map[string]*link)
+	}
+	return aged(b.local, dataCentre, now)
+}
+
+// aged returns the entry of a map, made when it is missing, aged to now.
+func aged[K comparable](known map[K]*link, key K, now time.Duration) *link {
+	k := known[key]
 	if k == nil {
 		k = &link{at: now}
-		b.seen[p] = k
+		known[key] = k
 	}
 	k.delay = time.Duration(float64(k.delay) * math.Exp(-float64(now-k.at)/float64(linkMemory)))
 	k.at = now
 	return k
 }
+
+// add takes one more delay in.
+func (k *link) add(delay time.Duration) {
+	k.delay += time.Duration(linkWeight * float64(delay-k.delay))
+}
--- a/balancer/pace_test.go
+++ b/balancer/pace_test.go
@@ -25,10 +25,7 @@
 	return float64(n) / requests
 }
 
-// TestSlowEngine. One of three engines that hold the same layers took twelve times
-// as long for every step, for nine seconds. It was given a third of all requests,
-// and these got their first event after seconds. It is given next to none, also by
-// hosts that only heard of it; what it said is forgotten after some seconds.
+// TestSlowEngine guards against a slow engine that is given as much as fast ones.
 func TestSlowEngine(t *testing.T) {
 	const slow = "5-1"
 	t.Run("reported", func(t *testing.T) {
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -24,6 +24,10 @@
 	// after the other, so that full data centres which send each other their load
 	// hold up every first event.
 	crossing = 10 * time.Second
+	// lateBias is how much dearer the upstreams of a data centre are in which first
+	// events take as long as callers want at most: as dear as those of another one, so
+	// that what is beyond goes there while there is room.
+	lateBias = 1.0
 	// tokenDelay is the delay of one link a token, where none is declared.
 	tokenDelay = time.Millisecond
 	// suspectBias is how much dearer an upstream is that some host suspects: taken only
@@ -160,13 +164,10 @@
 const crossingWait = 50 * time.Millisecond
 
 // Elsewhere reports whether a running request should go on as a new one in
-// another data centre, rather than over a changed path around an upstream.
-//
-// The load it answers: an engine crashes whose layers no other one of its data
-// centre holds, under some fifty streams. Around it each path crosses to another
-// data centre and back, and all that a stream has read goes through the pipe
-// there, one stream after the other, 10 ms each: half of them stood still for
-// 840 ms. A whole path elsewhere reads the prompt anew and crosses nothing.
+// another data centre, rather than over a changed path around an upstream. Where no
+// other one of its data centre holds the layers, each path around it crosses a pipe
+// with all that the stream has read, one stream after the other; a whole path elsewhere
+// reads the prompt anew and crosses nothing.
 func (b *Balancer) Elsewhere(now time.Duration, l *Lease, avoid string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -226,6 +227,11 @@
 	if u.DataCentre != b.DataCentre {
 		c.Bias += remoteBias
 	}
+	// A stage that is too narrow holds up every first event of its data centre, while
+	// the cost of its own steps hardly shows.
+	if n.Target > 0 {
+		c.Bias += lateBias * float64(b.localDelay(now, u.DataCentre).delay) / float64(n.Target)
+	}
 	if b.suspected(now, u) {
 		c.Bias += suspectBias
 	}
--- a/balancer/turned_test.go
+++ b/balancer/turned_test.go
@@ -50,12 +50,8 @@
 	}
 }
 
-// TestTurnedAway. Three of thirty-six engines left while the source was out, and
-// are still listed for two seconds after it is back. Each turns away at once what
-// it is sent. Every one of twelve hosts met them again and again: an engine that
-// turned a request away passed for full for a moment, and after four tries callers
-// were told to come back. Once a host was turned away, none sends there while
-// others hold the layers.
+// TestTurnedAway guards against hosts that each try upstreams which are gone and still
+// listed.
 func TestTurnedAway(t *testing.T) {
 	is := is.New(t)
 	const length, exchange, tries = 2 * time.Second, 375 * ms, 4
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -165,7 +165,7 @@
 // prompt.
 func (k *call) need() balancer.Need {
 	prompt, most := parseTokens(k.r.Header.Get(k.Headers.Tokens))
-	n := balancer.Need{Prompt: prompt, Answer: most}
+	n := balancer.Need{Prompt: prompt, Answer: most, Target: k.route.Target}
 	e := k.service.Engine
 	if e == nil {
 		return n
@@ -252,6 +252,7 @@
 	return time.AfterFunc(target, func() {
 		if now := k.Now(); !a.begun.Load() && a.moves.Load() == 0 {
 			k.sample(now, true)
+			k.Balancer.First(a.lease, now, now-a.began)
 		}
 	})
 }
