--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -46,8 +46,8 @@
 	})
 }
 
-// TestAge. Nothing changes at the source for long; each answered call still
-// shows that what is known is current. Once calls fail it grows old.
+// TestAge guards against knowledge of a quiet source that passes for old, or of a lost
+// one for new.
 func TestAge(t *testing.T) {
 	run(t, func(src *faker.Directory, fol *follower.Follower, _ *balancer.Balancer) {
 		is := is.New(t)
@@ -75,10 +75,7 @@
 	return c.Source.Changes(ctx, after, wait)
 }
 
-// TestCallsOfMany. The source serves a few thousand calls a second and each is
-// paid for. Twenty-five hosts asked two and a half times a second each, since the
-// heartbeats of upstreams answer every call at once. They may ask 30 times a
-// second together; four hosts still learn within half a second what leaves.
+// TestCallsOfMany guards against calls on the source that grow with hosts.
 func TestCallsOfMany(t *testing.T) {
 	for _, tc := range []struct {
 		hosts int
@@ -103,9 +100,7 @@
 	}
 }
 
-// TestOutage. Entries lapse while the source is away, and upstreams write them
-// again after it is back. They must not be dropped for that moment; one that
-// does not come back is gone.
+// TestOutage guards against upstreams dropped because their entry lapsed in an outage.
 func TestOutage(t *testing.T) {
 	run(t, func(src *faker.Directory, _ *follower.Follower, b *balancer.Balancer) {
 		is := is.New(t)
@@ -143,8 +138,7 @@
 	})
 }
 
-// TestPeers. A host that its source turns away stays as fresh as the answers of
-// its peers are, and never goes back to an older configuration.
+// TestPeers guards against a host that takes an older configuration from a peer.
 func TestPeers(t *testing.T) {
 	run(t, func(src *faker.Directory, fol *follower.Follower, _ *balancer.Balancer) {
 		is := is.New(t)
@@ -161,10 +155,8 @@
 	})
 }
 
-// TestRemovedAfterOutage. The store turned one host away and serves it again. An
-// upstream that leaves right then has its entry removed; it is gone at once. The
-// host used to keep it as one whose entry lapsed in the outage, and sent it
-// requests for more than two seconds.
+// TestRemovedAfterOutage guards against requests to an upstream that left right after
+// an outage.
 func TestRemovedAfterOutage(t *testing.T) {
 	run(t, func(src *faker.Directory, _ *follower.Follower, b *balancer.Balancer) {
 		is := is.New(t)
@@ -178,9 +170,8 @@
 	})
 }
 
-// TestOlderList. A host was suspended, and an answer that a peer gave it
-// meanwhile arrives when it has read the source again. It put an upstream back
-// into use that had begun to leave, and sent it requests three seconds later.
+// TestOlderList guards against a peer's late answer that puts a leaving upstream back
+// into use.
 func TestOlderList(t *testing.T) {
 	run(t, func(src *faker.Directory, fol *follower.Follower, b *balancer.Balancer) {
 		is := is.New(t)
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -34,6 +34,9 @@
 	// perHost stretches the period, so that a relay spends a fixed part of its
 	// processor on the hosts of its data centre however many there are.
 	perHost = 10 * time.Millisecond
+	// perFar is the same for the relays of other data centres: what crosses is paid for
+	// and matters less, since callers stay in their own data centre where they can.
+	perFar = 50 * time.Millisecond
 	// timeout bounds one exchange: a hundred times the way there and back.
 	timeout = 300 * time.Millisecond
 	// behind is the age of what was read from which a host is no source for others,
@@ -67,6 +70,8 @@
 	busy map[string]bool
 	// turn counts the rounds, so that hosts are asked in turn.
 	turn int
+	// farAt is when relays of other data centres were last called.
+	farAt time.Duration
 	// impossible are the hosts whose report was logged as such.
 	impossible map[string]bool
 }
@@ -119,6 +124,9 @@
 	for _, h := range p.near {
 		out = append(out, call{host: h, scope: peer.Scope_SCOPE_HOST, changes: true})
 	}
+	if !s.farDue(len(p.far)) {
+		return out
+	}
 	for _, h := range p.far {
 		if s.Self < h.Name {
 			out = append(out, call{host: h, scope: peer.Scope_SCOPE_DATA_CENTRE})
@@ -127,6 +135,19 @@
 	return out
 }
 
+// farDue reports whether relays of other data centres are to be called in this round.
+func (s *Sharer) farDue(relays int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	// Half of a period of slack: rounds begin a little after they are due.
+	if now-s.farAt < max(period, time.Duration(relays)*perFar)-period/2 {
+		return false
+	}
+	s.farAt = now
+	return true
+}
+
 // pause is the time between two rounds. A host that is no relay calls one relay in
 // each, in turn, and hears from all of them within a period.
 func (s *Sharer) pause(hosts []follower.Host, p plan) time.Duration {
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -87,8 +87,8 @@
 	})
 }
 
-// TestTurnedAway. The store turns one host away and serves the others. It stays
-// as fresh as they are, has their configuration and their list.
+// TestTurnedAway guards against a host that grows out of date while the store turns it
+// away and serves the others.
 func TestTurnedAway(t *testing.T) {
 	run(t, func(_ *faker.Network, hosts map[string]*host) {
 		is := is.New(t)
@@ -107,10 +107,8 @@
 	})
 }
 
-// TestLinkOfOneTurnedAway. The store turns one of twelve hosts away while
-// configurations come ten times a second. That host asked all others for each of
-// them, and its link was full of what it had already: its own streams broke off.
-// However many there are, it asks two at a time, and is as fresh by that.
+// TestLinkOfOneTurnedAway guards against a link that is full of the same configurations,
+// sent by all hosts to one that the store turns away.
 func TestLinkOfOneTurnedAway(t *testing.T) {
 	names := strings.Split("abcdefghijkl", "")
 	runHosts(t, names, func(_ *faker.Network, hosts map[string]*host) {
@@ -140,8 +138,7 @@
 	})
 }
 
-// TestSourcesLost. The store turns a host away, and a cut leaves it one other
-// host of six. It must find that one within some rounds.
+// TestSourcesLost guards against a host that asks only peers out of its reach.
 func TestSourcesLost(t *testing.T) {
 	runHosts(t, []string{"a", "b", "c", "d", "e", "f"}, func(n *faker.Network, hosts map[string]*host) {
 		is := is.New(t)
@@ -157,8 +154,7 @@
 	})
 }
 
-// TestAllAway. No host reaches the store: none may pass for fresh by what the
-// others say.
+// TestAllAway guards against hosts that pass for fresh by each other's word.
 func TestAllAway(t *testing.T) {
 	run(t, func(_ *faker.Network, hosts map[string]*host) {
 		for _, h := range hosts {
@@ -173,7 +169,7 @@
 	})
 }
 
-// TestAlone. A host is cut off from the store and from its peers.
+// TestAlone guards against a host that is cut off from all and believes to be fresh.
 func TestAlone(t *testing.T) {
 	run(t, func(n *faker.Network, hosts map[string]*host) {
 		hosts["c"].source.SetAway(true)
@@ -200,9 +196,7 @@
 	})
 }
 
-// TestStrikes. A request crashed an upstream at each of two hosts. A third host
-// that its caller tries next has to know of both, and of the answer that shows
-// another one to be innocent.
+// TestStrikes guards against a request that crashes one more upstream at each host.
 func TestStrikes(t *testing.T) {
 	run(t, func(_ *faker.Network, hosts map[string]*host) {
 		is := is.New(t)
