--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -97,8 +97,9 @@
 	hostless sync.Map
 	mu       sync.Mutex
 	servers  []*http.Server
-	budgets  map[string]*admitter.Window
-	limits   map[string]*admitter.Latency
+
+	budgets   named[admitter.Window]
+	latencies named[admitter.Latency]
 }
 
 // Run answers until ctx ends, then stops gracefully.
@@ -166,8 +167,7 @@
 		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * memoryShare * 1e6))
 	}
 	h.defaults()
-	h.budgets = make(map[string]*admitter.Window)
-	h.limits = make(map[string]*admitter.Latency)
+	h.budgets.New = h.newBudget
 	h.meter = meter.New(meter.Labels(admitter.ReasonValues()), meter.Labels(streamer.CauseValues()))
 	h.balancer = &balancer.Balancer{
 		DataCentre: cfg.DataCentre,
@@ -183,8 +183,8 @@
 		Pool:     h.pool,
 		Engines:  h.Engines,
 		Headers:  h.Headers,
-		Budget:   h.budget,
-		Latency:  h.latency,
+		Budget:   h.budgets.Get,
+		Latency:  h.latencies.Get,
 		Suspects: suspects,
 		Now:      h.Now,
 		Meter:    h.meter,
@@ -244,6 +244,9 @@
 	m := h.meter
 	m.Func("knowledge_age_seconds", "Age of configuration, keys and list, also by what peers answered.", func() float64 { return h.follow.Age().Seconds() })
 	m.Func("source_age_seconds", "Age of what this host read from the store itself.", func() float64 { return h.follow.OwnAge().Seconds() })
+	m.Func("read_age_seconds", "Age of what this host read from the store or was told by a relay.", func() float64 { return h.follow.ReadAge().Seconds() })
+	m.Func("reader", "1 while this host reads the store for its data centre.", func() float64 { return gauge(h.share.Reads()) })
+	m.Func("relay", "1 while the hosts of this data centre report to this one.", func() float64 { return gauge(h.share.Relays()) })
 	m.Func("configuration_version", "Version of the configuration in force; 0 is none.", func() float64 {
 		if t := h.follow.Table(); t != nil {
 			return float64(t.Version)
@@ -325,31 +328,14 @@
 	return nil
 }
 
-func (h *Host) budget(service string) *admitter.Window {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	b := h.budgets[service]
-	if b == nil {
-		b = &admitter.Window{
-			Ratio:  h.Settings.RetryRatio,
-			Length: time.Duration(h.Settings.RetryWindowS) * time.Second,
-			Fixed:  h.Settings.RetryFixed,
-			Hosts:  func() int { return len(h.follow.Hosts()) + 1 },
-		}
-		h.budgets[service] = b
-	}
-	return b
-}
-
-func (h *Host) latency(service string) *admitter.Latency {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	l := h.limits[service]
-	if l == nil {
-		l = new(admitter.Latency)
-		h.limits[service] = l
+// newBudget makes the retry budget of a service.
+func (h *Host) newBudget() *admitter.Window {
+	return &admitter.Window{
+		Ratio:  h.Settings.RetryRatio,
+		Length: time.Duration(h.Settings.RetryWindowS) * time.Second,
+		Fixed:  h.Settings.RetryFixed,
+		Hosts:  func() int { return len(h.follow.Hosts()) + 1 },
 	}
-	return l
 }
 
 func (h *Host) sweep(ctx context.Context) {
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -129,18 +129,14 @@
 	return 0
 }
 
-// TestCalm. Questions to engines are paid for. While every event comes in time none
-// is asked, and a single late one is no reason.
+// TestCalm guards against questions to engines on a calm day.
 func TestCalm(t *testing.T) {
 	e := newEngines()
 	run(t, e, 4, 10*time.Second, func(at time.Duration) bool { return at == 5*time.Second })
 	is.New(t).Equal(e.total(), 0)
 }
 
-// TestSlowLearnt. One of ten engines in a row takes twelve times as long, and every
-// event is late at all hosts; nothing tells which engine it is. Within a second all
-// hosts know, and while it lasts each engine is asked about once a second, however
-// many hosts there are.
+// TestSlowLearnt guards against a slow engine that hosts do not learn of, or all ask.
 func TestSlowLearnt(t *testing.T) {
 	for _, n := range []int{1, 4, 9} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
@@ -165,8 +161,7 @@
 	}
 }
 
-// TestBack. The engine is fast again after four seconds: it is asked until it says
-// so, though no event over it is late any more.
+// TestBack guards against an engine that stays slow for hosts after it is fast again.
 func TestBack(t *testing.T) {
 	is := is.New(t)
 	e := newEngines()
@@ -185,8 +180,7 @@
 	}
 }
 
-// TestImpossible. An engine that reports a figure that can't be, or does not
-// answer, is taken to be as fast as declared.
+// TestImpossible guards against an impossible pace that is believed.
 func TestImpossible(t *testing.T) {
 	for _, pace := range []float64{0, -3, 1e9} {
 		t.Run(fmt.Sprint(pace), func(t *testing.T) {
--- a/placer/layout_test.go
+++ b/placer/layout_test.go
@@ -23,10 +23,8 @@
 	}
 }
 
-// TestOutlived. An engine crashed for some seconds, and all streams of its data
-// centre stood still or were sent to another one: the fast cards held their part
-// of the model each alone, though the slow ones had memory for all of it. A fleet
-// with memory for every layer twice loses no layer with any one member.
+// TestOutlived guards against layers that are lost with one member though there is
+// memory for two holders.
 func TestOutlived(t *testing.T) {
 	medium := card{36000, 3.1}
 	for _, tc := range [][3]int{{2, 13, 22}, {1, 22, 12}, {4, 9, 14}, {0, 30, 0}, {0, 14, 14}, {6, 0, 30}} {
@@ -44,10 +42,7 @@
 	}
 }
 
-// TestReturned. An engine crashed while another one held its layers as well, so
-// that nothing was missing. It came back empty and stood idle for eight seconds;
-// the next crash took the other one. One that is empty holds the layers that
-// fewest hold at once, unless it may be there to replace one that leaves.
+// TestReturned guards against an empty member that stands idle until the next loss.
 func TestReturned(t *testing.T) {
 	is := is.New(t)
 	var members []placer.Member
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -104,9 +104,7 @@
 	})
 }
 
-// TestSuspended. A host that gives orders is suspended past its lease. It wakes
-// up, its timers have not moved, and it must not believe that it still holds the
-// duty before it has asked.
+// TestSuspended guards against a suspended host that still believes to hold its duty.
 func TestSuspended(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -121,8 +119,7 @@
 	})
 }
 
-// TestStoreAway. The store can't be reached for longer than the lease: the duty
-// ends in time, and is taken again when the store is back.
+// TestStoreAway guards against a duty that outlives its lease, or is never taken again.
 func TestStoreAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
