--- a/forwarder/moves_test.go
+++ b/forwarder/moves_test.go
@@ -81,6 +81,8 @@
 			f.learn(t.Context(), h, errors.New("refused"))
 		}
 		time.Sleep(time.Second)
+		engines.mu.Lock()
+		defer engines.mu.Unlock()
 		is.True(len(engines.hops) <= 2) // the first order, and one for what was lost while it was under way
 		for _, h := range b.Path(l) {
 			is.True(!slices.ContainsFunc(lost, func(o balancer.Hop) bool { return o.ID == h.ID }))
