follower: what lapsed in an outage is not told until it is back or gone

Cause, found by reading: after an outage of the store a host keeps upstreams whose entry lapsed for 2.2 s. A relay that did so told the hosts it serves of later changes only, so that one which had dropped such an upstream never heard that it was back, or never heard that it was gone; and a host that kept some itself and was then served by a relay dropped them, back or not, when it next read the store. An answer of the store that was overtaken by what a relay told undid that, until the next one.

Change: while entries may still come back a host reads the store itself and tells nothing of changes; what came back is told even where the relay had kept it; answers older than what is known are passed over.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -273,12 +273,13 @@
 	return f.Reads != nil && !f.Reads() && !f.outdated() && f.ReadAge() < fallback
 }
 
-// outdated reports whether a peer knows more than this host that it could not tell.
+// outdated reports whether a peer knows more than this host that it could not tell, or
+// entries that lapsed in an outage may still come back.
 func (f *Follower) outdated() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.table.Load()
-	return t == nil || t.Version < f.newestVersion || f.revision < f.newestRevision
+	return t == nil || t.Version < f.newestVersion || f.revision < f.newestRevision || len(f.missing) > 0
 }
 
 // pause is the time between two calls. The source counts each call and serves
@@ -385,23 +386,27 @@
 // take puts changes in force that this host read.
 func (f *Follower) take(ch *Changes, sent time.Duration) {
 	f.mu.Lock()
-	gone := f.lapse(ch)
 	f.configure(ch.Configuration)
-	f.advance(&Update{
-		After: f.revision, Revision: ch.Revision, Listed: ch.Listed, Gone: gone,
-		Hosts: ch.Hosts, HostsGone: ch.HostsGone, Duties: ch.Duties,
-	}, sent)
 	f.own.Store(int64(sent))
+	// A peer may have told of later changes while the call was under way.
+	current := ch.Revision >= max(f.revision, f.listed)
+	if current {
+		gone, back := f.lapse(ch)
+		f.advance(&Update{
+			After: f.revision, Revision: ch.Revision, Listed: ch.Listed, Gone: gone,
+			Hosts: ch.Hosts, HostsGone: ch.HostsGone, Duties: ch.Duties,
+		}, back, sent)
+	}
 	f.mu.Unlock()
-	if f.OnChange != nil {
+	if current && f.OnChange != nil {
 		f.OnChange()
 	}
 }
 
-// lapse returns the upstreams that are gone for good. f.mu is held.
-func (f *Follower) lapse(ch *Changes) []string {
+// lapse returns the upstreams that are gone for good, and those that came back whose
+// entry had lapsed in an outage. f.mu is held.
+func (f *Follower) lapse(ch *Changes) (gone []string, back []balancer.Upstream) {
 	now := f.Now()
-	var gone []string
 	for _, id := range ch.Gone {
 		// Only the first answer tells of entries that lapsed in the outage. One
 		// that is removed later left.
@@ -413,7 +418,10 @@
 	}
 	f.back = false
 	for i := range ch.Listed {
-		delete(f.missing, ch.Listed[i].ID)
+		if _, missing := f.missing[ch.Listed[i].ID]; missing {
+			back = append(back, ch.Listed[i])
+			delete(f.missing, ch.Listed[i].ID)
+		}
 	}
 	for id, until := range f.missing {
 		if until <= now {
@@ -421,12 +429,13 @@
 			delete(f.missing, id)
 		}
 	}
-	return gone
+	return gone, back
 }
 
 // advance puts an update in force that shows what the source held at a time, and
-// remembers what it changed. f.mu is held.
-func (f *Follower) advance(u *Update, at time.Duration) {
+// remembers what it changed and what came back: peers without an outage of their own
+// dropped that. f.mu is held.
+func (f *Follower) advance(u *Update, back []balancer.Upstream, at time.Duration) {
 	for _, h := range u.Hosts {
 		f.hosts[h.Name] = h
 	}
@@ -437,6 +446,9 @@
 		f.holders[d.DataCentre] = d.Holder
 	}
 	u.Listed, u.Gone = f.Balancer.List(u.Listed, u.Gone)
+	for _, b := range back {
+		u.Listed = append(without(u.Listed, func(l balancer.Upstream) bool { return l.ID == b.ID }), b)
+	}
 	f.revision = u.Revision
 	f.history.add(u)
 	f.read.Store(max(f.read.Load(), int64(at)))
--- a/follower/update.go
+++ b/follower/update.go
@@ -138,7 +138,8 @@
 	if t := f.table.Load(); t != nil {
 		out.Version = t.Version
 	}
-	if revision > 0 {
+	// Entries that lapsed in an outage are neither gone nor back yet.
+	if revision > 0 && len(f.missing) == 0 {
 		out.Update = f.history.after(revision, f.revision)
 	}
 	return out
@@ -160,7 +161,7 @@
 func (f *Follower) told(sent time.Duration, s *State) (took bool) {
 	t := f.table.Load()
 	switch {
-	case f.revision == 0 || t == nil || s.Version < t.Version:
+	case f.revision == 0 || t == nil || s.Version < t.Version || len(f.missing) > 0:
 		return false
 	case s.Version > t.Version || (s.Revision > f.revision && s.Update == nil):
 		if s.Version > f.newestVersion || (s.Version == t.Version && s.Revision > f.newestRevision) {
@@ -177,10 +178,10 @@
 	}
 	at := sent - s.ReadAge
 	if s.Revision > f.revision {
-		if s.Update.After != f.revision {
+		if s.Update.After != f.revision || s.Revision < f.listed {
 			return false // this host has read on meanwhile
 		}
-		f.advance(s.Update, at)
+		f.advance(s.Update, nil, at)
 		took = true
 	}
 	f.read.Store(max(f.read.Load(), int64(at)))
