--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -24,6 +24,13 @@
 
 // runCounted is run, with a count of the calls on the source.
 func runCounted(t *testing.T, f func(src *faker.Directory, fol *follower.Follower, b *balancer.Balancer, c *counted)) {
+	t.Helper()
+	runReading(t, nil, f)
+}
+
+// runReading is runCounted for a host that reads the source while reads says so; nil is
+// always.
+func runReading(t *testing.T, reads func() bool, f func(src *faker.Directory, fol *follower.Follower, b *balancer.Balancer, c *counted)) {
 	t.Helper()
 	synctest.Test(t, func(_ *testing.T) {
 		src := new(faker.Directory)
@@ -32,7 +39,7 @@
 		b := new(balancer.Balancer)
 		started := time.Now()
 		c := &counted{Source: src}
-		fol := &follower.Follower{Source: c, Balancer: b, Now: func() time.Duration { return time.Since(started) + time.Second }}
+		fol := &follower.Follower{Source: c, Balancer: b, Now: func() time.Duration { return time.Since(started) + time.Second }, Reads: reads}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() {
--- a/follower/update_test.go
+++ b/follower/update_test.go
@@ -46,9 +46,9 @@
 // TestToldInOutage guards against an upstream that a host drops though it came back: it
 // read that the entry had lapsed, and a relay told it of later changes only.
 func TestToldInOutage(t *testing.T) {
-	run(t, func(src *faker.Directory, fol *follower.Follower, b *balancer.Balancer) {
+	never := func() bool { return false }
+	runReading(t, never, func(src *faker.Directory, fol *follower.Follower, b *balancer.Balancer, _ *counted) {
 		is := is.New(t)
-		fol.Reads = func() bool { return false }
 		src.SetAway(true)
 		time.Sleep(5 * time.Second)
 		src.Drop("one")
@@ -68,15 +68,21 @@
 func TestToldWhileReading(t *testing.T) {
 	run(t, func(src *faker.Directory, fol *follower.Follower, b *balancer.Balancer) {
 		is := is.New(t)
-		leaving := balancer.Upstream{ID: "one", Address: "1", Leaving: true}
-		revision := fol.Revision()
-		fol.Told(2*time.Second, &follower.State{Version: 3, Revision: revision + 2, Update: &follower.Update{After: revision, Revision: revision + 2, Listed: []balancer.Upstream{leaving}}})
-		is.True(b.Listed()[0].Leaving)
-		src.List(balancer.Upstream{ID: "one", Address: "1"}) // the change before that one
-		time.Sleep(time.Second)
-		is.True(b.Listed()[0].Leaving)
-		src.List(leaving)
-		time.Sleep(time.Second)
-		is.True(b.Listed()[0].Leaving)
+		ready := balancer.Upstream{ID: "one", Address: "1"}
+		leaving := ready
+		leaving.Leaving = true
+		for range 10 {
+			time.Sleep(1065 * time.Millisecond) // at another moment of a call each time
+			revision := fol.Revision()
+			update := &follower.Update{After: revision, Revision: revision + 2, Listed: []balancer.Upstream{leaving}}
+			fol.Told(0, &follower.State{Version: 3, Revision: revision + 2, Update: update})
+			src.List(ready) // the change before that one
+			time.Sleep(20 * time.Millisecond)
+			is.True(b.Listed()[0].Leaving)
+			src.List(leaving)
+			time.Sleep(time.Second)
+			is.True(b.Listed()[0].Leaving)
+			src.List(ready)
+		}
 	})
 }
