sharer: a host that the store turns away asks also those it calls anyway

It asked two of them in each round, after its regular calls to the same hosts had begun, and a second call to a host does not begin while one is under way. Hosts whose names come first call all others in each round; TestTurnedAway turned the last one away only.

Change: what is asked for goes into the regular call where there is one.

--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -81,20 +81,19 @@
 	for ctx.Err() == nil {
 		hosts := s.Follower.Hosts()
 		p := s.assign(hosts)
-		for _, c := range s.calls(p) {
-			s.begin(ctx, c)
+		calls := s.calls(p)
+		if s.Follower.OwnAge() > behind && s.Follower.ReadAge() > unserved {
+			calls = askBehind(calls, s.sources(hosts))
 		}
 		for _, h := range s.roles.probes(s.Now()) {
-			s.begin(ctx, call{host: h})
+			calls = append(calls, call{host: h})
+		}
+		for _, c := range calls {
+			s.begin(ctx, c)
 		}
 		if s.roles.standsIn(s.Now(), s.Follower.ReadAge()) {
 			s.Follower.Wake()
 		}
-		if s.Follower.OwnAge() > behind && s.Follower.ReadAge() > unserved {
-			for _, h := range s.sources(hosts) {
-				s.begin(ctx, call{host: h, behind: true})
-			}
-		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(s.pause(hosts, p)):
@@ -135,6 +134,20 @@
 	return out
 }
 
+// askBehind has some hosts asked for everything, in the calls to them where there are
+// any: a second call to a host does not begin while one is under way.
+func askBehind(calls []call, sources []follower.Host) []call {
+	for _, h := range sources {
+		i := slices.IndexFunc(calls, func(c call) bool { return c.host.Name == h.Name })
+		if i < 0 {
+			calls = append(calls, call{host: h, behind: true})
+		} else {
+			calls[i].behind = true
+		}
+	}
+	return calls
+}
+
 // farDue reports whether relays of other data centres are to be called in this round.
 func (s *Sharer) farDue(relays int) bool {
 	s.mu.Lock()
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -90,21 +90,27 @@
 // TestTurnedAway guards against a host that grows out of date while the store turns it
 // away and serves the others.
 func TestTurnedAway(t *testing.T) {
-	run(t, func(_ *faker.Network, hosts map[string]*host) {
-		is := is.New(t)
-		hosts["c"].source.SetAway(true)
-		for _, name := range []string{"a", "b"} {
-			hosts[name].source.Configure(&matcher.Configuration{Version: 5})
-			hosts[name].source.List(balancer.Upstream{ID: "two", Address: "2"})
-			hosts[name].source.Drop("one")
-		}
-		time.Sleep(5 * time.Second)
-		c := hosts["c"]
-		is.True(c.follow.OwnAge() > 4*time.Second)
-		is.True(c.follow.Age() < 3*time.Second)
-		is.Equal(c.follow.Table().Version, int64(5))
-		is.Equal(c.balancer.IDs(), []string{"two"})
-	})
+	for _, away := range []string{"a", "b", "c"} {
+		t.Run(away, func(t *testing.T) {
+			run(t, func(_ *faker.Network, hosts map[string]*host) {
+				is := is.New(t)
+				hosts[away].source.SetAway(true)
+				for name, h := range hosts {
+					if name != away {
+						h.source.Configure(&matcher.Configuration{Version: 5})
+						h.source.List(balancer.Upstream{ID: "two", Address: "2"})
+						h.source.Drop("one")
+					}
+				}
+				time.Sleep(5 * time.Second)
+				h := hosts[away]
+				is.True(h.follow.OwnAge() > 4*time.Second)
+				is.True(h.follow.Age() < 3*time.Second)
+				is.Equal(h.follow.Table().Version, int64(5))
+				is.Equal(h.balancer.IDs(), []string{"two"})
+			})
+		})
+	}
 }
 
 // TestLinkOfOneTurnedAway guards against a link that is full of the same configurations,
