--- a/deduplicator/deduplicator_test.go
+++ b/deduplicator/deduplicator_test.go
@@ -105,10 +105,8 @@
 	return deduplicator.Call{RequestID: "r", Key: key, Digest: "d"}
 }
 
-// TestRandomRepeats has three hosts, whose clocks are minutes apart, get the
-// same calls again and again while the platform fails in all its ways, hosts are
-// replaced, and generations of records turn and expire. No call may run twice
-// within the retention.
+// TestRandomRepeats guards against a call that runs twice while clocks differ, the
+// platform fails and hosts are replaced.
 func TestRandomRepeats(t *testing.T) {
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
--- a/faker/network_test.go
+++ b/faker/network_test.go
@@ -11,10 +11,8 @@
 	"github.com/sardineward/sardineward/faker"
 )
 
-// TestWriteBeforeRead. Both ends of a TLS connection close it at the same moment
-// and each writes its alert. With a connection that takes nothing before it is
-// read, the writes wait for each other; net/http holds a lock meanwhile, and
-// whoever waits for that lock keeps virtual time from passing: the run hangs.
+// TestWriteBeforeRead guards against two ends of a connection that wait for each other
+// to read, which stops virtual time.
 func TestWriteBeforeRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -163,50 +163,6 @@
 // Configuration is what is in force; nil before the first was read.
 func (f *Follower) Configuration() *matcher.Configuration { return f.cfg.Load() }
 
-// Heard takes in what a peer answered to a call that this host sent at sent: its
-// version and its age. A host that the source turns away stays as fresh as its
-// peers by that. Only answers count: how long a call was on its way to this host
-// is not known.
-func (f *Follower) Heard(sent, age time.Duration, version int64, cfg *matcher.Configuration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.configure(cfg)
-	t := f.table.Load()
-	if t == nil || t.Version < version {
-		return
-	}
-	if at := int64(sent - age); at > f.fresh.Load() {
-		f.fresh.Store(at)
-	}
-}
-
-// Listed takes in the upstreams that a peer knew at a revision of the source,
-// unless this host has read a later one. An answer of a peer that was some
-// seconds on its way, to a host that was suspended, put an upstream back into use
-// that had begun to leave, and no change of its entry came after.
-func (f *Follower) Listed(list []balancer.Upstream, revision int64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	newest := max(f.revision, f.listed)
-	f.listed = max(newest, revision)
-	if revision <= newest {
-		return
-	}
-	// What this changes belongs to no revision that this host has read to.
-	f.history = history{}
-	known := make(map[string]bool, len(list))
-	for i := range list {
-		known[list[i].ID] = true
-	}
-	var gone []string
-	for _, id := range f.Balancer.IDs() {
-		if !known[id] {
-			gone = append(gone, id)
-		}
-	}
-	f.Balancer.List(list, gone)
-}
-
 // Revision is the one of the source up to which this host has read; 0 before the
 // first.
 func (f *Follower) Revision() int64 {
--- a/gossiper/join_test.go
+++ b/gossiper/join_test.go
@@ -9,11 +9,7 @@
 	"github.com/sardineward/sardineward/gossiper"
 )
 
-// TestStartedAtOnce. All four hosts of a user start at the same moment, and two
-// and two join each other. For ten seconds and more a host knew only of its
-// pair: a booking that ran on one of the others had "outcome unknown" for its
-// caller. Peers of the settings that nobody has heard of are tried until they
-// are known.
+// TestStartedAtOnce guards against hosts started at once that know only of their pair.
 func TestStartedAtOnce(t *testing.T) {
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -127,8 +127,6 @@
 // place looks at one service, and gives orders where this host holds a duty. Where
 // it does not, it still remembers what was listed: a duty is mostly taken right
 // after an outage or a cut, while entries that lapsed in it are on their way back.
-// A holder that did not know of these took their layers for lost and had all their
-// neighbours move.
 func (o *Orderer) place(ctx context.Context, s *matcher.Service, holds bool) {
 	fleet := o.Balancer.Fleet(o.Now(), s.Name)
 	if len(fleet) == 0 || !o.settle(len(fleet)) {
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -169,11 +169,8 @@
 	})
 }
 
-// TestTakenOver. A data centre is cut off from the source; its holder's duty and
-// the entries of its engines lapse. When the cut ends, another host takes the duty
-// while some entries are not back yet. It took their layers for lost, and six
-// engines that lived moved to close the gaps. A holder that saw them listed a
-// moment ago waits for them.
+// TestTakenOver guards against engines moved for layers whose holders are on their way
+// back after a cut.
 func TestTakenOver(t *testing.T) {
 	run(t, func(e *engines, holds *atomic.Bool) {
 		is := is.New(t)
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -1,11 +1,9 @@
 // Package pacer learns which engines are slower than their kind of accelerator
 // is, from what they report of themselves.
 //
-// The load it answers: some engines of a fleet take many times as long for each
-// step. Every stream over one of them gets its events that much later, requests
-// pile up before it, and nothing that a host sees of a path of a dozen tells which
-// one it is. So the engines of paths on which events came late are asked, and
-// hosts tell each other what they learnt with what they have in flight.
+// Nothing that a host sees of a path of a dozen engines tells which of them is slow.
+// So the engines of paths on which events came late are asked, and hosts tell each
+// other what they learnt with what they have in flight.
 package pacer
 
 import (
--- a/placer/layout.go
+++ b/placer/layout.go
@@ -29,14 +29,10 @@
 	return out
 }
 
-// layout is the range of each member once all moves are made.
-//
-// The load it answers: a member is lost, with a layer that no other one in its
-// data centre holds. Every request there has to cross to another data centre or
-// to go there whole, each running one reads its prompt anew, and the others have
-// to bear what it bore, until a member was found, drained and loaded. Where the
-// fleet has memory for every layer twice and still bears nearly as much, that is
-// taken; else what bears most.
+// layout is the range of each member once all moves are made. Without a member that
+// holds a layer alone all requests of its data centre go elsewhere, until another one
+// was drained and loaded; so every layer is held twice where the fleet has memory for
+// that and still bears nearly as much.
 func layout(m Model, members []Member) []Span {
 	bands := bandsOf(members)
 	var fastest, safe plan
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -112,10 +112,7 @@
 	return most / (t0 + t1*most)
 }
 
-// TestLoadStep. A third more callers than usual came and every answer was late,
-// though no card was out of memory: slow cards held 30 of 80 layers, each once,
-// and with each request in their batches every step took longer. The layout has
-// to bear more than the one with a fixed number of layers a card.
+// TestLoadStep guards against a layout in which slow cards make every answer late.
 func TestLoadStep(t *testing.T) {
 	for _, tc := range [][3]int{{1, 6, 6}, {1, 10, 4}, {2, 4, 4}} {
 		t.Run(fmt.Sprint(tc), func(t *testing.T) {
