--- a/balancer/path.go
+++ b/balancer/path.go
@@ -62,7 +62,10 @@
 // answer; those on one upstream are at all stages of it.
 func (n Need) tokens() float64 { return n.Prompt + n.Answer/2 }
 
-// choose is the cheapest path; nil unless the reason is ReasonNone.
+// choose is the cheapest path; nil unless the reason is ReasonNone. It goes over
+// several data centres only where none of them holds all layers. Full data centres
+// would fill the pipes between them with prompts: every stream over a pipe waits there
+// at each of its events.
 func (b *Balancer) choose(now time.Duration, s *matcher.Service, n Need) ([]Hop, Reason) {
 	e := s.Engine
 	cands := make([]picker.Candidate, 0, len(b.ups))
@@ -75,7 +78,13 @@
 	if len(cands) == 0 {
 		return nil, ReasonNoUpstream
 	}
-	route := b.Policy.Pick(cands, picker.Need{Layers: e.Layers}, b.links(now, e, n, cands), b.Rand)
+	route := b.Policy.Pick(cands, picker.Need{Layers: e.Layers, Local: true}, nil, b.Rand)
+	if route == nil && holdsAll(cands, e.Layers) {
+		return nil, ReasonNoRoom
+	}
+	if route == nil {
+		route = b.Policy.Pick(cands, picker.Need{Layers: e.Layers}, b.links(now, e, n, cands), b.Rand)
+	}
 	if route == nil {
 		return nil, b.shortage(cands, e.Layers)
 	}
@@ -298,14 +307,35 @@
 func (b *Balancer) shortage(cands []picker.Candidate, layers int) Reason {
 	held := make([]bool, layers)
 	for i := range cands {
-		for l := cands[i].First; l <= cands[i].Last && l < layers; l++ {
-			held[l] = true
+		mark(held, &cands[i])
+	}
+	if slices.Contains(held, false) {
+		return ReasonNoUpstream
+	}
+	return ReasonNoRoom
+}
+
+// holdsAll reports whether some data centre holds all layers, with room or without.
+func holdsAll(cands []picker.Candidate, layers int) bool {
+	held := make(map[string][]bool)
+	for i := range cands {
+		dc := cands[i].DataCentre
+		if held[dc] == nil {
+			held[dc] = make([]bool, layers)
 		}
+		mark(held[dc], &cands[i])
 	}
-	for _, ok := range held {
-		if !ok {
-			return ReasonNoUpstream
+	for _, layers := range held {
+		if !slices.Contains(layers, false) {
+			return true
 		}
 	}
-	return ReasonNoRoom
+	return false
+}
+
+// mark notes the layers that a candidate holds.
+func mark(held []bool, c *picker.Candidate) {
+	for l := c.First; l <= c.Last && l < len(held); l++ {
+		held[l] = true
+	}
 }
--- a/picker/cheapest.go
+++ b/picker/cheapest.go
@@ -99,6 +99,9 @@
 	if m == 0 {
 		return -1, links.Latency(need.From, centres[dc]).Seconds()
 	}
+	if need.Local {
+		return m*width + dc, nodes[m*width+dc].cost
+	}
 	from, cost = -1, math.Inf(1)
 	for d := range centres {
 		c := nodes[m*width+d].cost + links.Latency(centres[d], centres[dc]).Seconds()
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -57,6 +57,8 @@
 	Layers int
 	// From is the data centre the route starts and ends at; empty means any.
 	From string
+	// Local keeps the route in one data centre.
+	Local bool
 }
 
 // Hop is one upstream of a route and the layers it runs, both included.
