placer: large data centres are laid out in cells

Cause: a group was laid out as a whole with at most eight rows a band. Of 1,000 members (90 fast, 350 medium, 560 slow) all slow ones held the same two layers and 76 layers had 22 to 24 holders; what is left over after the rows goes beside the layers with fewest holders, and beyond six holders all layers look alike. Ruled out: more rows a band (the time of a layout grows with rows times members). Change: above 64 members a group is dealt out into cells of about 40 with the same mix of kinds, each laid out alone; cells of equal kinds share one computation. Before/after: TestLargeGroup red at 320 and 1,000 members, green; BenchmarkPlan at 1,000 some 800 ms (another mix) or 390 ms (as committed) to 46 ms.

--- a/placer/layout.go
+++ b/placer/layout.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
+	"strings"
 )
 
 const (
@@ -21,14 +23,61 @@
 // layAll gives every member its range of a new layout.
 func layAll(m Model, members []Member) []Move {
 	var out []Move
-	for i, s := range layout(m, members) {
-		if s.Len() > 0 && !members[i].Pending && !members[i].Missing {
-			out = append(out, Move{members[i].ID, s})
+	known := make(map[string][]Span)
+	for _, cell := range cells(m, members) {
+		kinds := kindsOf(cell)
+		if known[kinds] == nil {
+			known[kinds] = layout(m, cell)
+		}
+		for i, s := range known[kinds] {
+			if s.Len() > 0 && !cell[i].Pending && !cell[i].Missing {
+				out = append(out, Move{cell[i].ID, s})
+			}
 		}
 	}
 	return out
 }
 
+const (
+	// cellSize is about how many members a cell of a large group has, mostCell how
+	// many one has at most.
+	cellSize = 40
+	mostCell = 64
+)
+
+// cells deals a large group out into parts that are laid out alone, each with its
+// share of every kind: the ways to lay out members grow faster than their number, and
+// a layer needs only so many holders in one layout.
+func cells(m Model, members []Member) [][]Member {
+	if len(members) <= mostCell {
+		return [][]Member{members}
+	}
+	sorted := slices.Clone(members)
+	slices.SortStableFunc(sorted, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(a.Pace, b.Pace), cmp.Compare(b.MB, a.MB), strings.Compare(a.ID, b.ID))
+	})
+	for n := len(members) / cellSize; n > 1; n-- {
+		out := make([][]Member, n)
+		for i, x := range sorted {
+			out[i%n] = append(out[i%n], x)
+		}
+		if !slices.ContainsFunc(out, func(cell []Member) bool { return !fits(m, cell) }) {
+			return out
+		}
+	}
+	return [][]Member{members}
+}
+
+// kindsOf names the kinds of members in order: cells with the same have the same
+// layout.
+func kindsOf(members []Member) string {
+	var out strings.Builder
+	for _, x := range members {
+		fmt.Fprintf(&out, "%g/%g ", x.MB, x.Pace)
+	}
+	return out.String()
+}
+
 // layout is the range of each member once all moves are made. Without a member that
 // holds a layer alone all requests of its data centre go elsewhere, until another one
 // was drained and loaded; so every layer is held twice where the fleet has memory for
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -266,6 +267,23 @@
 	}
 }
 
+// TestLargeGroup guards against a large data centre whose members nearly all hold the
+// same few layers.
+func TestLargeGroup(t *testing.T) {
+	fewest := func(members []placer.Member) int {
+		apply(members, placer.Plan(model, members))
+		return slices.Min(holders(members, "a"))
+	}
+	one := fewest(fleet("a", 4, 20, 16))
+	for _, n := range []int{3, 8, 25} {
+		t.Run(fmt.Sprint(40*n, " members"), func(t *testing.T) {
+			is := is.New(t)
+			members := fleet("a", 4*n, 20*n, 16*n)
+			is.True(fewest(members) >= n*one)
+		})
+	}
+}
+
 func BenchmarkPlan(b *testing.B) {
 	for _, size := range []int{38, 93, 1000} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
