--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -139,6 +139,10 @@
 	// upstream had no room though this host expected some.
 	hidden float64
 	fullAt time.Duration
+	// rank is its place in this host's own order, retired is set where the subset
+	// holds it for what is in flight only.
+	rank    uint64
+	retired bool
 }
 
 // Load is what an upstream says of itself in an answer.
@@ -148,6 +152,8 @@
 
 // Balancer is safe for concurrent use. The fields are set before use.
 type Balancer struct {
+	// Host is this host's name; which part of a large fleet it uses follows from it.
+	Host string
 	// DataCentre is this host's own.
 	DataCentre string
 	Policy     picker.Policy
@@ -166,6 +172,7 @@
 	services map[string]*matcher.Service
 	ups      map[string]*upstream
 	byAddr   map[string]*upstream
+	subset   subset
 }
 
 // Configure takes in the services.
@@ -176,6 +183,7 @@
 	for _, u := range b.ups {
 		u.measure(services[u.Service])
 	}
+	b.subset.stale = true
 }
 
 // List takes in changes of the list. It returns those that differ from what was
@@ -204,13 +212,17 @@
 			u = nil
 		}
 		if u == nil {
-			u = &upstream{}
+			u = &upstream{rank: rankOf(b.Host, l.ID)}
 			b.ups[l.ID] = u
 		}
 		u.Upstream = l
 		u.measure(b.services[l.Service])
 		b.supersede(u)
 	}
+	if len(b.ups) <= mostUsed {
+		b.useAll()
+	}
+	b.subset.stale = b.subset.stale || len(changed)+len(dropped) > 0
 	return changed, dropped
 }
 
@@ -237,6 +249,7 @@
 		return
 	}
 	delete(b.ups, id)
+	delete(b.subset.used, id)
 	if b.byAddr[u.Address] == u {
 		delete(b.byAddr, u.Address)
 	}
@@ -309,10 +322,15 @@
 	if s == nil {
 		return nil, ReasonNoUpstream
 	}
-	if s.Engine != nil && s.Engine.Layers > 0 {
-		return b.path(now, s, n)
+	if s.Engine == nil || s.Engine.Layers == 0 {
+		return b.plain(now, n)
+	}
+	b.refresh(now)
+	l, reason := b.path(now, s, n)
+	if l == nil && b.widen(now) {
+		l, reason = b.path(now, s, n)
 	}
-	return b.plain(now, n)
+	return l, reason
 }
 
 // first reports whether the request may be sent to an upstream.
@@ -343,7 +361,7 @@
 	var best *upstream
 	var cost float64
 	known := false
-	for _, u := range b.ups {
+	for _, u := range b.subset.used {
 		if u.Service != n.Service {
 			continue
 		}
--- a/balancer/health.go
+++ b/balancer/health.go
@@ -50,7 +50,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []Hop
-	for _, u := range b.ups {
+	for _, u := range b.subset.used {
 		limit := max(silenceLeast, silenceOne/time.Duration(max(1, u.flows)))
 		if u.flows > 0 && !u.dead && now-u.progressed > limit {
 			out = append(out, Hop{ID: u.ID, Address: u.Address})
@@ -100,7 +100,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	centres := make(map[string][]Hop)
-	for _, u := range b.ups {
+	for _, u := range b.subset.used {
 		if u.dead {
 			centres[u.DataCentre] = append(centres[u.DataCentre], Hop{ID: u.ID, Address: u.Address})
 		}
@@ -125,7 +125,7 @@
 		return nil
 	}
 	var out []Hop
-	for _, v := range b.ups {
+	for _, v := range b.subset.used {
 		if v.dead && v != u && v.DataCentre == u.DataCentre {
 			out = append(out, Hop{ID: v.ID, Address: v.Address})
 		}
@@ -143,6 +143,7 @@
 		return false
 	}
 	u.dead = dead
+	b.subset.stale = true
 	if dead {
 		u.died = now
 	} else {
@@ -156,7 +157,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []string
-	for id, u := range b.ups {
+	for id, u := range b.subset.used {
 		if u.died > 0 && max(u.died-at, at-u.died) <= within {
 			out = append(out, id)
 		}
@@ -191,7 +192,7 @@
 	}
 	var out []Hop
 	more := false
-	for _, v := range b.ups {
+	for _, v := range b.subset.used {
 		if v == u || v.DataCentre != u.DataCentre {
 			continue
 		}
--- a/balancer/pace.go
+++ b/balancer/pace.go
@@ -39,7 +39,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []Hop
-	for _, u := range b.ups {
+	for _, u := range b.subset.used {
 		others := b.reported(now, u)
 		tellers := int64(0)
 		if others != nil {
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -68,9 +68,9 @@
 // at each of its events.
 func (b *Balancer) choose(now time.Duration, s *matcher.Service, n Need) ([]Hop, Reason) {
 	e := s.Engine
-	cands := make([]picker.Candidate, 0, len(b.ups))
-	for _, u := range b.ups {
-		if u.Service != n.Service || u.Holds.Len() == 0 || !u.usable(now, n.Avoid) {
+	cands := make([]picker.Candidate, 0, len(b.subset.used))
+	for _, u := range b.subset.used {
+		if u.Service != n.Service || u.Holds.Len() == 0 || u.retired || !u.usable(now, n.Avoid) {
 			continue
 		}
 		cands = append(cands, b.candidate(now, e, u, n, n.tokens()))
@@ -142,7 +142,7 @@
 	}
 	e, first := s.Engine, l.First
 	var cands []picker.Candidate
-	for _, u := range b.ups {
+	for _, u := range b.subset.used {
 		if u.Service != s.Name || u.Holds.To <= first.To || u.ID == first.ID || u.ID == avoid || !u.usable(now, nil) {
 			continue
 		}
--- a/balancer/path_bench_test.go
+++ b/balancer/path_bench_test.go
@@ -14,10 +14,10 @@
 // BenchmarkAcquire is one choice of a path, with what all other hosts have in
 // flight over every upstream known.
 func BenchmarkAcquire(b *testing.B) {
-	for _, size := range []struct{ upstreams, hosts int }{{40, 4}, {100, 25}, {200, 25}, {205, 119}, {205, 300}} {
+	for _, size := range []struct{ upstreams, hosts int }{{40, 4}, {100, 25}, {200, 25}, {205, 119}, {205, 300}, {1000, 100}, {3000, 300}} {
 		b.Run(fmt.Sprintf("%d upstreams %d hosts", size.upstreams, size.hosts), func(b *testing.B) {
 			const ranges = 10
-			bal := &balancer.Balancer{DataCentre: "dc0", Policy: picker.Cheapest{Steepness: 2, Spread: 0.1}, Rand: rand.New(rand.NewPCG(1, 1))}
+			bal := &balancer.Balancer{Host: "h", DataCentre: "dc0", Policy: picker.Cheapest{Steepness: 2, Spread: 0.1}, Rand: rand.New(rand.NewPCG(1, 1))}
 			bal.Configure(map[string]*matcher.Service{"model": {Name: "model", Engine: engine()}})
 			var list []balancer.Upstream
 			var usage []balancer.Usage
@@ -27,6 +27,7 @@
 				usage = append(usage, balancer.Usage{Upstream: id, Requests: min(1, 119/int64(size.hosts)), Room: 24000 / int64(size.hosts)})
 			}
 			bal.List(list, nil)
+			bal.SetHosts(hostsIn(size.hosts))
 			for h := range size.hosts - 1 {
 				if err := bal.SetReport(time.Second, fmt.Sprint("h", h), balancer.Report{Hosts: map[string]int{"dc0": 1}, Usage: usage}); err != nil {
 					b.Fatal(err)
@@ -43,3 +44,12 @@
 		})
 	}
 }
+
+// hostsIn are hosts in three data centres.
+func hostsIn(n int) map[string]string {
+	out := make(map[string]string)
+	for i := range n {
+		out[fmt.Sprint("host", i)] = fmt.Sprint("dc", i%3)
+	}
+	return out
+}
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -1,7 +1,9 @@
 package balancer
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -203,24 +205,29 @@
 
 func (b *Balancer) usage(now time.Duration) Report {
 	out := Report{Hosts: map[string]int{b.DataCentre: 1}}
-	for id, u := range b.ups {
-		own := Usage{Upstream: id, Requests: int64(u.passing), Room: int64(math.Round(u.reserved)), Pace: u.ownPace(now)}
-		if u.dead {
-			own.Dead = 1
-		}
-		if u.suspectUntil > now {
-			own.Suspected = 1
-		}
-		if own.Pace > 0 {
-			own.Paced = 1
-		}
-		if !own.empty() {
+	for _, u := range b.subset.used {
+		if own := u.usage(now); !own.empty() {
 			out.Usage = append(out.Usage, own)
 		}
 	}
 	return out
 }
 
+// usage is what this host has in flight over an upstream and saw of it.
+func (u *upstream) usage(now time.Duration) Usage {
+	out := Usage{Upstream: u.ID, Requests: int64(u.passing), Room: int64(math.Round(u.reserved)), Pace: u.ownPace(now)}
+	if u.dead {
+		out.Dead = 1
+	}
+	if u.suspectUntil > now {
+		out.Suspected = 1
+	}
+	if out.Pace > 0 {
+		out.Paced = 1
+	}
+	return out
+}
+
 // SetReport takes in what a source reported, in place of what it reported before.
 // Without reports each host would take an upstream for empty that all the others
 // fill. A figure that can't be is left out; the error names the first.
@@ -286,16 +293,13 @@
 	return out
 }
 
-// Sum adds this host's own usage to all reports but those of some sources.
-func (b *Balancer) Sum(now time.Duration, without func(source string) bool) Report {
+// Sum adds this host's own usage to all reports but those of some sources, for some
+// upstreams; none is for all.
+func (b *Balancer) Sum(now time.Duration, without func(source string) bool, upstreams []string) Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peers.expire(now)
-	out := b.usage(now)
-	at := make(map[string]int, len(out.Usage))
-	for i := range out.Usage {
-		at[out.Usage[i].Upstream] = i
-	}
+	out := Report{Hosts: map[string]int{b.DataCentre: 1}}
 	for dc, n := range b.peers.hosts {
 		out.Hosts[dc] += n
 	}
@@ -308,36 +312,73 @@
 			}
 		}
 	}
-	for id, sum := range b.peers.sum {
-		part := *sum
-		for _, from := range left {
-			if u, ok := from.usage[id]; ok {
-				part.subtract(&u)
-			}
+	add := func(id string) {
+		if u := b.total(now, id, left); !u.empty() {
+			out.Usage = append(out.Usage, u)
 		}
-		if part.empty() {
-			continue
+	}
+	if len(upstreams) > 0 {
+		for _, id := range upstreams {
+			add(id)
 		}
-		if part.Paced == 0 {
-			part.Pace = 0
+		return out
+	}
+	for id := range b.peers.sum {
+		add(id)
+	}
+	for id := range b.subset.used {
+		if b.peers.sum[id] == nil {
+			add(id)
 		}
-		if i, own := at[id]; own {
-			out.Usage[i].add(&part)
-		} else {
-			out.Usage = append(out.Usage, part)
+	}
+	return out
+}
+
+// total adds this host's own usage of an upstream to all reports but some.
+func (b *Balancer) total(now time.Duration, id string, without []*report) Usage {
+	out := Usage{Upstream: id}
+	if sum := b.peers.sum[id]; sum != nil {
+		out = *sum
+	}
+	for _, from := range without {
+		if u, ok := from.usage[id]; ok {
+			out.subtract(&u)
 		}
 	}
+	if out.Paced == 0 {
+		out.Pace = 0
+	}
+	if u := b.ups[id]; u != nil {
+		own := u.usage(now)
+		out.add(&own)
+	}
 	return out
 }
 
+// Fullest is the report with the given number of upstreams at most: those that some
+// host can't reach or suspects, then those with most room taken.
+func (r Report) Fullest(most int) Report {
+	if len(r.Usage) <= most {
+		return r
+	}
+	doubted := func(u *Usage) int64 { return min(1, u.Dead+u.Suspected) }
+	slices.SortFunc(r.Usage, func(a, b Usage) int {
+		return cmp.Or(cmp.Compare(doubted(&b), doubted(&a)), cmp.Compare(b.Room, a.Room), strings.Compare(a.Upstream, b.Upstream))
+	})
+	r.Usage = r.Usage[:most]
+	return r
+}
+
 // SetHosts takes in the other hosts, each with its data centre.
 func (b *Balancer) SetHosts(hosts map[string]string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.hosts = make(map[string]int)
+	count := make(map[string]int)
 	for _, dc := range hosts {
-		b.hosts[dc]++
+		count[dc]++
 	}
+	b.subset.stale = b.subset.stale || !maps.Equal(count, b.hosts)
+	b.hosts = count
 }
 
 // unreported is how many hosts of a data centre, this one included, are in no
--- a/balancer/peers_test.go
+++ b/balancer/peers_test.go
@@ -46,7 +46,7 @@
 					sum = addReports(sum, k.report)
 				}
 			}
-			got := b.Sum(now, func(source string) bool { return source == left })
+			got := b.Sum(now, func(source string) bool { return source == left }, nil)
 			assertSameReport(t, got, sum)
 		}
 	})
@@ -140,7 +140,7 @@
 	is.NoErr(b.SetReport(0, "host-b", report(12)))
 	is.NoErr(b.SetReport(time.Second, "host-c", report(3)))
 	pace := func(now time.Duration) float64 {
-		for _, u := range b.Sum(now, func(string) bool { return false }).Usage {
+		for _, u := range b.Sum(now, func(string) bool { return false }, nil).Usage {
 			return u.Pace
 		}
 		return 0
@@ -149,3 +149,31 @@
 	is.Equal(pace(2*time.Second), 3.0)
 	is.Equal(pace(9*time.Second), 0.0)
 }
+
+// TestFullest guards against reports that grow with the fleet, and against an upstream
+// that can't be reached being left out of one.
+func TestFullest(t *testing.T) {
+	is := is.New(t)
+	r := balancer.Report{}
+	for i := range 100 {
+		r.Usage = append(r.Usage, balancer.Usage{Upstream: fmt.Sprint("u", i), Room: int64(i)})
+	}
+	r.Usage[3].Dead = 1
+	got := r.Fullest(10)
+	is.Equal(len(got.Usage), 10)
+	is.Equal(got.Usage[0].Upstream, "u3")
+	is.Equal(got.Usage[1].Upstream, "u99")
+	is.Equal(len(got.Fullest(20).Usage), 10)
+}
+
+// TestSumOfSome guards against answers to a host that tell of the whole fleet.
+func TestSumOfSome(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	is.NoErr(b.SetReport(0, "x", balancer.Report{Usage: []balancer.Usage{{Upstream: "a1", Requests: 2}, {Upstream: "a2", Requests: 3}}}))
+	b.Release(acquire(t, b, 0, need))
+	acquire(t, b, 0, need)
+	got := b.Sum(0, func(string) bool { return false }, []string{"a2", "gone"})
+	is.Equal(len(got.Usage), 1)
+	is.Equal(got.Usage[0].Requests, int64(4))
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -170,6 +170,7 @@
 	h.budgets.New = h.newBudget
 	h.meter = meter.New(meter.Labels(admitter.ReasonValues()), meter.Labels(streamer.CauseValues()))
 	h.balancer = &balancer.Balancer{
+		Host:       cfg.Host,
 		DataCentre: cfg.DataCentre,
 		Policy:     picker.Cheapest{Steepness: 2, Spread: 0.1},
 		Rand:       rand.New(rand.NewPCG(h.Seed, 1)),
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -40,8 +40,10 @@
 }
 
 const (
-	// period is the time between two looks at the layout.
-	period = 250 * time.Millisecond
+	// period is the time between two looks at the layout, and idlePeriod on a host
+	// that gives no orders and only remembers what was listed.
+	period     = 250 * time.Millisecond
+	idlePeriod = time.Second
 	// patience is how long an order that was accepted is awaited before the list
 	// is believed again. An upstream first drains the streams over what it gives
 	// up; with four seconds a second and a third one were sent for the same gap.
@@ -106,6 +108,7 @@
 	o.last = make(map[string]remembered)
 	tick := time.NewTicker(period)
 	defer tick.Stop()
+	var looked time.Duration
 	for {
 		select {
 		case <-ctx.Done():
@@ -116,6 +119,10 @@
 		if !holds {
 			o.forget()
 		}
+		if now := o.Now(); o.settled && !holds && now-looked < idlePeriod-period/2 {
+			continue
+		}
+		looked = o.Now()
 		for _, s := range o.Services() {
 			if s.Engine != nil && s.Engine.Layers > 0 {
 				o.place(ctx, s, holds)
--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -208,7 +208,7 @@
 // counted is how many hosts a member has reports of, itself included.
 func (fl *fleet) counted(m *member) int {
 	n := 0
-	for _, hosts := range m.balancer.Sum(fl.now(), func(string) bool { return false }).Hosts {
+	for _, hosts := range m.balancer.Sum(fl.now(), func(string) bool { return false }, nil).Hosts {
 		n += hosts
 	}
 	return n
@@ -216,7 +216,7 @@
 
 // dead is how many hosts a member knows to which an upstream takes no connection.
 func (fl *fleet) dead(m *member, id string) int64 {
-	for _, u := range m.balancer.Sum(fl.now(), func(string) bool { return false }).Usage {
+	for _, u := range m.balancer.Sum(fl.now(), func(string) bool { return false }, nil).Usage {
 		if u.Upstream == id {
 			return u.Dead
 		}
--- a/sharer/report.go
+++ b/sharer/report.go
@@ -15,6 +15,11 @@
 	centreSource = "dataCentre:"
 )
 
+// mostFar bounds the upstreams that a relay tells those of other data centres of. These
+// send little there while their own have room, and what is hardly used may pass for
+// idle.
+const mostFar = 256
+
 // answering is the scope of the report that answers one of a scope.
 func answering(asked peer.Scope) peer.Scope {
 	switch asked {
@@ -27,20 +32,22 @@
 	}
 }
 
-// report is what this host tells a peer; nil for no scope, and where it does not
-// know the hosts of the scope one by one.
-func (s *Sharer) report(scope peer.Scope, to string) *peer.Report {
+// report is what this host tells a peer: of some upstreams where it sums the fleet up,
+// none is all. It is nil for no scope, and where this host does not know the hosts of
+// the scope one by one.
+func (s *Sharer) report(scope peer.Scope, to string, upstreams []string) *peer.Report {
 	now := s.Now()
 	switch scope {
 	case peer.Scope_SCOPE_HOST:
 		return encode(scope, s.Balancer.Usage(now))
 	case peer.Scope_SCOPE_FLEET:
-		return encode(scope, s.Balancer.Sum(now, func(source string) bool { return source == to }))
+		return encode(scope, s.Balancer.Sum(now, func(source string) bool { return source == to }, upstreams))
 	case peer.Scope_SCOPE_DATA_CENTRE:
 		if !s.roles.isRelay() {
 			return nil
 		}
-		return encode(scope, s.Balancer.Sum(now, func(source string) bool { return strings.HasPrefix(source, centreSource) }))
+		sum := s.Balancer.Sum(now, func(source string) bool { return strings.HasPrefix(source, centreSource) }, nil)
+		return encode(scope, sum.Fullest(mostFar))
 	default:
 		return nil
 	}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -234,10 +234,13 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := s.Now()
-	req := &peer.ShareRequest{Host: s.Self, DataCentre: s.DataCentre, Report: s.report(c.scope, c.host.Name), Behind: c.behind, Strikes: s.strikes()}
+	req := &peer.ShareRequest{Host: s.Self, DataCentre: s.DataCentre, Report: s.report(c.scope, c.host.Name, nil), Behind: c.behind, Strikes: s.strikes()}
 	if cfg := s.Follower.Configuration(); cfg != nil {
 		req.Version = cfg.Version
 	}
+	if c.scope == peer.Scope_SCOPE_HOST {
+		req.Upstreams = s.Balancer.Used(sent)
+	}
 	if c.changes || c.behind {
 		req.Revision = s.Follower.Revision()
 	}
@@ -293,7 +296,7 @@
 	}
 	state := s.Follower.State(req.Revision)
 	resp := &peer.ShareResponse{
-		Host: s.Self, Report: s.report(answering(req.GetReport().GetScope()), req.Host), Strikes: s.strikes(),
+		Host: s.Self, Report: s.report(answering(req.GetReport().GetScope()), req.Host, req.Upstreams), Strikes: s.strikes(),
 		Version: state.Version, Revision: state.Revision, AgeMs: state.Age.Milliseconds() + 1, ReadAgeMs: state.ReadAge.Milliseconds() + 1,
 	}
 	var err error
