--- a/faker/directory.go
+++ b/faker/directory.go
@@ -107,6 +107,16 @@
 	return out, nil
 }
 
+// Configuration implements follower.Source.
+func (d *Directory) Configuration(context.Context) (*matcher.Configuration, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.away {
+		return nil, errAway
+	}
+	return d.cfg, nil
+}
+
 // Changes implements follower.Source.
 func (d *Directory) Changes(ctx context.Context, after int64, wait time.Duration) (*follower.Changes, error) {
 	d.mu.Lock()
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -63,6 +63,8 @@
 	// Changes returns what changed after a revision, at once if there is any,
 	// else after wait. It returns ErrCompacted when that can't be told.
 	Changes(ctx context.Context, after int64, wait time.Duration) (*Changes, error)
+	// Configuration reads the configuration alone.
+	Configuration(ctx context.Context) (*matcher.Configuration, error)
 }
 
 const (
@@ -83,6 +85,9 @@
 	// slack is how long beyond wait an answer may take: a hundred times the
 	// usual, and short enough to try twice before keys have to be doubted.
 	slack = 700 * time.Millisecond
+	// loadTime bounds the reading of everything: all hosts of a large fleet may start
+	// at once and share the link of the source.
+	loadTime = 12 * time.Second
 	// retry is the pause after a failed call.
 	retry = 250 * time.Millisecond
 	// fallback is the age of what was read from which a host that relays serve reads
@@ -259,6 +264,9 @@
 	}
 	call, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
+	if f.lacksConfiguration() {
+		return f.readConfiguration(call, sent)
+	}
 	ch, err := f.Source.Changes(call, after, wait)
 	if errors.Is(err, ErrCompacted) {
 		f.Log.Info().Int64("revision", after).Msg("follower: history is gone, reading everything")
@@ -275,8 +283,36 @@
 	return nil
 }
 
+// lacksConfiguration reports whether a newer configuration is all that peers could not
+// tell this host.
+func (f *Follower) lacksConfiguration() bool {
+	if f.Reads == nil || f.Reads() || f.ReadAge() >= fallback {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.table.Load()
+	return t != nil && t.Version < f.newestVersion && f.revision >= f.newestRevision && len(f.missing) == 0
+}
+
+// readConfiguration reads the configuration alone: entries of a large fleet, which are
+// written again all the time, are many times as long.
+func (f *Follower) readConfiguration(ctx context.Context, sent time.Duration) error {
+	cfg, err := f.Source.Configuration(ctx)
+	if err != nil {
+		return err
+	}
+	f.regained()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.configure(cfg)
+	f.own.Store(int64(sent))
+	f.fresh.Store(max(f.fresh.Load(), int64(sent)))
+	return nil
+}
+
 func (f *Follower) reload(ctx context.Context, sent time.Duration) error {
-	call, cancel := context.WithTimeout(ctx, wait+slack)
+	call, cancel := context.WithTimeout(ctx, loadTime)
 	defer cancel()
 	ch, err := f.Source.Load(call)
 	if err != nil {
--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -58,6 +58,14 @@
 	return v.see(v.fleet.source.Changes(ctx, after, wait))
 }
 
+func (v view) Configuration(ctx context.Context) (*matcher.Configuration, error) {
+	v.fleet.calls.Add(1)
+	if v.away.Load() {
+		return nil, errors.New("turned away")
+	}
+	return v.fleet.source.Configuration(ctx)
+}
+
 func (v view) see(ch *follower.Changes, err error) (*follower.Changes, error) {
 	v.fleet.calls.Add(1)
 	if v.away.Load() {
