--- a/placer/gaps.go
+++ b/placer/gaps.go
@@ -102,7 +102,7 @@
 		if x.Pending || x.Missing || moved[x.ID] || !held.spare(x.Held) {
 			continue
 		}
-		n := min(gap.Len(), most(m, x.MB, fillerRequests))
+		n := evenPart(gap.Len(), most(m, x.MB, fillerRequests))
 		// Closing more counts most, then being empty, then having few streams to
 		// drain, then being fast.
 		g := 1e6 * float64(n)
@@ -118,6 +118,17 @@
 	return best, span
 }
 
+// evenPart is how many layers of a gap a member takes that can hold some at most. Where
+// it needs others beside it they take about as many each: with one layer on the last
+// and all that fit on the others, these would have room for few requests.
+func evenPart(gap, most int) int {
+	if most <= 0 {
+		return 0
+	}
+	members := (gap + most - 1) / most
+	return (gap + members - 1) / members
+}
+
 // neighbour is a member that holds layers beside a gap and has memory for some
 // more, and the range that it holds with them. It comes after members that can
 // be spared: what it lends, the streams of its data centre lack. Without it a
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -267,6 +267,28 @@
 	}
 }
 
+// TestGapShared guards against a gap of which one member takes all that fits, so that it
+// has room for few requests, and the next one a single layer.
+func TestGapShared(t *testing.T) {
+	is := is.New(t)
+	members := fleet("a", 2, 0, 30)
+	at := 0
+	for i := range members[2:] {
+		x := &members[2+i]
+		x.Held = placer.Span{From: min(at, 60), To: min(at, 60) + 8}
+		if at += 8; at > 64 {
+			at = 0
+		}
+	}
+	members = members[2:] // both that held the last twelve layers are lost
+	moves := placer.Plan(model, members)
+	apply(members, moves)
+	assertCovered(t, members, "a")
+	for _, m := range moves {
+		is.True(m.Span.Len() <= 6)
+	}
+}
+
 // TestLargeGroup guards against a large data centre whose members nearly all hold the
 // same few layers.
 func TestLargeGroup(t *testing.T) {
