--- a/balancer/path.go
+++ b/balancer/path.go
@@ -134,6 +134,34 @@
 	return slices.Clone(hops)
 }
 
+// SetPath puts the reservation of a lease back to a path that it had.
+func (b *Balancer) SetPath(l *Lease, hops []Hop) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.release(l)
+	l.hops = slices.Clone(hops)
+	b.reserve(l)
+}
+
+// GivenUp lists the hops of a lease, but the first, whose upstream lives and does not
+// hold its part of the path any more. It loads other layers only once all that
+// passes through it has ended.
+func (b *Balancer) GivenUp(now time.Duration, l *Lease) []Hop {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Hop
+	for i, h := range l.hops {
+		u := b.ups[h.ID]
+		if i == 0 || u == nil || !u.usable(now, nil) {
+			continue
+		}
+		if h.From < u.Holds.From || h.To > u.Holds.To {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // detour is the path of Repath. The room of the lease itself has to be free.
 func (b *Balancer) detour(now time.Duration, l *Lease, avoid string) []Hop {
 	s := b.services[l.need.Service]
