--- a/balancer/path.go
+++ b/balancer/path.go
@@ -146,13 +146,13 @@
 // GivenUp lists the hops of a lease, but the first, whose upstream lives and does not
 // hold its part of the path any more. It loads other layers only once all that
 // passes through it has ended.
-func (b *Balancer) GivenUp(now time.Duration, l *Lease) []Hop {
+func (b *Balancer) GivenUp(l *Lease) []Hop {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []Hop
 	for i, h := range l.hops {
 		u := b.ups[h.ID]
-		if i == 0 || u == nil || !u.usable(now, nil) {
+		if i == 0 || u == nil || u.dead || u.Leaving {
 			continue
 		}
 		if h.From < u.Holds.From || h.To > u.Holds.To {
--- a/forwarder/moves_test.go
+++ b/forwarder/moves_test.go
@@ -61,6 +61,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
 	w.Watch(ctx)
+	time.Sleep(time.Second)
 }
 
 // runWorld runs a stream in virtual time.
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -93,7 +93,7 @@
 		}
 		if now-left >= leavePeriod {
 			left = now
-			f.leaveGivenUp(ctx, now)
+			f.leaveGivenUp(ctx)
 		}
 		if now-asked < askAgain {
 			continue
@@ -353,7 +353,7 @@
 
 // leaveGivenUp has streams leave upstreams that give up the layers which they run. These
 // were ordered to close a gap, and wait for the longest of their streams otherwise.
-func (f *Forwarder) leaveGivenUp(ctx context.Context, now time.Duration) {
+func (f *Forwarder) leaveGivenUp(ctx context.Context) {
 	type displaced struct {
 		a *attempt
 		h balancer.Hop
@@ -364,7 +364,7 @@
 		if !a.begun.Load() {
 			continue
 		}
-		for _, h := range f.Balancer.GivenUp(now, a.lease) {
+		for _, h := range f.Balancer.GivenUp(a.lease) {
 			if a.left[h.ID] {
 				continue
 			}
