--- a/balancer/path.go
+++ b/balancer/path.go
@@ -134,6 +134,16 @@
 	return slices.Clone(hops)
 }
 
+// kept is an upstream of a path that stays on it. It runs its part to the end also while
+// it is leaving, is full or gives that part up.
+func kept(c picker.Candidate, h Hop) picker.Candidate {
+	if h.From < c.First || h.To > c.Last+1 {
+		c.First, c.Last = h.From, h.To-1
+	}
+	c.Bias, c.Sequences, c.Slots, c.Excluded = keptBias, 0, 1, false
+	return c
+}
+
 // SetPath puts the reservation of a lease back to a path that it had.
 func (b *Balancer) SetPath(l *Lease, hops []Hop) {
 	b.mu.Lock()
@@ -171,16 +181,17 @@
 	e, first := s.Engine, l.First
 	var cands []picker.Candidate
 	for _, u := range b.subset.used {
-		if u.Service != s.Name || u.Holds.To <= first.To || u.ID == first.ID || u.ID == avoid || !u.usable(now, nil) {
+		if u.Service != s.Name || u.ID == first.ID || u.ID == avoid || u.dead {
 			continue
 		}
 		c := b.candidate(now, e, u, l.need, l.tokens)
-		c.First, c.Last = max(0, c.First-first.To), c.Last-first.To
-		for _, h := range l.hops {
-			if h.ID == u.ID {
-				c.Bias = keptBias
-			}
+		switch at := slices.IndexFunc(l.hops, func(h Hop) bool { return h.ID == u.ID }); {
+		case at > 0:
+			c = kept(c, l.hops[at])
+		case u.Holds.To <= first.To || !u.usable(now, nil):
+			continue
 		}
+		c.First, c.Last = max(0, c.First-first.To), c.Last-first.To
 		cands = append(cands, c)
 	}
 	route := b.Policy.Pick(cands, picker.Need{Layers: e.Layers - first.To}, b.links(now, e, l.need, cands), b.Rand)
--- a/forwarder/moves_test.go
+++ b/forwarder/moves_test.go
@@ -133,6 +133,24 @@
 	})
 }
 
+// TestGivenUpBesideLeaving guards against a stream that does not leave an upstream since
+// another one of its path, which still runs it, takes no new work.
+func TestGivenUpBesideLeaving(t *testing.T) {
+	runWorld(t, func(is *is.I, w *world) {
+		path := w.Balancer.Path(w.a.lease)
+		for _, holder := range []string{"x", "y", "z"} {
+			u := holderOf(fmt.Sprint(holder, 4), 16, 20)
+			u.Leaving = true
+			w.Balancer.List([]balancer.Upstream{u}, nil)
+		}
+		w.Balancer.List([]balancer.Upstream{holderOf(path[2].ID, 0, 0)}, nil)
+		w.watch()
+		got := w.Balancer.Path(w.a.lease)
+		is.True(got[2].ID != path[2].ID)
+		is.Equal(got[4], path[4])
+	})
+}
+
 // TestGivenUpStays guards against a stream that is cut or leaves its data centre though
 // its upstream still runs it.
 func TestGivenUpStays(t *testing.T) {
