--- /dev/null
+++ b/balancer/plateau_test.go
@@ -0,0 +1,156 @@
+package balancer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/admitter"
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/matcher"
+	"github.com/sardineward/sardineward/picker"
+)
+
+// shop is two hosts in two data centres whose stages have room in different places, and
+// the pipe between them, in virtual time.
+type shop struct {
+	hosts []*balancer.Balancer
+	// bounds are those on the hosts' streams in flight.
+	bounds [2]admitter.Latency
+	// busyUntil is when the pipe is through with all prompts that were sent over it.
+	busyUntil time.Duration
+	running   []*served
+	inTime    int
+}
+
+// served is a stream that runs.
+type served struct {
+	host    int
+	lease   *balancer.Lease
+	ends    time.Duration
+	crosses bool
+	late    bool
+}
+
+const (
+	streamLife = 2 * time.Second
+	gapTarget  = 250 * ms
+	// transfer is how long the pipe takes for a prompt, patience how long callers wait
+	// for their first event.
+	transfer = 41 * ms
+	patience = 2 * time.Second
+	tick     = 5 * ms
+)
+
+// newShop makes one; apart has each host know its own data centre alone.
+func newShop(apart bool) *shop {
+	s := new(shop)
+	e := engine()
+	e.PipeMbps = 4000
+	for i, dc := range []string{"a", "b"} {
+		b := &balancer.Balancer{DataCentre: dc, Policy: picker.Cheapest{Steepness: 2, Spread: 0.1}, Rand: rand.New(rand.NewPCG(uint64(i), 1))}
+		b.Configure(map[string]*matcher.Service{"model": {Name: "model", Engine: e}})
+		var list []balancer.Upstream
+		for _, at := range []string{"a", "b"} {
+			if apart && at != dc {
+				continue
+			}
+			// The first half has more room than the second in one data centre, less in
+			// the other.
+			holders := map[string][2]int{"a": {6, 3}, "b": {3, 6}}[at]
+			for half, n := range holders {
+				for k := range n {
+					id := fmt.Sprint(at, half, k)
+					list = append(list, balancer.Upstream{ID: id, Service: "model", Address: id, DataCentre: at, Card: "large", Holds: balancer.Span{From: 40 * half, To: 40 * (half + 1)}})
+				}
+			}
+		}
+		b.SetHosts(map[string]string{"other": map[string]string{"a": "b", "b": "a"}[dc]})
+		b.List(list, nil)
+		s.hosts = append(s.hosts, b)
+	}
+	return s
+}
+
+// arrive has one request come to a host.
+func (s *shop) arrive(now time.Duration, host int) {
+	b, bound := s.hosts[host], &s.bounds[host]
+	if !bound.Enter() {
+		return
+	}
+	l, _ := b.Acquire(now, need)
+	if l == nil {
+		bound.Leave()
+		return
+	}
+	r := &served{host: host, lease: l, ends: now + streamLife, crosses: b.Crosses(l)}
+	if r.crosses {
+		s.busyUntil = max(now, s.busyUntil) + transfer
+		r.ends = min(s.busyUntil, now+patience) + streamLife
+	}
+	s.running = append(s.running, r)
+}
+
+// step ends streams, and has events wait for the pipe.
+func (s *shop) step(now time.Duration) {
+	left := s.running[:0]
+	for _, r := range s.running {
+		if !r.late && r.crosses && s.busyUntil-now > gapTarget {
+			r.late = true
+			s.bounds[r.host].Sample(now, true)
+		}
+		if now < r.ends {
+			left = append(left, r)
+			continue
+		}
+		s.hosts[r.host].Release(r.lease)
+		s.bounds[r.host].Leave()
+		if !r.late {
+			s.bounds[r.host].Sample(now, false)
+			s.inTime++
+		}
+	}
+	s.running = left
+}
+
+// play has requests arrive at a rate, and returns how many a second were answered in
+// time once that lasted.
+func (s *shop) play(t *testing.T, perSecond float64) float64 {
+	t.Helper()
+	const warm, length = 2 * time.Second, 8 * time.Second
+	due, counted := 0.0, 0
+	for now := time.Second; now < time.Second+length; now += tick {
+		s.step(now)
+		if now%(200*ms) == 0 {
+			for i, b := range s.hosts {
+				is.New(t).NoErr(s.hosts[1-i].SetReport(now, "other", b.Usage(now)))
+			}
+		}
+		for due += perSecond * tick.Seconds(); due >= 1; due-- {
+			s.arrive(now, int(due)%2)
+		}
+		if now < time.Second+warm {
+			counted = s.inTime
+		}
+	}
+	return float64(s.inTime-counted) / (length - warm).Seconds()
+}
+
+// TestPlateau guards against data centres that answer fewer requests in time than each
+// would alone, once all are full.
+func TestPlateau(t *testing.T) {
+	best := 0.0
+	for _, perSecond := range []float64{300, 500, 600, 700, 800} {
+		best = max(best, newShop(true).play(t, perSecond))
+	}
+	for _, times := range []float64{2, 4, 8} {
+		t.Run(fmt.Sprint(times, " times"), func(t *testing.T) {
+			got := newShop(false).play(t, times*best)
+			t.Logf("%.0f a second in time, %.0f at best", got, best)
+			is.New(t).True(got >= 0.9*best)
+		})
+	}
+}
