--- a/follower/follower.go
+++ b/follower/follower.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/sardineward/sardineward/balancer"
@@ -56,10 +57,15 @@
 	DataCentre string `json:"dataCentre"`
 }
 
+// Turn tells a host that starts how long to wait before it reads long lists, by the other
+// hosts.
+type Turn func(others []Host) time.Duration
+
 // Source is where configuration and upstreams are declared.
 type Source interface {
-	// Load reads everything.
-	Load(ctx context.Context) (*Changes, error)
+	// Load reads everything. Where that is much it waits for its turn before it reads
+	// more than the hosts.
+	Load(ctx context.Context, turn Turn) (*Changes, error)
 	// Changes returns what changed after a revision, at once if there is any,
 	// else after wait. It returns ErrCompacted when that can't be told.
 	Changes(ctx context.Context, after int64, wait time.Duration) (*Changes, error)
@@ -103,6 +109,8 @@
 
 // Follower is safe for concurrent use. The fields are set before Run.
 type Follower struct {
+	// Host is this host's name.
+	Host string
 	Source   Source
 	Balancer *balancer.Balancer
 	// Now is a clock that goes on while the machine is suspended.
@@ -314,7 +322,7 @@
 func (f *Follower) reload(ctx context.Context, sent time.Duration) error {
 	call, cancel := context.WithTimeout(ctx, loadTime)
 	defer cancel()
-	ch, err := f.Source.Load(call)
+	ch, err := f.Source.Load(call, f.turn)
 	if err != nil {
 		return err
 	}
@@ -353,6 +361,22 @@
 	return nil
 }
 
+// loadSlot is the time between two hosts that begin to read long lists: about what some
+// thousand entries take through the link of the source.
+const loadSlot = 16 * time.Millisecond
+
+// turn has hosts that start together read long lists one after the other. All at once
+// they would be through so late that what changed meanwhile is as long again.
+func (f *Follower) turn(others []Host) time.Duration {
+	rank, before := xxhash.Sum64String(f.Host), 0
+	for _, h := range others {
+		if xxhash.Sum64String(h.Name) < rank {
+			before++
+		}
+	}
+	return time.Duration(before) * loadSlot
+}
+
 func (f *Follower) lost(err error) {
 	f.mu.Lock()
 	was := f.outage
--- a/follower/large_test.go
+++ b/follower/large_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -23,11 +25,11 @@
 	entries atomic.Int64
 }
 
-func (l *large) Load(ctx context.Context) (*follower.Changes, error) {
+func (l *large) Load(ctx context.Context, turn follower.Turn) (*follower.Changes, error) {
 	l.entries.Add(1)
 	select {
 	case <-time.After(l.takes):
-		return l.Directory.Load(ctx)
+		return l.Directory.Load(ctx, turn)
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -85,3 +87,52 @@
 		is.Equal(src.entries.Load(), before)
 	})
 }
+
+// TestTurns guards against hosts of a large fleet that all read long lists at once.
+func TestTurns(t *testing.T) {
+	is := is.New(t)
+	const hosts = 300
+	all := make([]follower.Host, hosts)
+	for i := range all {
+		all[i] = follower.Host{Name: "host-" + strconv.Itoa(i)}
+	}
+	begins := make(map[time.Duration]bool)
+	for i := range all {
+		runTurn(t, all[i].Name, slices.Concat(all[:i], all[i+1:]), func(at time.Duration) { begins[at] = true })
+	}
+	is.Equal(len(begins), hosts)
+	for at := range begins {
+		is.True(at < 6*time.Second)
+	}
+}
+
+// runTurn tells when a host begins to read long lists.
+func runTurn(t *testing.T, name string, others []follower.Host, f func(at time.Duration)) {
+	t.Helper()
+	src := &turning{Directory: new(faker.Directory), others: others, asked: make(chan time.Duration, 1)}
+	fol := &follower.Follower{Host: name, Source: src, Balancer: new(balancer.Balancer), Now: func() time.Duration { return time.Second }}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		fol.Run(ctx)
+	}()
+	f(<-src.asked)
+	cancel()
+	<-done
+}
+
+// turning is a source with long lists.
+type turning struct {
+	*faker.Directory
+	others []follower.Host
+	asked  chan time.Duration
+}
+
+func (s *turning) Load(ctx context.Context, turn follower.Turn) (*follower.Changes, error) {
+	select {
+	case s.asked <- turn(s.others):
+	default:
+	}
+	return s.Directory.Load(ctx, turn)
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -175,7 +175,7 @@
 		Policy:     picker.Cheapest{Steepness: 2, Spread: 0.1},
 		Rand:       rand.New(rand.NewPCG(h.Seed, 1)),
 	}
-	h.follow = &follower.Follower{Source: h.Source, Balancer: h.balancer, Now: h.Now, OnChange: h.tellHosts, Log: h.Log}
+	h.follow = &follower.Follower{Host: cfg.Host, Source: h.Source, Balancer: h.balancer, Now: h.Now, OnChange: h.tellHosts, Log: h.Log}
 	h.pool = &connector.Pool{Dial: h.Dial, Now: h.Now, RequestID: h.Headers.RequestID, Opened: func() { h.opened.Add(1) }}
 	suspects := new(tracker.Suspects)
 	h.forward = &forwarder.Forwarder{
--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -50,8 +50,8 @@
 	fleet *fleet
 }
 
-func (v view) Load(ctx context.Context) (*follower.Changes, error) {
-	return v.see(v.fleet.source.Load(ctx))
+func (v view) Load(ctx context.Context, turn follower.Turn) (*follower.Changes, error) {
+	return v.see(v.fleet.source.Load(ctx, turn))
 }
 
 func (v view) Changes(ctx context.Context, after int64, wait time.Duration) (*follower.Changes, error) {
