forwarder: streams stay on upstreams that give up layers

Keeping leaving hops in changed paths, which it needed, would also have made moves after a loss fail.

--- a/balancer/path.go
+++ b/balancer/path.go
@@ -166,44 +166,6 @@
 	return slices.Clone(hops)
 }
 
-// kept is an upstream of a path that stays on it. It runs its part to the end also while
-// it is leaving, is full or gives that part up.
-func kept(c picker.Candidate, h Hop) picker.Candidate {
-	if h.From < c.First || h.To > c.Last+1 {
-		c.First, c.Last = h.From, h.To-1
-	}
-	c.Bias, c.Sequences, c.Slots, c.Excluded = keptBias, 0, 1, false
-	return c
-}
-
-// SetPath puts the reservation of a lease back to a path that it had.
-func (b *Balancer) SetPath(l *Lease, hops []Hop) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.release(l)
-	l.hops = slices.Clone(hops)
-	b.reserve(l)
-}
-
-// GivenUp lists the hops of a lease, but the first, whose upstream lives and does not
-// hold its part of the path any more. It loads other layers only once all that
-// passes through it has ended.
-func (b *Balancer) GivenUp(l *Lease) []Hop {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var out []Hop
-	for i, h := range l.hops {
-		u := b.ups[h.ID]
-		if i == 0 || u == nil || u.dead || u.Leaving {
-			continue
-		}
-		if h.From < u.Holds.From || h.To > u.Holds.To {
-			out = append(out, h)
-		}
-	}
-	return out
-}
-
 // detour is the path of Repath. The room of the lease itself has to be free.
 func (b *Balancer) detour(now time.Duration, l *Lease, avoid string) []Hop {
 	s := b.services[l.need.Service]
@@ -213,17 +175,16 @@
 	e, first := s.Engine, l.First
 	var cands []picker.Candidate
 	for _, u := range b.subset.used {
-		if u.Service != s.Name || u.ID == first.ID || u.ID == avoid || u.dead {
+		if u.Service != s.Name || u.Holds.To <= first.To || u.ID == first.ID || u.ID == avoid || !u.usable(now, nil) {
 			continue
 		}
 		c := b.candidate(now, e, u, l.need, l.tokens)
-		switch at := slices.IndexFunc(l.hops, func(h Hop) bool { return h.ID == u.ID }); {
-		case at > 0:
-			c = kept(c, l.hops[at])
-		case u.Holds.To <= first.To || !u.usable(now, nil):
-			continue
-		}
 		c.First, c.Last = max(0, c.First-first.To), c.Last-first.To
+		for _, h := range l.hops {
+			if h.ID == u.ID {
+				c.Bias = keptBias
+			}
+		}
 		cands = append(cands, c)
 	}
 	route := b.Policy.Pick(cands, picker.Need{Layers: e.Layers - first.To}, b.links(now, e, l.need, cands), b.Rand)
--- a/forwarder/moves.go
+++ b/forwarder/moves.go
@@ -29,15 +29,6 @@
 	return true
 }
 
-// beginAlone reports whether no change is under way and the path is to be changed now.
-func (m *moves) beginAlone() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	begun := !m.busy
-	m.busy = true
-	return begun
-}
-
 // end returns an upstream that was lost meanwhile and that the path still has, for
 // which it is to be changed again; false when there is none.
 func (m *moves) end(path []balancer.Hop) (balancer.Hop, bool) {
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -37,8 +37,6 @@
 	// oversleep is how late a look may be; after a later one this host itself
 	// was held up, and silence says nothing of upstreams.
 	oversleep = 40 * time.Millisecond
-	// leavePeriod is the time between two looks for upstreams that give up layers.
-	leavePeriod = 100 * time.Millisecond
 	// repathTimeout bounds one order to change a path.
 	repathTimeout = 150 * time.Millisecond
 )
@@ -68,7 +66,7 @@
 	tick := time.NewTicker(watchPeriod)
 	defer tick.Stop()
 	before := f.Now()
-	var asked, left time.Duration
+	var asked time.Duration
 	turn := 0
 	for {
 		select {
@@ -91,10 +89,6 @@
 		for _, h := range f.stuck(now) {
 			f.askStalled(ctx, h)
 		}
-		if now-left >= leavePeriod {
-			left = now
-			f.leaveGivenUp(ctx)
-		}
 		if now-asked < askAgain {
 			continue
 		}
@@ -351,70 +345,6 @@
 	a.cancel(errMoved)
 }
 
-// leaveGivenUp has streams leave upstreams that give up the layers which they run. These
-// were ordered to close a gap, and wait for the longest of their streams otherwise.
-func (f *Forwarder) leaveGivenUp(ctx context.Context) {
-	type displaced struct {
-		a *attempt
-		h balancer.Hop
-	}
-	var out []displaced
-	f.mu.Lock()
-	for a := range f.streams {
-		if !a.begun.Load() {
-			continue
-		}
-		for _, h := range f.Balancer.GivenUp(a.lease) {
-			if a.left[h.ID] {
-				continue
-			}
-			if a.left == nil {
-				a.left = make(map[string]bool)
-			}
-			a.left[h.ID] = true
-			out = append(out, displaced{a, h})
-		}
-	}
-	f.mu.Unlock()
-	for _, d := range out {
-		go f.leave(ctx, d.a, d.h)
-	}
-}
-
-// leave has a stream go on without an upstream of its path that lives. It stays where
-// that would cost a link between data centres, or can't be done.
-func (f *Forwarder) leave(ctx context.Context, a *attempt, h balancer.Hop) {
-	if !a.moving.beginAlone() {
-		return
-	}
-	f.leaveOnce(ctx, a, h)
-	for lost, again := a.moving.end(f.Balancer.Path(a.lease)); again; lost, again = a.moving.end(f.Balancer.Path(a.lease)) {
-		f.moveOnce(ctx, a, lost)
-	}
-}
-
-func (f *Forwarder) leaveOnce(ctx context.Context, a *attempt, h balancer.Hop) {
-	before := f.Balancer.Path(a.lease)
-	crossed := f.Balancer.Crosses(a.lease)
-	hops := f.Balancer.Repath(f.Now(), a.lease, h.ID)
-	if hops == nil {
-		return
-	}
-	if !crossed && f.Balancer.Crosses(a.lease) {
-		f.Balancer.SetPath(a.lease, before)
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, repathTimeout)
-	defer cancel()
-	err := f.Engines.Repath(ctx, a.id, hops)
-	f.Log.Info().Err(err).Str("requestId", a.id).Str("givesUp", h.ID).Str("hops", FormatPath(hops)).Msg("forwarder: path changed")
-	if err != nil {
-		f.Balancer.SetPath(a.lease, before)
-		return
-	}
-	a.moves.Add(1)
-}
-
 func (f *Forwarder) track(a *attempt) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -42,9 +42,6 @@
 	// moves counts changes of its path.
 	moves  atomic.Int32
 	moving moves
-	// left are upstreams that give up layers and that it was to leave, so that it
-	// tries once.
-	left map[string]bool
 	// began is when it was sent.
 	began  time.Duration
 	cancel context.CancelCauseFunc
