--- a/balancer/subset.go
+++ b/balancer/subset.go
@@ -156,6 +156,14 @@
 // loss of one changes no other's.
 func rankOf(host, upstream string) uint64 { return xxhash.Sum64String(host + "/" + upstream) }
 
+// InUse is how many upstreams this host uses.
+func (b *Balancer) InUse(now time.Duration) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refresh(now)
+	return len(b.subset.used)
+}
+
 // Used lists the ids of upstreams that this host uses, where it does not use all; nil
 // is all.
 func (b *Balancer) Used(now time.Duration) []string {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -261,6 +261,7 @@
 	for _, state := range balancer.StateValues() {
 		m.Func("upstreams_"+state.String(), "Upstreams in this state.", func() float64 { return float64(h.balancer.Count(h.Now(), state)) })
 	}
+	m.Func("upstreams_in_use", "Upstreams that this host sends to or has requests at; a part of a large fleet.", func() float64 { return float64(h.balancer.InUse(h.Now())) })
 	if h.Dropped != nil {
 		m.CounterFunc("log_lines_dropped_total", "Log lines that were too many, or whose reader was too slow.", h.Dropped)
 	}
