--- a/follower/follower.go
+++ b/follower/follower.go
@@ -110,7 +110,7 @@
 // Follower is safe for concurrent use. The fields are set before Run.
 type Follower struct {
 	// Host is this host's name.
-	Host string
+	Host     string
 	Source   Source
 	Balancer *balancer.Balancer
 	// Now is a clock that goes on while the machine is suspended.
