--- a/balancer/plateau_test.go
+++ b/balancer/plateau_test.go
@@ -14,20 +14,20 @@
 	"github.com/sardineward/sardineward/picker"
 )
 
-// shop is two hosts in two data centres whose stages have room in different places, and
+// simulation is two hosts in two data centres whose stages have room in different places, and
 // the pipe between them, in virtual time.
-type shop struct {
+type simulation struct {
 	hosts []*balancer.Balancer
 	// bounds are those on the hosts' streams in flight.
 	bounds [2]admitter.Latency
 	// busyUntil is when the pipe is through with all prompts that were sent over it.
 	busyUntil time.Duration
-	running   []*served
+	running   []*stream
 	inTime    int
 }
 
-// served is a stream that runs.
-type served struct {
+// stream is one that runs.
+type stream struct {
 	host    int
 	lease   *balancer.Lease
 	ends    time.Duration
@@ -45,9 +45,9 @@
 	tick     = 5 * ms
 )
 
-// newShop makes one; apart has each host know its own data centre alone.
-func newShop(apart bool) *shop {
-	s := new(shop)
+// newSimulation makes one; apart has each host know its own data centre alone.
+func newSimulation(apart bool) *simulation {
+	s := new(simulation)
 	e := engine()
 	e.PipeMbps = 4000
 	for i, dc := range []string{"a", "b"} {
@@ -76,7 +76,7 @@
 }
 
 // arrive has one request come to a host.
-func (s *shop) arrive(now time.Duration, host int) {
+func (s *simulation) arrive(now time.Duration, host int) {
 	b, bound := s.hosts[host], &s.bounds[host]
 	if !bound.Enter() {
 		return
@@ -86,7 +86,7 @@
 		bound.Leave()
 		return
 	}
-	r := &served{host: host, lease: l, ends: now + streamLife, crosses: b.Crosses(l)}
+	r := &stream{host: host, lease: l, ends: now + streamLife, crosses: b.Crosses(l)}
 	if r.crosses {
 		s.busyUntil = max(now, s.busyUntil) + transfer
 		r.ends = min(s.busyUntil, now+patience) + streamLife
@@ -95,7 +95,7 @@
 }
 
 // step ends streams, and has events wait for the pipe.
-func (s *shop) step(now time.Duration) {
+func (s *simulation) step(now time.Duration) {
 	left := s.running[:0]
 	for _, r := range s.running {
 		if !r.late && r.crosses && s.busyUntil-now > gapTarget {
@@ -118,7 +118,7 @@
 
 // play has requests arrive at a rate, and returns how many a second were answered in
 // time once that lasted.
-func (s *shop) play(t *testing.T, perSecond float64) float64 {
+func (s *simulation) play(t *testing.T, perSecond float64) float64 {
 	t.Helper()
 	const warm, length = 2 * time.Second, 8 * time.Second
 	due, counted := 0.0, 0
@@ -144,11 +144,11 @@
 func TestPlateau(t *testing.T) {
 	best := 0.0
 	for _, perSecond := range []float64{300, 500, 600, 700, 800} {
-		best = max(best, newShop(true).play(t, perSecond))
+		best = max(best, newSimulation(true).play(t, perSecond))
 	}
 	for _, times := range []float64{2, 4, 8} {
 		t.Run(fmt.Sprint(times, " times"), func(t *testing.T) {
-			got := newShop(false).play(t, times*best)
+			got := newSimulation(false).play(t, times*best)
 			t.Logf("%.0f a second in time, %.0f at best", got, best)
 			is.New(t).True(got >= 0.9*best)
 		})
