admitter: a host of hundreds has one retry

A host's share of the retries is 0.7 of 310/300 and of a fifth of its requests: 0.86 after its first request, so its first stream can't be resumed at all. Change: one retry is allowed wherever the even share of the fixed number is one or more; all hosts together stay within it. Fleets of fewer hosts have more and see no change. TestWindowManyHosts red before, green after.

--- a/admitter/window.go
+++ b/admitter/window.go
@@ -53,7 +53,13 @@
 	if b.Hosts != nil {
 		hosts = max(1, b.Hosts())
 	}
-	if sum.retries+1 > safety*(b.Ratio*sum.requests+b.Fixed/float64(hosts)) {
+	share := b.Fixed / float64(hosts)
+	most := safety * (b.Ratio*sum.requests + share)
+	if share >= 1 {
+		// With hundreds of hosts a host that has hardly begun would have no retry at all.
+		most = max(most, 1)
+	}
+	if sum.retries+1 > most {
 		return false
 	}
 	b.counts[len(b.counts)-1].retries++
--- a/admitter/window_test.go
+++ b/admitter/window_test.go
@@ -156,3 +156,16 @@
 		})
 	}
 }
+
+// TestWindowManyHosts guards against a host of hundreds that cuts its first stream, since
+// its share of the retries is below one.
+func TestWindowManyHosts(t *testing.T) {
+	is := is.New(t)
+	w := admitter.Window{Ratio: 0.2, Length: 10 * time.Second, Fixed: 310, Hosts: func() int { return 300 }}
+	w.Request(time.Second)
+	is.True(w.Spend(time.Second))
+	is.True(!w.Spend(time.Second))
+	few := admitter.Window{Ratio: 0.2, Length: 10 * time.Second, Fixed: 299, Hosts: func() int { return 300 }}
+	few.Request(time.Second)
+	is.True(!few.Spend(time.Second)) // all of them together would have more than there are
+}
