cmd/sardineward, balancer: a first user's findings, and work done twice

Found by running the README's commands from a clean clone as a first user would: - dev-forward wrote no log line at all: an empty level is parsed as the level that hides all. Empty means info now; TestLogLevelEmpty red before, green after. - /full of dev-forward promised a 503 and gave a 200: each of two desks turned one request away, and a request is tried four times. Each turns four away now. Read again: the candidates of a path were worked out twice for a request that finds no room, once now (same choices, no draw of random numbers in between); follower's sorted was a copy of the library's slices.Sorted over maps.Keys. Five older tests told stories of five lines; each has one line that names its failure, what they check is unchanged: - TestPausedHolder: a holder paused past its lease wakes up and orders the old version, which stayed loaded; engines that check fencing numbers refuse it, for others it looks at its lease first. - TestStageReloaded: a stage was given other layers while answers ran through it, and tokens skipped layers; frames name the layers that ran. - TestStopAtLastByte: a caller was slow to read the end of its stream when its host stopped; the handler had returned, and the connection closed before the last chunk was written. - TestJoinedHostAsked: a host that had not heard of a new one took it for gone and told the caller that the outcome would never be known; the record says where to ask. - TestLostWriteAnswer: the platform's answer was lost and the confirmation sent again through another host; one tried a new record, the other found none; the record is read back by its nonce.

--- a/balancer/path.go
+++ b/balancer/path.go
@@ -49,9 +49,10 @@
 
 // path takes the cheapest path over the layers with room on each hop.
 func (b *Balancer) path(now time.Duration, s *matcher.Service, n Need) (*Lease, Reason) {
-	hops, reason := b.choose(now, s, n)
+	cands := b.candidates(now, s, n)
+	hops, reason := b.choose(now, s.Engine, n, cands)
 	if reason == ReasonNoRoom {
-		hops = b.overPipes(now, s, n)
+		hops = b.overPipes(now, s.Engine, n, cands)
 	}
 	if hops == nil {
 		return nil, reason
@@ -69,9 +70,7 @@
 // several data centres only where none of them holds all layers. Full data centres
 // would fill the pipes between them with prompts: every stream over a pipe waits there
 // at each of its events.
-func (b *Balancer) choose(now time.Duration, s *matcher.Service, n Need) ([]Hop, Reason) {
-	e := s.Engine
-	cands := b.candidates(now, s, n)
+func (b *Balancer) choose(now time.Duration, e *matcher.Engine, n Need, cands []picker.Candidate) ([]Hop, Reason) {
 	if len(cands) == 0 {
 		return nil, ReasonNoUpstream
 	}
@@ -111,18 +110,16 @@
 
 // overPipes is a path over several data centres though some hold all layers: these are
 // full. It is nil where this host's part of the pipes on it is in use.
-func (b *Balancer) overPipes(now time.Duration, s *matcher.Service, n Need) []Hop {
+func (b *Balancer) overPipes(now time.Duration, e *matcher.Engine, n Need, cands []picker.Candidate) []Hop {
 	if !b.pipes.free(now) {
 		return nil
 	}
-	cands := b.candidates(now, s, n)
-	route := b.Policy.Pick(cands, picker.Need{Layers: s.Engine.Layers}, b.links(now, s.Engine, n, cands), b.Rand)
+	route := b.Policy.Pick(cands, picker.Need{Layers: e.Layers}, b.links(now, e, n, cands), b.Rand)
 	if route == nil {
 		return nil
 	}
 	hops := b.hopsOf(route)
-	crossed := b.crossed(hops)
-	if !b.pipes.take(now, crossed, transfer(s.Engine, n), b.allHosts()) {
+	if !b.pipes.take(now, b.crossed(hops), transfer(e, n), b.allHosts()) {
 		return nil
 	}
 	return hops
@@ -226,7 +223,7 @@
 	if wait <= crossingWait {
 		return false
 	}
-	whole, _ := b.choose(now, s, l.need)
+	whole, _ := b.choose(now, s.Engine, l.need, b.candidates(now, s, l.need))
 	return whole != nil && b.crossings(whole) == 0
 }
 
--- a/cmd/sardineward/devforward.go
+++ b/cmd/sardineward/devforward.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -84,12 +85,14 @@
 // devControl changes what upstreams do with the next request, and takes the key
 // away.
 func devControl(source *faker.Directory, stages map[string]*faker.Stage) http.Handler {
-	troubles := map[string]faker.Trouble{"/cut": faker.TroubleCut, "/reset": faker.TroubleReset, "/full": faker.TroubleFull}
+	// A request that is turned away is sent again three times.
+	full := slices.Repeat([]faker.Trouble{faker.TroubleFull}, 4)
+	troubles := map[string][]faker.Trouble{"/cut": {faker.TroubleCut}, "/reset": {faker.TroubleReset}, "/full": full}
 	mux := http.NewServeMux()
 	for path, trouble := range troubles {
 		mux.HandleFunc(path, func(http.ResponseWriter, *http.Request) {
 			for _, s := range stages {
-				s.Trouble(trouble)
+				s.Trouble(trouble...)
 			}
 		})
 	}
--- a/cmd/sardineward/log.go
+++ b/cmd/sardineward/log.go
@@ -25,7 +25,7 @@
 // before Start.
 type boundedLog struct {
 	Out io.Writer
-	// Level is the lowest that is written; unknown names mean info.
+	// Level is the lowest that is written; empty and unknown names mean info.
 	Level string
 
 	w       diode.Writer
@@ -36,7 +36,7 @@
 func (l *boundedLog) Start() zerolog.Logger {
 	l.w = diode.NewWriter(l.Out, logLines, logPoll, func(missed int) { l.dropped.Add(int64(missed)) })
 	level, err := zerolog.ParseLevel(l.Level)
-	if err != nil {
+	if err != nil || level == zerolog.NoLevel {
 		level = zerolog.InfoLevel
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
--- a/cmd/sardineward/log_test.go
+++ b/cmd/sardineward/log_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bytes"
+	"strings"
 	"sync"
 	"testing"
 
@@ -52,3 +54,16 @@
 type discard struct{}
 
 func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+// TestLogLevelEmpty guards against a host that logs nothing since no level was set.
+func TestLogLevelEmpty(t *testing.T) {
+	out := new(bytes.Buffer)
+	l := &boundedLog{Out: out}
+	log := l.Start()
+	log.Debug().Msg("not written")
+	log.Info().Msg("written")
+	l.Close()
+	is := is.New(t)
+	is.True(strings.Contains(out.String(), `"message":"written"`))
+	is.True(!strings.Contains(out.String(), "not written"))
+}
--- a/follower/update.go
+++ b/follower/update.go
@@ -84,27 +84,19 @@
 
 // update is all that was added.
 func (m *merged) update(after, revision int64) *Update {
-	out := &Update{After: after, Revision: revision, Gone: sorted(m.gone), HostsGone: sorted(m.hostsGone)}
-	for _, id := range sorted(m.listed) {
+	out := &Update{After: after, Revision: revision, Gone: slices.Sorted(maps.Keys(m.gone)), HostsGone: slices.Sorted(maps.Keys(m.hostsGone))}
+	for _, id := range slices.Sorted(maps.Keys(m.listed)) {
 		out.Listed = append(out.Listed, m.listed[id])
 	}
-	for _, name := range sorted(m.hosts) {
+	for _, name := range slices.Sorted(maps.Keys(m.hosts)) {
 		out.Hosts = append(out.Hosts, m.hosts[name])
 	}
-	for _, dc := range sorted(m.duties) {
+	for _, dc := range slices.Sorted(maps.Keys(m.duties)) {
 		out.Duties = append(out.Duties, Duty{DataCentre: dc, Holder: m.duties[dc]})
 	}
 	return out
 }
 
-// sorted are the keys of a map, in order.
-func sorted[V any](m map[string]V) []string {
-	if len(m) == 0 {
-		return nil
-	}
-	return slices.Sorted(maps.Keys(m))
-}
-
 // mostUpdates is how many updates are remembered: some twenty seconds of a source
 // that changes all the time.
 const mostUpdates = 64
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -110,11 +110,7 @@
 	return s.Store.KeepAlive(ctx, id)
 }
 
-// TestPausedHolder. The host that gives orders is paused past its lease, in the
-// middle of an order or between two. Another takes over with a newer version.
-// The first wakes up believing that it still leads and orders the old version,
-// which stayed loaded. Engines that check fencing numbers refuse it; for those
-// that don't, it looks at its lease first.
+// TestPausedHolder guards against orders of a host that was paused past its lease.
 func TestPausedHolder(t *testing.T) {
 	for name, checks := range map[string]bool{"engine checks fence": true, "engine ignores fence": false} {
 		t.Run(name, func(t *testing.T) {
--- a/runner/layers_test.go
+++ b/runner/layers_test.go
@@ -66,10 +66,7 @@
 	})
 }
 
-// TestStageReloaded. A stage is given other layers while answers run through
-// it. Tokens came out of layers that had been skipped. Frames name the layers
-// that ran, and one that doesn't match ends the attempt before the caller sees
-// it.
+// TestStageReloaded guards against tokens from layers that a reloaded stage skipped.
 func TestStageReloaded(t *testing.T) {
 	run(t, 12, func(b *bench) {
 		b.disturb(func(e *faker.Engine) { e.MidRangeFor(5 * time.Second) })
--- a/runner/leaving_test.go
+++ b/runner/leaving_test.go
@@ -142,10 +142,7 @@
 	})
 }
 
-// TestStopAtLastByte. A caller is a little slow to read the end of its stream
-// when its host stops. The handler had returned, so nothing was in flight, and
-// the connection was closed before net/http had written the last chunk; the
-// caller's program took its whole answer for a broken one.
+// TestStopAtLastByte guards against a stop that cuts the last chunk of a slowly read stream.
 func TestStopAtLastByte(t *testing.T) {
 	run(t, 37, func(b *bench) {
 		is := is.New(t)
--- a/runner/once_test.go
+++ b/runner/once_test.go
@@ -48,10 +48,7 @@
 	})
 }
 
-// TestJoinedHostAsked. A booking runs on a host that has just joined, and its
-// caller repeats it through another one, which has not heard of the new host. It
-// took that host for gone and told the caller that the outcome will never be
-// known. The record says where the host can be asked.
+// TestJoinedHostAsked guards against a host that has just joined being taken for gone.
 func TestJoinedHostAsked(t *testing.T) {
 	run(t, 31, func(b *bench) {
 		b.world.Services["desk"].SetDelay(2 * time.Second)
@@ -66,10 +63,7 @@
 	})
 }
 
-// TestLostWriteAnswer. A trader confirms a lot, the platform's answer is lost on
-// the way back, and the program sends the confirmation again through another
-// entry host. The first host took the lost answer for a failure and tried a new
-// record, the second found none. The record is read back and its nonce tells.
+// TestLostWriteAnswer guards against a confirmation that runs twice after a lost answer.
 func TestLostWriteAnswer(t *testing.T) {
 	run(t, 21, func(b *bench) {
 		lost := 0
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -3,10 +3,9 @@
 // and which requests crashed upstreams. All of it can be lost and comes again with
 // the next exchanges.
 //
-// A few hosts of each data centre are its relays: they add up what the hosts of their
-// data centre report, and one of them reads the source. The other hosts exchange with
-// them alone, and relays of different data centres with each other. Who is a relay
-// follows from the list of hosts and from who answers; nothing is agreed on.
+// Hosts exchange with a few relays of their data centre, which add up reports and read
+// the source, and relays with those of other data centres. Who is one follows from the
+// list of hosts and from who answers.
 package sharer
 
 import (
