forwarder, limiter: what upstreams say of their limits is read, logged and counted

The record of LIMIT can't tell a host that never heard of a limit from one that heard of it and went on: no log line and no metric spoke of it. Answers are now read for it (limiter.Parse), each change is logged with upstream, request and age, values that can't be read are counted and logged once an upstream, and two metrics tell of limits in force and of requests sent under one. Choices are as before.

The stand-in's stage names limits and counts by the users' rule.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -56,6 +56,8 @@
 type Lease struct {
 	// First is the hop that the request is sent to; it never changes.
 	First Hop
+	// Born is when the upstream of First was started, in Unix milliseconds.
+	Born int64
 	// hops is the whole path, which may change while the lease is held: it is
 	// read through Balancer.Path.
 	hops []Hop
@@ -139,6 +141,7 @@
 	// upstream had no room though this host expected some.
 	hidden float64
 	fullAt time.Duration
+	limit  limit
 	// rank is its place in this host's own order, retired is set where the subset
 	// holds it for what is in flight only.
 	rank    uint64
@@ -174,6 +177,8 @@
 	byAddr   map[string]*upstream
 	subset   subset
 	pipes    pipes
+	// limitedSent counts requests sent to upstreams while they named a limit.
+	limitedSent int64
 }
 
 // Configure takes in the services.
@@ -385,8 +390,9 @@
 		return nil, ReasonNoUpstream
 	}
 	best.running++
+	b.noteSent(best)
 	hop := Hop{ID: best.ID, Address: best.Address}
-	return &Lease{need: n, First: hop, hops: []Hop{hop}}, ReasonNone
+	return &Lease{need: n, First: hop, Born: best.Born, hops: []Hop{hop}}, ReasonNone
 }
 
 // pressure is the requests that an upstream is thought to hold.
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -57,8 +57,9 @@
 	if hops == nil {
 		return nil, reason
 	}
-	l := &Lease{need: n, tokens: n.tokens(), hops: hops, First: hops[0]}
+	l := &Lease{need: n, tokens: n.tokens(), hops: hops, First: hops[0], Born: b.ups[hops[0].ID].Born}
 	b.reserve(l)
+	b.noteSent(b.ups[l.First.ID])
 	return l, ReasonNone
 }
 
--- a/faker/conn.go
+++ b/faker/conn.go
@@ -49,6 +49,14 @@
 	}
 }
 
+// RemoteAddr is the first place of the other end.
+func (c *conn) RemoteAddr() net.Addr {
+	if len(c.to) == 0 {
+		return c.Conn.RemoteAddr()
+	}
+	return address(c.to[0])
+}
+
 // pump writes what is queued until the connection is closed. What the other end
 // has sent can still be read after a write has failed.
 func (c *conn) pump() {
--- a/faker/stage.go
+++ b/faker/stage.go
@@ -54,6 +54,7 @@
 	Crash func()
 
 	mu       sync.Mutex
+	limits   limits
 	troubles []Trouble
 	seen     []Seen
 	gone     int
@@ -66,6 +67,8 @@
 	DeadlineMs                                    int
 	// Ran is false where it was turned away.
 	Ran bool
+	// From is where it came from, in a Network the place that dialled.
+	From string
 	// At is when it came.
 	At time.Time
 }
@@ -128,6 +131,7 @@
 		LastEventID: r.Header.Get("Last-Event-Id"),
 		DeadlineMs:  left,
 		Ran:         t != TroubleFull,
+		From:        r.RemoteAddr,
 		At:          time.Now(),
 	})
 	return t
@@ -151,6 +155,7 @@
 		w.Header().Set(h.Stamp, "stamp-"+s.ID)
 	}
 	w.Header().Set(h.Load, "1,0,8")
+	s.name(w.Header(), h.Limit, r.RemoteAddr)
 	switch t {
 	case TroubleFull:
 		w.Header().Set(h.NotRun, "1")
--- a/forwarder/headers.go
+++ b/forwarder/headers.go
@@ -29,6 +29,8 @@
 	Stamp string
 	// Load is running, waiting and slots of an upstream.
 	Load string
+	// Limit is the requests a second that an upstream in need takes from all hosts.
+	Limit string
 	// Tokens is the prompt's tokens and the most to answer.
 	Tokens string
 	// Length is the caller's estimate of the answer's tokens.
@@ -48,6 +50,7 @@
 	NotRun:     "Not-Run",
 	Stamp:      "Stamp",
 	Load:       "Upstream-Load",
+	Limit:      "Upstream-Limit",
 	Tokens:     "Token-Counts",
 	Length:     "Length-Hint",
 	Urgency:    "Urgency",
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -78,6 +78,7 @@
 		return nil, k.unanswered(ctx, l, err)
 	}
 	k.offered = true
+	k.heardLimit(l, resp.Response, sent)
 	body, err := io.ReadAll(io.LimitReader(resp, maxAnswer))
 	whole := resp.Done()
 	if err != nil || !whole {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -217,6 +217,7 @@
 	}
 	defer resp.Done()
 	k.offered = true
+	k.heardLimit(l, resp.Response, a.began)
 	if resp.StatusCode != http.StatusOK {
 		return k.refusedStream(a, resp)
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -21,6 +21,8 @@
 	Requests *prometheus.CounterVec
 	// FirstToken and Gap are times of generations, in seconds.
 	FirstToken, Gap prometheus.Histogram
+	// LimitsUnreadable counts answers that named a limit which can't be read.
+	LimitsUnreadable prometheus.Counter
 	// Bound is the throughput bound by pipeline, in tokens a second.
 	Bound *prometheus.GaugeVec
 }
@@ -35,6 +37,9 @@
 		Requests:   counter("requests_total", "Requests answered whole.", "workspace", "kind"),
 		FirstToken: histogram("first_token_seconds", "Time to the first token of a generation."),
 		Gap:        histogram("token_gap_seconds", "Time between tokens of a generation, sampled."),
+		LimitsUnreadable: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "limits_unreadable_total", Help: "Answers that named a limit which can't be read.",
+		}),
 		Bound: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "bound_tokens_per_second", Help: "Most tokens a second that what is up can carry.",
 		}, []string{"pipeline"}),
@@ -45,7 +50,7 @@
 	for _, c := range causes {
 		m.Retries.WithLabelValues(c)
 	}
-	m.Registry.MustRegister(m.Refusals, m.Retries, m.Requests, m.FirstToken, m.Gap, m.Bound)
+	m.Registry.MustRegister(m.Refusals, m.Retries, m.Requests, m.FirstToken, m.Gap, m.LimitsUnreadable, m.Bound)
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
