--- a/launcher/bench_test.go
+++ b/launcher/bench_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/faker"
+	"github.com/sardineward/sardineward/follower"
 	"github.com/sardineward/sardineward/forwarder"
 	"github.com/sardineward/sardineward/launcher"
 	"github.com/sardineward/sardineward/loader"
@@ -41,38 +42,20 @@
 	client  *http.Client
 	stop    context.CancelFunc
 	done    chan error
+	started time.Time
 }
 
 // run starts a host and lets it read its source.
 func run(t *testing.T, revoke time.Duration, f func(b *bench)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		b := &bench{t: t, net: faker.NewNetwork(), source: new(faker.Directory), stages: make(map[string]*faker.Stage), cfg: configuration(), done: make(chan error, 1)}
-		first := b.cfg
-		b.source.Configure(&first)
+		b := newBench(t)
 		for _, id := range []string{"desk-a", "desk-b", "model-a", "model-b"} {
 			defer b.start(id)()
 		}
-		started := time.Now()
-		h := &launcher.Host{
-			Settings: &loader.Forward{
-				Host: "host-a", DataCentre: "here", Callers: callers, Ready: ready, Peer: "10.0.0.1:82", Admin: "10.0.0.1:83",
-				RetryRatio: 0.2, RetryFixed: 100, RetryWindowS: 10, RevokeMs: int(revoke.Milliseconds()), BalancerMs: 2500, StopMs: 7500,
-			},
-			Store:     new(faker.Platform),
-			Source:    b.source,
-			Engines:   faker.NoEngines{},
-			Headers:   forwarder.DefaultHeaders,
-			ReadyPath: "/ready",
-			Now:       func() time.Duration { return time.Since(started) + time.Minute },
-			Listen:    b.net.Listen,
-			Dial:      b.net.Dialer("host-a"),
-			Seed:      1,
-			Log:       zerolog.Nop(),
-		}
-		tr := &http.Transport{DialContext: b.net.Dialer("caller")}
-		defer tr.CloseIdleConnections()
-		b.client = &http.Client{Transport: tr}
+		h := b.host(follower.Host{Name: "host-a", DataCentre: "here", Address: "10.0.0.1:82"})
+		h.Settings.RevokeMs = int(revoke.Milliseconds())
+		defer b.client.CloseIdleConnections()
 		ctx, cancel := context.WithCancel(context.Background())
 		b.stop = cancel
 		go func() { b.done <- h.Run(ctx) }()
@@ -85,6 +68,37 @@
 	})
 }
 
+// newBench is a bench before any host or stage.
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{t: t, net: faker.NewNetwork(), source: new(faker.Directory), stages: make(map[string]*faker.Stage), cfg: configuration(), done: make(chan error, 1), started: time.Now()}
+	first := b.cfg
+	b.source.Configure(&first)
+	b.client = &http.Client{Transport: &http.Transport{DialContext: b.net.Dialer("caller")}}
+	return b
+}
+
+// host is one that listens on the ports 80 to 83 of its address.
+func (b *bench) host(f follower.Host) *launcher.Host {
+	ip, _, _ := strings.Cut(f.Address, ":")
+	return &launcher.Host{
+		Settings: &loader.Forward{
+			Host: f.Name, DataCentre: f.DataCentre, Callers: ip + ":80", Ready: ip + ":81", Peer: f.Address, Admin: ip + ":83",
+			RetryRatio: 0.2, RetryFixed: 100, RetryWindowS: 10, BalancerMs: 2500, StopMs: 7500,
+		},
+		Store:     new(faker.Platform),
+		Source:    b.source,
+		Engines:   faker.NoEngines{},
+		Headers:   forwarder.DefaultHeaders,
+		ReadyPath: "/ready",
+		Now:       func() time.Duration { return time.Since(b.started) + time.Minute },
+		Listen:    b.net.Listen,
+		Dial:      b.net.Dialer(f.Name),
+		Seed:      1,
+		Log:       zerolog.Nop(),
+	}
+}
+
 // configuration has a desk whose lookups may be repeated and whose bookings may
 // not, and a model whose streams may be resumed on one of two routes.
 func configuration() matcher.Configuration {
@@ -112,7 +126,10 @@
 }
 
 // start runs an upstream and lists it.
-func (b *bench) start(id string) (stop func()) {
+func (b *bench) start(id string) (stop func()) { return b.startIn(id, "here") }
+
+// startIn is start in a data centre.
+func (b *bench) startIn(id, dataCentre string) (stop func()) {
 	s := &faker.Stage{ID: id, Events: 10, Gap: 20 * time.Millisecond, Answer: 10 * time.Millisecond}
 	address := "10.1.0." + id + ":80"
 	var kill atomic.Value
@@ -130,7 +147,7 @@
 	}
 	b.stages[id] = s
 	service, _, _ := strings.Cut(id, "-")
-	b.source.List(balancer.Upstream{ID: id, Service: service, Address: address, DataCentre: "here", Slots: 8, Born: 1})
+	b.source.List(balancer.Upstream{ID: id, Service: service, Address: address, DataCentre: dataCentre, Slots: 8, Born: 1})
 	return func() { kill.Load().(func())() }
 }
 
@@ -144,9 +161,15 @@
 
 // request makes one; change may be nil.
 func (b *bench) request(method, path, id string, change func(*http.Request)) reply {
+	b.t.Helper()
+	return b.requestAt(callers, method, path, id, change)
+}
+
+// requestAt is request to the host at an address.
+func (b *bench) requestAt(address, method, path, id string, change func(*http.Request)) reply {
 	b.t.Helper()
 	start := time.Now()
-	r, err := http.NewRequest(method, "http://"+callers+path, strings.NewReader("lot 12"))
+	r, err := http.NewRequest(method, "http://"+address+path, strings.NewReader("lot 12"))
 	is.New(b.t).NoErr(err)
 	r.Host = "desk.example"
 	r.Header.Set("Authorization", "Bearer "+key)
