balancer, limiter, sharer: hosts together keep to the limits that upstreams name

What was seen: an upstream in need named 2 requests a second for all hosts and went on to get 4 to 10 a second; callers saw answers, the upstream got no relief. Cause: no part of a host read what it named. Class: a bound over all hosts that none of them knows of, or knows alone.

A limit is kept with the incarnation that named it. Answers may overtake each other, so that only one to a request sent after the last news ends or raises it. Hosts tell each other, those that changed first; a version that rises with each change decides, so that no clock of another host is needed and an older word never wins. The first hosts of the upstream's data centre by rendezvous hashing use it, twice the limit and three at most, each with a bucket of its own: all together send the limit and at most one request each beside it, at most 6 L + 3 in 4 s where 6 L + 5 are allowed. One that takes the place of another waits until that is gone. Questions for pace and stalls count. A stage that a request only passes is not concerned. Where nothing else has room the request is refused at once, with when the limit has room (reason upstreamLimit). A host that starts takes no requests before another one answered it, for 0.4 s at most.

TestLimitWhileHostsFail replays crashes, restarts and a cut without any excuse.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -67,6 +67,9 @@
 	ReasonRetryBudget
 	// ReasonCanceled: the caller went away.
 	ReasonCanceled
+	// ReasonUpstreamLimit: the upstreams that could run it get as many requests as they
+	// said that they take.
+	ReasonUpstreamLimit
 )
 
 // Refusal tells a caller why its request was not answered.
--- a/admitter/reason_gen.go
+++ b/admitter/reason_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "nonequeueFulldeadlinerateLimitnoRoutequarantinedstoppingnotReadyunauthorisedforbiddenmalformedtooLargeunknownnoKeykeyReusedrunningoutcomeUnknownplatformupstreamretryBudgetcanceled"
+const _ReasonName = "nonequeueFulldeadlinerateLimitnoRoutequarantinedstoppingnotReadyunauthorisedforbiddenmalformedtooLargeunknownnoKeykeyReusedrunningoutcomeUnknownplatformupstreamretryBudgetcanceledupstreamLimit"
 
-var _ReasonIndex = [...]uint8{0, 4, 13, 21, 30, 37, 48, 56, 64, 76, 85, 94, 102, 109, 114, 123, 130, 144, 152, 160, 171, 179}
+var _ReasonIndex = [...]uint8{0, 4, 13, 21, 30, 37, 48, 56, 64, 76, 85, 94, 102, 109, 114, 123, 130, 144, 152, 160, 171, 179, 192}
 
-const _ReasonLowerName = "nonequeuefulldeadlineratelimitnoroutequarantinedstoppingnotreadyunauthorisedforbiddenmalformedtoolargeunknownnokeykeyreusedrunningoutcomeunknownplatformupstreamretrybudgetcanceled"
+const _ReasonLowerName = "nonequeuefulldeadlineratelimitnoroutequarantinedstoppingnotreadyunauthorisedforbiddenmalformedtoolargeunknownnokeykeyreusedrunningoutcomeunknownplatformupstreamretrybudgetcanceledupstreamlimit"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -45,9 +45,10 @@
 	_ = x[ReasonUpstream-(18)]
 	_ = x[ReasonRetryBudget-(19)]
 	_ = x[ReasonCanceled-(20)]
+	_ = x[ReasonUpstreamLimit-(21)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonQueueFull, ReasonDeadline, ReasonRateLimit, ReasonNoRoute, ReasonQuarantined, ReasonStopping, ReasonNotReady, ReasonUnauthorised, ReasonForbidden, ReasonMalformed, ReasonTooLarge, ReasonUnknown, ReasonNoKey, ReasonKeyReused, ReasonRunning, ReasonOutcomeUnknown, ReasonPlatform, ReasonUpstream, ReasonRetryBudget, ReasonCanceled}
+var _ReasonValues = []Reason{ReasonNone, ReasonQueueFull, ReasonDeadline, ReasonRateLimit, ReasonNoRoute, ReasonQuarantined, ReasonStopping, ReasonNotReady, ReasonUnauthorised, ReasonForbidden, ReasonMalformed, ReasonTooLarge, ReasonUnknown, ReasonNoKey, ReasonKeyReused, ReasonRunning, ReasonOutcomeUnknown, ReasonPlatform, ReasonUpstream, ReasonRetryBudget, ReasonCanceled, ReasonUpstreamLimit}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:     ReasonNone,
@@ -71,6 +72,7 @@
 	_ReasonName[152:160]: ReasonUpstream,
 	_ReasonName[160:171]: ReasonRetryBudget,
 	_ReasonName[171:179]: ReasonCanceled,
+	_ReasonName[179:192]: ReasonUpstreamLimit,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -95,6 +97,7 @@
 	_ReasonLowerName[152:160]: ReasonUpstream,
 	_ReasonLowerName[160:171]: ReasonRetryBudget,
 	_ReasonLowerName[171:179]: ReasonCanceled,
+	_ReasonLowerName[179:192]: ReasonUpstreamLimit,
 }
 
 var _ReasonNames = []string{
@@ -119,6 +122,7 @@
 	_ReasonName[152:160],
 	_ReasonName[160:171],
 	_ReasonName[171:179],
+	_ReasonName[179:192],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -61,6 +61,8 @@
 	// hops is the whole path, which may change while the lease is held: it is
 	// read through Balancer.Path.
 	hops []Hop
+	// HeldOff are upstreams that were passed over since their limit has no room.
+	HeldOff []string
 	// need is what it was reserved for.
 	need Need
 	// tokens is the room reserved on each hop for each layer.
@@ -98,6 +100,9 @@
 	ReasonNoUpstream
 	// ReasonNoRoom: all that could run it are full.
 	ReasonNoRoom
+	// ReasonLimit: all that could run it are full, or get as many requests as their
+	// limit allows.
+	ReasonLimit
 )
 
 // upstream is all that is known of one.
@@ -177,8 +182,16 @@
 	byAddr   map[string]*upstream
 	subset   subset
 	pipes    pipes
-	// limitedSent counts requests sent to upstreams while they named a limit.
-	limitedSent int64
+	// limited are the upstreams that named a limit once.
+	limited map[string]*upstream
+	// limitedSent counts requests sent to upstreams while they named a limit, heldOff
+	// those that did not go to one since its limit had no room.
+	limitedSent, heldOff int64
+	// hostNames are the other hosts with their data centres. hostsVersion counts their
+	// changes, and hostsAt is when the change hostsNoted was noticed.
+	hostNames                map[string]string
+	hostsVersion, hostsNoted int64
+	hostsAt                  time.Duration
 }
 
 // Configure takes in the services.
@@ -255,6 +268,7 @@
 		return
 	}
 	delete(b.ups, id)
+	delete(b.limited, id)
 	delete(b.subset.used, id)
 	if b.byAddr[u.Address] == u {
 		delete(b.byAddr, u.Address)
@@ -367,6 +381,7 @@
 	var best *upstream
 	var cost float64
 	known := false
+	var held []string
 	for _, u := range b.subset.used {
 		if u.Service != n.Service {
 			continue
@@ -375,6 +390,10 @@
 			continue
 		}
 		known = true
+		if !b.permitted(now, u, n.Begun) {
+			held = append(held, u.ID)
+			continue
+		}
 		c := u.pressure(now) + greyWeight*u.grey + b.Rand.Float64()*0.5
 		if u.DataCentre != b.DataCentre {
 			c += distance
@@ -383,16 +402,20 @@
 			best, cost = u, c
 		}
 	}
-	if best == nil {
-		if known {
-			return nil, ReasonNoRoom
-		}
+	b.noteHeld(held)
+	switch {
+	case best != nil:
+	case len(held) > 0:
+		return nil, ReasonLimit
+	case known:
+		return nil, ReasonNoRoom
+	default:
 		return nil, ReasonNoUpstream
 	}
 	best.running++
-	b.noteSent(best)
+	b.noteSent(now, best)
 	hop := Hop{ID: best.ID, Address: best.Address}
-	return &Lease{need: n, First: hop, Born: best.Born, hops: []Hop{hop}}, ReasonNone
+	return &Lease{need: n, First: hop, Born: best.Born, HeldOff: held, hops: []Hop{hop}}, ReasonNone
 }
 
 // pressure is the requests that an upstream is thought to hold.
--- a/balancer/pace.go
+++ b/balancer/pace.go
@@ -49,7 +49,7 @@
 		late := u.slow >= slowLeast && now-u.slowSince <= 2*slowWindow && tellers == 0
 		// Of the hosts that know it to be slow one at a time asks again, on average.
 		again := u.ownPace(now) > 1 && b.Rand.Float64()*float64(tellers+1) < 1
-		if rested && (late || again) {
+		if rested && (late || again) && b.takePermit(now, u) {
 			out = append(out, Hop{ID: u.ID, Address: u.Address})
 		}
 	}
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -50,16 +50,22 @@
 // path takes the cheapest path over the layers with room on each hop.
 func (b *Balancer) path(now time.Duration, s *matcher.Service, n Need) (*Lease, Reason) {
 	cands := b.candidates(now, s, n)
+	held := b.holdOff(now, cands, n)
 	hops, reason := b.choose(now, s.Engine, n, cands)
 	if reason == ReasonNoRoom {
 		hops = b.overPipes(now, s.Engine, n, cands)
 	}
+	b.noteHeld(held)
 	if hops == nil {
+		if reason == ReasonNoRoom && len(held) > 0 {
+			reason = ReasonLimit
+		}
 		return nil, reason
 	}
-	l := &Lease{need: n, tokens: n.tokens(), hops: hops, First: hops[0], Born: b.ups[hops[0].ID].Born}
+	first := b.ups[hops[0].ID]
+	l := &Lease{need: n, tokens: n.tokens(), hops: hops, First: hops[0], Born: first.Born, HeldOff: held}
 	b.reserve(l)
-	b.noteSent(b.ups[l.First.ID])
+	b.noteSent(now, first)
 	return l, ReasonNone
 }
 
@@ -100,6 +106,23 @@
 	return out
 }
 
+// holdOff keeps a request off the limited upstreams that it may not be sent to now, and
+// returns them. Those that it only passes are not concerned.
+func (b *Balancer) holdOff(now time.Duration, cands []picker.Candidate, n Need) []string {
+	if len(b.limited) == 0 {
+		return nil
+	}
+	var held []string
+	for i := range cands {
+		c := &cands[i]
+		if c.First == 0 && !c.Excluded && !b.permitted(now, b.ups[c.Name], n.Begun) {
+			c.Excluded = true
+			held = append(held, c.Name)
+		}
+	}
+	return held
+}
+
 func (b *Balancer) hopsOf(route picker.Route) []Hop {
 	hops := make([]Hop, len(route))
 	for i, h := range route {
@@ -224,7 +247,9 @@
 	if wait <= crossingWait {
 		return false
 	}
-	whole, _ := b.choose(now, s.Engine, l.need, b.candidates(now, s, l.need))
+	cands := b.candidates(now, s, l.need)
+	b.holdOff(now, cands, l.need)
+	whole, _ := b.choose(now, s.Engine, l.need, cands)
 	return whole != nil && b.crossings(whole) == 0
 }
 
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -379,6 +379,10 @@
 	}
 	b.subset.stale = b.subset.stale || !maps.Equal(count, b.hosts)
 	b.hosts = count
+	if !maps.Equal(hosts, b.hostNames) {
+		b.hostNames = maps.Clone(hosts)
+		b.hostsVersion++
+	}
 }
 
 // allHosts is how many hosts there are, this one included.
--- a/balancer/reason_gen.go
+++ b/balancer/reason_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "nonenoUpstreamnoRoom"
+const _ReasonName = "nonenoUpstreamnoRoomlimit"
 
-var _ReasonIndex = [...]uint8{0, 4, 14, 20}
+var _ReasonIndex = [...]uint8{0, 4, 14, 20, 25}
 
-const _ReasonLowerName = "nonenoupstreamnoroom"
+const _ReasonLowerName = "nonenoupstreamnoroomlimit"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -27,26 +27,30 @@
 	_ = x[ReasonNone-(0)]
 	_ = x[ReasonNoUpstream-(1)]
 	_ = x[ReasonNoRoom-(2)]
+	_ = x[ReasonLimit-(3)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonNoUpstream, ReasonNoRoom}
+var _ReasonValues = []Reason{ReasonNone, ReasonNoUpstream, ReasonNoRoom, ReasonLimit}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:   ReasonNone,
 	_ReasonName[4:14]:  ReasonNoUpstream,
 	_ReasonName[14:20]: ReasonNoRoom,
+	_ReasonName[20:25]: ReasonLimit,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
 	_ReasonLowerName[0:4]:   ReasonNone,
 	_ReasonLowerName[4:14]:  ReasonNoUpstream,
 	_ReasonLowerName[14:20]: ReasonNoRoom,
+	_ReasonLowerName[20:25]: ReasonLimit,
 }
 
 var _ReasonNames = []string{
 	_ReasonName[0:4],
 	_ReasonName[4:14],
 	_ReasonName[14:20],
+	_ReasonName[20:25],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/faker/directory.go
+++ b/faker/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,7 @@
 	up       *balancer.Upstream
 	gone     string
 	host     *follower.Host
+	hostGone string
 }
 
 // Configure puts a configuration into the source.
@@ -58,6 +60,14 @@
 	})
 }
 
+// DropHost removes the entry of an entry host.
+func (d *Directory) DropHost(name string) {
+	d.add(func(c *listing) {
+		d.hosts = slices.DeleteFunc(slices.Clone(d.hosts), func(h follower.Host) bool { return h.Name == name })
+		c.hostGone = name
+	})
+}
+
 // Drop removes an upstream's entry.
 func (d *Directory) Drop(id string) {
 	d.add(func(c *listing) {
@@ -100,7 +110,7 @@
 	if d.away {
 		return nil, errAway
 	}
-	out := &follower.Changes{Revision: d.revision, Configuration: d.cfg, Hosts: d.hosts}
+	out := &follower.Changes{Revision: d.revision, Configuration: d.cfg, Hosts: slices.Clone(d.hosts)}
 	for _, u := range d.ups {
 		out.Listed = append(out.Listed, u)
 	}
@@ -143,6 +153,8 @@
 			out.Listed = append(out.Listed, *c.up)
 		case c.host != nil:
 			out.Hosts = append(out.Hosts, *c.host)
+		case c.hostGone != "":
+			out.HostsGone = append(out.HostsGone, c.hostGone)
 		default:
 			out.Gone = append(out.Gone, c.gone)
 		}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,6 +67,9 @@
 	Latency func(service string) *admitter.Latency
 	// Suspects keeps the crashes that requests were in flight for.
 	Suspects *tracker.Suspects
+	// Informed reports whether this host was told which upstreams name a limit; nil is
+	// always.
+	Informed func() bool
 	// KeysValid is how old the knowledge of keys may be; 0 means any age.
 	KeysValid time.Duration
 	// Now is a clock that goes on while the machine is suspended.
@@ -89,9 +92,11 @@
 
 // Ready reports whether requests can be answered.
 func (f *Forwarder) Ready() bool {
-	return !f.stopping.Load() && f.Tables.Table() != nil && f.keysValid()
+	return !f.stopping.Load() && f.Tables.Table() != nil && f.informed() && f.keysValid()
 }
 
+func (f *Forwarder) informed() bool { return f.Informed == nil || f.Informed() }
+
 // InFlight is how many requests are being answered.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
@@ -191,6 +196,9 @@
 			return k.refuse(admitter.ReasonUnauthorised, "no workspace holds the key")
 		}
 	}
+	if !k.informed() {
+		return k.refuse(admitter.ReasonNotReady, "limits of upstreams not known yet")
+	}
 	k.service = k.table.Service(k.route, rand.Float64())
 	if k.service == nil {
 		return k.refuse(admitter.ReasonNoRoute, "no such service")
@@ -327,6 +335,8 @@
 	}
 	if l == nil {
 		k.giveUp(reason)
+	} else if len(l.HeldOff) > 0 {
+		k.Log.Debug().Str("requestId", k.id).Str("upstream", l.First.ID).Strs("heldOff", l.HeldOff).Msg("forwarder: upstreams passed over for their limit")
 	}
 	return l
 }
@@ -338,6 +348,10 @@
 		k.refuse(admitter.ReasonOutcomeUnknown, "may have run")
 	case k.runs > 0:
 		k.refuse(admitter.ReasonUpstream, "no further upstream: "+reason.String())
+	case reason == balancer.ReasonLimit:
+		wait := k.Balancer.LimitWait(k.Now(), k.service.Name)
+		k.comeBack = wait + time.Duration(rand.Float64()*float64(comeBack))
+		k.refuse(admitter.ReasonUpstreamLimit, "upstreams with room are at their limits")
 	case reason == balancer.ReasonNoRoom:
 		k.refuse(admitter.ReasonQueueFull, "no room")
 	default:
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -27,18 +27,8 @@
 	if perSecond == limiter.Unlimited && !own {
 		return
 	}
-	now := k.Now()
-	ch, changed := k.Balancer.ObserveLimit(now, sent, id, l.Born, perSecond)
-	if !changed {
-		return
-	}
-	line := k.Log.Info().Str("requestId", k.id).Str("upstream", id).Str("address", l.First.Address).Dur("age", now-sent)
-	switch {
-	case ch.Is == limiter.Unlimited:
-		line.Float64("was", ch.Was).Msg("forwarder: limit of upstream ended")
-	case ch.Was == limiter.Unlimited:
-		line.Float64("perSecond", ch.Is).Msg("forwarder: upstream names a limit")
-	default:
-		line.Float64("was", ch.Was).Float64("perSecond", ch.Is).Msg("forwarder: limit of upstream changed")
+	ch, changed := k.Balancer.ObserveLimit(k.Now(), sent, id, l.Born, perSecond)
+	if changed {
+		k.Log.Info().Str("requestId", k.id).EmbedObject(&ch).Msg("forwarder: " + ch.String())
 	}
 }
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -142,6 +142,10 @@
 	if !f.beginProbe("stalled " + h.ID) {
 		return
 	}
+	if !f.Balancer.MayAsk(f.Now(), h.ID) {
+		go f.endProbe("stalled "+h.ID, stallRest)
+		return
+	}
 	go func() {
 		defer f.endProbe("stalled "+h.ID, stallRest)
 		ctx, cancel := context.WithTimeout(ctx, stallTimeout)
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -48,6 +49,10 @@
 	asked = 2
 	// mostStrikes bounds the crashes told in one exchange: 2 KB.
 	mostStrikes = 32
+	// mostLimits bounds the limits told in one exchange: 3 KB.
+	mostLimits = 64
+	// starting is the time between two looks for other hosts before the first reading.
+	starting = 10 * time.Millisecond
 )
 
 // Sharer is a peer.Share. The fields are set before Run.
@@ -73,12 +78,19 @@
 	farAt time.Duration
 	// impossible are the hosts whose report was logged as such.
 	impossible map[string]bool
+	// informed is set once another host answered.
+	informed atomic.Bool
+	// hostsAt is when other hosts were first known; 0 is not yet.
+	hostsAt atomic.Int64
 }
 
 // Run exchanges until ctx ends.
 func (s *Sharer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		hosts := s.Follower.Hosts()
+		if len(hosts) > 0 {
+			s.hostsAt.CompareAndSwap(0, int64(s.Now()))
+		}
 		p := s.assign(hosts)
 		calls := s.calls(p)
 		if s.Follower.OwnAge() > behind && s.Follower.ReadAge() > unserved {
@@ -163,6 +175,9 @@
 // pause is the time between two rounds. A host that is no relay calls one relay in
 // each, in turn, and hears from all of them within a period.
 func (s *Sharer) pause(hosts []follower.Host, p plan) time.Duration {
+	if s.Follower.Revision() == 0 {
+		return starting
+	}
 	near := 1
 	for _, h := range hosts {
 		if h.DataCentre == s.DataCentre {
@@ -233,7 +248,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := s.Now()
-	req := &peer.ShareRequest{Host: s.Self, DataCentre: s.DataCentre, Report: s.report(c.scope, c.host.Name, nil), Behind: c.behind, Strikes: s.strikes()}
+	req := &peer.ShareRequest{Host: s.Self, DataCentre: s.DataCentre, Report: s.report(c.scope, c.host.Name, nil), Behind: c.behind, Strikes: s.strikes(), Limits: s.limits()}
 	if cfg := s.Follower.Configuration(); cfg != nil {
 		req.Version = cfg.Version
 	}
@@ -251,6 +266,8 @@
 	}
 	s.takeReport(c.host.Name, c.host.DataCentre, resp.Report)
 	s.takeStrikes(c.host.Name, resp.Strikes)
+	s.takeLimits(c.host.Name, resp.Limits)
+	s.informed.Store(true)
 	if err := s.takeState(sent, c, resp); err != nil {
 		s.Log.Warn().Err(err).Str("peer", c.host.Name).Msg("sharer: answer can't be read")
 	}
@@ -290,12 +307,13 @@
 func (s *Sharer) Exchange(_ context.Context, req *peer.ShareRequest) (*peer.ShareResponse, error) {
 	s.takeReport(req.Host, req.DataCentre, req.Report)
 	s.takeStrikes(req.Host, req.Strikes)
+	s.takeLimits(req.Host, req.Limits)
 	if req.GetReport().GetScope() == peer.Scope_SCOPE_HOST && s.roles.asked(s.Now()) {
 		s.Follower.Wake()
 	}
 	state := s.Follower.State(req.Revision)
 	resp := &peer.ShareResponse{
-		Host: s.Self, Report: s.report(answering(req.GetReport().GetScope()), req.Host, req.Upstreams), Strikes: s.strikes(),
+		Host: s.Self, Report: s.report(answering(req.GetReport().GetScope()), req.Host, req.Upstreams), Strikes: s.strikes(), Limits: s.limits(),
 		Version: state.Version, Revision: state.Revision, AgeMs: state.Age.Milliseconds() + 1, ReadAgeMs: state.ReadAge.Milliseconds() + 1,
 	}
 	var err error
