--- a/faker/limit.go
+++ b/faker/limit.go
@@ -20,14 +20,12 @@
 	limitSlack  = 5
 )
 
-// limits is what a Stage names as its limit, and to whom.
+// limits is what a Stage names as its limit.
 type limits struct {
 	// text is the header's value now; empty is no header.
 	text string
 	// named are the limits over time, in order.
 	named []namedLimit
-	// told is when an answer first named the limit to a host, by where it calls from.
-	told map[string]time.Time
 }
 
 type namedLimit struct {
@@ -46,24 +44,14 @@
 	}
 	s.limits.text = text
 	s.limits.named = append(s.limits.named, namedLimit{time.Now(), perSecond})
-	if perSecond < 0 {
-		s.limits.told = nil
-	}
 }
 
-// name puts the limit into an answer to a host.
-func (s *Stage) name(h http.Header, header, to string) {
+// name puts the limit into an answer.
+func (s *Stage) name(h http.Header, header string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.limits.text == "" {
-		return
-	}
-	h.Set(header, s.limits.text)
-	if s.limits.told == nil {
-		s.limits.told = make(map[string]time.Time)
-	}
-	if s.limits.told[to].IsZero() {
-		s.limits.told[to] = time.Now()
+	if s.limits.text != "" {
+		h.Set(header, s.limits.text)
 	}
 }
 
@@ -79,57 +67,56 @@
 // LimitBreaks lists the windows, each ending with a request, in which the Stage got more
 // requests of hosts that were told of its limit than that allows. The windows of a limit
 // begin a grace after it was first named; where it changed in a window the highest holds.
-func (s *Stage) LimitBreaks() []LimitBreak {
+// host names the host that a request came from; empty is one that does not count.
+func (s *Stage) LimitBreaks(host func(one *Seen) string) []LimitBreak {
+	seen := s.Seen()
+	slices.SortStableFunc(seen, func(a, b Seen) int { return a.At.Compare(b.At) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var out []LimitBreak
 	var counted []time.Time
-	for _, one := range s.seen {
-		told := s.limits.told[one.From]
-		if !told.IsZero() && !one.At.Before(told.Add(toldGrace)) {
-			counted = append(counted, one.At)
+	told := make(map[string]time.Time)
+	for i := range seen {
+		at, from := seen[i].At, host(&seen[i])
+		since, highest := s.limits.at(at)
+		if from == "" || since.IsZero() {
+			continue
 		}
-	}
-	slices.SortFunc(counted, time.Time.Compare)
-	var out []LimitBreak
-	first := 0
-	for i, at := range counted {
-		for at.Sub(counted[first]) > limitWindow {
-			first++
+		if told[from].Before(since) {
+			told[from] = at
+		}
+		if at.Before(told[from].Add(toldGrace)) {
+			continue
 		}
-		perSecond, ok := s.limits.highest(at)
-		allowed := int(limitFactor*perSecond*limitWindow.Seconds() + limitSlack)
-		if got := i - first + 1; ok && got > allowed {
-			out = append(out, LimitBreak{at, got, allowed, perSecond})
+		counted = append(counted, at)
+		for at.Sub(counted[0]) > limitWindow {
+			counted = counted[1:]
+		}
+		allowed := int(limitFactor*highest*limitWindow.Seconds() + limitSlack)
+		if at.Sub(since) >= limitGrace && len(counted) > allowed {
+			out = append(out, LimitBreak{at, len(counted), allowed, highest})
 		}
 	}
 	return out
 }
 
-// highest is the highest limit within the window that ends at a time; not ok where the
-// upstream was without one, or named it first less than the grace before.
-func (l *limits) highest(at time.Time) (perSecond float64, ok bool) {
-	var since time.Time
+// at is since when the limit that is named at a time was named without a break, and the
+// highest of the window that ends then; zero where none is.
+func (l *limits) at(now time.Time) (since time.Time, highest float64) {
 	for i, n := range l.named {
-		if n.from.After(at) {
+		if n.from.After(now) {
 			break
 		}
-		until := at
-		if i+1 < len(l.named) {
-			until = l.named[i+1].from
-		}
 		if n.perSecond < 0 {
-			since = time.Time{}
-			if until.After(at.Add(-limitWindow)) {
-				perSecond = 0
-			}
+			since, highest = time.Time{}, 0
 			continue
 		}
 		if since.IsZero() {
 			since = n.from
 		}
-		if until.After(at.Add(-limitWindow)) {
-			perSecond = max(perSecond, n.perSecond)
+		if i+1 == len(l.named) || l.named[i+1].from.After(now.Add(-limitWindow)) {
+			highest = max(highest, n.perSecond)
 		}
 	}
-	return perSecond, !since.IsZero() && at.Sub(since) >= limitGrace
+	return since, highest
 }
--- a/faker/stage.go
+++ b/faker/stage.go
@@ -155,7 +155,7 @@
 		w.Header().Set(h.Stamp, "stamp-"+s.ID)
 	}
 	w.Header().Set(h.Load, "1,0,8")
-	s.name(w.Header(), h.Limit, r.RemoteAddr)
+	s.name(w.Header(), h.Limit)
 	switch t {
 	case TroubleFull:
 		w.Header().Set(h.NotRun, "1")
--- a/launcher/limit_test.go
+++ b/launcher/limit_test.go
@@ -65,7 +65,7 @@
 		}
 		time.Sleep(10 * time.Second)
 		for id, s := range fl.stages {
-			for _, one := range s.LimitBreaks() {
+			for _, one := range s.LimitBreaks(func(one *faker.Seen) string { return one.From }) {
 				t.Errorf("%s got %d requests in 4 s at a limit of %g a second, %d allowed", id, one.Got, one.PerSecond, one.Allowed)
 				break
 			}
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -1,13 +1,17 @@
 package soaker
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/sardineward/sardineward/faker"
 )
 
 // call is one request as its caller saw it.
@@ -106,6 +110,7 @@
 	}
 	l.checkMoving(found)
 	l.checkLeaving(w, found)
+	l.checkLimits(w, found)
 	for _, text := range l.exits {
 		found("%s", text)
 	}
@@ -241,3 +246,25 @@
 		}
 	}
 }
+
+// checkLimits: an upstream that names a limit gets no more from hosts that were told of it
+// and not harmed meanwhile.
+func (l *ledger) checkLimits(w *world, found func(string, ...any)) {
+	hosts := make(map[string]int, len(l.calls))
+	for _, c := range l.calls {
+		hosts[c.id] = c.host
+	}
+	for _, u := range w.ups {
+		breaks := u.stage.LimitBreaks(func(one *faker.Seen) string {
+			host, ok := hosts[one.RequestID]
+			if !ok || !l.inTouch(host, one.At.Add(-settle), one.At) {
+				return ""
+			}
+			return w.hosts[host].name
+		})
+		if len(breaks) > 0 {
+			b := slices.MaxFunc(breaks, func(a, b faker.LimitBreak) int { return cmp.Compare(a.Got-a.Allowed, b.Got-b.Allowed) })
+			found("%s got %d requests in 4 s at a limit of %g a second, %d allowed", u.ID, b.Got, b.PerSecond, b.Allowed)
+		}
+	}
+}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -220,7 +221,7 @@
 // promise that holds for calm hosts is never put to the test.
 func (r *Run) harm(ctx context.Context, wg *sync.WaitGroup) {
 	rnd := rand.New(rand.NewPCG(r.Seed, 0))
-	faults := []fault{kill, pause, stop, cutStore, crash, harmLink, leave, revoke, move, trouble}
+	faults := []fault{kill, pause, stop, cutStore, crash, harmLink, leave, revoke, move, trouble, limit}
 	rnd.Shuffle(len(faults), func(i, j int) { faults[i], faults[j] = faults[j], faults[i] })
 	faults = faults[:3+rnd.IntN(len(faults)-2)]
 	rest := 300 + rnd.IntN(1500)
@@ -416,3 +417,14 @@
 	}
 	u.stage.Trouble(next...)
 }
+
+// limit has an upstream take few requests from all hosts together for a while.
+func limit(r *Run, rnd *rand.Rand, _ int, lasts time.Duration) {
+	u := r.w.ups[rnd.IntN(len(r.w.ups))]
+	// Longer than the time from which a limit has to be kept.
+	lasts *= 4
+	r.during("limit "+u.ID, -1, lasts, false)
+	u.stage.SetLimit(strconv.FormatFloat(0.5+3*rnd.Float64(), 'f', 1, 64))
+	time.Sleep(lasts)
+	u.stage.SetLimit("")
+}
