--- a/cmd/sardineward/forward.go
+++ b/cmd/sardineward/forward.go
@@ -42,7 +42,7 @@
 	defer stop()
 	signal.Ignore(syscall.SIGHUP)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true}}
-	store := &platform.Store{Address: cfg.Platform, HTTP: client, Timeout: storeTimeout}
+	store := &platform.Store{Address: cfg.Platform, HTTP: client, Timeout: storeTimeout, Log: log}
 	h := &launcher.Host{
 		Settings:  cfg,
 		Store:     store,
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -150,6 +150,8 @@
 	outage  bool
 	// back is set until the first answer after an outage was taken in.
 	back bool
+	// reloaded is set after everything was read, until a peer leads on from there.
+	reloaded bool
 }
 
 // Table is what is in force; nil before the first was read.
@@ -356,8 +358,13 @@
 			ch.Duties = append(ch.Duties, Duty{DataCentre: dc})
 		}
 	}
+	was := f.revision
 	f.mu.Unlock()
-	f.take(ch, sent)
+	inForce := f.take(ch, sent)
+	f.mu.Lock()
+	f.reloaded = inForce
+	f.mu.Unlock()
+	f.Log.Info().Int64("revision", ch.Revision).Int64("was", was).Bool("inForce", inForce).Msg("follower: everything read")
 	return nil
 }
 
@@ -401,8 +408,9 @@
 	}
 }
 
-// take puts changes in force that this host read.
-func (f *Follower) take(ch *Changes, sent time.Duration) {
+// take puts changes in force that this host read, unless it knows of later ones, and
+// reports whether it did.
+func (f *Follower) take(ch *Changes, sent time.Duration) bool {
 	f.mu.Lock()
 	f.configure(ch.Configuration)
 	f.own.Store(int64(sent))
@@ -419,6 +427,7 @@
 	if current && f.OnChange != nil {
 		f.OnChange()
 	}
+	return current
 }
 
 // lapse returns the upstreams that are gone for good, and those that came back whose
--- a/follower/peers.go
+++ b/follower/peers.go
@@ -9,6 +9,8 @@
 
 // State is what a host tells a peer of its knowledge.
 type State struct {
+	// Peer is the host that told it, for logs.
+	Peer string
 	// Version is that of the configuration in force; 0 is none.
 	Version int64
 	// Revision is the one of the source that all but the configuration is of.
@@ -71,6 +73,10 @@
 		if s.Update.After != f.revision || s.Revision < f.listed {
 			return false // this host has read on meanwhile
 		}
+		if f.reloaded {
+			f.reloaded = false
+			f.Log.Info().Str("peer", s.Peer).Int64("revision", s.Revision).Int64("was", f.revision).Msg("follower: led on by a peer")
+		}
 		f.advance(s.Update, nil, at)
 		took = true
 	}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -249,6 +249,7 @@
 	m.Func("read_age_seconds", "Age of what this host read from the store or was told by a relay.", func() float64 { return h.follow.ReadAge().Seconds() })
 	m.Func("reader", "1 while this host reads the store for its data centre.", func() float64 { return gauge(h.share.Reads()) })
 	m.Func("relay", "1 while the hosts of this data centre report to this one.", func() float64 { return gauge(h.share.Relays()) })
+	m.Func("source_revision", "Revision of the store up to which this host knows upstreams and hosts.", func() float64 { return float64(h.follow.Revision()) })
 	m.Func("configuration_version", "Version of the configuration in force; 0 is none.", func() float64 {
 		if t := h.follow.Table(); t != nil {
 			return float64(t.Version)
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -292,7 +292,7 @@
 			return err
 		}
 	}
-	s.Follower.Told(sent, &follower.State{Version: resp.Version, Revision: resp.Revision, ReadAge: millis(resp.ReadAgeMs), Update: update})
+	s.Follower.Told(sent, &follower.State{Peer: c.host.Name, Version: resp.Version, Revision: resp.Revision, ReadAge: millis(resp.ReadAgeMs), Update: update})
 	list, err := decode[[]balancer.Upstream](resp.Upstreams)
 	if err != nil {
 		return err
