follower, sharer, platform, registrar: the era of a store goes before its revisions

What callers saw: an upstream that had said it leaves got requests 3.0 to 3.3 s later. Cause: the store had come back from a copy and gave its revisions out again, and every comparison of what is newer went by revision alone. Hosts that heard from a relay that the copy was fresh stayed at the position they had before (92, the copy at 78), and a change below it was never seen; relays led others back there; a watch from a position that the store had passed meanwhile got no 410. Class: an order that is taken for one over all time and starts again.

A follower.Position is era and revision, compared in one place: readings, lists and changes of peers, what the newest heard of is. Source.Changes asks for everything when an answer names another era, or one was heard of already; a late answer of an era that is over is dropped. A relay tells the difference between both eras to hosts that stood where it did, so that not all read everything. Better knowledge than the copy's is kept: an incarnation that leaves stays leaving, an older configuration is not taken and proves nothing for 2.2 s, entries of upstreams and hosts that it lacks may be written again for as long. Leases and duties of an era that is over are void at once and taken anew; a compare-and-swap never crosses eras unnoticed.

Hosts of this and of an earlier version don't take each other's changes during a roll: each reads the store itself then.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -245,6 +245,18 @@
 	return changed, dropped
 }
 
+// KeepLeaving marks those of a list as leaving that are known to: a list from a copy may be
+// older than that, and an incarnation that leaves does not come back.
+func (b *Balancer) KeepLeaving(list []Upstream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range list {
+		if u := b.ups[list[i].ID]; u != nil && u.Born == list[i].Born && u.Leaving {
+			list[i].Leaving = true
+		}
+	}
+}
+
 // supersede drops the older of two upstreams with one address. One that was
 // started again is listed under a new id while its old entry stays for some
 // heartbeats; paths over the layers of the old one were turned away, and the
--- a/faker/directory.go
+++ b/faker/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -17,7 +18,9 @@
 
 // Directory is a follower.Source in memory: a configuration, upstreams and hosts.
 type Directory struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// era is how often it came back from a copy.
+	era      int64
 	revision int64
 	cfg      *matcher.Configuration
 	ups      map[string]balancer.Upstream
@@ -83,6 +86,30 @@
 	d.away = away
 }
 
+func (d *Directory) position() follower.Position {
+	return follower.Position{Era: d.era, Revision: d.revision}
+}
+
+// Copy returns what it holds, for Restore.
+func (d *Directory) Copy() *Directory {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return &Directory{revision: d.revision, cfg: d.cfg, ups: maps.Clone(d.ups), hosts: slices.Clone(d.hosts), log: slices.Clone(d.log)}
+}
+
+// Restore goes back to a copy: what was written since is gone, and revisions are given out
+// again.
+func (d *Directory) Restore(c *Directory) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.era++
+	d.revision, d.cfg, d.ups, d.hosts, d.log = c.revision, c.cfg, maps.Clone(c.ups), slices.Clone(c.hosts), slices.Clone(c.log)
+	if d.changed != nil {
+		close(d.changed)
+		d.changed = nil
+	}
+}
+
 // Compact forgets all history.
 func (d *Directory) Compact() {
 	d.mu.Lock()
@@ -110,7 +137,7 @@
 	if d.away {
 		return nil, errAway
 	}
-	out := &follower.Changes{Revision: d.revision, Configuration: d.cfg, Hosts: slices.Clone(d.hosts)}
+	out := &follower.Changes{Position: d.position(), Configuration: d.cfg, Hosts: slices.Clone(d.hosts)}
 	for _, u := range d.ups {
 		out.Listed = append(out.Listed, u)
 	}
@@ -128,16 +155,20 @@
 }
 
 // Changes implements follower.Source.
-func (d *Directory) Changes(ctx context.Context, after int64, wait time.Duration) (*follower.Changes, error) {
+func (d *Directory) Changes(ctx context.Context, at follower.Position, wait time.Duration) (*follower.Changes, error) {
+	after := at.Revision
 	d.mu.Lock()
-	if d.revision <= after {
+	if d.era == at.Era && d.revision <= after {
 		d.wait(ctx, wait)
 	}
 	defer d.mu.Unlock()
 	if d.away {
 		return nil, errAway
 	}
-	out := &follower.Changes{Revision: d.revision}
+	if d.era != at.Era {
+		return nil, follower.ErrCompacted
+	}
+	out := &follower.Changes{Position: d.position()}
 	if d.revision <= after {
 		return out, nil
 	}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -21,14 +21,14 @@
 	"github.com/sardineward/sardineward/matcher"
 )
 
-// ErrCompacted means that the source no longer has the changes since a
-// revision: everything has to be read again.
+// ErrCompacted means that the source no longer has the changes since a position, or came
+// back from a copy since: everything has to be read again.
 var ErrCompacted = errors.New("follower: history no longer available")
 
 // Changes is what a source tells.
 type Changes struct {
-	// Revision is where the next call goes on.
-	Revision int64
+	// Position is where the next call goes on.
+	Position
 	// Configuration is nil when it has not changed.
 	Configuration *matcher.Configuration
 	// Listed are upstreams that are new or changed, Gone the ids of those whose
@@ -66,9 +66,9 @@
 	// Load reads everything. Where that is much it waits for its turn before it reads
 	// more than the hosts.
 	Load(ctx context.Context, turn Turn) (*Changes, error)
-	// Changes returns what changed after a revision, at once if there is any,
+	// Changes returns what changed after a position, at once if there is any,
 	// else after wait. It returns ErrCompacted when that can't be told.
-	Changes(ctx context.Context, after int64, wait time.Duration) (*Changes, error)
+	Changes(ctx context.Context, after Position, wait time.Duration) (*Changes, error)
 	// Configuration reads the configuration alone.
 	Configuration(ctx context.Context) (*matcher.Configuration, error)
 }
@@ -134,24 +134,31 @@
 	fresh, read, own atomic.Int64
 	wake             chan struct{}
 
-	mu       sync.Mutex
-	revision int64
-	// listed is the highest revision of a list that a peer told.
-	listed int64
+	mu sync.Mutex
+	// position is up to where this host has read, or was told by peers.
+	position Position
+	// listed is the latest position of a list that a peer told.
+	listed Position
 	hosts  map[string]Host
 	// holders are the hosts that hold duties, by data centre.
 	holders map[string]string
 	history history
-	// newestVersion and newestRevision are what peers know that could not tell it.
-	newestVersion, newestRevision int64
+	// newestVersion and newest are what peers know that could not tell it.
+	newestVersion int64
+	newest        Position
 	// missing are upstreams whose entry lapsed while the source was away, with
 	// the time from which they are taken as gone.
 	missing map[string]time.Duration
-	outage  bool
+	// missingHosts are entry hosts in the same state.
+	missingHosts map[string]time.Duration
+	outage       bool
 	// back is set until the first answer after an outage was taken in.
 	back bool
 	// reloaded is set after everything was read, until a peer leads on from there.
 	reloaded bool
+	// forgottenUntil is set while the source, back from a copy, holds an older configuration
+	// than is known and may get it again: until then it does not show what is in force.
+	forgottenUntil time.Duration
 }
 
 // Table is what is in force; nil before the first was read.
@@ -179,12 +186,12 @@
 // Configuration is what is in force; nil before the first was read.
 func (f *Follower) Configuration() *matcher.Configuration { return f.cfg.Load() }
 
-// Revision is the one of the source up to which this host has read; 0 before the
+// Position is the one of the source up to which this host has read; zero before the
 // first.
-func (f *Follower) Revision() int64 {
+func (f *Follower) Position() Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision
+	return f.position
 }
 
 // Hosts returns the other entry hosts that are known.
@@ -203,7 +210,7 @@
 func (f *Follower) Holder(dataCentre string) (name string, known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.holders[dataCentre], f.revision > 0
+	return f.holders[dataCentre], !f.position.IsZero()
 }
 
 // Run follows the source until ctx ends.
@@ -212,6 +219,7 @@
 	f.hosts = make(map[string]Host)
 	f.holders = make(map[string]string)
 	f.missing = make(map[string]time.Duration)
+	f.missingHosts = make(map[string]time.Duration)
 	f.wake = make(chan struct{}, 1)
 	f.mu.Unlock()
 	for ctx.Err() == nil {
@@ -251,9 +259,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.table.Load()
-	return t == nil || t.Version < f.newestVersion || f.revision < f.newestRevision || len(f.missing) > 0
+	return t == nil || t.Version < f.newestVersion || f.position.Before(f.newest) || f.unsettled()
 }
 
+// unsettled reports whether entries that lapsed may still come back. f.mu is held.
+func (f *Follower) unsettled() bool { return len(f.missing)+len(f.missingHosts) > 0 }
+
 // pause is the time between two calls. The source counts each call and serves
 // only so many: the more hosts ask, the less often each of them does.
 func (f *Follower) pause() time.Duration {
@@ -267,9 +278,9 @@
 func (f *Follower) step(ctx context.Context) error {
 	sent := f.Now()
 	f.mu.Lock()
-	after := f.revision
+	after := f.position
 	f.mu.Unlock()
-	if after == 0 {
+	if after.IsZero() {
 		return f.reload(ctx, sent)
 	}
 	call, cancel := context.WithTimeout(ctx, wait+slack)
@@ -279,10 +290,7 @@
 	}
 	ch, err := f.Source.Changes(call, after, wait)
 	if errors.Is(err, ErrCompacted) {
-		f.Log.Info().Int64("revision", after).Msg("follower: history is gone, reading everything")
-		f.mu.Lock()
-		f.revision = 0
-		f.mu.Unlock()
+		f.Log.Info().Int64("revision", after.Revision).Int64("era", after.Era).Msg("follower: history is gone, reading everything")
 		return f.reload(ctx, f.Now())
 	}
 	if err != nil {
@@ -302,7 +310,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.table.Load()
-	return t != nil && t.Version < f.newestVersion && f.revision >= f.newestRevision && len(f.missing) == 0
+	return t != nil && t.Version < f.newestVersion && !f.position.Before(f.newest) && !f.unsettled()
 }
 
 // readConfiguration reads the configuration alone: entries of a large fleet, which are
@@ -317,10 +325,35 @@
 	defer f.mu.Unlock()
 	f.configure(cfg)
 	f.own.Store(int64(sent))
-	f.fresh.Store(max(f.fresh.Load(), int64(sent)))
+	f.recall(cfg)
+	f.proveFresh(sent)
 	return nil
 }
 
+// recall notes that the source holds a configuration again that is as new as any known.
+// f.mu is held.
+func (f *Follower) recall(cfg *matcher.Configuration) {
+	if cfg != nil && cfg.Version >= f.newestKnown() {
+		f.forgottenUntil = 0
+	}
+}
+
+// newestKnown is the version of the newest configuration that this host or a peer knows.
+// f.mu is held.
+func (f *Follower) newestKnown() int64 {
+	if t := f.table.Load(); t != nil {
+		return max(f.newestVersion, t.Version)
+	}
+	return f.newestVersion
+}
+
+// proveFresh notes that the configuration was in force at a time. f.mu is held.
+func (f *Follower) proveFresh(at time.Duration) {
+	if f.Now() >= f.forgottenUntil {
+		f.fresh.Store(max(f.fresh.Load(), int64(at)))
+	}
+}
+
 func (f *Follower) reload(ctx context.Context, sent time.Duration) error {
 	call, cancel := context.WithTimeout(ctx, loadTime)
 	defer cancel()
@@ -358,16 +391,38 @@
 			ch.Duties = append(ch.Duties, Duty{DataCentre: dc})
 		}
 	}
-	was := f.revision
+	was := f.position
+	f.returned(ch)
 	f.mu.Unlock()
 	inForce := f.take(ch, sent)
 	f.mu.Lock()
 	f.reloaded = inForce
 	f.mu.Unlock()
-	f.Log.Info().Int64("revision", ch.Revision).Int64("was", was).Bool("inForce", inForce).Msg("follower: everything read")
+	f.Log.Info().Int64("revision", ch.Revision).Int64("era", ch.Era).Int64("was", was.Revision).Int64("wasEra", was.Era).
+		Bool("inForce", inForce).Msg("follower: everything read")
 	return nil
 }
 
+// returned prepares for a reading of everything at a source that came back from a copy: what
+// it lacks may be written again, and what it holds may be older than what is known. f.mu is
+// held.
+func (f *Follower) returned(ch *Changes) {
+	t := f.table.Load()
+	if t != nil && ch.Era == 0 && ch.Before(f.position) {
+		// It does not say that it came back, but has lost what this host knows.
+		f.position, f.listed, f.newest, f.history = Position{}, Position{}, Position{}, history{}
+	}
+	f.Balancer.KeepLeaving(ch.Listed)
+	if f.position.IsZero() || ch.Era <= f.position.Era {
+		return
+	}
+	f.back = true
+	if newest := f.newestKnown(); ch.Configuration == nil || ch.Configuration.Version < newest {
+		f.forgottenUntil = f.Now() + returning
+		f.Log.Warn().Int64("version", newest).Msg("follower: source has forgotten the newest configuration")
+	}
+}
+
 // loadSlot is the time between two hosts that begin to read long lists: about what some
 // thousand entries take through the link of the source.
 const loadSlot = 16 * time.Millisecond
@@ -415,13 +470,15 @@
 	f.configure(ch.Configuration)
 	f.own.Store(int64(sent))
 	// A peer may have told of later changes while the call was under way.
-	current := ch.Revision >= max(f.revision, f.listed)
+	f.recall(ch.Configuration)
+	current := !ch.Before(later(f.position, f.listed))
 	if current {
-		gone, back := f.lapse(ch)
+		gone, hostsGone, back := f.lapse(ch)
 		f.advance(&Update{
-			After: f.revision, Revision: ch.Revision, Listed: ch.Listed, Gone: gone,
-			Hosts: ch.Hosts, HostsGone: ch.HostsGone, Duties: ch.Duties,
+			After: f.position, Position: ch.Position, Listed: ch.Listed, Gone: gone,
+			Hosts: ch.Hosts, HostsGone: hostsGone, Duties: ch.Duties,
 		}, back, sent)
+		f.proveFresh(sent)
 	}
 	f.mu.Unlock()
 	if current && f.OnChange != nil {
@@ -430,19 +487,15 @@
 	return current
 }
 
-// lapse returns the upstreams that are gone for good, and those that came back whose
-// entry had lapsed in an outage. f.mu is held.
-func (f *Follower) lapse(ch *Changes) (gone []string, back []balancer.Upstream) {
+// lapse returns the upstreams and hosts that are gone for good, and the upstreams that came
+// back whose entry had lapsed in an outage. f.mu is held.
+func (f *Follower) lapse(ch *Changes) (gone, hostsGone []string, back []balancer.Upstream) {
 	now := f.Now()
-	for _, id := range ch.Gone {
-		// Only the first answer tells of entries that lapsed in the outage. One
-		// that is removed later left.
-		if f.back {
-			f.missing[id] = now + returning
-		} else {
-			gone = append(gone, id)
-		}
-	}
+	// Only the first answer tells of entries that lapsed in the outage. One that is
+	// removed later left. Those of hosts lapse in an outage as their leases do; a copy
+	// may lack them though they live.
+	gone = held(f.missing, ch.Gone, f.back, now)
+	hostsGone = held(f.missingHosts, ch.HostsGone, f.back && ch.Era > f.position.Era, now)
 	f.back = false
 	for i := range ch.Listed {
 		if _, missing := f.missing[ch.Listed[i].ID]; missing {
@@ -450,13 +503,33 @@
 			delete(f.missing, ch.Listed[i].ID)
 		}
 	}
-	for id, until := range f.missing {
+	for _, h := range ch.Hosts {
+		delete(f.missingHosts, h.Name)
+	}
+	return append(gone, overdue(f.missing, now)...), append(hostsGone, overdue(f.missingHosts, now)...), back
+}
+
+// held keeps those that are gone as missing where they may come back, and returns the others.
+func held(missing map[string]time.Duration, gone []string, back bool, now time.Duration) []string {
+	if !back {
+		return gone
+	}
+	for _, id := range gone {
+		missing[id] = now + returning
+	}
+	return nil
+}
+
+// overdue takes out those that did not come back in time.
+func overdue(missing map[string]time.Duration, now time.Duration) []string {
+	var out []string
+	for id, until := range missing {
 		if until <= now {
-			gone = append(gone, id)
-			delete(f.missing, id)
+			out = append(out, id)
+			delete(missing, id)
 		}
 	}
-	return gone, back
+	return out
 }
 
 // advance puts an update in force that shows what the source held at a time, and
@@ -474,10 +547,9 @@
 	}
 	u.Listed, u.Gone = f.Balancer.List(u.Listed, u.Gone)
 	u.Listed = withBack(u.Listed, back)
-	f.revision = u.Revision
+	f.position = u.Position
 	f.history.add(u)
 	f.read.Store(max(f.read.Load(), int64(at)))
-	f.fresh.Store(max(f.fresh.Load(), int64(at)))
 }
 
 // withBack is a list with upstreams that came back, each once.
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -77,7 +77,7 @@
 	calls atomic.Int64
 }
 
-func (c *counted) Changes(ctx context.Context, after int64, wait time.Duration) (*follower.Changes, error) {
+func (c *counted) Changes(ctx context.Context, after follower.Position, wait time.Duration) (*follower.Changes, error) {
 	c.calls.Add(1)
 	return c.Source.Changes(ctx, after, wait)
 }
@@ -183,17 +183,23 @@
 	run(t, func(src *faker.Directory, fol *follower.Follower, b *balancer.Balancer) {
 		is := is.New(t)
 		leaving := func() bool { return b.Listed()[0].Leaving }
-		before := fol.Revision()
+		before := fol.Position()
 		src.List(balancer.Upstream{ID: "one", Address: "1", Leaving: true})
 		time.Sleep(time.Second)
 		is.True(leaving())
 		fol.Listed([]balancer.Upstream{{ID: "one", Address: "1"}}, before)
 		is.True(leaving())
-		fol.Listed([]balancer.Upstream{{ID: "one", Address: "1"}}, fol.Revision())
+		fol.Listed([]balancer.Upstream{{ID: "one", Address: "1"}}, fol.Position())
 		is.True(leaving()) // what this host read itself holds
-		fol.Listed([]balancer.Upstream{{ID: "one", Address: "1"}, {ID: "two", Address: "2"}}, fol.Revision()+2)
+		fol.Listed([]balancer.Upstream{{ID: "one", Address: "1"}, {ID: "two", Address: "2"}}, plus(fol.Position(), 2))
 		is.Equal(len(b.IDs()), 2)
-		fol.Listed([]balancer.Upstream{{ID: "one", Address: "1"}}, fol.Revision()+1)
+		fol.Listed([]balancer.Upstream{{ID: "one", Address: "1"}}, plus(fol.Position(), 1))
 		is.Equal(len(b.IDs()), 2) // a peer that is further behind
 	})
 }
+
+// plus is a position some changes later.
+func plus(p follower.Position, n int64) follower.Position {
+	p.Revision += n
+	return p
+}
--- a/follower/large_test.go
+++ b/follower/large_test.go
@@ -35,7 +35,7 @@
 	}
 }
 
-func (l *large) Changes(ctx context.Context, after int64, wait time.Duration) (*follower.Changes, error) {
+func (l *large) Changes(ctx context.Context, after follower.Position, wait time.Duration) (*follower.Changes, error) {
 	l.entries.Add(1)
 	return l.Directory.Changes(ctx, after, wait)
 }
@@ -81,7 +81,7 @@
 		time.Sleep(500 * time.Millisecond)
 		before := src.entries.Load()
 		src.Configure(&matcher.Configuration{Version: 4})
-		fol.Told(fol.Now(), &follower.State{Version: 4, Revision: fol.Revision()})
+		fol.Told(fol.Now(), &follower.State{Version: 4, Position: fol.Position()})
 		time.Sleep(500 * time.Millisecond)
 		is.Equal(fol.Table().Version, int64(4))
 		is.Equal(src.entries.Load(), before)
--- a/follower/peers.go
+++ b/follower/peers.go
@@ -13,26 +13,26 @@
 	Peer string
 	// Version is that of the configuration in force; 0 is none.
 	Version int64
-	// Revision is the one of the source that all but the configuration is of.
-	Revision int64
+	// Position is the one of the source that all but the configuration is of.
+	Position
 	// Age and ReadAge are those of the Follower.
 	Age, ReadAge time.Duration
-	// Update is what changed since the peer's revision; nil where that is not known.
+	// Update is what changed since the peer's position; nil where that is not known.
 	Update *Update
 }
 
-// State returns what is known, for a peer that knows a revision; 0 is none.
-func (f *Follower) State(revision int64) State {
+// State returns what is known, for a peer that knows up to a position; zero is nothing.
+func (f *Follower) State(of Position) State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	// Ages are taken first: what is read meanwhile only makes the rest younger.
-	out := State{Age: f.Age(), ReadAge: f.ReadAge(), Revision: f.revision}
+	out := State{Age: f.Age(), ReadAge: f.ReadAge(), Position: f.position}
 	if t := f.table.Load(); t != nil {
 		out.Version = t.Version
 	}
 	// Entries that lapsed in an outage are neither gone nor back yet.
-	if revision > 0 && len(f.missing) == 0 {
-		out.Update = f.history.after(revision, f.revision)
+	if !of.IsZero() && !f.unsettled() {
+		out.Update = f.history.after(of, f.position)
 	}
 	return out
 }
@@ -53,10 +53,13 @@
 func (f *Follower) told(sent time.Duration, s *State) (took bool) {
 	t := f.table.Load()
 	switch {
-	case f.revision == 0 || t == nil || s.Version < t.Version || len(f.missing) > 0:
+	case f.position.IsZero() || t == nil || s.Version < t.Version || f.unsettled():
 		return false
-	case s.Version > t.Version || (s.Revision > f.revision && s.Update == nil):
-		if s.Version > f.newestVersion || (s.Version == t.Version && s.Revision > f.newestRevision) {
+	case s.Era < f.position.Era:
+		// A peer that has not noticed yet that the source came back from a copy.
+		return false
+	case s.Version > t.Version || (f.position.Before(s.Position) && s.Update == nil):
+		if s.Version > f.newestVersion || (s.Version == t.Version && f.newest.Before(s.Position)) {
 			select {
 			case f.wake <- struct{}{}:
 			default:
@@ -64,24 +67,24 @@
 		}
 		f.newestVersion = max(f.newestVersion, s.Version)
 		if s.Version == t.Version {
-			f.newestRevision = max(f.newestRevision, s.Revision)
+			f.newest = later(f.newest, s.Position)
 		}
 		return false
 	}
 	at := sent - s.ReadAge
-	if s.Revision > f.revision {
-		if s.Update.After != f.revision || s.Revision < f.listed {
+	if f.position.Before(s.Position) {
+		if s.Update.After != f.position || s.Before(f.listed) {
 			return false // this host has read on meanwhile
 		}
 		if f.reloaded {
 			f.reloaded = false
-			f.Log.Info().Str("peer", s.Peer).Int64("revision", s.Revision).Int64("was", f.revision).Msg("follower: led on by a peer")
+			f.Log.Info().Str("peer", s.Peer).Int64("revision", s.Revision).Int64("was", f.position.Revision).Msg("follower: led on by a peer")
 		}
 		f.advance(s.Update, nil, at)
 		took = true
 	}
 	f.read.Store(max(f.read.Load(), int64(at)))
-	f.fresh.Store(max(f.fresh.Load(), int64(at)))
+	f.fresh.Store(max(f.fresh.Load(), int64(sent-max(s.Age, s.ReadAge))))
 	if f.outage && f.ReadAge() < 2*pause {
 		f.outage = false
 		f.Log.Info().Dur("age", f.Age()).Msg("follower: source regained through peers")
@@ -101,23 +104,22 @@
 	if t == nil || t.Version < version {
 		return
 	}
-	if at := int64(sent - age); at > f.fresh.Load() {
-		f.fresh.Store(at)
-	}
+	f.fresh.Store(max(f.fresh.Load(), int64(sent-age)))
 }
 
-// Listed takes in the upstreams that a peer knew at a revision of the source,
+// Listed takes in the upstreams that a peer knew at a position of the source,
 // unless this host has read a later one: an answer to a host that was suspended may
 // be seconds old.
-func (f *Follower) Listed(list []balancer.Upstream, revision int64) {
+func (f *Follower) Listed(list []balancer.Upstream, of Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	newest := max(f.revision, f.listed)
-	f.listed = max(newest, revision)
-	if revision <= newest {
+	newest := later(f.position, f.listed)
+	f.listed = later(newest, of)
+	if !newest.Before(of) {
 		return
 	}
-	// What this changes belongs to no revision that this host has read to.
+	f.Balancer.KeepLeaving(list)
+	// What this changes belongs to no position that this host has read to.
 	f.history = history{}
 	known := make(map[string]bool, len(list))
 	for i := range list {
--- a/follower/update.go
+++ b/follower/update.go
@@ -8,12 +8,12 @@
 	"github.com/sardineward/sardineward/balancer"
 )
 
-// Update is what changed at the source between two revisions, but the
+// Update is what changed at the source between two positions, but the
 // configuration.
 type Update struct {
-	// After is the revision that it begins at, Revision the one that it leads to.
-	After    int64 `json:"after"`
-	Revision int64 `json:"revision"`
+	// After is the position that it begins at, Position the one that it leads to.
+	After Position `json:"from"`
+	Position
 	// Gone upstreams go before Listed ones: one that came back is in both.
 	Gone      []string            `json:"gone,omitempty"`
 	Listed    []balancer.Upstream `json:"listed,omitempty"`
@@ -24,8 +24,8 @@
 
 // Check reports what is wrong in an update that a peer sent.
 func (u *Update) Check() error {
-	if u.After <= 0 || u.Revision < u.After {
-		return fmt.Errorf("follower: update leads from revision %d to %d", u.After, u.Revision)
+	if u.After.Revision <= 0 || u.Before(u.After) {
+		return fmt.Errorf("follower: update leads from revision %d of era %d to %d of %d", u.After.Revision, u.After.Era, u.Revision, u.Era)
 	}
 	for i := range u.Listed {
 		if l := &u.Listed[i]; l.ID == "" || l.Address == "" {
@@ -83,8 +83,8 @@
 }
 
 // update is all that was added.
-func (m *merged) update(after, revision int64) *Update {
-	out := &Update{After: after, Revision: revision, Gone: slices.Sorted(maps.Keys(m.gone)), HostsGone: slices.Sorted(maps.Keys(m.hostsGone))}
+func (m *merged) update(after, upTo Position) *Update {
+	out := &Update{After: after, Position: upTo, Gone: slices.Sorted(maps.Keys(m.gone)), HostsGone: slices.Sorted(maps.Keys(m.hostsGone))}
 	for _, id := range slices.Sorted(maps.Keys(m.listed)) {
 		out.Listed = append(out.Listed, m.listed[id])
 	}
@@ -103,37 +103,41 @@
 
 // history is what changed lately, for peers.
 type history struct {
-	// from is the revision from which all changes are known; 0 is none.
-	from    int64
+	// from is the position from which all changes are known; zero is none.
+	from    Position
 	updates []*Update
 }
 
 func (h *history) add(u *Update) {
-	if h.from == 0 {
-		h.from = u.Revision
+	if h.from.IsZero() {
+		h.from = u.Position
 		return
 	}
-	if u.empty() {
+	if u.empty() && u.Era == u.After.Era {
 		return
 	}
 	h.updates = append(h.updates, u)
 	if len(h.updates) > mostUpdates {
-		h.from = h.updates[0].Revision
+		h.from = h.updates[0].Position
 		h.updates = h.updates[1:]
 	}
 }
 
-// after joins what changed after a revision up to another; nil where that is not
+// after joins what changed after a position up to another; nil where that is not
 // known.
-func (h *history) after(revision, upTo int64) *Update {
-	if h.from == 0 || revision < h.from || revision > upTo {
+func (h *history) after(of, upTo Position) *Update {
+	if h.from.IsZero() || of.Before(h.from) || upTo.Before(of) {
 		return nil
 	}
 	all := newMerged()
 	for _, u := range h.updates {
-		if u.Revision > revision {
-			all.add(u)
+		if !of.Before(u.Position) {
+			continue
 		}
+		if of.Era == u.After.Era && of.Era < u.Era && u.After.Before(of) {
+			return nil // it was told of changes that the source has lost and this host never saw
+		}
+		all.add(u)
 	}
-	return all.update(revision, upTo)
+	return all.update(of, upTo)
 }
--- a/follower/update_bench_test.go
+++ b/follower/update_bench_test.go
@@ -11,9 +11,9 @@
 // one peer.
 func BenchmarkUpdate(b *testing.B) {
 	var h history
-	h.add(&Update{Revision: 1})
+	h.add(&Update{Position: Position{Revision: 1}})
 	for n := range 10 {
-		u := &Update{After: int64(n + 1), Revision: int64(n + 2)}
+		u := &Update{After: Position{Revision: int64(n + 1)}, Position: Position{Revision: int64(n + 2)}}
 		for i := range 1000 {
 			u.Listed = append(u.Listed, balancer.Upstream{ID: fmt.Sprint("u", i), Address: fmt.Sprint(i), Born: int64(n)})
 		}
@@ -21,7 +21,7 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		if u := h.after(1, 11); len(u.Listed) != 1000 {
+		if u := h.after(Position{Revision: 1}, Position{Revision: 11}); len(u.Listed) != 1000 {
 			b.Fatal(len(u.Listed))
 		}
 	}
--- a/follower/update_test.go
+++ b/follower/update_test.go
@@ -26,11 +26,11 @@
 func TestToldBackAfterOutage(t *testing.T) {
 	run(t, func(src *faker.Directory, fol *follower.Follower, _ *balancer.Balancer) {
 		is := is.New(t)
-		before := fol.Revision()
+		before := fol.Position()
 		src.SetAway(true)
 		time.Sleep(5 * time.Second)
 		src.Drop("one")
-		between := before + 1 // of a peer that read on all the while, and dropped it
+		between := plus(before, 1) // of a peer that read on all the while, and dropped it
 		src.SetAway(false)
 		time.Sleep(time.Second)
 		is.True(fol.State(before).Update == nil) // it is neither gone nor back
@@ -56,8 +56,8 @@
 		time.Sleep(time.Second)
 		is.True(listed(b, "one"))
 		src.List(balancer.Upstream{ID: "one", Address: "1"})
-		revision := fol.Revision()
-		fol.Told(7*time.Second, &follower.State{Version: 3, Revision: revision + 1, Update: &follower.Update{After: revision, Revision: revision + 1}})
+		at := fol.Position()
+		fol.Told(7*time.Second, &follower.State{Version: 3, Position: plus(at, 1), Update: &follower.Update{After: at, Position: plus(at, 1)}})
 		time.Sleep(5 * time.Second)
 		is.True(listed(b, "one"))
 	})
@@ -73,9 +73,9 @@
 		leaving.Leaving = true
 		for range 10 {
 			time.Sleep(1065 * time.Millisecond) // at another moment of a call each time
-			revision := fol.Revision()
-			update := &follower.Update{After: revision, Revision: revision + 2, Listed: []balancer.Upstream{leaving}}
-			fol.Told(0, &follower.State{Version: 3, Revision: revision + 2, Update: update})
+			at := fol.Position()
+			update := &follower.Update{After: at, Position: plus(at, 2), Listed: []balancer.Upstream{leaving}}
+			fol.Told(0, &follower.State{Version: 3, Position: plus(at, 2), Update: update})
 			src.List(ready) // the change before that one
 			time.Sleep(20 * time.Millisecond)
 			is.True(b.Listed()[0].Leaving)
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -90,7 +90,7 @@
 	return o.without(o.Directory.Load(ctx, turn))
 }
 
-func (o others) Changes(ctx context.Context, after int64, wait time.Duration) (*follower.Changes, error) {
+func (o others) Changes(ctx context.Context, after follower.Position, wait time.Duration) (*follower.Changes, error) {
 	return o.without(o.Directory.Changes(ctx, after, wait))
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -58,10 +58,15 @@
 	// Free lists the data centres whose duty this host is to take: nobody is
 	// known to hold it.
 	Free func() []string
-	Log  zerolog.Logger
+	// Era counts how often the store came back from a copy; nil is never. Leases and
+	// duties of an era that is over are void, whatever the store still holds of them.
+	Era func() int64
+	Log zerolog.Logger
 
 	mu    sync.Mutex
 	lease int64
+	// era is the one in which the lease was granted.
+	era int64
 	// until is when the lease lapses at the earliest: counted from before the
 	// call that prolonged it.
 	until time.Duration
@@ -73,14 +78,24 @@
 func (r *Registrar) Holding(dataCentre string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.duties[dataCentre] && r.Now() < r.until
+	return r.duties[dataCentre] && r.valid()
+}
+
+// valid reports whether the lease surely runs. r.mu is held.
+func (r *Registrar) valid() bool { return r.Now() < r.until && r.era == r.currentEra() }
+
+func (r *Registrar) currentEra() int64 {
+	if r.Era == nil {
+		return 0
+	}
+	return r.Era()
 }
 
 // HoldingAny reports whether this host surely holds any duty.
 func (r *Registrar) HoldingAny() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.duties) > 0 && r.Now() < r.until
+	return len(r.duties) > 0 && r.valid()
 }
 
 // Run keeps the entry alive until ctx ends, then removes it.
@@ -118,10 +133,18 @@
 	defer cancel()
 	start := r.Now()
 	r.mu.Lock()
-	lease := r.lease
+	lease, era := r.lease, r.era
 	r.mu.Unlock()
+	if lease != 0 && era != r.currentEra() {
+		r.lapsed()
+		lease = 0
+	}
 	if lease != 0 {
 		err := r.Store.KeepAlive(call, lease)
+		if err == nil && era != r.currentEra() {
+			r.lapsed()
+			return r.register(call)
+		}
 		if err == nil {
 			r.prolong(start)
 			return r.claim(call, lease)
@@ -155,6 +178,7 @@
 	if err != nil {
 		return err
 	}
+	era := r.currentEra()
 	value, err := json.Marshal(r.Entry)
 	if err != nil {
 		return fmt.Errorf("encoding host entry: %w", err)
@@ -163,7 +187,7 @@
 		return err
 	}
 	r.mu.Lock()
-	r.lease = lease
+	r.lease, r.era = lease, era
 	r.until = start + ttl
 	r.mu.Unlock()
 	r.Log.Info().Int64("lease", lease).Msg("registrar: registered")
@@ -176,7 +200,7 @@
 	if err != nil && !errors.Is(err, storer.ErrNotFound) {
 		return err
 	}
-	_, err = r.Store.Swap(ctx, storer.Write{Key: key, Value: value, Expect: old.Revision, Lease: lease})
+	_, err = r.Store.Swap(ctx, storer.Write{Key: key, Value: value, Expect: old.Revision, Era: old.Era, Lease: lease})
 	return err
 }
 
@@ -215,7 +239,7 @@
 	if err != nil {
 		return err
 	}
-	w.Expect = old.Revision
+	w.Expect, w.Era = old.Revision, old.Era
 	_, err = r.Store.Swap(ctx, w)
 	return err
 }
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -26,11 +26,16 @@
 }
 
 func start(store storer.Store, name string, free func() []string) *host {
+	return startIn(store, name, free, nil)
+}
+
+// startIn is start with the era of the store.
+func startIn(store storer.Store, name string, free func() []string, era func() int64) *host {
 	began := time.Now()
 	h := &host{done: make(chan struct{})}
 	h.Registrar = &registrar.Registrar{
 		Store: store, Entry: registrar.Entry{Name: name, Address: name + ":1", DataCentre: "a"},
-		Now: func() time.Duration { return time.Since(began) + time.Duration(h.asleep.Load()) }, Free: free, Log: zerolog.Nop(),
+		Now: func() time.Duration { return time.Since(began) + time.Duration(h.asleep.Load()) }, Free: free, Era: era, Log: zerolog.Nop(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -54,7 +54,7 @@
 	return v.see(v.fleet.source.Load(ctx, turn))
 }
 
-func (v view) Changes(ctx context.Context, after int64, wait time.Duration) (*follower.Changes, error) {
+func (v view) Changes(ctx context.Context, after follower.Position, wait time.Duration) (*follower.Changes, error) {
 	return v.see(v.fleet.source.Changes(ctx, after, wait))
 }
 
--- a/sharer/limits.go
+++ b/sharer/limits.go
@@ -17,7 +17,7 @@
 	if s.informed.Load() {
 		return true
 	}
-	if s.Follower.Revision() == 0 {
+	if s.Follower.Position().IsZero() {
 		return false
 	}
 	since := s.hostsAt.Load()
--- /dev/null
+++ b/sharer/restore_test.go
@@ -0,0 +1,47 @@
+package sharer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/balancer"
+)
+
+// TestFleetRestored guards against hosts of a large fleet that are wrong for long, or all read
+// everything, after the source came back from a copy.
+func TestFleetRestored(t *testing.T) {
+	for _, size := range []struct{ centres, each int }{{2, 2}, {3, 8}, {5, 24}, {5, 60}} {
+		for _, overtaken := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d hosts, overtaken %t", size.centres*size.each, overtaken), func(t *testing.T) {
+				runFleet(t, size.centres, size.each, func(is *is.I, fl *fleet) {
+					fl.source.List(balancer.Upstream{ID: "leaves", Address: "1"})
+					time.Sleep(2 * time.Second)
+					c := fl.source.Copy()
+					time.Sleep(3 * time.Second)
+					fl.source.SetAway(true)
+					time.Sleep(1500 * time.Millisecond)
+					fl.source.Restore(c)
+					fl.source.List(balancer.Upstream{ID: "leaves", Address: "1", Leaving: true})
+					if overtaken {
+						for n := range 200 {
+							fl.source.List(balancer.Upstream{ID: "other", Address: "2", Born: int64(n)})
+						}
+					}
+					fl.calls.Store(0)
+					fl.source.SetAway(false)
+					took := await(5*time.Second, func() bool { return knows(fl.members, "leaves", true) })
+					time.Sleep(max(0, 5*time.Second-took))
+					t.Logf("all right after %v, %d calls on the source in 5 s", took, fl.calls.Load())
+					is.True(took <= 1500*time.Millisecond)
+					is.True(fl.calls.Load() <= int64(25*size.centres+2*len(fl.members)))
+					for _, m := range fl.members {
+						is.Equal(m.follow.Position().Era, int64(1))
+					}
+				})
+			})
+		}
+	}
+}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -175,7 +175,7 @@
 // pause is the time between two rounds. A host that is no relay calls one relay in
 // each, in turn, and hears from all of them within a period.
 func (s *Sharer) pause(hosts []follower.Host, p plan) time.Duration {
-	if s.Follower.Revision() == 0 {
+	if s.Follower.Position().IsZero() {
 		return starting
 	}
 	near := 1
@@ -256,7 +256,8 @@
 		req.Upstreams = s.Balancer.Used(sent)
 	}
 	if c.changes || c.behind {
-		req.Revision = s.Follower.Revision()
+		at := s.Follower.Position()
+		req.Era, req.Revision = at.Era, at.Revision
 	}
 	resp, err := peer.NewShareProtobufClient("http://"+c.host.Address, s.HTTP).Exchange(ctx, req)
 	s.roles.answered(s.Now(), c.host, err == nil)
@@ -292,13 +293,16 @@
 			return err
 		}
 	}
-	s.Follower.Told(sent, &follower.State{Peer: c.host.Name, Version: resp.Version, Revision: resp.Revision, ReadAge: millis(resp.ReadAgeMs), Update: update})
+	at := follower.Position{Era: resp.Era, Revision: resp.Revision}
+	s.Follower.Told(sent, &follower.State{
+		Peer: c.host.Name, Version: resp.Version, Position: at, Age: millis(resp.AgeMs), ReadAge: millis(resp.ReadAgeMs), Update: update,
+	})
 	list, err := decode[[]balancer.Upstream](resp.Upstreams)
 	if err != nil {
 		return err
 	}
 	if list != nil {
-		s.Follower.Listed(*list, resp.Revision)
+		s.Follower.Listed(*list, at)
 	}
 	return nil
 }
@@ -311,10 +315,10 @@
 	if req.GetReport().GetScope() == peer.Scope_SCOPE_HOST && s.roles.asked(s.Now()) {
 		s.Follower.Wake()
 	}
-	state := s.Follower.State(req.Revision)
+	state := s.Follower.State(follower.Position{Era: req.Era, Revision: req.Revision})
 	resp := &peer.ShareResponse{
 		Host: s.Self, Report: s.report(answering(req.GetReport().GetScope()), req.Host, req.Upstreams), Strikes: s.strikes(), Limits: s.limits(),
-		Version: state.Version, Revision: state.Revision, AgeMs: state.Age.Milliseconds() + 1, ReadAgeMs: state.ReadAge.Milliseconds() + 1,
+		Version: state.Version, Era: state.Era, Revision: state.Revision, AgeMs: state.Age.Milliseconds() + 1, ReadAgeMs: state.ReadAge.Milliseconds() + 1,
 	}
 	var err error
 	if state.Update != nil {
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -239,6 +239,7 @@
 		if !ok {
 			continue
 		}
+		at = l.written(at)
 		for _, s := range u.stage.Seen() {
 			if s.At.After(at.Add(leaveAfter)) && l.inTouch(hosts[s.RequestID], at.Add(-settle), s.At) {
 				found("%s got %s by host %d %v after it began to leave", u.ID, s.RequestID, hosts[s.RequestID], s.At.Sub(at))
@@ -247,6 +248,20 @@
 	}
 }
 
+// restoreFault is the store that comes back from a copy.
+const restoreFault = "restore"
+
+// written is when what was written at a time could be read: it is written again where the
+// store was away then or soon after, and came back from a copy.
+func (l *ledger) written(at time.Time) time.Time {
+	for _, i := range l.incidents {
+		if i.what == restoreFault && i.from.Before(at.Add(leaveAfter)) && at.Before(i.to) {
+			at = i.to
+		}
+	}
+	return at
+}
+
 // checkLimits: an upstream that names a limit gets no more from hosts that were told of it
 // and not harmed meanwhile.
 func (l *ledger) checkLimits(w *world, found func(string, ...any)) {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -36,6 +36,8 @@
 	// out are the hosts that the balancer sends nothing to, by number.
 	mu  sync.Mutex
 	out map[int]bool
+	// restoring is held while the store goes back to a copy.
+	restoring sync.Mutex
 }
 
 // Report is what a run found.
@@ -85,6 +87,7 @@
 		callers.Go(func() { r.call(ctx, n) })
 	}
 	callers.Go(func() { r.balance(ctx) })
+	callers.Go(func() { r.beat(ctx) })
 	faults.Go(func() { r.harm(ctx, &faults) })
 	faults.Wait()
 	time.Sleep(coolDown)
@@ -221,7 +224,7 @@
 // promise that holds for calm hosts is never put to the test.
 func (r *Run) harm(ctx context.Context, wg *sync.WaitGroup) {
 	rnd := rand.New(rand.NewPCG(r.Seed, 0))
-	faults := []fault{kill, pause, stop, cutStore, crash, harmLink, leave, revoke, move, trouble, limit}
+	faults := []fault{kill, pause, stop, cutStore, crash, harmLink, leave, revoke, move, trouble, limit, restore}
 	rnd.Shuffle(len(faults), func(i, j int) { faults[i], faults[j] = faults[j], faults[i] })
 	faults = faults[:3+rnd.IntN(len(faults)-2)]
 	rest := 300 + rnd.IntN(1500)
@@ -355,8 +358,8 @@
 	}
 	entry := u.Upstream
 	entry.Leaving = true
-	r.w.store.List(entry)
 	r.l.mu.Lock()
+	r.w.store.List(entry)
 	r.l.left[u.ID] = time.Now()
 	r.l.mu.Unlock()
 	r.during("leave "+u.ID, -1, 0, true)
@@ -428,3 +431,52 @@
 	time.Sleep(lasts)
 	u.stage.SetLimit("")
 }
+
+// restore has the store come back from a copy that is some time old; what operators and
+// upstreams wrote is written again.
+func restore(r *Run, rnd *rand.Rand, _ int, lasts time.Duration) {
+	if !r.restoring.TryLock() {
+		return
+	}
+	defer r.restoring.Unlock()
+	c := r.w.store.Copy()
+	time.Sleep(lasts)
+	away := time.Duration(200+rnd.IntN(1300)) * time.Millisecond
+	r.during(restoreFault, -1, away, false)
+	r.w.store.SetAway(true)
+	time.Sleep(away)
+	r.w.store.Restore(c)
+	r.w.store.SetAway(false)
+	r.w.configure(func(*matcher.Configuration) {})
+	r.list()
+	time.Sleep(time.Duration(rnd.IntN(500)) * time.Millisecond)
+	leave(r, rnd, 0, 0)
+}
+
+// heartbeat is the time between two entries of an upstream.
+const heartbeat = 1200 * time.Millisecond
+
+// beat writes the entries of upstreams all the time, as these do.
+func (r *Run) beat(ctx context.Context) {
+	tick := time.NewTicker(heartbeat)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			r.list()
+		}
+	}
+}
+
+// list writes the entries of all upstreams as they are.
+func (r *Run) list() {
+	r.l.mu.Lock()
+	defer r.l.mu.Unlock()
+	for _, u := range r.w.ups {
+		entry := u.Upstream
+		_, entry.Leaving = r.l.left[u.ID]
+		r.w.store.List(entry)
+	}
+}
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -38,6 +38,9 @@
 	Value []byte `json:"value"`
 	// Revision rises with every write to the key; 0 means absent.
 	Revision int64 `json:"revision"`
+	// Era counts how often the service came back from a copy and gave its revisions out
+	// again; 0 where it does not say.
+	Era int64 `json:"-"`
 }
 
 // Write is one compare-and-swap.
@@ -46,12 +49,20 @@
 	Value []byte `json:"value"`
 	// Expect is the revision the key must have; 0 means it must be absent.
 	Expect int64 `json:"expect"`
+	// Era is the one of Expect.
+	Era int64 `json:"-"`
 	// Lease deletes the key when it lapses; 0 means none.
 	Lease int64 `json:"lease,omitempty"`
 	// Delete removes the key instead of writing Value.
 	Delete bool `json:"delete,omitempty"`
 }
 
+// Restorable is a Store that may come back from a copy.
+type Restorable interface {
+	// Era counts how often it did, by the answers so far.
+	Era() int64
+}
+
 // Store is the platform's key-value service. Every method may fail with
 // ErrUnavailable or ErrUncertain; a read that failed is always ErrUnavailable.
 type Store interface {
