--- a/balancer/limits.go
+++ b/balancer/limits.go
@@ -198,14 +198,15 @@
 }
 
 // MayAsk reports whether an upstream may be asked something beside requests. Questions
-// count against a limit.
+// count against its limit, which ends with its entry.
 func (b *Balancer) MayAsk(now time.Duration, id string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u := b.ups[id]
-	return u != nil && b.takePermit(now, u)
+	return u == nil || b.takePermit(now, u)
 }
 
+// takePermit is permitted for something that is sent then.
 func (b *Balancer) takePermit(now time.Duration, u *upstream) bool {
 	if !b.permitted(now, u, false) {
 		return false
--- a/limiter/ways_test.go
+++ b/limiter/ways_test.go
@@ -60,10 +60,8 @@
 	return false
 }
 
-// TestWays replays a limited upstream that more requests come for than it takes, under
-// ways of dividing its limit: an even part a host, a part for the first hosts only, which
-// is the one in use, and permits handed out by a relay. The one in use may never send more
-// than the rule allows.
+// TestWays guards against a way of dividing a limit that sends more than is allowed: the one
+// in use, a part for the first hosts, beside an even part a host and permits of a relay.
 func TestWays(t *testing.T) {
 	is := is.New(t)
 	for _, hosts := range []int{1, 4, 8, 24, 119} {
