forwarder, sharer: a host that starts serves what comes, and is ready once it heard of limits

Now it only is not ready before, so that the balancer sends others' callers elsewhere, and a call of another host counts as well as an answer.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,8 +67,8 @@
 	Latency func(service string) *admitter.Latency
 	// Suspects keeps the crashes that requests were in flight for.
 	Suspects *tracker.Suspects
-	// Informed reports whether this host was told which upstreams name a limit; nil is
-	// always.
+	// Informed reports whether this host was told which upstreams name a limit: it is not
+	// ready before. nil is always.
 	Informed func() bool
 	// KeysValid is how old the knowledge of keys may be; 0 means any age.
 	KeysValid time.Duration
@@ -92,11 +92,10 @@
 
 // Ready reports whether requests can be answered.
 func (f *Forwarder) Ready() bool {
-	return !f.stopping.Load() && f.Tables.Table() != nil && f.informed() && f.keysValid()
+	informed := f.Informed == nil || f.Informed()
+	return !f.stopping.Load() && f.Tables.Table() != nil && informed && f.keysValid()
 }
 
-func (f *Forwarder) informed() bool { return f.Informed == nil || f.Informed() }
-
 // InFlight is how many requests are being answered.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
@@ -196,9 +195,6 @@
 			return k.refuse(admitter.ReasonUnauthorised, "no workspace holds the key")
 		}
 	}
-	if !k.informed() {
-		return k.refuse(admitter.ReasonNotReady, "limits of upstreams not known yet")
-	}
 	k.service = k.table.Service(k.route, rand.Float64())
 	if k.service == nil {
 		return k.refuse(admitter.ReasonNoRoute, "no such service")
--- a/sharer/limits.go
+++ b/sharer/limits.go
@@ -8,11 +8,11 @@
 	"github.com/sardineward/sardineward/peer"
 )
 
-// uninformed bounds how long a host that starts waits for the first answer of another one.
+// uninformed bounds how long a host that starts waits to hear from another one.
 const uninformed = 400 * time.Millisecond
 
-// Informed reports whether this host may use upstreams: it was told which of them name a
-// limit, or there is nobody to tell it.
+// Informed reports whether another host told this one which upstreams name a limit, or there
+// is nobody to tell it.
 func (s *Sharer) Informed() bool {
 	if s.informed.Load() {
 		return true
@@ -41,6 +41,7 @@
 
 // takeLimits takes in the limits that a peer told of.
 func (s *Sharer) takeLimits(host string, list []*peer.Limit) {
+	s.informed.Store(true)
 	now := s.Now()
 	for _, p := range list {
 		l := limiter.Limit{Version: p.Version, PerSecond: p.PerSecond, Heard: now - millis(p.AgeMs)}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -78,7 +78,7 @@
 	farAt time.Duration
 	// impossible are the hosts whose report was logged as such.
 	impossible map[string]bool
-	// informed is set once another host answered.
+	// informed is set once another host answered, or called.
 	informed atomic.Bool
 	// hostsAt is when other hosts were first known; 0 is not yet.
 	hostsAt atomic.Int64
@@ -268,7 +268,6 @@
 	s.takeReport(c.host.Name, c.host.DataCentre, resp.Report)
 	s.takeStrikes(c.host.Name, resp.Strikes)
 	s.takeLimits(c.host.Name, resp.Limits)
-	s.informed.Store(true)
 	if err := s.takeState(sent, c, resp); err != nil {
 		s.Log.Warn().Err(err).Str("peer", c.host.Name).Msg("sharer: answer can't be read")
 	}
