--- a/follower/follower.go
+++ b/follower/follower.go
@@ -392,7 +392,7 @@
 		}
 	}
 	was := f.position
-	f.returned(ch)
+	f.reconcile(ch)
 	f.mu.Unlock()
 	inForce := f.take(ch, sent)
 	f.mu.Lock()
@@ -403,10 +403,10 @@
 	return nil
 }
 
-// returned prepares for a reading of everything at a source that came back from a copy: what
+// reconcile prepares for a reading of everything at a source that came back from a copy: what
 // it lacks may be written again, and what it holds may be older than what is known. f.mu is
 // held.
-func (f *Follower) returned(ch *Changes) {
+func (f *Follower) reconcile(ch *Changes) {
 	t := f.table.Load()
 	if t != nil && ch.Era == 0 && ch.Before(f.position) {
 		// It does not say that it came back, but has lost what this host knows.
@@ -494,8 +494,8 @@
 	// Only the first answer tells of entries that lapsed in the outage. One that is
 	// removed later left. Those of hosts lapse in an outage as their leases do; a copy
 	// may lack them though they live.
-	gone = held(f.missing, ch.Gone, f.back, now)
-	hostsGone = held(f.missingHosts, ch.HostsGone, f.back && ch.Era > f.position.Era, now)
+	gone = keepMissing(f.missing, ch.Gone, f.back, now)
+	hostsGone = keepMissing(f.missingHosts, ch.HostsGone, f.back && ch.Era > f.position.Era, now)
 	f.back = false
 	for i := range ch.Listed {
 		if _, missing := f.missing[ch.Listed[i].ID]; missing {
@@ -509,8 +509,8 @@
 	return append(gone, overdue(f.missing, now)...), append(hostsGone, overdue(f.missingHosts, now)...), back
 }
 
-// held keeps those that are gone as missing where they may come back, and returns the others.
-func held(missing map[string]time.Duration, gone []string, back bool, now time.Duration) []string {
+// keepMissing keeps those that are gone as missing where they may come back, and returns the others.
+func keepMissing(missing map[string]time.Duration, gone []string, back bool, now time.Duration) []string {
 	if !back {
 		return gone
 	}
