forwarder: refuse dials of lost upstreams in TestLostTogether

The test's dial accepted every address, those of the lost upstreams too. A probe of another lost upstream of the data centre then found it back, its path was changed again, and 'len(engines.hops) <= 2' failed. No lost upstream accepts connections, so the dial now refuses their addresses.

--- a/forwarder/moves_test.go
+++ b/forwarder/moves_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,9 +66,16 @@
 			}
 		}
 		engines := &repathEngines{duration: 20 * time.Millisecond}
+		var lost []balancer.Hop
+		dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+			if slices.ContainsFunc(lost, func(h balancer.Hop) bool { return h.Address == address }) {
+				return nil, syscall.ECONNREFUSED
+			}
+			return acceptAnyDial(ctx, network, address)
+		}
 		started := time.Now()
 		f := &Forwarder{
-			Balancer: b, Engines: engines, Pool: &connector.Pool{Dial: acceptAnyDial}, Suspects: new(tracker.Suspects),
+			Balancer: b, Engines: engines, Pool: &connector.Pool{Dial: dial}, Suspects: new(tracker.Suspects),
 			Now: func() time.Duration { return time.Since(started) + time.Second }, Log: zerolog.Nop(),
 		}
 		l, reason := b.Acquire(f.Now(), balancer.Requirements{Service: "model", PromptTokens: 700, AnswerTokens: 200})
@@ -76,7 +84,7 @@
 		a.begun.Store(true)
 		f.track(a)
 		path := b.Path(l)
-		lost := []balancer.Hop{path[1], path[2], path[4]}
+		lost = []balancer.Hop{path[1], path[2], path[4]}
 		for _, h := range lost {
 			f.recordProbe(t.Context(), h, errors.New("refused"))
 		}
