forwarder: log and count what a rejection says about when to return

Each line now carries Retry-After (cut), the load that the upstream reports and this host's requests in flight there; upstream_rejections_total counts by status and by whether Retry-After is named. Choices are unchanged; tests of the packages pass.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -465,6 +465,16 @@
 	}
 }
 
+// InFlight returns the number of this host's requests whose first hop is the upstream.
+func (b *Balancer) InFlight(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if u := b.upstreams[id]; u != nil {
+		return u.firstHopRequests
+	}
+	return 0
+}
+
 // Path returns the current hops of a lease.
 func (b *Balancer) Path(l *Lease) []Hop {
 	b.mu.Lock()
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sardineward/sardineward/balancer"
@@ -169,10 +170,26 @@
 	} else if load := parseLoad(resp.Header.Get(k.Headers.Load)); load != nil {
 		k.Balancer.RecordSuccess(k.Now(), id, load)
 	}
-	k.logAttempt(l, "turned away with status "+strconv.Itoa(resp.StatusCode)+" by "+id, nil)
+	k.logRejection(l, id, resp)
 	return verdictNotRun, true
 }
 
+// maxLoggedHeader is how many bytes of a header that can't be trusted are logged.
+const maxLoggedHeader = 32
+
+// logRejection counts and logs a response that rejects a request, with the upstream of the path that
+// is the reason and what the response says about when to return.
+func (k *call) logRejection(l *balancer.Lease, reason string, resp *http.Response) {
+	retryAfter := strings.Join(resp.Header.Values("Retry-After"), ", ")
+	k.Meter.Rejections.WithLabelValues(strconv.Itoa(resp.StatusCode), strconv.FormatBool(retryAfter != "")).Inc()
+	event := k.Log.Info().Str("requestId", k.id).Str("upstream", l.First.ID).Str("hops", FormatPath(k.Balancer.Path(l))).Dur("left", k.deadline-k.Now()).
+		Int("inFlight", k.Balancer.InFlight(l.First.ID)).Str("load", resp.Header.Get(k.Headers.Load))
+	if retryAfter != "" {
+		event.Str("retryAfter", retryAfter[:min(len(retryAfter), maxLoggedHeader)])
+	}
+	event.Msg("forwarder: turned away with status " + strconv.Itoa(resp.StatusCode) + " by " + reason)
+}
+
 // logAttempt logs what happened to an attempt, with its path and the time left.
 func (k *call) logAttempt(l *balancer.Lease, what string, err error) {
 	k.Log.Info().Str("requestId", k.id).Str("upstream", l.First.ID).Str("hops", FormatPath(k.Balancer.Path(l))).Err(err).
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -23,6 +23,9 @@
 	// tokens, with one sample for each generation: the mean gap, or the longest gap on a host that
 	// forwards by a route table. Both are in seconds.
 	FirstToken, TokenGap prometheus.Histogram
+	// Rejections counts upstreams' responses that reject a request without running it, by status
+	// and by whether they name a Retry-After.
+	Rejections *prometheus.CounterVec
 	// LimitsUnreadable counts upstreams' responses with a limit that can't be parsed.
 	LimitsUnreadable prometheus.Counter
 	// ThroughputBound is the upper bound of each pipeline's throughput, in tokens per second.
@@ -39,6 +42,7 @@
 		Requests:   counter("requests_total", "Requests answered whole.", "workspace", "kind"),
 		FirstToken: histogram("first_token_seconds", "Time to the first token of a generation."),
 		TokenGap:   histogram("token_gap_seconds", "Time between tokens of a generation, sampled."),
+		Rejections: counter("upstream_rejections_total", "Requests that upstreams rejected without running them.", "status", "retryAfter"),
 		LimitsUnreadable: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "limits_unreadable_total", Help: "Answers that named a limit which can't be read.",
 		}),
@@ -52,7 +56,7 @@
 	for _, c := range causes {
 		m.Retries.WithLabelValues(c)
 	}
-	m.Registry.MustRegister(m.Refusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.LimitsUnreadable, m.ThroughputBound)
+	m.Registry.MustRegister(m.Refusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.LimitsUnreadable, m.ThroughputBound)
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
