launcher: failing tests of upstreams that reject with Retry-After

The stand-in's upstream rejects with 503, its mark and a Retry-After, and counts by the rule's own words: more than two requests of one host between 0.5 s after the rejection and the end of the wait.

--- a/faker/stage.go
+++ b/faker/stage.go
@@ -54,6 +54,7 @@
 
 	mu        sync.Mutex
 	limits    limitHistory
+	backoff   backoff
 	faults    []StageFault
 	received  []ReceivedRequest
 	abandoned int
@@ -66,6 +67,8 @@
 	DeadlineMs                                    int
 	// Executed is false if the request was refused as not executed.
 	Executed bool
+	// Backoff is the wait that its rejection asked the host for; 0 if none.
+	Backoff time.Duration
 	// From is the address of the sender, in a Network the location that dialled.
 	From string
 	// At is the time at which it was received.
@@ -111,12 +114,13 @@
 	return s.abandoned
 }
 
-// receive records a request and returns the fault to apply to it.
-func (s *Stage) receive(r *http.Request, body string) StageFault {
+// receive records a request. It returns the fault to apply to it, and the Retry-After of its
+// rejection or an empty text.
+func (s *Stage) receive(r *http.Request, body string) (t StageFault, retryAfter string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := StageFaultNone
-	if len(s.faults) > 0 {
+	rejected := s.backoff.retryAfter != ""
+	if len(s.faults) > 0 && !rejected {
 		t, s.faults = s.faults[0], s.faults[1:]
 	}
 	h := s.headers()
@@ -130,11 +134,12 @@
 		Body:        body,
 		LastEventID: r.Header.Get("Last-Event-Id"),
 		DeadlineMs:  left,
-		Executed:    t != StageFaultOverloaded,
+		Executed:    t != StageFaultOverloaded && !rejected,
+		Backoff:     s.backoff.wait,
 		From:        r.RemoteAddr,
 		At:          time.Now(),
 	})
-	return t
+	return t, s.backoff.retryAfter
 }
 
 // ServeHTTP implements http.Handler.
@@ -144,7 +149,7 @@
 	if _, err := bufio.NewReader(r.Body).WriteTo(body); err != nil {
 		return
 	}
-	t := s.receive(r, body.String())
+	t, retryAfter := s.receive(r, body.String())
 	if s.Crash != nil && strings.Contains(body.String(), Poison) {
 		go s.Crash()
 		<-r.Context().Done()
@@ -156,6 +161,10 @@
 	}
 	w.Header().Set(h.Load, "1,0,8")
 	s.setLimitHeader(w.Header(), h.Limit)
+	if retryAfter != "" {
+		s.rejectWithBackoff(w, retryAfter)
+		return
+	}
 	switch t {
 	case StageFaultOverloaded:
 		w.Header().Set(h.NotRun, "1")
--- a/launcher/limit_test.go
+++ b/launcher/limit_test.go
@@ -15,7 +15,7 @@
 
 // runFleet runs hosts in virtual time with one upstream of desk and one of model in each of three
 // data centres. The hosts receive perSecond requests in all for one path while f runs. At the end
-// it checks that no upstream received more requests than its limit allows.
+// it checks that no upstream received more requests than its limit or its Retry-After allows.
 func runFleet(t *testing.T, hosts int, path string, perSecond float64, f func(is *is.I, fl *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -31,6 +31,7 @@
 				t.Errorf("upstream %q received %d requests in 4 s at a limit of %g/s, expected at most %d", id, one.Received, one.PerSecond, one.Allowed)
 				break
 			}
+			fl.assertBackoffKept(id)
 		}
 	})
 }
