balancer, forwarder: keep the Retry-After of upstreams' rejections

Cause: a rejection was applied to the one request that got it. Nothing about the upstream outlived that request, so each next one chose as before, and since a rejection takes 2 ms the upstream looked free and drew more than its share. Ruled out: probes, orders and queries as the whole cause, for the arrivals are first tries.

Change: an upstream's 503 with a Retry-After starts a backoff of the incarnation that rejected (the later hop where Fault-At names one). It is kept beside the list, since an entry may be lost and listed again, and ends with its time or a new start of the upstream. Choice of paths and plain upstreams, changed paths and resumed streams leave it out; the connector asks once more right before the request is written. What can't be served is refused at once with reason upstreamBackoff and a Retry-After from the end of the earliest backoff that helps. Afterwards one request at a time may be in flight, twice as many with each one accepted. A backoff is no ejection, no failure and no reason for another layout.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -70,6 +70,8 @@
 	// ReasonUpstreamLimit: the upstreams that could run the request are at the limits that they
 	// announced.
 	ReasonUpstreamLimit
+	// ReasonUpstreamBackoff: the upstreams that could run the request have asked for a backoff.
+	ReasonUpstreamBackoff
 )
 
 // Refusal is the error for a request that was not served; it holds the reason.
--- a/admitter/reason_gen.go
+++ b/admitter/reason_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "nonequeueFulldeadlinerateLimitnoRoutequarantinedstoppingnotReadyunauthorisedforbiddenmalformedtooLargeunknownnoKeykeyReusedrunningoutcomeUnknownplatformupstreamretryBudgetcanceledupstreamLimit"
+const _ReasonName = "nonequeueFulldeadlinerateLimitnoRoutequarantinedstoppingnotReadyunauthorisedforbiddenmalformedtooLargeunknownnoKeykeyReusedrunningoutcomeUnknownplatformupstreamretryBudgetcanceledupstreamLimitupstreamBackoff"
 
-var _ReasonIndex = [...]uint8{0, 4, 13, 21, 30, 37, 48, 56, 64, 76, 85, 94, 102, 109, 114, 123, 130, 144, 152, 160, 171, 179, 192}
+var _ReasonIndex = [...]uint8{0, 4, 13, 21, 30, 37, 48, 56, 64, 76, 85, 94, 102, 109, 114, 123, 130, 144, 152, 160, 171, 179, 192, 207}
 
-const _ReasonLowerName = "nonequeuefulldeadlineratelimitnoroutequarantinedstoppingnotreadyunauthorisedforbiddenmalformedtoolargeunknownnokeykeyreusedrunningoutcomeunknownplatformupstreamretrybudgetcanceledupstreamlimit"
+const _ReasonLowerName = "nonequeuefulldeadlineratelimitnoroutequarantinedstoppingnotreadyunauthorisedforbiddenmalformedtoolargeunknownnokeykeyreusedrunningoutcomeunknownplatformupstreamretrybudgetcanceledupstreamlimitupstreambackoff"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -46,9 +46,10 @@
 	_ = x[ReasonRetryBudget-(19)]
 	_ = x[ReasonCanceled-(20)]
 	_ = x[ReasonUpstreamLimit-(21)]
+	_ = x[ReasonUpstreamBackoff-(22)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonQueueFull, ReasonDeadline, ReasonRateLimit, ReasonNoRoute, ReasonQuarantined, ReasonStopping, ReasonNotReady, ReasonUnauthorised, ReasonForbidden, ReasonMalformed, ReasonTooLarge, ReasonUnknown, ReasonNoKey, ReasonKeyReused, ReasonRunning, ReasonOutcomeUnknown, ReasonPlatform, ReasonUpstream, ReasonRetryBudget, ReasonCanceled, ReasonUpstreamLimit}
+var _ReasonValues = []Reason{ReasonNone, ReasonQueueFull, ReasonDeadline, ReasonRateLimit, ReasonNoRoute, ReasonQuarantined, ReasonStopping, ReasonNotReady, ReasonUnauthorised, ReasonForbidden, ReasonMalformed, ReasonTooLarge, ReasonUnknown, ReasonNoKey, ReasonKeyReused, ReasonRunning, ReasonOutcomeUnknown, ReasonPlatform, ReasonUpstream, ReasonRetryBudget, ReasonCanceled, ReasonUpstreamLimit, ReasonUpstreamBackoff}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:     ReasonNone,
@@ -73,6 +74,7 @@
 	_ReasonName[160:171]: ReasonRetryBudget,
 	_ReasonName[171:179]: ReasonCanceled,
 	_ReasonName[179:192]: ReasonUpstreamLimit,
+	_ReasonName[192:207]: ReasonUpstreamBackoff,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -98,6 +100,7 @@
 	_ReasonLowerName[160:171]: ReasonRetryBudget,
 	_ReasonLowerName[171:179]: ReasonCanceled,
 	_ReasonLowerName[179:192]: ReasonUpstreamLimit,
+	_ReasonLowerName[192:207]: ReasonUpstreamBackoff,
 }
 
 var _ReasonNames = []string{
@@ -123,6 +126,7 @@
 	_ReasonName[160:171],
 	_ReasonName[171:179],
 	_ReasonName[179:192],
+	_ReasonName[192:207],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -70,6 +70,12 @@
 	tokens float64
 	// started is set once the stream has had its first event.
 	started bool
+	// Withheld lists the upstreams that were skipped because of a backoff.
+	Withheld []string
+	// returning holds the upstreams of the path whose backoff was over when the lease was
+	// acquired. accepted is set once they have not rejected the request.
+	returning []*announcement
+	accepted  bool
 }
 
 // Requirements describes what a request needs of its upstreams.
@@ -105,6 +111,9 @@
 	// ReasonLimit means that all upstreams that could run the request are full or have
 	// reached their rate limit.
 	ReasonLimit
+	// ReasonBackoff means that all upstreams that could run the request are full or have asked
+	// for a backoff.
+	ReasonBackoff
 )
 
 // upstream is a list entry with all that this host knows of the upstream.
@@ -149,6 +158,10 @@
 	hiddenUsage float64
 	rejectedAt  time.Duration
 	limit       limit
+	// unreadable holds the names of the headers that it sent with a value that can't be parsed.
+	unreadable []string
+	// announcement is nil until the incarnation makes one.
+	announcement *announcement
 	// rank is its sort key in this host's own order of the upstreams. retired is set where the
 	// subset keeps it only for requests in flight.
 	rank    uint64
@@ -189,6 +202,12 @@
 	// limitedSent counts requests sent to upstreams with a limit in force, throttledCount
 	// requests that skipped an upstream because its limit had no capacity.
 	limitedSent, throttledCount int64
+	// announced holds the announcements of incarnations, also of those that are not listed now,
+	// backingOff those whose backoff was not yet returned by EndedBackoffs.
+	announced, backingOff map[incarnation]*announcement
+	// backoffCount counts the backoffs, withheldCount the requests that skipped an upstream
+	// because of one.
+	backoffCount, withheldCount int64
 	// hostDataCentres maps the other hosts to their data centres. hostsVersion counts its
 	// changes. The change to hostsVersionSeen was first seen at hostsChangedAt.
 	hostDataCentres                map[string]string
@@ -234,7 +253,7 @@
 			u = nil
 		}
 		if u == nil {
-			u = &upstream{rank: rankOf(b.Host, l.ID)}
+			u = &upstream{rank: rankOf(b.Host, l.ID), announcement: b.announced[incarnation{l.ID, l.StartedAt}]}
 			b.upstreams[l.ID] = u
 		}
 		u.Upstream = l
@@ -284,6 +303,9 @@
 	delete(b.upstreams, id)
 	delete(b.limited, id)
 	delete(b.subset.used, id)
+	if key := (incarnation{u.ID, u.StartedAt}); b.backingOff[key] == nil {
+		delete(b.announced, key)
+	}
 	if b.byAddress[u.Address] == u {
 		delete(b.byAddress, u.Address)
 	}
@@ -374,6 +396,11 @@
 
 // usable reports whether new work may go to u.
 func (u *upstream) usable(now time.Duration, avoid []string) bool {
+	return u.reachable(now, avoid) && !u.announcement.withheld(now)
+}
+
+// reachable reports whether new work may go to u as soon as its backoff is over.
+func (u *upstream) reachable(now time.Duration, avoid []string) bool {
 	return !u.Leaving && !u.dead && u.ejectedUntil <= now && !slices.Contains(avoid, u.ID)
 }
 
@@ -394,15 +421,16 @@
 	var best *upstream
 	var cost float64
 	found := false
-	var throttled []string
+	var throttled, withheld []string
 	for _, u := range b.subset.used {
-		if u.Service != n.Service {
+		if u.Service != n.Service || !u.reachable(now, n.Avoid) || !n.allowsFirst(u.ID) {
 			continue
 		}
-		if !u.usable(now, n.Avoid) || !n.allowsFirst(u.ID) {
+		found = true
+		if u.announcement.withheld(now) {
+			withheld = append(withheld, u.ID)
 			continue
 		}
-		found = true
 		if !b.withinLimit(now, u, n.InProgress) {
 			throttled = append(throttled, u.ID)
 			continue
@@ -416,10 +444,13 @@
 		}
 	}
 	b.countThrottled(throttled)
+	b.countWithheld(withheld)
 	switch {
 	case best != nil:
 	case len(throttled) > 0:
 		return nil, ReasonLimit
+	case len(withheld) > 0:
+		return nil, ReasonBackoff
 	case found:
 		return nil, ReasonNoRoom
 	default:
@@ -428,7 +459,9 @@
 	best.firstHopRequests++
 	b.countSent(now, best)
 	hop := Hop{ID: best.ID, Address: best.Address}
-	return &Lease{requirements: n, First: hop, StartedAt: best.StartedAt, Throttled: throttled, hops: []Hop{hop}}, ReasonNone
+	l := &Lease{requirements: n, First: hop, StartedAt: best.StartedAt, Throttled: throttled, Withheld: withheld, hops: []Hop{hop}}
+	b.trackReturning(l)
+	return l, ReasonNone
 }
 
 // estimatedLoad estimates the requests at an upstream, with less weight for older reports.
@@ -446,6 +479,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.release(l)
+	for _, a := range l.returning {
+		a.returning--
+	}
 }
 
 func (b *Balancer) release(l *Lease) {
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -11,6 +11,8 @@
 	Upstream
 	// Unavailable is set while it is dead or ejected.
 	Unavailable bool
+	// BackingOff is set while it wants nothing sent to it. It keeps its layers and its place.
+	BackingOff bool
 	// InFlight counts the requests of all hosts whose path it is on.
 	InFlight int
 }
@@ -22,7 +24,7 @@
 	var out []Member
 	for _, u := range b.upstreams {
 		if u.Service == service {
-			out = append(out, Member{Upstream: u.Upstream, Unavailable: u.dead || u.ejectedUntil > now, InFlight: int(b.totalUsage(now, u).requests)})
+			out = append(out, Member{Upstream: u.Upstream, Unavailable: u.dead || u.ejectedUntil > now, BackingOff: u.announcement.backingOff(now), InFlight: int(b.totalUsage(now, u).requests)})
 		}
 	}
 	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Address, b.Address) })
@@ -46,6 +48,8 @@
 	StateDead
 	// StateOut upstreams are ejected: they get no new work for a while.
 	StateOut
+	// StateBackoff upstreams have asked this host for a backoff, or return from one.
+	StateBackoff
 )
 
 // Count returns the number of upstreams in a state.
@@ -70,6 +74,8 @@
 		return StateDead
 	case u.ejectedUntil > now:
 		return StateOut
+	case u.announcement.withheld(now):
+		return StateBackoff
 	case s != nil && s.Engine != nil && s.Engine.Layers > 0 && u.Layers.Len() == 0:
 		return StateEmpty
 	default:
--- a/balancer/limits.go
+++ b/balancer/limits.go
@@ -31,8 +31,6 @@
 	usableFrom time.Duration
 	// changedAt is when the limit last changed.
 	changedAt time.Duration
-	// unreadable is set once the upstream has named a limit that can't be parsed.
-	unreadable bool
 }
 
 // LimitChange is an upstream's rate limit before and after a change, in requests a second;
@@ -103,16 +101,16 @@
 	return LimitChange{Upstream: id, Address: u.Address, Before: was, After: l.Rate(), Age: now - l.LastNamedAt}, true
 }
 
-// UnreadableLimit records that an upstream named a limit that can't be parsed. It reports
-// whether that is the first one.
-func (b *Balancer) UnreadableLimit(id string) bool {
+// FirstUnreadable records that an upstream sent a header that can't be parsed. It reports whether
+// that is the first time with that header.
+func (b *Balancer) FirstUnreadable(id, header string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u := b.upstreams[id]
-	if u == nil || u.limit.unreadable {
+	if u == nil || slices.Contains(u.unreadable, header) {
 		return false
 	}
-	u.limit.unreadable = true
+	u.unreadable = append(u.unreadable, header)
 	return true
 }
 
--- a/balancer/limits_test.go
+++ b/balancer/limits_test.go
@@ -152,12 +152,12 @@
 	})
 }
 
-// TestUnreadableLimit guards against a log line for each answer whose limit can't be parsed.
-func TestUnreadableLimit(t *testing.T) {
+// TestFirstUnreadable guards against a log line for each answer with a header that can't be parsed.
+func TestFirstUnreadable(t *testing.T) {
 	is := is.New(t)
 	b := newLimitedBalancer(t, nil, 2, "a1")
-	is.True(b.UnreadableLimit("a1"))
-	is.True(!b.UnreadableLimit("a1"))
+	is.True(b.FirstUnreadable("a1", "Upstream-Limit"))
+	is.True(!b.FirstUnreadable("a1", "Upstream-Limit"))
 	is.Equal(b.LimitCount(), 1) // unchanged
 }
 
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -47,22 +47,27 @@
 
 // acquirePath acquires the cheapest path over all layers with capacity on each hop.
 func (b *Balancer) acquirePath(now time.Duration, s *matcher.Service, n Requirements) (*Lease, Reason) {
-	cands := b.candidates(now, s, n)
+	cands, withheld := b.candidates(now, s, n)
 	throttled := b.excludeThrottled(now, cands, n)
 	hops, reason := b.choosePath(now, s.Engine, n, cands)
 	if reason == ReasonNoRoom {
 		hops = b.crossingPath(now, s.Engine, n, cands)
 	}
 	b.countThrottled(throttled)
+	b.countWithheld(withheld)
 	if hops == nil {
-		if reason == ReasonNoRoom && len(throttled) > 0 {
+		switch {
+		case reason == ReasonNoRoom && len(throttled) > 0:
 			reason = ReasonLimit
+		case len(withheld) > 0:
+			reason = ReasonBackoff
 		}
 		return nil, reason
 	}
 	first := b.upstreams[hops[0].ID]
-	l := &Lease{requirements: n, tokens: n.expectedTokens(), hops: hops, First: hops[0], StartedAt: first.StartedAt, Throttled: throttled}
+	l := &Lease{requirements: n, tokens: n.expectedTokens(), hops: hops, First: hops[0], StartedAt: first.StartedAt, Throttled: throttled, Withheld: withheld}
 	b.reserve(l)
+	b.trackReturning(l)
 	b.countSent(now, first)
 	return l, ReasonNone
 }
@@ -91,16 +96,21 @@
 	return b.hopsOf(route), ReasonNone
 }
 
-// candidates returns the upstreams of the service that new work may go to.
-func (b *Balancer) candidates(now time.Duration, s *matcher.Service, n Requirements) []picker.Candidate {
-	out := make([]picker.Candidate, 0, len(b.subset.used))
+// candidates returns the upstreams of the service that new work may go to, and the ids of those that
+// are withheld from it because of a backoff.
+func (b *Balancer) candidates(now time.Duration, s *matcher.Service, n Requirements) (out []picker.Candidate, withheld []string) {
+	out = make([]picker.Candidate, 0, len(b.subset.used))
 	for _, u := range b.subset.used {
-		if u.Service != n.Service || u.Layers.Len() == 0 || u.retired || !u.usable(now, n.Avoid) {
+		if u.Service != n.Service || u.Layers.Len() == 0 || u.retired || !u.reachable(now, n.Avoid) {
+			continue
+		}
+		if u.announcement.withheld(now) {
+			withheld = append(withheld, u.ID)
 			continue
 		}
 		out = append(out, b.candidate(now, s.Engine, u, n, n.expectedTokens()))
 	}
-	return out
+	return out, withheld
 }
 
 // excludeThrottled excludes the candidates for the first hop whose rate limit allows no request
@@ -243,7 +253,7 @@
 	if wait <= maxCrossingWait {
 		return false
 	}
-	cands := b.candidates(now, s, l.requirements)
+	cands, _ := b.candidates(now, s, l.requirements)
 	b.excludeThrottled(now, cands, l.requirements)
 	whole, _ := b.choosePath(now, s.Engine, l.requirements, cands)
 	return whole != nil && b.crossingCount(whole) == 0
@@ -337,7 +347,7 @@
 				held[l] = true
 			}
 		default:
-			lacking = append(lacking, fmt.Sprintf("%s=%d-%d leaving=%t dead=%t out=%t", u.Address, u.Layers.From, u.Layers.To, u.Leaving, u.dead, u.ejectedUntil > now))
+			lacking = append(lacking, fmt.Sprintf("%s=%d-%d leaving=%t dead=%t out=%t backoff=%t", u.Address, u.Layers.From, u.Layers.To, u.Leaving, u.dead, u.ejectedUntil > now, u.announcement.withheld(now)))
 		}
 	}
 	var gaps []string
--- a/balancer/reason_gen.go
+++ b/balancer/reason_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "nonenoUpstreamnoRoomlimit"
+const _ReasonName = "nonenoUpstreamnoRoomlimitbackoff"
 
-var _ReasonIndex = [...]uint8{0, 4, 14, 20, 25}
+var _ReasonIndex = [...]uint8{0, 4, 14, 20, 25, 32}
 
-const _ReasonLowerName = "nonenoupstreamnoroomlimit"
+const _ReasonLowerName = "nonenoupstreamnoroomlimitbackoff"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -28,15 +28,17 @@
 	_ = x[ReasonNoUpstream-(1)]
 	_ = x[ReasonNoRoom-(2)]
 	_ = x[ReasonLimit-(3)]
+	_ = x[ReasonBackoff-(4)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonNoUpstream, ReasonNoRoom, ReasonLimit}
+var _ReasonValues = []Reason{ReasonNone, ReasonNoUpstream, ReasonNoRoom, ReasonLimit, ReasonBackoff}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:   ReasonNone,
 	_ReasonName[4:14]:  ReasonNoUpstream,
 	_ReasonName[14:20]: ReasonNoRoom,
 	_ReasonName[20:25]: ReasonLimit,
+	_ReasonName[25:32]: ReasonBackoff,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -44,6 +46,7 @@
 	_ReasonLowerName[4:14]:  ReasonNoUpstream,
 	_ReasonLowerName[14:20]: ReasonNoRoom,
 	_ReasonLowerName[20:25]: ReasonLimit,
+	_ReasonLowerName[25:32]: ReasonBackoff,
 }
 
 var _ReasonNames = []string{
@@ -51,6 +54,7 @@
 	_ReasonName[4:14],
 	_ReasonName[14:20],
 	_ReasonName[20:25],
+	_ReasonName[25:32],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/balancer/state_gen.go
+++ b/balancer/state_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _StateName = "usableemptyleavingdeadout"
+const _StateName = "usableemptyleavingdeadoutbackoff"
 
-var _StateIndex = [...]uint8{0, 6, 11, 18, 22, 25}
+var _StateIndex = [...]uint8{0, 6, 11, 18, 22, 25, 32}
 
-const _StateLowerName = "usableemptyleavingdeadout"
+const _StateLowerName = "usableemptyleavingdeadoutbackoff"
 
 func (i State) String() string {
 	if i < 0 || i >= State(len(_StateIndex)-1) {
@@ -29,9 +29,10 @@
 	_ = x[StateLeaving-(2)]
 	_ = x[StateDead-(3)]
 	_ = x[StateOut-(4)]
+	_ = x[StateBackoff-(5)]
 }
 
-var _StateValues = []State{StateUsable, StateEmpty, StateLeaving, StateDead, StateOut}
+var _StateValues = []State{StateUsable, StateEmpty, StateLeaving, StateDead, StateOut, StateBackoff}
 
 var _StateNameToValueMap = map[string]State{
 	_StateName[0:6]:   StateUsable,
@@ -39,6 +40,7 @@
 	_StateName[11:18]: StateLeaving,
 	_StateName[18:22]: StateDead,
 	_StateName[22:25]: StateOut,
+	_StateName[25:32]: StateBackoff,
 }
 
 var _StateLowerNameToValueMap = map[string]State{
@@ -47,6 +49,7 @@
 	_StateLowerName[11:18]: StateLeaving,
 	_StateLowerName[18:22]: StateDead,
 	_StateLowerName[22:25]: StateOut,
+	_StateLowerName[25:32]: StateBackoff,
 }
 
 var _StateNames = []string{
@@ -55,6 +58,7 @@
 	_StateName[11:18],
 	_StateName[18:22],
 	_StateName[22:25],
+	_StateName[25:32],
 }
 
 // StateString retrieves an enum value from the enum constants string name.
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -28,7 +28,9 @@
 	Sent bool
 	// DialFailed is set when no connection could be opened.
 	DialFailed bool
-	Err        error
+	// Withheld is set when Request.MaySend returned false.
+	Withheld bool
+	Err      error
 }
 
 // Error returns the message, with the address and the cause.
@@ -46,6 +48,9 @@
 // errWrongRequest means that a connection delivered only responses to other requests.
 var errWrongRequest = errors.New("response belongs to another request")
 
+// errWithheld means that Request.MaySend returned false.
+var errWithheld = errors.New("upstream wants no request now")
+
 const (
 	// dialTimeout bounds the time for opening a connection. It is a hundred times a link's
 	// delay, and well below the time in which a caller expects its response.
@@ -108,6 +113,9 @@
 	Body   []byte
 	// AtMostOnce is set when the request must not run twice.
 	AtMostOnce bool
+	// MaySend is called right before the request is written, which may be a dial after the
+	// upstream was chosen; nil means that the request may be sent.
+	MaySend func() bool
 }
 
 // Response is a response whose body is still to be read. Done must be called on each one.
@@ -131,6 +139,10 @@
 	if err != nil {
 		return nil, &Error{Address: r.Address, DialFailed: true, Err: err}
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		p.putBack(c)
+		return nil, &Error{Address: r.Address, Withheld: true, Err: errWithheld}
+	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	resp, sent, err := p.exchange(c, r)
 	if err != nil {
@@ -265,7 +277,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, address: r.Address, br: bufio.NewReaderSize(nc, bufferSize)}, nil
+	now := p.Now()
+	return &conn{Conn: nc, address: r.Address, br: bufio.NewReaderSize(nc, bufferSize), idleSince: now, usableUntil: now + defaultKeepAlive}, nil
 }
 
 // popIdle removes and returns the most recently used idle connection, or nil.
@@ -286,6 +299,11 @@
 	now := p.Now()
 	c.idleSince = now
 	c.usableUntil = now + keepAliveTimeout(h)
+	p.putBack(c)
+}
+
+// putBack keeps an unused connection for reuse, as putIdle does.
+func (p *Pool) putBack(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -146,6 +146,27 @@
 	})
 }
 
+// TestWithheld guards against sending a request to an upstream that stopped accepting requests while
+// the connection was opened.
+func TestWithheld(t *testing.T) {
+	got := 0
+	runScript(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for respond(c, br, "", contentLength("ok"), "ok") {
+			got++
+		}
+	}, func(p *connector.Pool, opened *int) {
+		is := is.New(t)
+		_, err := p.Do(context.Background(), &connector.Request{Address: address, Method: http.MethodGet, Target: "/", MaySend: func() bool { return false }})
+		assertSent(t, err, false)
+		var e *connector.Error
+		is.True(errors.As(err, &e) && e.Withheld && !e.DialFailed)
+		is.Equal(got, 0)
+		_, err = doRequest(p, "next", false)
+		is.NoErr(err)
+		is.Equal(*opened, 1) // the connection is kept
+	})
+}
+
 // TestStaleResponse guards against returning a late response to an earlier request, which comes
 // first on a connection.
 func TestStaleResponse(t *testing.T) {
--- /dev/null
+++ b/forwarder/backoff.go
@@ -0,0 +1,106 @@
+package forwarder
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sardineward/sardineward/balancer"
+)
+
+const (
+	// maxRetryAfterLength is the most bytes that a Retry-After may have; an HTTP date has 29.
+	maxRetryAfterLength = 32
+	// secondsCharacters are the characters that a Retry-After in seconds may have.
+	secondsCharacters = "0123456789."
+)
+
+// RetryAfterError is a Retry-After that can't be parsed.
+type RetryAfterError struct {
+	// Text is the first value, cut after maxRetryAfterLength bytes.
+	Text string
+	// Values is the number of values that the header had.
+	Values int
+}
+
+// Error describes what was found in place of a time.
+func (e *RetryAfterError) Error() string {
+	if e.Values > 1 {
+		return fmt.Sprintf("forwarder: found %d values of Retry-After, the first %q, want one", e.Values, e.Text)
+	}
+	return fmt.Sprintf("forwarder: Retry-After %q is neither a number of seconds nor an HTTP date", e.Text)
+}
+
+// parseRetryAfter returns the wait that a response's Retry-After asks for; 0 if it has none. It is
+// a number of seconds, which may have a fraction, or an HTTP date, which is compared with the
+// response's own Date: the time of day of this host may be off. The error is a *RetryAfterError.
+func parseRetryAfter(h http.Header) (time.Duration, error) {
+	values := h.Values("Retry-After")
+	if len(values) == 0 {
+		return 0, nil
+	}
+	text := strings.TrimSpace(values[0])
+	invalid := &RetryAfterError{Text: text[:min(len(text), maxRetryAfterLength)], Values: len(values)}
+	if len(values) > 1 || len(text) > maxRetryAfterLength {
+		return 0, invalid
+	}
+	if strings.Trim(text, secondsCharacters) == "" {
+		seconds, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return 0, invalid
+		}
+		return time.Duration(min(seconds*float64(time.Second), math.MaxInt64/2)), nil
+	}
+	until, err := http.ParseTime(text)
+	if err != nil {
+		return 0, invalid
+	}
+	sent, err := http.ParseTime(h.Get("Date"))
+	if err != nil {
+		return 0, invalid
+	}
+	return max(0, until.Sub(sent)), nil
+}
+
+// fromUpstream reports whether a response has a header that shows that it comes from the upstream:
+// its signature, or the mark that the request did not run. Refusals of entry hosts have neither.
+func (h *Headers) fromUpstream(resp *http.Response) bool {
+	return resp.Header.Get(h.Stamp) != "" || resp.Header.Get(h.NotRun) != ""
+}
+
+// observeBackoff applies the Retry-After of a response with status 503 to the upstream because of
+// which the request was rejected. Other responses show that the upstreams of the path accept
+// requests.
+func (k *call) observeBackoff(l *balancer.Lease, resp *http.Response) {
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		if resp.StatusCode != http.StatusMisdirectedRequest && resp.Header.Get(k.Headers.NotRun) == "" {
+			k.Balancer.RecordAccepted(l)
+		}
+		return
+	}
+	if !k.Headers.fromUpstream(resp) {
+		return
+	}
+	id, startedAt := k.rejecter(l, resp), l.StartedAt
+	if id != l.First.ID {
+		startedAt = k.Balancer.StartedAt(id)
+	}
+	wait, err := parseRetryAfter(resp.Header)
+	if err != nil {
+		k.Meter.RetryAfterUnreadable.Inc()
+		if k.Balancer.FirstUnreadable(id, "Retry-After") {
+			k.Log.Warn().Err(err).Str("requestId", k.id).Str("upstream", id).Msg("forwarder: Retry-After can't be read, nothing changed")
+		}
+		return
+	}
+	o, begins, changed := k.Balancer.ObserveBackoff(k.Now(), id, startedAt, wait)
+	switch {
+	case begins:
+		k.Log.Info().Str("requestId", k.id).EmbedObject(&o).Msg("forwarder: upstream asks for a backoff")
+	case changed:
+		k.Log.Debug().Str("requestId", k.id).EmbedObject(&o).Msg("forwarder: upstream asks for a longer backoff")
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -326,6 +326,7 @@
 		Header:     h,
 		Body:       k.body,
 		AtMostOnce: !k.route.Repeatable(),
+		MaySend:    func() bool { return k.Balancer.MaySend(k.Now(), l.First.ID, l.StartedAt) },
 	}
 }
 
@@ -345,9 +346,14 @@
 	}
 	if l == nil {
 		k.refuseNoUpstream(reason)
-	} else if len(l.Throttled) > 0 {
+		return nil
+	}
+	if len(l.Throttled) > 0 {
 		k.Log.Debug().Str("requestId", k.id).Str("upstream", l.First.ID).Strs("heldOff", l.Throttled).Msg("forwarder: upstreams passed over for their limit")
 	}
+	if len(l.Withheld) > 0 {
+		k.Log.Debug().Str("requestId", k.id).Str("upstream", l.First.ID).Strs("heldOff", l.Withheld).Msg("forwarder: upstreams passed over for their backoff")
+	}
 	return l
 }
 
@@ -362,6 +368,10 @@
 		wait := k.Balancer.LimitWait(k.Now(), k.service.Name)
 		k.retryAfter = wait + time.Duration(rand.Float64()*float64(minRetryAfter))
 		k.refuse(admitter.ReasonUpstreamLimit, "upstreams with room are at their limits")
+	case reason == balancer.ReasonBackoff:
+		wait := k.Balancer.BackoffWait(k.Now(), k.service.Name)
+		k.retryAfter = wait + time.Duration(rand.Float64()*float64(max(wait, minRetryAfter)))
+		k.refuse(admitter.ReasonUpstreamBackoff, "upstreams with room have asked for a backoff")
 	case reason == balancer.ReasonNoRoom:
 		k.refuse(admitter.ReasonQueueFull, "no room")
 	default:
--- a/forwarder/limits.go
+++ b/forwarder/limits.go
@@ -19,13 +19,12 @@
 	id := l.First.ID
 	if err != nil {
 		k.Meter.LimitsUnreadable.Inc()
-		if k.Balancer.UnreadableLimit(id) {
+		if k.Balancer.FirstUnreadable(id, k.Headers.Limit) {
 			k.Log.Warn().Err(err).Str("requestId", k.id).Str("upstream", id).Msg("forwarder: limit can't be read, nothing changed")
 		}
 		return
 	}
-	fromUpstream := resp.Header.Get(k.Headers.Stamp) != "" || resp.Header.Get(k.Headers.NotRun) != ""
-	if perSecond == limiter.Unlimited && !fromUpstream {
+	if perSecond == limiter.Unlimited && !k.Headers.fromUpstream(resp) {
 		return
 	}
 	change, changed := k.Balancer.ObserveLimit(k.Now(), sent, id, l.StartedAt, perSecond)
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -30,6 +30,9 @@
 	verdictFailed
 	// verdictBroken: the stream was interrupted.
 	verdictBroken
+	// verdictWithheld: the request was not sent, since the upstream asked for a backoff after it
+	// was chosen.
+	verdictWithheld
 )
 
 // maxAnswerBytes bounds a response that is buffered whole before it is forwarded.
@@ -54,6 +57,9 @@
 			k.writeAnswer(a)
 			return
 		}
+		if v == verdictWithheld {
+			continue
+		}
 		if v == verdictFailed && (!k.route.Repeatable() || k.runs+1 >= k.route.MaxAttempts || !k.RetryBudget(k.service.Name).Spend(k.Now())) {
 			k.writeAnswer(a)
 			return
@@ -80,6 +86,7 @@
 	}
 	k.wasSent = true
 	k.observeLimit(l, resp.Response, sent)
+	k.observeBackoff(l, resp.Response)
 	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes))
 	whole := resp.Done()
 	if err != nil || !whole {
@@ -97,6 +104,9 @@
 	if !errors.As(err, &e) {
 		e = &connector.Error{Sent: true}
 	}
+	if e.Withheld {
+		return verdictWithheld
+	}
 	if e.Sent {
 		k.wasSent = true
 	}
@@ -153,17 +163,15 @@
 	if !misdirected && resp.Header.Get(k.Headers.NotRun) == "" {
 		return verdictAnswered, false
 	}
-	id, faultAddress := l.First.ID, resp.Header.Get(k.Headers.Fault)
-	if faultAddress != "" {
-		// Several upstreams may be listed at one address; the one on the path is meant.
-		for _, h := range k.Balancer.Path(l) {
-			if h.Address == faultAddress {
-				id = h.ID
-			}
-		}
-	}
+	faultAddress := resp.Header.Get(k.Headers.Fault)
+	id := k.rejecter(l, resp)
 	k.avoid = append(k.avoid, id)
-	if misdirected || (faultAddress != "" && k.Now()-sent > minHopFailureDelay) {
+	if !k.Balancer.MaySend(k.Now(), id, k.Balancer.StartedAt(id)) {
+		// A backoff is neither a failure nor a sign of too little capacity.
+		if load := parseLoad(resp.Header.Get(k.Headers.Load)); load != nil {
+			k.Balancer.RecordSuccess(k.Now(), l.First.ID, load)
+		}
+	} else if misdirected || (faultAddress != "" && k.Now()-sent > minHopFailureDelay) {
 		k.Balancer.Eject(k.Now(), id)
 	} else if faultAddress != "" {
 		k.Balancer.RecordRejection(k.Now(), id)
@@ -174,6 +182,19 @@
 	return verdictNotRun, true
 }
 
+// rejecter returns the upstream of the path because of which a response rejects the request.
+func (k *call) rejecter(l *balancer.Lease, resp *http.Response) string {
+	if address := resp.Header.Get(k.Headers.Fault); address != "" {
+		// Several upstreams may be listed at one address; the one on the path is meant.
+		for _, h := range k.Balancer.Path(l) {
+			if h.Address == address {
+				return h.ID
+			}
+		}
+	}
+	return l.First.ID
+}
+
 // maxLoggedHeader is how many bytes of a header that can't be trusted are logged.
 const maxLoggedHeader = 32
 
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -76,6 +76,9 @@
 		now := f.Now()
 		late := now-lastTick > watchInterval+maxTickDelay
 		lastTick = now
+		for _, o := range f.Balancer.EndedBackoffs(now) {
+			f.Log.Info().EmbedObject(&o).Msg("forwarder: backoff of upstream is over")
+		}
 		if late {
 			continue
 		}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -82,6 +82,9 @@
 		if v == verdictAnswered {
 			return
 		}
+		if v == verdictWithheld {
+			continue
+		}
 		if !k.headerSent {
 			k.avoidFirst(l, v)
 			if !k.retryOrRefuse(ctx, v) {
@@ -198,7 +201,7 @@
 	defer k.untrack(a)
 	defer k.startFirstEventTimer(a).Stop()
 	v = k.sendStream(ctx, a)
-	if v != verdictNotRun {
+	if v != verdictNotRun && v != verdictWithheld {
 		k.ranOn = append(k.ranOn, l.First.ID)
 	}
 	return v, a.retryTaken.Load()
@@ -219,6 +222,7 @@
 	defer resp.Done()
 	k.wasSent = true
 	k.observeLimit(l, resp.Response, a.sentAt)
+	k.observeBackoff(l, resp.Response)
 	if resp.StatusCode != http.StatusOK {
 		return k.handleNonStream(a, resp)
 	}
--- a/forwarder/verdict_gen.go
+++ b/forwarder/verdict_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _verdictName = "answerednotRunmayHaveRunfailedbroken"
+const _verdictName = "answerednotRunmayHaveRunfailedbrokenwithheld"
 
-var _verdictIndex = [...]uint8{0, 8, 14, 24, 30, 36}
+var _verdictIndex = [...]uint8{0, 8, 14, 24, 30, 36, 44}
 
-const _verdictLowerName = "answerednotrunmayhaverunfailedbroken"
+const _verdictLowerName = "answerednotrunmayhaverunfailedbrokenwithheld"
 
 func (i verdict) String() string {
 	if i < 0 || i >= verdict(len(_verdictIndex)-1) {
@@ -29,9 +29,10 @@
 	_ = x[verdictMayHaveRun-(2)]
 	_ = x[verdictFailed-(3)]
 	_ = x[verdictBroken-(4)]
+	_ = x[verdictWithheld-(5)]
 }
 
-var _verdictValues = []verdict{verdictAnswered, verdictNotRun, verdictMayHaveRun, verdictFailed, verdictBroken}
+var _verdictValues = []verdict{verdictAnswered, verdictNotRun, verdictMayHaveRun, verdictFailed, verdictBroken, verdictWithheld}
 
 var _verdictNameToValueMap = map[string]verdict{
 	_verdictName[0:8]:   verdictAnswered,
@@ -39,6 +40,7 @@
 	_verdictName[14:24]: verdictMayHaveRun,
 	_verdictName[24:30]: verdictFailed,
 	_verdictName[30:36]: verdictBroken,
+	_verdictName[36:44]: verdictWithheld,
 }
 
 var _verdictLowerNameToValueMap = map[string]verdict{
@@ -47,6 +49,7 @@
 	_verdictLowerName[14:24]: verdictMayHaveRun,
 	_verdictLowerName[24:30]: verdictFailed,
 	_verdictLowerName[30:36]: verdictBroken,
+	_verdictLowerName[36:44]: verdictWithheld,
 }
 
 var _verdictNames = []string{
@@ -55,6 +58,7 @@
 	_verdictName[14:24],
 	_verdictName[24:30],
 	_verdictName[30:36],
+	_verdictName[36:44],
 }
 
 // verdictString retrieves an enum value from the enum constants string name.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -276,6 +276,8 @@
 	m.GaugeFunc("limits_in_force", "Upstreams that name a limit in their answers.", func() float64 { return float64(h.balancer.LimitCount()) })
 	m.CounterFunc("limited_requests_sent_total", "Requests sent to upstreams while they named a limit.", func() float64 { return float64(h.balancer.LimitedSentCount()) })
 	m.CounterFunc("limited_requests_held_off_total", "Requests that did not go to an upstream since its limit had no room.", func() float64 { return float64(h.balancer.ThrottledCount()) })
+	m.CounterFunc("backoffs_total", "Times that an upstream asked this host to send nothing for a while.", func() float64 { return float64(h.balancer.BackoffCount()) })
+	m.CounterFunc("backoff_requests_held_off_total", "Requests that did not go to an upstream because of its backoff.", func() float64 { return float64(h.balancer.WithheldCount()) })
 	if h.DroppedLogLines != nil {
 		m.CounterFunc("log_lines_dropped_total", "Log lines that were too many, or whose reader was too slow.", h.DroppedLogLines)
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -28,6 +28,8 @@
 	Rejections *prometheus.CounterVec
 	// LimitsUnreadable counts upstreams' responses with a limit that can't be parsed.
 	LimitsUnreadable prometheus.Counter
+	// RetryAfterUnreadable counts upstreams' rejections with a Retry-After that can't be parsed.
+	RetryAfterUnreadable prometheus.Counter
 	// ThroughputBound is the upper bound of each pipeline's throughput, in tokens per second.
 	ThroughputBound *prometheus.GaugeVec
 }
@@ -46,6 +48,9 @@
 		LimitsUnreadable: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "limits_unreadable_total", Help: "Answers that named a limit which can't be read.",
 		}),
+		RetryAfterUnreadable: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "retry_after_unreadable_total", Help: "Rejections by upstreams with a Retry-After that can't be read.",
+		}),
 		ThroughputBound: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "bound_tokens_per_second", Help: "Most tokens a second that what is up can carry.",
 		}, []string{"pipeline"}),
@@ -56,7 +61,7 @@
 	for _, c := range causes {
 		m.Retries.WithLabelValues(c)
 	}
-	m.Registry.MustRegister(m.Refusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.LimitsUnreadable, m.ThroughputBound)
+	m.Registry.MustRegister(m.Refusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.LimitsUnreadable, m.RetryAfterUnreadable, m.ThroughputBound)
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
