forwarder: hold off orders and queries during an engine's backoff

An engine that asks for a backoff wants nothing from this host, yet orders, changes of a path and queries for stalls, pace and orders were still sent, by a client of their own that knows nothing of backoffs. They now pass EngineTransport, which sends nothing during a backoff and applies the Retry-After of an answer with status 503. The orderer plans no order for such an engine and leaves the layout as it is.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -527,6 +527,17 @@
 	return slices.Clone(l.hops)
 }
 
+// IncarnationAt returns the id of the upstream at an address and when it was started, in Unix
+// milliseconds, or "" when none is known.
+func (b *Balancer) IncarnationAt(address string) (id string, startedAt int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if u := b.byAddress[address]; u != nil {
+		return u.ID, u.StartedAt
+	}
+	return "", 0
+}
+
 // ByAddress returns the id of the upstream at an address, or "" when none is known.
 func (b *Balancer) ByAddress(address string) string {
 	b.mu.Lock()
--- a/cmd/sardineward/forward.go
+++ b/cmd/sardineward/forward.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"golang.org/x/sys/unix"
 
+	"github.com/sardineward/sardineward/forwarder"
 	"github.com/sardineward/sardineward/launcher"
 	"github.com/sardineward/sardineward/loader"
 	"github.com/sardineward/sardineward/platform"
@@ -42,11 +43,13 @@
 	signal.Ignore(syscall.SIGHUP)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true}}
 	store := &platform.Store{Address: cfg.Platform, HTTP: client, Timeout: storeTimeout, Log: log}
+	engineTransport := &forwarder.EngineTransport{Base: &http.Transport{DisableKeepAlives: true}}
 	h := &launcher.Host{
 		Settings:        cfg,
 		Store:           store,
 		Source:          &platform.Source{Store: store, Self: cfg.Host, Log: log},
-		Engines:         &platform.Engines{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}},
+		Engines:         &platform.Engines{HTTP: &http.Client{Transport: engineTransport}},
+		EngineTransport: engineTransport,
 		Headers:         platform.Headers,
 		ReadyPath:       platform.ReadyPath,
 		Now:             bootTime,
--- a/forwarder/backoff.go
+++ b/forwarder/backoff.go
@@ -88,19 +88,25 @@
 	if id != l.First.ID {
 		startedAt = k.Balancer.StartedAt(id)
 	}
-	wait, err := parseRetryAfter(resp.Header)
+	k.applyRetryAfter(id, startedAt, k.id, resp.Header)
+}
+
+// applyRetryAfter starts or extends the backoff that an upstream's rejection asks for, if it does.
+// requestID is for the log; empty where the rejection answers no caller's request.
+func (f *Forwarder) applyRetryAfter(id string, startedAt int64, requestID string, h http.Header) {
+	wait, err := parseRetryAfter(h)
 	if err != nil {
-		k.Meter.RetryAfterUnreadable.Inc()
-		if k.Balancer.FirstUnreadable(id, "Retry-After") {
-			k.Log.Warn().Err(err).Str("requestId", k.id).Str("upstream", id).Msg("forwarder: Retry-After can't be read, nothing changed")
+		f.Meter.RetryAfterUnreadable.Inc()
+		if f.Balancer.FirstUnreadable(id, "Retry-After") {
+			f.Log.Warn().Err(err).Str("requestId", requestID).Str("upstream", id).Msg("forwarder: Retry-After can't be read, nothing changed")
 		}
 		return
 	}
-	o, begins, changed := k.Balancer.ObserveBackoff(k.Now(), id, startedAt, wait)
+	o, begins, changed := f.Balancer.ObserveBackoff(f.Now(), id, startedAt, wait)
 	switch {
 	case begins:
-		k.Log.Info().Str("requestId", k.id).EmbedObject(&o).Msg("forwarder: upstream asks for a backoff")
+		f.Log.Info().Str("requestId", requestID).EmbedObject(&o).Msg("forwarder: upstream asks for a backoff")
 	case changed:
-		k.Log.Debug().Str("requestId", k.id).EmbedObject(&o).Msg("forwarder: upstream asks for a longer backoff")
+		f.Log.Debug().Str("requestId", requestID).EmbedObject(&o).Msg("forwarder: upstream asks for a longer backoff")
 	}
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -69,7 +69,9 @@
 	Store    storer.Store
 	Source   follower.Source
 	Engines  Engines
-	Headers  forwarder.Headers
+	// EngineTransport carries the HTTP calls of Engines; nil where they make none.
+	EngineTransport *forwarder.EngineTransport
+	Headers         forwarder.Headers
 	// ReadyPath is the path of the readiness check, which the external load balancer polls.
 	ReadyPath string
 	// Now is a clock that also advances while the machine is suspended.
@@ -197,6 +199,9 @@
 		Log:           h.Log,
 	}
 	suspects.WentDown = h.forwarder.WentDown
+	if h.EngineTransport != nil {
+		h.EngineTransport.Forwarder = h.forwarder
+	}
 	if cfg.RevokeMs > 0 {
 		h.forwarder.MaxKeyAge = millis(cfg.RevokeMs) - revocationMargin
 	}
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -163,7 +163,7 @@
 	}
 	for _, m := range placer.PlanFor(modelOf(s.Engine), members, o.Holds) {
 		u := byID[m.ID]
-		if u == nil || u.Unavailable || !o.Holds(u.DataCentre) {
+		if u == nil || u.Unavailable || u.BackingOff || !o.Holds(u.DataCentre) {
 			continue
 		}
 		o.addPending(s.Engine, u, m.Span)
