forwarder: never send a request again to an upstream that just rejected it

Seen by hand (dev-forward, /full, one request): two upstreams that had both rejected a request got it again within 0.4 ms, twice each, before its caller got the 503; the line on the refusal named each of them two to six times in avoid.

Cause: when no other upstream was left, the list of those to avoid was dropped as a whole, those that had rejected the request included, and each retry added names again. Change: rejecters stay excluded for the request, which is refused at once, and only upstreams that failed it are tried again. Names are listed once.

TestRejectedOnce: red on the code before for lookups, bookings and streams, green now.

--- a/cmd/sardineward/devforward.go
+++ b/cmd/sardineward/devforward.go
@@ -85,8 +85,7 @@
 // devControl returns the handler that injects faults into the next requests of upstreams, and
 // revokes the key.
 func devControl(source *faker.Directory, stages map[string]*faker.Stage) http.Handler {
-	// A request that an upstream declines as overloaded is retried three times, so after four
-	// faults the host refuses it.
+	// A request is refused once each upstream has rejected it, so four requests are.
 	full := slices.Repeat([]faker.StageFault{faker.StageFaultOverloaded}, 4)
 	faultsByPath := map[string][]faker.StageFault{"/cut": {faker.StageFaultBrokenStream}, "/reset": {faker.StageFaultReset}, "/full": full}
 	mux := http.NewServeMux()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -133,8 +134,9 @@
 	// arrivedAt is when the request arrived. firstEventLatency is the time from then to the
 	// first event; 0 before it.
 	arrivedAt, firstEventLatency time.Duration
-	// avoid lists the upstreams that failed this request.
-	avoid []string
+	// avoid lists the upstreams that failed this request, rejecters those of them that rejected it
+	// without running it.
+	avoid, rejecters []string
 	// runs counts the upstreams that may have run the request, rejected the rejections by
 	// upstreams that did not run it.
 	runs, rejected int
@@ -345,9 +347,10 @@
 		n.AvoidReturning = false
 		l, reason = k.Balancer.Acquire(k.Now(), n)
 	}
-	if l == nil && len(k.avoid) > 0 {
-		// A request goes to an upstream that failed it before rather than being refused.
-		n.Avoid = nil
+	if l == nil && len(k.avoid) > len(k.rejecters) {
+		// A request goes to an upstream that failed it before rather than being refused. One that
+		// has just rejected it would do so again.
+		n.Avoid = k.rejecters
 		l, reason = k.Balancer.Acquire(k.Now(), n)
 	}
 	if l == nil {
@@ -363,6 +366,21 @@
 	return l
 }
 
+// avoidUpstream excludes an upstream that failed the request from later attempts.
+func (k *call) avoidUpstream(id string) {
+	if !slices.Contains(k.avoid, id) {
+		k.avoid = append(k.avoid, id)
+	}
+}
+
+// avoidRejecter excludes an upstream that rejected the request from later attempts.
+func (k *call) avoidRejecter(id string) {
+	k.avoidUpstream(id)
+	if !slices.Contains(k.rejecters, id) {
+		k.rejecters = append(k.rejecters, id)
+	}
+}
+
 // refuseNoUpstream refuses a request for which the balancer found no upstream.
 func (k *call) refuseNoUpstream(reason balancer.Reason) {
 	switch {
@@ -370,6 +388,8 @@
 		k.refuse(admitter.ReasonOutcomeUnknown, "may have run")
 	case k.runs > 0:
 		k.refuse(admitter.ReasonUpstream, "no further upstream: "+reason.String())
+	case len(k.rejecters) > 0 && reason == balancer.ReasonNoUpstream:
+		k.refuse(admitter.ReasonQueueFull, "turned away by each upstream")
 	case reason == balancer.ReasonLimit:
 		wait := k.Balancer.LimitWait(k.Now(), k.service.Name)
 		k.retryAfter = wait + time.Duration(rand.Float64()*float64(minRetryAfter))
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -64,7 +64,7 @@
 			k.writeAnswer(a)
 			return
 		}
-		k.avoid = append(k.avoid, l.First.ID)
+		k.avoidUpstream(l.First.ID)
 		if v == verdictFailed {
 			k.runs++
 			k.Meter.Retries.WithLabelValues(v.String()).Inc()
@@ -165,7 +165,7 @@
 	}
 	faultAddress := resp.Header.Get(k.Headers.Fault)
 	id := k.rejecter(l, resp)
-	k.avoid = append(k.avoid, id)
+	k.avoidRejecter(id)
 	if !k.Balancer.MaySend(k.Now(), id, k.Balancer.StartedAt(id)) {
 		// A backoff is neither a failure nor a sign of too little capacity.
 		if load := parseLoad(resp.Header.Get(k.Headers.Load)); load != nil {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -109,7 +109,7 @@
 // avoidFirst excludes the first upstream of an attempt that delivered no event from later attempts.
 func (k *call) avoidFirst(l *balancer.Lease, v verdict) {
 	if v != verdictNotRun {
-		k.avoid = append(k.avoid, l.First.ID)
+		k.avoidUpstream(l.First.ID)
 	}
 }
 
--- a/launcher/backoff_test.go
+++ b/launcher/backoff_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -97,3 +98,19 @@
 		})
 	}
 }
+
+// TestRejectedOnce guards against sending a request again to an upstream that has just rejected it.
+func TestRejectedOnce(t *testing.T) {
+	for _, path := range []string{"/look/1", "/book/1", "/stream/1"} {
+		t.Run(path, func(t *testing.T) {
+			runHost(t, 0, func(b *testbed) {
+				is := is.New(t)
+				b.injectFaults("", slices.Repeat([]faker.StageFault{faker.StageFaultOverloaded}, 4)...)
+				b.assertRetryLater(b.request(http.MethodPost, path, "rejected", nil))
+				for _, s := range b.stages {
+					is.True(len(s.Received()) <= 1)
+				}
+			})
+		})
+	}
+}
