launcher: failing tests of upstreams that announce their leave in responses

The stand-in sends the header and counts by the rule: how long after the first such response to a host that host still sends it a request.

--- a/faker/backoff.go
+++ b/faker/backoff.go
@@ -37,6 +37,39 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// SetLeaving makes all later responses announce that the stage leaves, or no longer so, by a header of
+// the given value; an empty text sends none.
+func (s *Stage) SetLeaving(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = text
+}
+
+// setLeavingHeader adds the announcement, if there is one, to the headers of a response.
+func (s *Stage) setLeavingHeader(h http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving != "" {
+		h.Set(s.headers().Leaving, s.leaving)
+	}
+}
+
+// SentAfterLeaving returns, by host, the longest time between the first response that announced to a
+// host that the stage leaves and a later request of that host.
+func (s *Stage) SentAfterLeaving(host func(one *ReceivedRequest) string) map[string]time.Duration {
+	told := make(map[string]time.Time)
+	out := make(map[string]time.Duration)
+	for _, one := range s.Received() {
+		from := host(&one)
+		if at, ok := told[from]; ok {
+			out[from] = max(out[from], one.At.Sub(at))
+		} else if one.ToldLeaving && from != "" {
+			told[from] = one.At
+		}
+	}
+	return out
+}
+
 // BackoffViolation is a wait that a Stage asked a host for, in which that host sent more requests
 // than allowed.
 type BackoffViolation struct {
--- a/faker/stage.go
+++ b/faker/stage.go
@@ -52,9 +52,11 @@
 	// that the request is answered normally.
 	Crash func()
 
-	mu        sync.Mutex
-	limits    limitHistory
-	backoff   backoff
+	mu      sync.Mutex
+	limits  limitHistory
+	backoff backoff
+	// leaving is the value of the header Leaving; empty means no header.
+	leaving   string
 	faults    []StageFault
 	received  []ReceivedRequest
 	abandoned int
@@ -69,6 +71,8 @@
 	Executed bool
 	// Backoff is the wait that its rejection asked the host for; 0 if none.
 	Backoff time.Duration
+	// ToldLeaving is set if the response announced that the stage leaves.
+	ToldLeaving bool
 	// From is the address of the sender, in a Network the location that dialled.
 	From string
 	// At is the time at which it was received.
@@ -136,6 +140,7 @@
 		DeadlineMs:  left,
 		Executed:    t != StageFaultOverloaded && !rejected,
 		Backoff:     s.backoff.wait,
+		ToldLeaving: s.leaving == "1",
 		From:        r.RemoteAddr,
 		At:          time.Now(),
 	})
@@ -161,6 +166,7 @@
 	}
 	w.Header().Set(h.Load, "1,0,8")
 	s.setLimitHeader(w.Header(), h.Limit)
+	s.setLeavingHeader(w.Header())
 	if retryAfter != "" {
 		s.rejectWithBackoff(w, retryAfter)
 		return
--- a/forwarder/headers.go
+++ b/forwarder/headers.go
@@ -33,6 +33,8 @@
 	// Limit is how many requests a second an overloaded upstream accepts from all hosts
 	// together.
 	Limit string
+	// Leaving is 1 in each response of an upstream that takes no new work and will stop.
+	Leaving string
 	// Tokens holds the number of tokens in the prompt and the maximum in the answer, separated
 	// by a comma.
 	Tokens string
@@ -54,6 +56,7 @@
 	Stamp:      "Stamp",
 	Load:       "Upstream-Load",
 	Limit:      "Upstream-Limit",
+	Leaving:    "Upstream-Leaving",
 	Tokens:     "Token-Counts",
 	Length:     "Length-Hint",
 	Urgency:    "Urgency",
--- a/launcher/limit_test.go
+++ b/launcher/limit_test.go
@@ -41,6 +41,7 @@
 				break
 			}
 			fl.assertBackoffKept(id)
+			fl.assertLeavingKept(id)
 		}
 	})
 }
