balancer, forwarder: heed a leave that an upstream announces in a response

Cause: the same as with Retry-After, a response tells about the time to come and only its request heeds it. Change: value 1 in a response of any status but 421, to a request, an order or a query, marks the incarnation as leaving beside the list. No list, peer or restored copy takes that back, a new start of the upstream does; it is remembered for an hour beyond the list entry. The check right before a request is written covers it too. Requests under way end as they would, and changes of their paths go on. Other values change nothing, are counted by header (announcements_unreadable_total) and logged once an upstream.

--- a/balancer/backoff.go
+++ b/balancer/backoff.go
@@ -19,6 +19,9 @@
 	// returnGrace is how long after its end other hosts still learn of a backoff, unless the
 	// upstream accepts a request. This host then finds out first whether it still rejects them.
 	returnGrace = time.Second
+	// leavingMemory is how long an incarnation that left is remembered beyond its list entry: far
+	// longer than a list can be out of date.
+	leavingMemory = time.Hour
 )
 
 // incarnation identifies one run of an upstream's process.
@@ -38,6 +41,10 @@
 	returnWindow int
 	// returning counts these requests.
 	returning int
+	// isLeaving is set once the incarnation has said that it leaves, at leavingSince. It does not
+	// come back, whatever a list says.
+	isLeaving    bool
+	leavingSince time.Duration
 }
 
 // backingOff reports whether this host must not send to the upstream now.
@@ -123,6 +130,41 @@
 	return o
 }
 
+// ObserveLeaving records that an upstream's incarnation has said that it leaves. It reports whether
+// that is new.
+func (b *Balancer) ObserveLeaving(now time.Duration, id string, startedAt int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.announce(incarnation{id, startedAt})
+	if a.isLeaving {
+		return false
+	}
+	a.isLeaving, a.leavingSince = true, now
+	b.leavingCount++
+	if u := b.upstreams[id]; u != nil && u.announcement == a {
+		u.Leaving = true
+		b.subset.stale = true
+	}
+	b.forgetLeft(now)
+	return true
+}
+
+// forgetLeft drops the announcements of incarnations that left long ago and are not listed.
+func (b *Balancer) forgetLeft(now time.Duration) {
+	for key, a := range b.announced {
+		if u := b.upstreams[key.id]; a.isLeaving && now-a.leavingSince > leavingMemory && (u == nil || u.announcement != a) {
+			delete(b.announced, key)
+		}
+	}
+}
+
+// LeavingCount returns the number of upstreams that have announced in responses that they leave.
+func (b *Balancer) LeavingCount() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.leavingCount
+}
+
 // EndedBackoffs returns the backoffs that have ended since the last call, sorted by upstream.
 func (b *Balancer) EndedBackoffs(now time.Duration) []Backoff {
 	b.mu.Lock()
@@ -134,7 +176,7 @@
 		}
 		delete(b.backingOff, key)
 		out = append(out, b.backoffOf(key, a))
-		if u := b.upstreams[key.id]; u == nil || u.announcement != a {
+		if u := b.upstreams[key.id]; !a.isLeaving && (u == nil || u.announcement != a) {
 			delete(b.announced, key)
 		}
 	}
@@ -150,6 +192,14 @@
 	return !b.announced[incarnation{id, startedAt}].backingOff(now)
 }
 
+// MayStart is MaySend for a new request, which an upstream that leaves must not get either.
+func (b *Balancer) MayStart(now time.Duration, id string, startedAt int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.announced[incarnation{id, startedAt}]
+	return !a.backingOff(now) && (a == nil || !a.isLeaving)
+}
+
 // RecordAccepted records that the upstreams of a lease did not reject its request. Upstreams whose
 // backoff is over may then have twice as many requests in flight.
 func (b *Balancer) RecordAccepted(l *Lease) {
--- a/balancer/backoff_test.go
+++ b/balancer/backoff_test.go
@@ -159,3 +159,29 @@
 	backOff(t, b, backoffAt, time.Second, "bdesk")
 	is.True(slices.Contains(b.Usage(backoffAt).Usage, balancer.Usage{Upstream: "bdesk", BackoffHosts: 1}))
 }
+
+// TestLeavingOfIncarnation guards against a list that takes back what an upstream has announced, and
+// against a leave that outlasts a restart of the upstream.
+func TestLeavingOfIncarnation(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	entry := balancer.Upstream{ID: "adesk", Service: "desk", Address: "a:3", DataCentre: "a", Slots: 6}
+	n := balancer.Requirements{Service: "desk", Avoid: []string{"bdesk"}}
+	is.True(b.ObserveLeaving(backoffAt, "adesk", 0))
+	is.True(!b.ObserveLeaving(backoffAt, "adesk", 0))
+	is.Equal(b.LeavingCount(), int64(1))
+	list := func(want balancer.Reason) {
+		b.UpdateUpstreams([]balancer.Upstream{entry}, nil)
+		assertReason(t, b, backoffAt, n, want)
+	}
+	list(balancer.ReasonNoUpstream)
+	b.UpdateUpstreams(nil, []string{"adesk"})
+	list(balancer.ReasonNoUpstream)
+	changed, _ := b.UpdateUpstreams([]balancer.Upstream{entry}, nil)
+	is.Equal(len(changed), 0) // the same as known
+	entry.StartedAt = 7
+	list(balancer.ReasonNone)
+	is.True(b.ObserveLeaving(backoffAt+2*time.Hour, "bdesk", 0))
+	entry.StartedAt = 0
+	list(balancer.ReasonNone) // forgotten by now
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -211,6 +211,8 @@
 	// backoffCount counts the backoffs, withheldCount the requests that skipped an upstream
 	// because of one.
 	backoffCount, withheldCount int64
+	// leavingCount counts the incarnations that announced that they leave.
+	leavingCount int64
 	// hostDataCentres maps the other hosts to their data centres. hostsVersion counts its
 	// changes. The change to hostsVersionSeen was first seen at hostsChangedAt.
 	hostDataCentres                map[string]string
@@ -246,6 +248,9 @@
 		b.drop(id)
 	}
 	for _, l := range listed {
+		if a := b.announced[incarnation{l.ID, l.StartedAt}]; a != nil && a.isLeaving {
+			l.Leaving = true
+		}
 		u := b.upstreams[l.ID]
 		if u != nil && u.Upstream == l {
 			continue
@@ -306,7 +311,7 @@
 	delete(b.upstreams, id)
 	delete(b.limited, id)
 	delete(b.subset.used, id)
-	if key := (incarnation{u.ID, u.StartedAt}); b.backingOff[key] == nil {
+	if key := (incarnation{u.ID, u.StartedAt}); b.backingOff[key] == nil && (u.announcement == nil || !u.announcement.isLeaving) {
 		delete(b.announced, key)
 	}
 	if b.byAddress[u.Address] == u {
--- a/forwarder/backoff.go
+++ b/forwarder/backoff.go
@@ -71,12 +71,46 @@
 	return resp.Header.Get(h.Stamp) != "" || resp.Header.Get(h.NotRun) != ""
 }
 
+// observeAnnouncements applies what the response of an upstream says about the time to come.
+func (k *call) observeAnnouncements(l *balancer.Lease, resp *http.Response) {
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return // the response is from another upstream at that address
+	}
+	k.applyLeaving(l.First.ID, l.StartedAt, k.id, resp.Header)
+	k.observeBackoff(l, resp)
+}
+
+// applyLeaving records that an upstream announces in a response that it leaves, if it does.
+// requestID is for the log; empty where the response answers no caller's request.
+func (f *Forwarder) applyLeaving(id string, startedAt int64, requestID string, h http.Header) {
+	values := h.Values(f.Headers.Leaving)
+	if len(values) == 0 {
+		return
+	}
+	if len(values) > 1 || strings.TrimSpace(values[0]) != "1" {
+		f.noteUnreadable(id, requestID, f.Headers.Leaving, strings.Join(values, ", "))
+		return
+	}
+	if f.Balancer.ObserveLeaving(f.Now(), id, startedAt) {
+		f.Log.Info().Str("requestId", requestID).Str("upstream", id).Msg("forwarder: upstream announces that it leaves")
+	}
+}
+
+// noteUnreadable counts a header that can't be parsed and logs the first one of each upstream.
+func (f *Forwarder) noteUnreadable(id, requestID, header, text string) {
+	f.Meter.AnnouncementsUnreadable.WithLabelValues(header).Inc()
+	if f.Balancer.FirstUnreadable(id, header) {
+		f.Log.Warn().Str("requestId", requestID).Str("upstream", id).Str("header", header).Str("found", text[:min(len(text), maxLoggedHeader)]).
+			Msg("forwarder: header can't be read, nothing changed")
+	}
+}
+
 // observeBackoff applies the Retry-After of a response with status 503 to the upstream because of
 // which the request was rejected. Other responses show that the upstreams of the path accept
 // requests.
 func (k *call) observeBackoff(l *balancer.Lease, resp *http.Response) {
 	if resp.StatusCode != http.StatusServiceUnavailable {
-		if resp.StatusCode != http.StatusMisdirectedRequest && resp.Header.Get(k.Headers.NotRun) == "" {
+		if resp.Header.Get(k.Headers.NotRun) == "" {
 			k.Balancer.RecordAccepted(l)
 		}
 		return
@@ -96,10 +130,7 @@
 func (f *Forwarder) applyRetryAfter(id string, startedAt int64, requestID string, h http.Header) {
 	wait, err := parseRetryAfter(h)
 	if err != nil {
-		f.Meter.RetryAfterUnreadable.Inc()
-		if f.Balancer.FirstUnreadable(id, "Retry-After") {
-			f.Log.Warn().Err(err).Str("requestId", requestID).Str("upstream", id).Msg("forwarder: Retry-After can't be read, nothing changed")
-		}
+		f.noteUnreadable(id, requestID, "Retry-After", strings.Join(h.Values("Retry-After"), ", "))
 		return
 	}
 	o, begins, changed := f.Balancer.ObserveBackoff(f.Now(), id, startedAt, wait)
--- a/forwarder/backoff_test.go
+++ b/forwarder/backoff_test.go
@@ -103,7 +103,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			k, l := observedCall(t)
-			k.observeBackoff(l, &http.Response{StatusCode: c.status, Header: c.header})
+			k.observeAnnouncements(l, &http.Response{StatusCode: c.status, Header: c.header})
 			var got []string
 			for _, hop := range k.Balancer.Path(l) {
 				if !k.Balancer.MaySend(k.Now(), hop.ID, k.Balancer.StartedAt(hop.ID)) {
@@ -114,3 +114,34 @@
 		})
 	}
 }
+
+// TestLeavingSource guards against a leave that the upstream did not announce, and against overlooking
+// one in a response of any status.
+func TestLeavingSource(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		status int
+		values []string
+		want   bool
+	}{
+		{"success", http.StatusOK, []string{"1"}, true},
+		{"rejection", http.StatusServiceUnavailable, []string{" 1 "}, true},
+		{"failure", http.StatusInternalServerError, []string{"1"}, true},
+		{"another process", http.StatusMisdirectedRequest, []string{"1"}, false},
+		{"absent", http.StatusOK, nil, false},
+		{"empty", http.StatusOK, []string{""}, false},
+		{"zero", http.StatusOK, []string{"0"}, false},
+		{"word", http.StatusOK, []string{"true"}, false},
+		{"twice", http.StatusOK, []string{"1", "1"}, false},
+		{"kilobyte", http.StatusOK, []string{strings.Repeat("1", 1<<10)}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			k, l := observedCall(t)
+			k.observeAnnouncements(l, &http.Response{StatusCode: c.status, Header: http.Header{DefaultHeaders.Leaving: c.values}})
+			is := is.New(t)
+			is.Equal(k.Balancer.MayStart(k.Now(), "first", 1), !c.want)
+			is.True(k.Balancer.MayStart(k.Now(), "second", 2))
+			is.True(k.Balancer.MaySend(k.Now(), "first", 1)) // orders for running streams go on
+		})
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -328,7 +328,7 @@
 		Header:     h,
 		Body:       k.body,
 		AtMostOnce: !k.route.Repeatable(),
-		MaySend:    func() bool { return k.Balancer.MaySend(k.Now(), l.First.ID, l.StartedAt) },
+		MaySend:    func() bool { return k.Balancer.MayStart(k.Now(), l.First.ID, l.StartedAt) },
 	}
 }
 
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -30,8 +30,8 @@
 	verdictFailed
 	// verdictBroken: the stream was interrupted.
 	verdictBroken
-	// verdictWithheld: the request was not sent, since the upstream asked for a backoff after it
-	// was chosen.
+	// verdictWithheld: the request was not sent, since the upstream asked for a backoff or announced
+	// that it leaves after it was chosen.
 	verdictWithheld
 )
 
@@ -86,7 +86,7 @@
 	}
 	k.wasSent = true
 	k.observeLimit(l, resp.Response, sent)
-	k.observeBackoff(l, resp.Response)
+	k.observeAnnouncements(l, resp.Response)
 	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes))
 	whole := resp.Done()
 	if err != nil || !whole {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -222,7 +222,7 @@
 	defer resp.Done()
 	k.wasSent = true
 	k.observeLimit(l, resp.Response, a.sentAt)
-	k.observeBackoff(l, resp.Response)
+	k.observeAnnouncements(l, resp.Response)
 	if resp.StatusCode != http.StatusOK {
 		return k.handleNonStream(a, resp)
 	}
--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -5,7 +5,8 @@
 )
 
 // EngineTransport is an http.RoundTripper for orders and queries to engines. Like requests, they are
-// not sent to an engine that has asked for a backoff, and their answers may ask for one.
+// not sent to an engine that has asked for a backoff, and their answers may ask for one or announce
+// that the engine leaves.
 type EngineTransport struct {
 	// Base sends the calls.
 	Base http.RoundTripper
@@ -37,6 +38,10 @@
 	if err != nil || id == "" {
 		return resp, err
 	}
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return resp, nil // another engine at that address
+	}
+	f.applyLeaving(id, startedAt, "", resp.Header)
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		f.applyRetryAfter(id, startedAt, "", resp.Header)
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -28,8 +28,9 @@
 	Rejections *prometheus.CounterVec
 	// LimitsUnreadable counts upstreams' responses with a limit that can't be parsed.
 	LimitsUnreadable prometheus.Counter
-	// RetryAfterUnreadable counts upstreams' rejections with a Retry-After that can't be parsed.
-	RetryAfterUnreadable prometheus.Counter
+	// AnnouncementsUnreadable counts upstreams' responses with an announcement that can't be
+	// parsed, by header.
+	AnnouncementsUnreadable *prometheus.CounterVec
 	// ThroughputBound is the upper bound of each pipeline's throughput, in tokens per second.
 	ThroughputBound *prometheus.GaugeVec
 }
@@ -48,9 +49,7 @@
 		LimitsUnreadable: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "limits_unreadable_total", Help: "Answers that named a limit which can't be read.",
 		}),
-		RetryAfterUnreadable: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: namespace, Name: "retry_after_unreadable_total", Help: "Rejections by upstreams with a Retry-After that can't be read.",
-		}),
+		AnnouncementsUnreadable: counter("announcements_unreadable_total", "Responses of upstreams with a Retry-After or a leave that can't be read.", "header"),
 		ThroughputBound: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "bound_tokens_per_second", Help: "Most tokens a second that what is up can carry.",
 		}, []string{"pipeline"}),
@@ -61,7 +60,7 @@
 	for _, c := range causes {
 		m.Retries.WithLabelValues(c)
 	}
-	m.Registry.MustRegister(m.Refusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.LimitsUnreadable, m.RetryAfterUnreadable, m.ThroughputBound)
+	m.Registry.MustRegister(m.Refusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ThroughputBound)
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
