registrar: log a duty only when it is taken

Seen by hand: dev-forward logs 'registrar: duty taken' with each renewal, every 0.8 s, for a duty that the host holds already, since its source lists no holder and the duty is claimed again. The line now comes when the duty is new to this host. TestDutyTakenLoggedOnce: more than ten lines in 10 s before, one now.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -231,9 +231,12 @@
 		if r.duties == nil {
 			r.duties = make(map[string]bool)
 		}
+		held := r.duties[dc]
 		r.duties[dc] = true
 		r.mu.Unlock()
-		r.Log.Info().Int64("lease", lease).Str("dataCentre", dc).Msg("registrar: duty taken")
+		if !held {
+			r.Log.Info().Int64("lease", lease).Str("dataCentre", dc).Msg("registrar: duty taken")
+		}
 	}
 	return nil
 }
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -1,8 +1,10 @@
 package registrar_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -32,11 +34,16 @@
 
 // startWithEra runs a registrar on a store with the given era.
 func startWithEra(store storer.Store, name string, free func() []string, era func() int64) *testHost {
+	return startLogging(store, name, free, era, zerolog.Nop())
+}
+
+// startLogging is startWithEra with a log.
+func startLogging(store storer.Store, name string, free func() []string, era func() int64, log zerolog.Logger) *testHost {
 	started := time.Now()
 	h := &testHost{done: make(chan struct{})}
 	h.Registrar = &registrar.Registrar{
 		Store: store, Entry: registrar.Entry{Name: name, Address: name + ":1", DataCentre: "a"},
-		Now: func() time.Duration { return time.Since(started) + time.Duration(h.suspended.Load()) }, FreeDuties: free, Era: era, Log: zerolog.Nop(),
+		Now: func() time.Duration { return time.Since(started) + time.Duration(h.suspended.Load()) }, FreeDuties: free, Era: era, Log: log,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
@@ -62,6 +69,17 @@
 	}
 }
 
+// TestDutyTakenLoggedOnce guards against a log line at each renewal of a duty that the host holds.
+func TestDutyTakenLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		h := startLogging(new(faker.Platform), "one", func() []string { return []string{"a"} }, nil, zerolog.New(&out))
+		time.Sleep(10 * time.Second)
+		h.stop()
+		is.New(t).Equal(strings.Count(out.String(), "duty taken"), 1)
+	})
+}
+
 func TestDutyHandedOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
