--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -166,17 +166,15 @@
 	faultAddress := resp.Header.Get(k.Headers.Fault)
 	id := k.rejecter(l, resp)
 	k.avoidRejecter(id)
-	if !k.Balancer.MaySend(k.Now(), id, k.Balancer.StartedAt(id)) {
-		// A backoff is neither a failure nor a sign of too little capacity.
-		if load := parseLoad(resp.Header.Get(k.Headers.Load)); load != nil {
-			k.Balancer.RecordSuccess(k.Now(), l.First.ID, load)
-		}
-	} else if misdirected || (faultAddress != "" && k.Now()-sent > minHopFailureDelay) {
+	load := parseLoad(resp.Header.Get(k.Headers.Load))
+	switch backingOff := !k.Balancer.MaySend(k.Now(), id, k.Balancer.StartedAt(id)); {
+	case misdirected || (faultAddress != "" && !backingOff && k.Now()-sent > minHopFailureDelay):
 		k.Balancer.Eject(k.Now(), id)
-	} else if faultAddress != "" {
+	case faultAddress != "" && !backingOff:
 		k.Balancer.RecordRejection(k.Now(), id)
-	} else if load := parseLoad(resp.Header.Get(k.Headers.Load)); load != nil {
-		k.Balancer.RecordSuccess(k.Now(), id, load)
+	case load != nil:
+		// A backoff is neither a failure nor a sign of too little capacity.
+		k.Balancer.RecordSuccess(k.Now(), l.First.ID, load)
 	}
 	k.logRejection(l, id, resp)
 	return verdictNotRun, true
