--- a/admitter/window.go
+++ b/admitter/window.go
@@ -55,12 +55,12 @@
 	return true
 }
 
-// HasSpare reports whether half of the retries or more are left.
-func (b *WindowRetryBudget) HasSpare(now time.Duration) bool {
+// HasRetry reports whether Spend would take a retry.
+func (b *WindowRetryBudget) HasRetry(now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	used, allowed := b.usage(now)
-	return used+1 <= allowed && used <= allowed/2
+	return used+1 <= allowed
 }
 
 // usage returns the retries in the window so far, and how many this host may make in it.
--- a/balancer/backoff.go
+++ b/balancer/backoff.go
@@ -16,9 +16,13 @@
 	maxBackoff = 10 * time.Minute
 	// maxReturnWindow is the return window from which an upstream is no longer returning.
 	maxReturnWindow = 32
-	// returnGrace is how long after its end other hosts still learn of a backoff, unless the
-	// upstream accepts a request. This host then finds out first whether it still rejects them.
-	returnGrace = time.Second
+	// returnTime is how long after a backoff an upstream is returning, unless it accepts enough
+	// requests before: other hosts still learn of the backoff, so that this one finds out whether
+	// the upstream still rejects requests.
+	returnTime = time.Second
+	// firstToReturn is how many of the hosts that keep a backoff of an upstream send to it again
+	// without regard to the others, on average. With one, there would often be none.
+	firstToReturn = 2
 	// leavingMemory is how long an incarnation that left is remembered beyond its list entry: far
 	// longer than a list can be out of date.
 	leavingMemory = time.Hour
@@ -37,10 +41,14 @@
 	// backoff began; both are 0 before the first one.
 	backoffFrom, backoffUntil time.Duration
 	// returnWindow is how many of this host's requests may be in flight that were sent after the
-	// backoff; 0 means any number. It doubles with each request that is accepted.
+	// backoff, until returnTime after its end; 0 means any number. It doubles with each request that
+	// is accepted.
 	returnWindow int
 	// returning counts these requests.
 	returning int
+	// draw is a random number in [0, 1) for each backoff. It decides whether this host is among
+	// the first that send to the upstream again.
+	draw float64
 	// isLeaving is set once the incarnation has said that it leaves, at leavingSince. It does not
 	// come back, whatever a list says.
 	isLeaving    bool
@@ -50,20 +58,26 @@
 // backingOff reports whether this host must not send to the upstream now.
 func (a *announcement) backingOff(now time.Duration) bool { return a != nil && a.backoffUntil > now }
 
+// isReturning reports whether a backoff has just ended and it is not clear yet whether the upstream
+// accepts requests again.
+func (a *announcement) isReturning(now time.Duration) bool {
+	return a != nil && a.returnWindow > 0 && a.backoffUntil <= now && now < a.backoffUntil+returnTime
+}
+
 // withheld reports whether the upstream must not get a new request now: in a backoff, or while the
 // requests sent after one are not accepted yet.
 func (a *announcement) withheld(now time.Duration) bool {
-	return a.backingOff(now) || (a != nil && a.returnWindow > 0 && a.returning >= a.returnWindow)
+	return a.backingOff(now) || (a.isReturning(now) && a.returning >= a.returnWindow)
 }
 
 // withheldFrom reports whether a request with these requirements must not go to the upstream now.
 func (a *announcement) withheldFrom(now time.Duration, n *Requirements) bool {
-	return a.withheld(now) || (n.AvoidReturning && a != nil && a.returnWindow > 0)
+	return a.withheld(now) || (n.AvoidReturning && a.isReturning(now))
 }
 
 // isReported reports whether other hosts are told of the backoff.
 func (a *announcement) isReported(now time.Duration) bool {
-	return a.backingOff(now) || (a != nil && a.returnWindow == 1 && a.backoffUntil+returnGrace > now)
+	return a.backingOff(now) || (a.isReturning(now) && a.returnWindow == 1)
 }
 
 // Backoff is the time in which an upstream wants no request from this host.
@@ -93,7 +107,7 @@
 		a.backoffFrom = now
 		b.backoffCount++
 	}
-	a.backoffUntil, a.returnWindow = until, 1
+	a.backoffUntil, a.returnWindow, a.draw = until, 1, b.Rand.Float64()
 	b.backingOff[incarnation{id, startedAt}] = a
 	return b.backoffOf(incarnation{id, startedAt}, a), begins, true
 }
@@ -217,9 +231,9 @@
 }
 
 // trackReturning counts a new lease at the upstreams of its path whose backoff is over.
-func (b *Balancer) trackReturning(l *Lease) {
+func (b *Balancer) trackReturning(now time.Duration, l *Lease) {
 	for _, h := range l.hops {
-		if u := b.upstreams[h.ID]; u != nil && u.announcement != nil && u.announcement.returnWindow > 0 {
+		if u := b.upstreams[h.ID]; u != nil && u.announcement.isReturning(now) {
 			u.announcement.returning++
 			l.returning = append(l.returning, u.announcement)
 		}
--- a/balancer/backoff_test.go
+++ b/balancer/backoff_test.go
@@ -143,6 +143,11 @@
 	is.Equal(inFlight(true), 2)
 	is.Equal(inFlight(true), 8)
 	is.Equal(inFlight(true), 100)
+	backOff(t, b, now, time.Second, "adesk")
+	now += 1900 * ms
+	is.Equal(inFlight(false), 1)
+	now += 100 * ms
+	is.Equal(inFlight(false), 100) // it has not said that it rejects them still
 }
 
 // TestBackoffOfOtherHosts guards against every host of a large fleet sending requests that an upstream
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -474,7 +474,7 @@
 	b.countSent(now, best)
 	hop := Hop{ID: best.ID, Address: best.Address}
 	l := &Lease{requirements: n, First: hop, StartedAt: best.StartedAt, Throttled: throttled, Withheld: withheld, hops: []Hop{hop}}
-	b.trackReturning(l)
+	b.trackReturning(now, l)
 	return l, ReasonNone
 }
 
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -69,7 +69,7 @@
 	first := b.upstreams[hops[0].ID]
 	l := &Lease{requirements: n, tokens: n.expectedTokens(), hops: hops, First: hops[0], StartedAt: first.StartedAt, Throttled: throttled, Withheld: withheld}
 	b.reserve(l)
-	b.trackReturning(l)
+	b.trackReturning(now, l)
 	b.countSent(now, first)
 	return l, ReasonNone
 }
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -418,15 +418,16 @@
 	return sum != nil && sum.SuspectingHosts > 0
 }
 
-// othersBackOff reports whether an upstream has asked another host for a backoff. It binds that host
-// only, but most often the upstream is overloaded and would reject requests of this host too, each of
-// which would take a retry from the budget that all hosts share.
+// othersBackOff reports whether an upstream has asked other hosts for a backoff, and this one should
+// rather leave the upstream to them. It binds those hosts only, but most often the upstream is
+// overloaded and would reject requests of this host too, each of which would take a retry from the
+// budget that all hosts share. Of the hosts whose backoff has just ended, firstToReturn find out.
 func (b *Balancer) othersBackOff(now time.Duration, u *upstream) bool {
-	if a := u.announcement; a != nil && a.returnWindow > 0 {
-		return false // this host was asked itself
-	}
 	sum := b.reportedUsage(now, u)
-	return sum != nil && sum.BackoffHosts > 0
+	if sum == nil || sum.BackoffHosts <= 0 {
+		return false
+	}
+	return !u.announcement.isReturning(now) || u.announcement.draw*float64(sum.BackoffHosts+1) >= firstToReturn
 }
 
 // reportedUsage returns the sum of all reports on an upstream; nil if there is none.
--- a/faker/stage.go
+++ b/faker/stage.go
@@ -48,6 +48,9 @@
 	EventInterval time.Duration
 	// ResponseDelay is the time before a response that is not a stream.
 	ResponseDelay time.Duration
+	// Slots is how many requests it executes at once; it refuses further ones as not executed. 0
+	// means any number.
+	Slots int
 	// Crash is called in its own goroutine for a request whose body contains Poison; nil means
 	// that the request is answered normally.
 	Crash func()
@@ -60,6 +63,7 @@
 	faults    []StageFault
 	received  []ReceivedRequest
 	abandoned int
+	running   int
 }
 
 // ReceivedRequest is a request as a Stage received it.
@@ -127,6 +131,13 @@
 	if len(s.faults) > 0 && !rejected {
 		t, s.faults = s.faults[0], s.faults[1:]
 	}
+	if s.Slots > 0 && s.running >= s.Slots && !rejected {
+		t = StageFaultOverloaded
+	}
+	executed := t != StageFaultOverloaded && !rejected
+	if executed {
+		s.running++
+	}
 	h := s.headers()
 	left, _ := strconv.Atoi(r.Header.Get(h.DeadlineMs))
 	s.received = append(s.received, ReceivedRequest{
@@ -138,7 +149,7 @@
 		Body:        body,
 		LastEventID: r.Header.Get("Last-Event-Id"),
 		DeadlineMs:  left,
-		Executed:    t != StageFaultOverloaded && !rejected,
+		Executed:    executed,
 		Backoff:     s.backoff.wait,
 		ToldLeaving: s.leaving == "1",
 		From:        r.RemoteAddr,
@@ -147,6 +158,23 @@
 	return t, s.backoff.retryAfter
 }
 
+// finish ends the execution of a request.
+func (s *Stage) finish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+// loadHeader returns the value of the header Load.
+func (s *Stage) loadHeader() string {
+	if s.Slots == 0 {
+		return "1,0,8"
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("%d,0,%d", s.running, s.Slots)
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Stage) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := s.headers()
@@ -155,6 +183,9 @@
 		return
 	}
 	t, retryAfter := s.receive(r, body.String())
+	if t != StageFaultOverloaded && retryAfter == "" {
+		defer s.finish()
+	}
 	if s.Crash != nil && strings.Contains(body.String(), Poison) {
 		go s.Crash()
 		<-r.Context().Done()
@@ -164,7 +195,7 @@
 	if t != StageFaultUnsigned {
 		w.Header().Set(h.Stamp, "stamp-"+s.ID)
 	}
-	w.Header().Set(h.Load, "1,0,8")
+	w.Header().Set(h.Load, s.loadHeader())
 	s.setLimitHeader(w.Header(), h.Limit)
 	s.setLeavingHeader(w.Header())
 	if retryAfter != "" {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -341,7 +341,7 @@
 	n.Service = k.service.Name
 	n.Avoid = k.avoid
 	// An upstream whose backoff has just ended may reject the request again.
-	n.AvoidReturning = k.rejected > 0 || !k.RetryBudget(k.service.Name).HasSpare(k.Now())
+	n.AvoidReturning = k.rejected > 0 || !k.RetryBudget(k.service.Name).HasRetry(k.Now())
 	l, reason := k.Balancer.Acquire(k.Now(), n)
 	if l == nil && n.AvoidReturning {
 		n.AvoidReturning = false
