balancer, forwarder, launcher: split large files; one error for unreadable headers

Retry-After and the header of a leave share HeaderError, which the log line quotes; it replaces RetryAfterError, and the table of values checks it whole.

--- a/faker/stage.go
+++ b/faker/stage.go
@@ -104,6 +104,13 @@
 	return append([]ReceivedRequest(nil), s.received...)
 }
 
+// AddReceived adds a request as if it had been received, for tests of checks on what was.
+func (s *Stage) AddReceived(one ReceivedRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.received = append(s.received, one)
+}
+
 // Runs returns how often a request with an id was executed.
 func (s *Stage) Runs(id string) int {
 	n := 0
--- a/forwarder/backoff.go
+++ b/forwarder/backoff.go
@@ -12,39 +12,47 @@
 )
 
 const (
-	// maxRetryAfterLength is the most bytes that a Retry-After may have; an HTTP date has 29.
-	maxRetryAfterLength = 32
+	// maxHeaderLength is the most bytes that a Retry-After may have, of which an HTTP date has 29,
+	// and that an error quotes of a header.
+	maxHeaderLength = 32
 	// secondsCharacters are the characters that a Retry-After in seconds may have.
 	secondsCharacters = "0123456789."
 )
 
-// RetryAfterError is a Retry-After that can't be parsed.
-type RetryAfterError struct {
-	// Text is the first value, cut after maxRetryAfterLength bytes.
+// HeaderError is a header of an upstream's response that can't be parsed.
+type HeaderError struct {
+	Header string
+	// Text is the first value, cut after maxHeaderLength bytes.
 	Text string
 	// Values is the number of values that the header had.
 	Values int
 }
 
-// Error describes what was found in place of a time.
-func (e *RetryAfterError) Error() string {
+// Error describes what was found.
+func (e *HeaderError) Error() string {
 	if e.Values > 1 {
-		return fmt.Sprintf("forwarder: found %d values of Retry-After, the first %q, want one", e.Values, e.Text)
+		return fmt.Sprintf("forwarder: found %d values of %s, the first %q, want one", e.Values, e.Header, e.Text)
 	}
-	return fmt.Sprintf("forwarder: Retry-After %q is neither a number of seconds nor an HTTP date", e.Text)
+	return fmt.Sprintf("forwarder: %s %q can't be read", e.Header, e.Text)
+}
+
+// headerError describes the values of a header, of which there is at least one.
+func headerError(header string, values []string) *HeaderError {
+	text := strings.TrimSpace(values[0])
+	return &HeaderError{Header: header, Text: text[:min(len(text), maxHeaderLength)], Values: len(values)}
 }
 
 // parseRetryAfter returns the wait that a response's Retry-After asks for; 0 if it has none. It is
 // a number of seconds, which may have a fraction, or an HTTP date, which is compared with the
-// response's own Date: the time of day of this host may be off. The error is a *RetryAfterError.
-func parseRetryAfter(h http.Header) (time.Duration, error) {
+// response's own Date: the time of day of this host may be off. The error is a *HeaderError.
+func parseRetryAfter(h http.Header) (time.Duration, *HeaderError) {
 	values := h.Values("Retry-After")
 	if len(values) == 0 {
 		return 0, nil
 	}
 	text := strings.TrimSpace(values[0])
-	invalid := &RetryAfterError{Text: text[:min(len(text), maxRetryAfterLength)], Values: len(values)}
-	if len(values) > 1 || len(text) > maxRetryAfterLength {
+	invalid := headerError("Retry-After", values)
+	if len(values) > 1 || len(text) > maxHeaderLength {
 		return 0, invalid
 	}
 	if strings.Trim(text, secondsCharacters) == "" {
@@ -88,7 +96,7 @@
 		return
 	}
 	if len(values) > 1 || strings.TrimSpace(values[0]) != "1" {
-		f.noteUnreadable(id, requestID, f.Headers.Leaving, strings.Join(values, ", "))
+		f.noteUnreadable(id, requestID, headerError(f.Headers.Leaving, values))
 		return
 	}
 	if f.Balancer.ObserveLeaving(f.Now(), id, startedAt) {
@@ -97,11 +105,10 @@
 }
 
 // noteUnreadable counts a header that can't be parsed and logs the first one of each upstream.
-func (f *Forwarder) noteUnreadable(id, requestID, header, text string) {
-	f.Meter.AnnouncementsUnreadable.WithLabelValues(header).Inc()
-	if f.Balancer.FirstUnreadable(id, header) {
-		f.Log.Warn().Str("requestId", requestID).Str("upstream", id).Str("header", header).Str("found", text[:min(len(text), maxLoggedHeader)]).
-			Msg("forwarder: header can't be read, nothing changed")
+func (f *Forwarder) noteUnreadable(id, requestID string, err *HeaderError) {
+	f.Meter.AnnouncementsUnreadable.WithLabelValues(err.Header).Inc()
+	if f.Balancer.FirstUnreadable(id, err.Header) {
+		f.Log.Warn().Err(err).Str("requestId", requestID).Str("upstream", id).Msg("forwarder: header can't be read, nothing changed")
 	}
 }
 
@@ -130,7 +137,7 @@
 func (f *Forwarder) applyRetryAfter(id string, startedAt int64, requestID string, h http.Header) {
 	wait, err := parseRetryAfter(h)
 	if err != nil {
-		f.noteUnreadable(id, requestID, "Retry-After", strings.Join(h.Values("Retry-After"), ", "))
+		f.noteUnreadable(id, requestID, err)
 		return
 	}
 	o, begins, changed := f.Balancer.ObserveBackoff(f.Now(), id, startedAt, wait)
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -193,9 +193,6 @@
 	return l.First.ID
 }
 
-// maxLoggedHeader is how many bytes of a header that can't be trusted are logged.
-const maxLoggedHeader = 32
-
 // logRejection counts and logs a response that rejects a request, with the upstream of the path that
 // is the reason and what the response says about when to return.
 func (k *call) logRejection(l *balancer.Lease, reason string, resp *http.Response) {
@@ -204,7 +201,7 @@
 	event := k.Log.Info().Str("requestId", k.id).Str("upstream", l.First.ID).Str("hops", FormatPath(k.Balancer.Path(l))).Dur("left", k.deadline-k.Now()).
 		Int("inFlight", k.Balancer.InFlight(l.First.ID)).Str("load", resp.Header.Get(k.Headers.Load))
 	if retryAfter != "" {
-		event.Str("retryAfter", retryAfter[:min(len(retryAfter), maxLoggedHeader)])
+		event.Str("retryAfter", retryAfter[:min(len(retryAfter), maxHeaderLength)])
 	}
 	event.Msg("forwarder: turned away with status " + strconv.Itoa(resp.StatusCode) + " by " + reason)
 }
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -169,7 +169,7 @@
 // only this stream is rerouted, and its wait counts as the latency of the links.
 func (f *Forwarder) handleStall(ctx context.Context, s Stall) {
 	a := f.findAttempt(s.RequestID)
-	id := f.Balancer.ByAddress(s.Address)
+	id, _ := f.Balancer.IncarnationAt(s.Address)
 	if a == nil || id == "" {
 		return
 	}
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -30,6 +30,8 @@
 
 	// seed determines when and where requests are sent, 0 means 31.
 	seed uint64
+	// excused holds the hosts that may send in a backoff, since they were restarted.
+	excused map[string]bool
 	// retryRefused makes callers that are refused come back once, after Retry-After.
 	retryRefused bool
 	// onReply is called with each response, if it is not nil.
--- /dev/null
+++ b/launcher/metrics.go
@@ -0,0 +1,49 @@
+package launcher
+
+import (
+	"github.com/sardineward/sardineward/balancer"
+)
+
+// exportMetrics registers the metrics whose values are computed on each scrape.
+func (h *Host) exportMetrics() {
+	m := h.meter
+	m.GaugeFunc("knowledge_age_seconds", "Age of configuration, keys and list, also by what peers answered.", func() float64 { return h.follower.Age().Seconds() })
+	m.GaugeFunc("source_age_seconds", "Age of what this host read from the store itself.", func() float64 { return h.follower.OwnAge().Seconds() })
+	m.GaugeFunc("read_age_seconds", "Age of what this host read from the store or was told by a relay.", func() float64 { return h.follower.ReadAge().Seconds() })
+	m.GaugeFunc("reader", "1 while this host reads the store for its data centre.", func() float64 { return boolGauge(h.sharer.ReadsSource()) })
+	m.GaugeFunc("relay", "1 while the hosts of this data centre report to this one.", func() float64 { return boolGauge(h.sharer.IsRelay()) })
+	m.GaugeFunc("source_revision", "Revision of the store up to which this host knows upstreams and hosts.", func() float64 { return float64(h.follower.Position().Revision) })
+	m.GaugeFunc("source_era", "How often the store came back from a copy, as this host knows; 0 where it does not say.", func() float64 { return float64(h.follower.Position().Era) })
+	m.GaugeFunc("configuration_version", "Version of the configuration in force; 0 is none.", func() float64 {
+		if t := h.follower.Table(); t != nil {
+			return float64(t.Version)
+		}
+		return 0
+	})
+	m.GaugeFunc("hosts", "Other entry hosts that are listed.", func() float64 { return float64(len(h.follower.Hosts())) })
+	m.GaugeFunc("requests_in_flight", "Requests being answered.", func() float64 { return float64(h.forwarder.InFlight()) })
+	m.GaugeFunc("ready", "1 while this host takes requests.", func() float64 { return boolGauge(h.forwarder.Ready()) })
+	m.GaugeFunc("duty_held", "1 while this host gives orders to engines.", func() float64 { return boolGauge(h.registrar.HoldingAny()) })
+	for _, state := range balancer.StateValues() {
+		m.GaugeFunc("upstreams_"+state.String(), "Upstreams in this state.", func() float64 { return float64(h.balancer.Count(h.Now(), state)) })
+	}
+	m.GaugeFunc("upstreams_in_use", "Upstreams that this host sends to or has requests at; a part of a large fleet.", func() float64 { return float64(h.balancer.SubsetSize(h.Now())) })
+	m.GaugeFunc("limits_in_force", "Upstreams that name a limit in their answers.", func() float64 { return float64(h.balancer.LimitCount()) })
+	m.CounterFunc("limited_requests_sent_total", "Requests sent to upstreams while they named a limit.", func() float64 { return float64(h.balancer.LimitedSentCount()) })
+	m.CounterFunc("limited_requests_held_off_total", "Requests that did not go to an upstream since its limit had no room.", func() float64 { return float64(h.balancer.ThrottledCount()) })
+	m.CounterFunc("backoffs_total", "Times that an upstream asked this host to send nothing for a while.", func() float64 { return float64(h.balancer.BackoffCount()) })
+	m.CounterFunc("backoff_requests_held_off_total", "Requests that did not go to an upstream because of its backoff.", func() float64 { return float64(h.balancer.WithheldCount()) })
+	m.CounterFunc("leaves_announced_total", "Upstreams that announced in a response that they leave.", func() float64 { return float64(h.balancer.LeavingCount()) })
+	if h.DroppedLogLines != nil {
+		m.CounterFunc("log_lines_dropped_total", "Log lines that were too many, or whose reader was too slow.", h.DroppedLogLines)
+	}
+	m.CounterFunc("connections_opened_total", "Connections made to upstreams.", func() float64 { return float64(h.connectionsOpened.Load()) })
+}
+
+// boolGauge returns 1 for true and 0 for false.
+func boolGauge(ok bool) float64 {
+	if ok {
+		return 1
+	}
+	return 0
+}
