soaker: upstreams that ask for backoffs and that leave by header

Two more faults and checks from outside: requests of a host in a wait that it was asked for, unless a fault of the host excuses it, and requests that callers sent more than 2 s after a response had told a host of a leave, in touch or not.

checkLeaving was wrong about requests without an id: it took them for requests of host 0. The users' rule is about requests taken from a client. They are no longer compared with the leave; any other request that no caller sent is reported instead, which was not checked before.

--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -113,6 +113,8 @@
 	h.checkMovedRoute(report)
 	h.checkLeaving(cl, report)
 	h.checkLimits(cl, report)
+	h.checkBackoffs(cl, report)
+	h.checkLeavingHeader(cl, report)
 	for _, text := range h.badExits {
 		report("%s", text)
 	}
@@ -233,13 +235,13 @@
 	return false
 }
 
+// engineCallPrefix starts the paths of orders and queries.
+const engineCallPrefix = "/api/"
+
 // checkLeaving reports requests that an upstream got more than leaveTimeout after it began to leave,
 // from hosts that were connected all the while.
 func (h *history) checkLeaving(cl *cluster, report func(string, ...any)) {
-	hosts := make(map[string]int, len(h.calls))
-	for _, c := range h.calls {
-		hosts[c.id] = c.host
-	}
+	hosts := h.hostsByRequest()
 	for _, u := range cl.upstreams {
 		at, ok := h.leftAt[u.ID]
 		if !ok {
@@ -247,6 +249,13 @@
 		}
 		at = h.writtenAt(at)
 		for _, s := range u.stage.Received() {
+			if _, sent := hosts[s.RequestID]; !sent {
+				// Hosts query an upstream about the streams that it still runs.
+				if !strings.HasPrefix(s.Target, engineCallPrefix) {
+					report("upstream %s got request %q to %s, which no caller sent", u.ID, s.RequestID, s.Target)
+				}
+				continue
+			}
 			if s.At.After(at.Add(leaveTimeout)) && h.connected(hosts[s.RequestID], at.Add(-settleTime), s.At) {
 				report("upstream %s got request %s from host %d, %v after it began to leave", u.ID, s.RequestID, hosts[s.RequestID], s.At.Sub(at))
 			}
@@ -254,6 +263,78 @@
 	}
 }
 
+// hostsByRequest returns the number of the host that each request was sent to, by request id.
+func (h *history) hostsByRequest() map[string]int {
+	out := make(map[string]int, len(h.calls))
+	for _, c := range h.calls {
+		out[c.id] = c.host
+	}
+	return out
+}
+
+// checkBackoffs reports upstreams that got more requests than allowed from a host that they had asked
+// to stay away, unless a fault of the host excuses it.
+func (h *history) checkBackoffs(cl *cluster, report func(string, ...any)) {
+	hosts := h.hostsByRequest()
+	for _, u := range cl.upstreams {
+		breaks := u.stage.BackoffViolations(h.connectedSender(cl, hosts))
+		if len(breaks) > 0 {
+			b := slices.MaxFunc(breaks, func(a, b faker.BackoffViolation) int { return cmp.Compare(a.Received, b.Received) })
+			report("upstream %s got %d requests from %s in the %v that it had asked for, want at most 2", u.ID, b.Received, b.Host, b.Wait)
+		}
+	}
+}
+
+// connectedSender returns a function that names the host that sent a request, or returns an empty text
+// where a fault of that host may excuse the request.
+func (h *history) connectedSender(cl *cluster, hosts map[string]int) func(one *faker.ReceivedRequest) string {
+	return func(one *faker.ReceivedRequest) string {
+		host, ok := hosts[one.RequestID]
+		if !ok || !h.connected(host, one.At.Add(-settleTime), one.At) {
+			return ""
+		}
+		return cl.hosts[host].name
+	}
+}
+
+// checkLeavingHeader reports requests that callers sent to a host more than leaveTimeout after a response
+// had told it that an upstream leaves, and that reached that upstream. Only a restart or a pause of
+// the host excuses that.
+func (h *history) checkLeavingHeader(cl *cluster, report func(string, ...any)) {
+	calls := make(map[string]*call, len(h.calls))
+	for i := range h.calls {
+		calls[h.calls[i].id] = &h.calls[i]
+	}
+	for _, u := range cl.upstreams {
+		toldAt := make(map[int]time.Time)
+		for _, s := range u.stage.Received() {
+			c := calls[s.RequestID]
+			if c == nil {
+				continue
+			}
+			at, told := toldAt[c.host]
+			told = told && !h.interrupted(c.host, at, s.At)
+			switch {
+			case told && c.sent.After(at.Add(leaveTimeout)):
+				report("upstream %s got request %s from host %d, sent %v after a response had told that it leaves", u.ID, c.id, c.host, c.sent.Sub(at))
+			case !told && s.ToldLeaving && c.ended.After(s.At):
+				// The host has the response at the latest when the caller has its own.
+				toldAt[c.host] = c.ended
+			}
+		}
+	}
+}
+
+// interrupted reports whether a host was killed, stopped or paused between two times.
+func (h *history) interrupted(host int, from, to time.Time) bool {
+	for _, i := range h.incidents {
+		if i.host == host && (i.fault == "kill" || i.fault == "stop" || i.fault == "pause") && i.from.Before(to) && i.to.After(from) {
+			return true
+		}
+	}
+	return false
+}
+
 // restoreFault names the fault in which the store is restored from a snapshot.
 const restoreFault = "restore"
 
@@ -272,18 +353,9 @@
 // checkLimits reports upstreams that got more requests than the limit that they report allows, from
 // hosts that knew the limit and were connected all the while.
 func (h *history) checkLimits(cl *cluster, report func(string, ...any)) {
-	hosts := make(map[string]int, len(h.calls))
-	for _, c := range h.calls {
-		hosts[c.id] = c.host
-	}
+	hosts := h.hostsByRequest()
 	for _, u := range cl.upstreams {
-		breaks := u.stage.LimitViolations(func(one *faker.ReceivedRequest) string {
-			host, ok := hosts[one.RequestID]
-			if !ok || !h.connected(host, one.At.Add(-settleTime), one.At) {
-				return ""
-			}
-			return cl.hosts[host].name
-		})
+		breaks := u.stage.LimitViolations(h.connectedSender(cl, hosts))
 		if len(breaks) > 0 {
 			b := slices.MaxFunc(breaks, func(a, b faker.LimitViolation) int { return cmp.Compare(a.Received-a.Allowed, b.Received-b.Allowed) })
 			report("upstream %s got %d requests in 4 s at a limit of %g per second, want at most %d", u.ID, b.Received, b.PerSecond, b.Allowed)
--- a/soaker/checks_test.go
+++ b/soaker/checks_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/faker"
 )
 
 var epoch = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -60,3 +62,56 @@
 		})
 	}
 }
+
+// TestCheckAnnouncements checks that requests in a backoff and after a leave are reported, unless a
+// fault of the host excuses them.
+func TestCheckAnnouncements(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// backoff and leaving are what the upstream's first response says.
+		backoff time.Duration
+		leaving bool
+		// sent are the seconds at which further requests are sent.
+		sent      []float64
+		incidents []incident
+		found     string
+	}{
+		{"two in a backoff", 3 * time.Second, false, []float64{11, 12}, nil, ""},
+		{"three in a backoff", 3 * time.Second, false, []float64{11, 12, 12.5}, nil, "got 3 requests from host-0 in the 3s"},
+		{"three on their way", 3 * time.Second, false, []float64{10.1, 10.2, 10.3, 12}, nil, ""},
+		{"three after it", 3 * time.Second, false, []float64{13.1, 13.2, 13.3}, nil, ""},
+		{"three after a restart", 3 * time.Second, false, []float64{11.5, 12, 12.5}, []incident{{from: atSecond(10.2), to: atSecond(11), fault: "kill"}}, ""},
+		{"after a leave", 0, true, []float64{13}, nil, "sent 2.999s after a response had told that it leaves"},
+		{"soon after a leave", 0, true, []float64{11.9}, nil, ""},
+		{"after a leave and a pause", 0, true, []float64{13}, []incident{{from: atSecond(11), to: atSecond(12), fault: "pause"}}, ""},
+		{"after a leave, cut off from the store", 0, true, []float64{13}, []incident{{from: atSecond(9), to: atSecond(20), fault: "store reset"}}, "told that it leaves"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := newHistory()
+			l.incidents = tc.incidents
+			u := &upstream{stage: new(faker.Stage)}
+			u.ID = "desk-b"
+			receive := func(s float64, told bool) {
+				id := fmt.Sprint("r", s)
+				one := faker.ReceivedRequest{RequestID: id, At: atSecond(s)}
+				if told {
+					one.Backoff, one.ToldLeaving = tc.backoff, tc.leaving
+				}
+				u.stage.AddReceived(one)
+				l.addCall(call{id: id, sent: atSecond(s), ended: atSecond(s).Add(time.Millisecond)})
+			}
+			receive(10, true)
+			for _, s := range tc.sent {
+				receive(s, false)
+			}
+			var found []string
+			report := func(format string, args ...any) { found = append(found, fmt.Sprintf(format, args...)) }
+			cl := &cluster{hosts: []*host{{name: "host-0"}}, upstreams: []*upstream{u}}
+			l.checkBackoffs(cl, report)
+			l.checkLeavingHeader(cl, report)
+			is := is.New(t)
+			is.Equal(len(found) > 0, tc.found != "")
+			is.True(strings.Contains(strings.Join(found, "\n"), tc.found))
+		})
+	}
+}
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -96,9 +96,9 @@
 // one of portBlocks blocks from firstPort on; all lie below the ephemeral ports of outgoing
 // connections.
 const (
-	portsPerRun = 60
+	portsPerRun = 600
 	firstPort   = 10000
-	portBlocks  = 300
+	portBlocks  = 30
 )
 
 // freeAddress returns the next address of the run's block on which nothing listens. It panics when
