dev-forward: backoff and leave to try by hand

/backoff makes one upstream of each service reject requests for 5 s and ask for 5 s, /leave makes the other one say in its responses that it leaves.

--- a/cmd/sardineward/devforward.go
+++ b/cmd/sardineward/devforward.go
@@ -96,6 +96,17 @@
 			}
 		})
 	}
+	mux.HandleFunc("/backoff", func(http.ResponseWriter, *http.Request) {
+		for _, id := range []string{"desk-a", "model-a"} {
+			stages[id].SetBackoff("5", 5*time.Second)
+			time.AfterFunc(5*time.Second, func() { stages[id].SetBackoff("", 0) })
+		}
+	})
+	mux.HandleFunc("/leave", func(http.ResponseWriter, *http.Request) {
+		for _, id := range []string{"desk-b", "model-b"} {
+			stages[id].SetLeaving("1")
+		}
+	})
 	mux.HandleFunc("/revoke", func(http.ResponseWriter, *http.Request) { source.Configure(devTable(2, "another-key")) })
 	return mux
 }
@@ -109,6 +120,8 @@
 curl http://%[4]s/cut      # the next stream breaks off in its third event and resumes on another upstream
 curl http://%[4]s/reset    # the answer to the next booking is lost: 502, never retried
 curl http://%[4]s/full     # the next requests are turned away as not run: 503 with Retry-After
+curl http://%[4]s/backoff  # desk-a and model-a reject requests for 5 s and ask for 5 s: the others serve all
+curl http://%[4]s/leave    # desk-b and model-b say in their responses that they leave: no request goes there again
 curl http://%[4]s/revoke   # the key is revoked: 401 within a second
 curl http://%[3]s/metrics
 
