--- a/docs/guards.sh
+++ b/docs/guards.sh
@@ -54,6 +54,11 @@
 guard olderList follower/follower.go 's/if revision <= newest \{/if false {/' follower TestOlderList
 guard runsBounded forwarder/stream.go 's/n\.AllowedFirst = k\.allowedFirsts\(\)/_ = k.allowedFirsts()/' launcher TestStreamRunsBounded
 guard forwardQuarantine forwarder/forwarder.go 's/if k\.refuseQuarantined\(\) \{/if false \&\& k.refuseQuarantined() {/g' launcher TestPoison
+guard upstreamBackoff balancer/backoff.go 's/return a != nil && a\.backoffUntil > now/return false/' launcher TestUpstreamBackoff
+guard backoffAtSend forwarder/forwarder.go 's/MaySend:    func\(\) bool \{[^}]*\},//' launcher TestBackoffAtSend
+guard leavingHeader balancer/backoff.go 's/a\.isLeaving, a\.leavingSince = true, now/a.leavingSince = now/; s/u\.Leaving = true//' launcher TestLeavingHeader
+guard engineBackoff forwarder/transport.go 's/if id != "" && !f[^{]*\{/if false {/' platform TestEngineBackoff
+guard rejectedOnce forwarder/forwarder.go 's/n\.Avoid = k\.rejecters/n.Avoid = nil/; s/len\(k\.avoid\) > len\(k\.rejecters\)/len(k.avoid) > 0/' launcher TestRejectedOnce
 guard linksLast balancer/path.go 's/crossingCost = 10 \* time\.Second/crossingCost = 200 * time.Millisecond/' balancer TestLinksLast
 guard silentCounts balancer/health.go 's/return u == nil \|\| u\.stopped/return u == nil || u.dead/' balancer TestLost
 exit "$green"
--- a/launcher/backoff_test.go
+++ b/launcher/backoff_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -135,6 +136,39 @@
 	}
 }
 
+// TestBackoffAtSend guards against sending a request to an upstream that asked for a backoff after it was
+// chosen, while the connection was opened.
+func TestBackoffAtSend(t *testing.T) {
+	runHost(t, 0, func(b *testbed) {
+		is := is.New(t)
+		var dials atomic.Int64
+		b.dialDelay = func() time.Duration {
+			if dials.Add(1) == 1 {
+				return 200 * time.Millisecond
+			}
+			return 0
+		}
+		for _, id := range []string{"desk-a", "desk-b"} {
+			b.stages[id].SetBackoff("3", 3*time.Second)
+		}
+		var slow reply
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			slow = b.request(http.MethodPost, "/look/1", "slow", nil)
+		}()
+		time.Sleep(50 * time.Millisecond)
+		b.assertRetryLater(b.request(http.MethodPost, "/look/1", "fast", nil))
+		<-done
+		b.assertRetryLater(slow)
+		for _, id := range []string{"desk-a", "desk-b"} {
+			for _, one := range b.stages[id].Received() {
+				is.Equal(one.RequestID, "fast")
+			}
+		}
+	})
+}
+
 // TestRejectedOnce guards against sending a request again to an upstream that has just rejected it.
 func TestRejectedOnce(t *testing.T) {
 	for _, path := range []string{"/look/1", "/book/1", "/stream/1"} {
--- a/launcher/bench_test.go
+++ b/launcher/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -40,9 +41,11 @@
 	crashes atomic.Int64
 	cfg     matcher.Configuration
 	client  *http.Client
-	stop    context.CancelFunc
-	done    chan error
-	started time.Time
+	// dialDelay returns how long a host's next dial takes; nil means no time.
+	dialDelay func() time.Duration
+	stop      context.CancelFunc
+	done      chan error
+	started   time.Time
 }
 
 // runHost starts a host with four upstreams and calls f once the host has read its configuration.
@@ -82,6 +85,7 @@
 // newHost returns a host that listens on ports 80 to 83 of the IP in f.Address.
 func (b *testbed) newHost(f follower.Host) *launcher.Host {
 	ip, _, _ := strings.Cut(f.Address, ":")
+	dial := b.net.Dialer(f.Name)
 	return &launcher.Host{
 		Settings: &loader.Forward{
 			Host: f.Name, DataCentre: f.DataCentre, Callers: ip + ":80", Ready: ip + ":81", Peer: f.Address, Admin: ip + ":83",
@@ -94,9 +98,14 @@
 		ReadyPath: "/ready",
 		Now:       func() time.Duration { return time.Since(b.started) + time.Minute },
 		Listen:    b.net.Listen,
-		Dial:      b.net.Dialer(f.Name),
-		Seed:      1,
-		Log:       zerolog.Nop(),
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if b.dialDelay != nil {
+				time.Sleep(b.dialDelay())
+			}
+			return dial(ctx, network, address)
+		},
+		Seed: 1,
+		Log:  zerolog.Nop(),
 	}
 }
 
