balancer: comments on backoffs for a reader of one file

Read as a newcomer would: three functions had no comment, one told only half of when it is 0, and the two lists of skipped upstreams of a lease stand together. No behaviour changes.

--- a/balancer/backoff.go
+++ b/balancer/backoff.go
@@ -75,7 +75,7 @@
 	return a.withheld(now) || (n.AvoidReturning && a.isReturning(now))
 }
 
-// isReported reports whether other hosts are told of the backoff.
+// isReported reports whether this host's reports count the backoff.
 func (a *announcement) isReported(now time.Duration) bool {
 	return a.backingOff(now) || (a.isReturning(now) && a.returnWindow == 1)
 }
@@ -112,6 +112,7 @@
 	return b.backoffOf(incarnation{id, startedAt}, a), begins, true
 }
 
+// until returns when the last backoff ends or ended; 0 when there was none.
 func (a *announcement) until() time.Duration {
 	if a == nil {
 		return 0
@@ -136,6 +137,7 @@
 	return a
 }
 
+// backoffOf describes the last backoff of an incarnation.
 func (b *Balancer) backoffOf(key incarnation, a *announcement) Backoff {
 	o := Backoff{Upstream: key.id, Wait: a.backoffUntil - a.backoffFrom}
 	if u := b.upstreams[key.id]; u != nil && u.StartedAt == key.startedAt {
@@ -263,7 +265,8 @@
 
 // BackoffWait returns the time until enough backoffs have ended that the service can be served: the
 // earliest one of a plain service, and of engines the last one of those that hold each layer first.
-// It is 0 when upstreams without a backoff could serve it, or none can.
+// Where upstreams without a backoff hold all of it, and so are full, it is the time until the first
+// backoff ends. It is 0 when no backoff is the reason.
 func (b *Balancer) BackoffWait(now time.Duration, service string) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -304,6 +307,7 @@
 	return earliest
 }
 
+// layerCount returns the number of a service's layers; a plain service counts as one.
 func layerCount(s *matcher.Service) int {
 	if s.Engine != nil && s.Engine.Layers > 0 {
 		return s.Engine.Layers
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -62,16 +62,15 @@
 	// hops is the whole path. It may change while the lease is held; read it through
 	// Balancer.Path.
 	hops []Hop
-	// Throttled lists the upstreams that were skipped because their rate limit had no capacity.
-	Throttled []string
+	// Throttled lists the upstreams that were skipped because their rate limit had no capacity,
+	// Withheld those that were skipped because of a backoff.
+	Throttled, Withheld []string
 	// requirements are those that the lease was acquired for.
 	requirements Requirements
 	// tokens is the capacity reserved on each hop, in tokens for each layer.
 	tokens float64
 	// started is set once the stream has had its first event.
 	started bool
-	// Withheld lists the upstreams that were skipped because of a backoff.
-	Withheld []string
 	// returning holds the upstreams of the path whose backoff was over when the lease was
 	// acquired. accepted is set once they have not rejected the request.
 	returning []*announcement
--- a/launcher/leaving_test.go
+++ b/launcher/leaving_test.go
@@ -12,8 +12,8 @@
 	"github.com/sardineward/sardineward/faker"
 )
 
-// assertLeavingKept checks that no host sent an upstream a request later than leaveGrace after a
-// response had told the host that the upstream leaves.
+// assertLeavingKept checks that no host sent an upstream a request later than leaveGrace after the first
+// response to that host that announced the leave.
 func (fl *fleet) assertLeavingKept(id string) {
 	fl.t.Helper()
 	for host, after := range fl.stages[id].SentAfterLeaving(func(one *faker.ReceivedRequest) string { return one.From }) {
