launcher: no data races in the tests of backoffs, and run them side by side

Only test files were at fault. The slowest response is now read and the callback set under the lock, also in TestAllUpstreamsLimited, and the host of a repeated request is drawn beforehand.

--- a/launcher/backoff_test.go
+++ b/launcher/backoff_test.go
@@ -53,6 +53,7 @@
 	for _, path := range []string{"/look/1", "/book/1", "/stream/1"} {
 		for _, hosts := range []int{1, 4, 24, 119} {
 			t.Run(fmt.Sprintf("%s from %d hosts", path, hosts), func(t *testing.T) {
+				t.Parallel()
 				runFleet(t, hosts, path, 60, func(is *is.I, fl *fleet) {
 					time.Sleep(2 * time.Second)
 					fl.rejectFor(7*time.Second, 3*time.Second, "desk-a", "model-a")
@@ -72,6 +73,7 @@
 func TestBackoffHostFaults(t *testing.T) {
 	for _, hosts := range []int{4, 24} {
 		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			t.Parallel()
 			runFleet(t, hosts, "/look/1", 60, func(is *is.I, fl *fleet) {
 				time.Sleep(2 * time.Second)
 				fl.excused = map[string]bool{"host-000": true}
@@ -100,6 +102,7 @@
 // TestHalfOfUpstreamsBackOff guards against hosts that each send requests to every upstream that rejects
 // them, until no retry is left and callers are refused while other upstreams have room.
 func TestHalfOfUpstreamsBackOff(t *testing.T) {
+	t.Parallel()
 	const upstreams = 12
 	runLargeFleet(t, 119, upstreams, "/look/1", 400, func(is *is.I, fl *fleet) {
 		time.Sleep(2 * time.Second)
@@ -122,10 +125,11 @@
 func TestAllUpstreamsBackOff(t *testing.T) {
 	for _, hosts := range []int{1, 4, 24} {
 		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			t.Parallel()
 			runFleet(t, hosts, "/look/1", 60, func(is *is.I, fl *fleet) {
 				time.Sleep(2 * time.Second)
 				fl.rejectFor(6*time.Second, 3*time.Second, "desk-a", "desk-b", "desk-c")
-				is.True(fl.slowest < 100*time.Millisecond)
+				is.True(fl.slowestResponse() < 100*time.Millisecond)
 				is.Equal(fl.count(http.StatusOK)+fl.count(http.StatusServiceUnavailable), fl.totalRequests())
 				time.Sleep(4 * time.Second)
 				refused := fl.count(http.StatusServiceUnavailable)
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -134,11 +134,15 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		time.Sleep(time.Duration(rnd.ExpFloat64() / perSecond * float64(time.Second)))
 		h := fl.hosts[rnd.IntN(len(fl.hosts))]
+		again := h
+		if fl.retryRefused {
+			again = fl.hosts[rnd.IntN(len(fl.hosts))]
+		}
 		ip, _, _ := strings.Cut(h.Address, ":")
 		wg.Go(func() {
 			r := fl.requestAt(ip+":80", http.MethodPost, path, fmt.Sprint("r", n), nil)
 			if fl.retryRefused && r.status == http.StatusServiceUnavailable {
-				r = fl.retry(r, path, fmt.Sprint("r", n, "-2"), rnd.IntN)
+				r = fl.retry(r, again, path, fmt.Sprint("r", n, "-2"))
 			}
 			fl.mu.Lock()
 			defer fl.mu.Unlock()
@@ -151,12 +155,23 @@
 	}
 }
 
-// retry repeats a refused request at a host that pick chooses once its Retry-After is over. The time
-// counts from the first request.
-func (fl *fleet) retry(first reply, path, id string, pick func(n int) int) reply {
+// setOnReply sets a function that is called with each further response.
+func (fl *fleet) setOnReply(f func(r *reply)) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.onReply = f
+}
+
+// slowestResponse returns the longest time that a response took so far.
+func (fl *fleet) slowestResponse() time.Duration {
 	fl.mu.Lock()
-	h := fl.hosts[pick(len(fl.hosts))]
-	fl.mu.Unlock()
+	defer fl.mu.Unlock()
+	return fl.slowest
+}
+
+// retry repeats a refused request at a host once its Retry-After is over. The time counts from the
+// first request.
+func (fl *fleet) retry(first reply, h follower.Host, path, id string) reply {
 	seconds, err := strconv.ParseFloat(first.header.Get("Retry-After"), 64)
 	is.New(fl.t).NoErr(err)
 	wait := time.Duration(seconds * float64(time.Second))
--- a/launcher/goodput_test.go
+++ b/launcher/goodput_test.go
@@ -56,7 +56,7 @@
 		var ended time.Time
 		fl.runUnderLoad(4, "/look/1", float64(times*goodputBase), func() {
 			time.Sleep(3 * time.Second)
-			fl.onReply = func(r *reply) {
+			fl.setOnReply(func(r *reply) {
 				g.sent++
 				switch {
 				case r.status == http.StatusOK && r.took <= inTime:
@@ -66,7 +66,7 @@
 				default:
 					g.refused++
 				}
-			}
+			})
 			// One upstream of each data centre comes first, as overload is rarely even.
 			slices.SortStableFunc(ids, func(a, b string) int { return len(a) - len(b) })
 			fl.rejectFor(rejectingTime, 3*time.Second, ids[:rejecting]...)
@@ -101,6 +101,7 @@
 // TestBackoffGoodput guards against upstreams that ask for a backoff drawing the requests that others
 // could serve.
 func TestBackoffGoodput(t *testing.T) {
+	t.Parallel()
 	all := 3 * (goodputUpstreams - 1)
 	if !*measure {
 		g := measureGoodput(t, all/2, 1, 1)
--- a/launcher/leaving_test.go
+++ b/launcher/leaving_test.go
@@ -50,6 +50,7 @@
 		for _, path := range []string{"/look/1", "/book/1", "/stream/1"} {
 			for _, hosts := range []int{1, 4, 24} {
 				t.Run(fmt.Sprintf("%s, %s from %d hosts", c.name, path, hosts), func(t *testing.T) {
+					t.Parallel()
 					runFleet(t, hosts, path, 60, func(is *is.I, fl *fleet) {
 						time.Sleep(2 * time.Second)
 						fl.stages["desk-a"].SetLeaving("1")
--- a/launcher/limit_test.go
+++ b/launcher/limit_test.go
@@ -113,7 +113,7 @@
 				n := fl.served("desk-a", since) + fl.served("desk-b", since) + fl.served("desk-c", since)
 				is.True(n > 90 && n <= 130)
 				is.Equal(fl.count(http.StatusOK)+fl.count(http.StatusServiceUnavailable), fl.totalRequests())
-				is.True(fl.slowest < 100*time.Millisecond)
+				is.True(fl.slowestResponse() < 100*time.Millisecond)
 				r := fl.requestAt("10.0.0.1:80", http.MethodPost, "/look/1", "late", nil)
 				for r.status == http.StatusOK {
 					r = fl.requestAt("10.0.0.1:80", http.MethodPost, "/look/1", "late", nil)
