sharer: derive when a stale host asks others from the bound on leaves

A host cut off from the store asked others once what it knew was 1.8 s old, and its own reads 2 s old, in rounds of 0.2 s or, in a data centre of 48 hosts, 0.48 s. An answer then came after the 2 s within which it must know that an upstream leaves. It now asks from 2 s less a round of 0.2 s and the timeout of an exchange, and looks again when that age is reached, however long the rounds of its data centre are. Two hosts are asked at once, so that one that does not answer costs no further round.

--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -425,3 +425,26 @@
 		}
 	})
 }
+
+// TestLargeDataCentreCutOff guards against a relay of a large data centre, whose rounds are long,
+// that misses a leave for more than two seconds while the source refuses it.
+func TestLargeDataCentreCutOff(t *testing.T) {
+	for _, each := range []int{4, 48, 137} {
+		t.Run(fmt.Sprint(each), func(t *testing.T) {
+			runFleet(t, 1, each, func(is *is.I, fl *fleet) {
+				relays := fl.relays("dc0")
+				is.Equal(len(relays), 2)
+				for _, m := range relays {
+					m.refused.Store(true)
+				}
+				for n := range 6 {
+					id := fmt.Sprint("leaves", n)
+					fl.source.PutUpstream(balancer.Upstream{ID: id, Address: "1"})
+					time.Sleep(2700 * time.Millisecond)
+					fl.source.PutUpstream(balancer.Upstream{ID: id, Address: "1", Leaving: true})
+					is.True(await(4*time.Second, func() bool { return allKnow(relays, id, true) }) <= 2*time.Second)
+				}
+			})
+		})
+	}
+}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -40,12 +40,12 @@
 	intervalPerRemoteRelay = 50 * time.Millisecond
 	// exchangeTimeout bounds one exchange: a hundred times the round-trip time.
 	exchangeTimeout = 300 * time.Millisecond
-	// staleAge is the staleness of what was read from which a host is no source for others, and the
-	// staleness of its own reads from which a host asks others.
+	// staleAge is the staleness of what was read from which a host is no source for others. It is
+	// also the time within which a host must know that an upstream leaves.
 	staleAge = 2 * time.Second
-	// unservedAge is the staleness of everything read or received from peers from which a host
-	// whose own reads are stale asks others.
-	unservedAge = 1800 * time.Millisecond
+	// askAge is the staleness from which a host asks others for what they read. One round and one
+	// exchange later it knows what they know.
+	askAge = staleAge - exchangeInterval - exchangeTimeout
 	// maxSources is how many other hosts a stale host asks at once for what they read. More than
 	// one, because any of them may be stale as well.
 	maxSources = 2
@@ -97,7 +97,7 @@
 		}
 		p := s.updateRole(hosts)
 		calls := s.calls(p)
-		if s.Follower.OwnAge() > staleAge && s.Follower.ReadAge() > unservedAge {
+		if s.Follower.OwnAge() > askAge && s.Follower.ReadAge() > askAge {
 			calls = requestFull(calls, s.sources(hosts))
 		}
 		for _, h := range s.roles.dueProbes(s.Now()) {
@@ -111,11 +111,15 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(s.roundInterval(hosts, p)):
+		case <-time.After(min(s.roundInterval(hosts, p), untilAsk(s.Follower.ReadAge()))):
 		}
 	}
 }
 
+// untilAsk returns when a host whose knowledge has the given age looks again whether to ask others.
+// The rounds of a large data centre are longer than that.
+func untilAsk(age time.Duration) time.Duration { return max(exchangeInterval, askAge-age) }
+
 // call is an exchange to start.
 type call struct {
 	host  follower.Host
