sharer, follower: relays hand on the configuration

A relay now sends one of up to 16 KB to the hosts that exchange with it. A longer one is first read from a copy that may be old, at a tenth of the price: its version shows whether it is, and after 0.7 s it is read afresh. Only peers or a fresh read confirm it.

TestConfigurationHandedOn (72 hosts) was red before; TestStaleConfiguration checks that an old copy neither confirms nor delays.

--- a/faker/directory.go
+++ b/faker/directory.go
@@ -148,7 +148,7 @@
 }
 
 // Configuration implements follower.Source.
-func (d *Directory) Configuration(context.Context) (*matcher.Configuration, error) {
+func (d *Directory) Configuration(context.Context, bool) (*matcher.Configuration, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.unavailable {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -69,8 +69,9 @@
 	// Changes returns what changed after a position: at once if anything did, else after wait at
 	// the latest. It returns ErrCompacted if the source no longer knows these changes.
 	Changes(ctx context.Context, after Position, wait time.Duration) (*Changes, error)
-	// Configuration reads only the configuration.
-	Configuration(ctx context.Context) (*matcher.Configuration, error)
+	// Configuration reads only the configuration. Unless it is to be fresh, it may be seconds old,
+	// which costs the source less.
+	Configuration(ctx context.Context, fresh bool) (*matcher.Configuration, error)
 }
 
 const (
@@ -102,6 +103,9 @@
 	fallbackAge = 1500 * time.Millisecond
 	// minFallbackCheckInterval is the shortest time between two checks whether to fall back.
 	minFallbackCheckInterval = 50 * time.Millisecond
+	// staleReadTerm is how long a host reads a new configuration from copies that may be old. It
+	// leaves time for a fresh read before a change must be in force.
+	staleReadTerm = 700 * time.Millisecond
 	// reregisterGrace is how long an entry that expired while the source was unreachable may take
 	// to be written again before it counts as removed.
 	reregisterGrace = 2200 * time.Millisecond
@@ -149,6 +153,8 @@
 	// sending the changes that lead there.
 	newestPeerVersion  int64
 	newestPeerPosition Position
+	// newVersionAt is when a peer first reported newestPeerVersion.
+	newVersionAt time.Duration
 	// missingUpstreams maps upstreams whose entry expired while the source was unreachable to the
 	// time at which they count as removed.
 	missingUpstreams map[string]time.Duration
@@ -322,12 +328,22 @@
 }
 
 // readConfiguration reads only the configuration. In a large fleet the entries, which are rewritten
-// all the time, are many times as large.
+// all the time, are many times as large. All hosts read it when it changes, so they first read one
+// that may be old: its version shows whether it is, and the peers confirm that it is in force.
 func (f *Follower) readConfiguration(ctx context.Context, sent time.Duration) error {
-	cfg, err := f.Source.Configuration(ctx)
+	f.mu.Lock()
+	fresh := sent-f.newVersionAt >= staleReadTerm
+	f.mu.Unlock()
+	cfg, err := f.Source.Configuration(ctx, fresh)
 	if err != nil {
 		return err
 	}
+	if !fresh {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.configure(cfg)
+		return nil
+	}
 	f.noteRecovery()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/follower/large_test.go
+++ b/follower/large_test.go
@@ -137,3 +137,51 @@
 	}
 	return s.Directory.Load(ctx, delay)
 }
+
+// staleSource is a source whose stale reads return a configuration of two seconds ago.
+type staleSource struct {
+	*faker.Directory
+	old   *matcher.Configuration
+	stale atomic.Int64
+	fresh atomic.Int64
+}
+
+func (s *staleSource) Configuration(ctx context.Context, fresh bool) (*matcher.Configuration, error) {
+	if fresh {
+		s.fresh.Add(1)
+		return s.Directory.Configuration(ctx, true)
+	}
+	s.stale.Add(1)
+	return s.old, nil
+}
+
+// TestStaleConfiguration guards against a new configuration that is missed because each read of it
+// comes from an old copy, and against one that an old copy counts as confirmed.
+func TestStaleConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		started := time.Now()
+		src := &staleSource{Directory: new(faker.Directory), old: &matcher.Configuration{Version: 3}}
+		src.Configure(src.old)
+		var reads atomic.Bool
+		reads.Store(true)
+		fol := &follower.Follower{Source: src, Balancer: new(balancer.Balancer), Now: func() time.Duration { return time.Since(started) + time.Second }, ReadsSource: reads.Load}
+		ctx, cancel := context.WithCancel(t.Context())
+		go fol.Run(ctx)
+		time.Sleep(time.Second)
+		reads.Store(false)
+		src.Configure(&matcher.Configuration{Version: 4})
+		noticed := fol.Now()
+		for fol.Table().Version < 4 && fol.Now()-noticed < 3*time.Second {
+			age := fol.Age()
+			fol.ApplyPeerState(fol.Now(), &follower.State{Version: 4, Position: fol.Position()})
+			time.Sleep(100 * time.Millisecond)
+			is.True(fol.Table().Version == 4 || fol.Age() > age)
+		}
+		is.True(fol.Now()-noticed <= 1300*time.Millisecond)
+		is.True(src.stale.Load() >= 1)
+		is.Equal(src.fresh.Load(), int64(1))
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
--- a/follower/peers.go
+++ b/follower/peers.go
@@ -70,7 +70,9 @@
 			default:
 			}
 		}
-		f.newestPeerVersion = max(f.newestPeerVersion, s.Version)
+		if s.Version > f.newestPeerVersion {
+			f.newestPeerVersion, f.newVersionAt = s.Version, f.Now()
+		}
 		if s.Version == t.Version {
 			f.newestPeerPosition = later(f.newestPeerPosition, s.Position)
 		}
--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -59,12 +59,12 @@
 	return v.withoutSelf(v.fleet.source.Changes(ctx, after, wait))
 }
 
-func (v sourceView) Configuration(ctx context.Context) (*matcher.Configuration, error) {
+func (v sourceView) Configuration(ctx context.Context, fresh bool) (*matcher.Configuration, error) {
 	v.fleet.calls.Add(1)
 	if v.refused.Load() {
 		return nil, errors.New("source refused the call")
 	}
-	return v.fleet.source.Configuration(ctx)
+	return v.fleet.source.Configuration(ctx, fresh)
 }
 
 func (v sourceView) withoutSelf(ch *follower.Changes, err error) (*follower.Changes, error) {
@@ -448,3 +448,31 @@
 		})
 	}
 }
+
+// TestConfigurationHandedOn guards against a change of the configuration that each host reads from
+// the source. Only one that is too long for the links of relays is read by all, once each.
+func TestConfigurationHandedOn(t *testing.T) {
+	for _, c := range []struct{ workspaces, mostReads int }{{10, 0}, {1000, 72}} {
+		t.Run(fmt.Sprint(c.workspaces, " workspaces"), func(t *testing.T) {
+			runFleet(t, 3, 24, func(is *is.I, fl *fleet) {
+				cfg := &matcher.Configuration{Version: 2}
+				for n := range c.workspaces {
+					cfg.Workspaces = append(cfg.Workspaces, matcher.Workspace{Name: fmt.Sprint("workspace", n), Keys: []string{fmt.Sprint("key", n)}})
+				}
+				fl.calls.Store(0)
+				fl.source.Configure(cfg)
+				is.True(await(3*time.Second, func() bool {
+					for _, m := range fl.members {
+						if m.follow.Table().Version != 2 {
+							return false
+						}
+					}
+					return true
+				}) <= 1500*time.Millisecond)
+				time.Sleep(1500 * time.Millisecond)
+				is.True(maxReadAge(fl.members) <= 1500*time.Millisecond)
+				is.True(fl.calls.Load() <= int64(3*3*3+c.mostReads)) // one reader per data centre for 3 s
+			})
+		})
+	}
+}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -53,6 +53,9 @@
 	maxStrikes = 32
 	// maxLimits bounds the upstream limits sent in one exchange: 3 KB.
 	maxLimits = 64
+	// maxConfigurationBytes bounds the configurations that are sent to hosts that can read the
+	// source. A relay sends one to fifty hosts in half a second over a link of 14 Mbit/s.
+	maxConfigurationBytes = 16 << 10
 	// startupInterval is the time between two rounds before the source was first read.
 	startupInterval = 10 * time.Millisecond
 )
@@ -76,6 +79,8 @@
 	mu    sync.Mutex
 	// inProgress holds the names of the hosts with which an exchange is in progress.
 	inProgress map[string]bool
+	// encoded is the configuration that was last sent to a host.
+	encoded encodedConfiguration
 	// rotation advances with each round, so that hosts are asked in turn.
 	rotation int
 	// remoteCalledAt is when relays of other data centres were last called.
@@ -335,12 +340,14 @@
 			return nil, err
 		}
 	}
+	// A host that can read the source is sent only a short configuration. Otherwise each change
+	// of it would saturate the links of the relays.
+	if b := s.newerConfiguration(req.Version); req.Behind || len(b) <= maxConfigurationBytes {
+		resp.Configuration = b
+	}
 	if !req.Behind {
 		return resp, nil
 	}
-	// Only a host that cannot read the source is sent the configuration. Otherwise each change of
-	// it would be sent from each host to all others and saturate their links.
-	resp.Configuration = s.newerConfiguration(req.Version)
 	if state.Update == nil && state.ReadAge < staleAge {
 		if resp.Upstreams, err = json.Marshal(s.Balancer.Upstreams()); err != nil {
 			return nil, err
@@ -356,14 +363,26 @@
 	if cfg == nil || cfg.Version <= version {
 		return nil
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.encoded.version == cfg.Version {
+		return s.encoded.json
+	}
 	b, err := json.Marshal(cfg)
 	if err != nil {
 		s.Log.Error().Err(err).Msg("sharer: encoding the configuration failed")
 		return nil
 	}
+	s.encoded = encodedConfiguration{cfg.Version, b}
 	return b
 }
 
+// encodedConfiguration is a configuration as JSON. Relays send the same one to many hosts.
+type encodedConfiguration struct {
+	version int64
+	json    []byte
+}
+
 // decode parses JSON; it returns nil for empty input.
 func decode[T any](b []byte) (*T, error) {
 	if len(b) == 0 {
