registrar: no read before the entry is written and none after a conflict

The store's answer to a write whose condition does not hold has the current entry, which storer.ConflictError now carries; a store that does not report it is read as before. TestNoReadAfterConflict was red before.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -205,21 +205,37 @@
 
 // writeEntry writes the entry, and replaces one that an earlier run of this host left.
 func (r *Registrar) writeEntry(ctx context.Context, key string, value []byte, lease int64) error {
-	old, err := r.Store.Get(ctx, key)
+	w := storer.Write{Key: key, Value: value, Lease: lease}
+	_, err := r.Store.Swap(ctx, w)
+	if !errors.Is(err, storer.ErrConflict) {
+		return err
+	}
+	old, err := r.current(ctx, key, err)
 	if err != nil && !errors.Is(err, storer.ErrNotFound) {
 		return err
 	}
-	_, err = r.Store.Swap(ctx, storer.Write{Key: key, Value: value, Expect: old.Revision, Era: old.Era, Lease: lease})
+	w.Expect, w.Era = old.Revision, old.Era
+	_, err = r.Store.Swap(ctx, w)
 	return err
 }
 
+// current returns the current entry of a key after a conflict. It reads the key only if the conflict
+// does not hold its entry.
+func (r *Registrar) current(ctx context.Context, key string, conflict error) (storer.Entry, error) {
+	var known *storer.ConflictError
+	if errors.As(conflict, &known) {
+		return known.Current, nil
+	}
+	return r.Store.Get(ctx, key)
+}
+
 // claimDuties takes the free duties that no host holds, or that an earlier run of this host holds.
 func (r *Registrar) claimDuties(ctx context.Context, lease int64) error {
 	for _, dc := range r.FreeDuties() {
 		w := storer.Write{Key: DutyPrefix + dc, Value: []byte(r.Entry.Name), Lease: lease}
 		_, err := r.Store.Swap(ctx, w)
 		if errors.Is(err, storer.ErrConflict) {
-			err = r.takeOverDuty(ctx, w)
+			err = r.takeOverDuty(ctx, w, err)
 		}
 		if errors.Is(err, storer.ErrConflict) {
 			continue
@@ -242,9 +258,10 @@
 }
 
 // takeOverDuty takes a duty over from an earlier run of this host, whose lease is still valid
-// though its process is gone. It returns storer.ErrConflict if another host holds the duty.
-func (r *Registrar) takeOverDuty(ctx context.Context, w storer.Write) error {
-	old, err := r.Store.Get(ctx, w.Key)
+// though its process is gone. It returns storer.ErrConflict if another host holds the duty. The
+// conflict is the one that the write ended with.
+func (r *Registrar) takeOverDuty(ctx context.Context, w storer.Write, conflict error) error {
+	old, err := r.current(ctx, w.Key, conflict)
 	if errors.Is(err, storer.ErrNotFound) || (err == nil && string(old.Value) != r.Entry.Name) {
 		return storer.ErrConflict
 	}
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -159,3 +159,45 @@
 		h.stop()
 	})
 }
+
+// informingStore is a store that reports the current entry in a conflict. It counts reads.
+type informingStore struct {
+	*faker.Platform
+	reads atomic.Int64
+}
+
+func (s *informingStore) Get(ctx context.Context, key string) (storer.Entry, error) {
+	s.reads.Add(1)
+	return s.Platform.Get(ctx, key)
+}
+
+func (s *informingStore) Swap(ctx context.Context, w storer.Write) (int64, error) {
+	revision, err := s.Platform.Swap(ctx, w)
+	if errors.Is(err, storer.ErrConflict) {
+		current, _ := s.Platform.Get(ctx, w.Key)
+		err = &storer.ConflictError{Current: current}
+	}
+	return revision, err
+}
+
+// TestNoReadAfterConflict guards against a read by each host of a fleet that starts, where all but
+// one find the duty taken.
+func TestNoReadAfterConflict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &informingStore{Platform: new(faker.Platform)}
+		always := func() []string { return []string{"a"} }
+		lease, err := store.Grant(t.Context(), 3*time.Second) // of a killed process
+		is.NoErr(err)
+		_, err = store.Swap(t.Context(), storer.Write{Key: registrar.HostPrefix + "one", Value: []byte("{}"), Lease: lease})
+		is.NoErr(err)
+		one, two := start(store, "one", always), start(store, "two", always)
+		time.Sleep(5 * time.Second)
+		is.True(one.Holding("a") != two.Holding("a"))
+		is.Equal(store.reads.Load(), int64(0))
+		_, err = store.Get(t.Context(), registrar.HostPrefix+"one")
+		is.NoErr(err) // it outlives the lease of the killed process
+		one.stop()
+		two.stop()
+	})
+}
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -27,6 +28,19 @@
 	ErrTooLarge = errors.New("storer: value too large")
 )
 
+// ConflictError is an ErrConflict of a service that reports the current entry of the key.
+type ConflictError struct {
+	// Current has revision 0 if the key is absent.
+	Current Entry
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%v: key %q has revision %d", ErrConflict, e.Current.Key, e.Current.Revision)
+}
+
+// Unwrap returns ErrConflict.
+func (e *ConflictError) Unwrap() error { return ErrConflict }
+
 // MaxValueBytes is the largest size of a value that the service stores.
 const MaxValueBytes = 1 << 20
 
@@ -68,7 +82,8 @@
 	// Get returns the entry of a key, or ErrNotFound when the key is absent.
 	Get(ctx context.Context, key string) (Entry, error)
 	// Swap writes or deletes a key if it has the expected revision, and returns the new revision.
-	// It may return ErrConflict, ErrLease and ErrTooLarge.
+	// It may return ErrConflict, as a ConflictError if the current entry is known, ErrLease and
+	// ErrTooLarge.
 	Swap(ctx context.Context, w Write) (int64, error)
 	// Watch waits until the key's revision is above after and returns the entry. It returns
 	// ErrNotFound when the key was deleted, and waits no longer than ctx.
