follower, sharer: fewer calls on a store that does not answer

A host that is not a reader, whose peers answer and whose read failed now pauses 36 ms for each host, 4 s at most; with up to 6 hosts 250 ms as before. So that one host that the store does serve suffices, a stale relay asks a host that calls it with a later position for what it knows.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -98,6 +99,10 @@
 	loadTimeout = 12 * time.Second
 	// retryDelay is the pause after a failed call.
 	retryDelay = 250 * time.Millisecond
+	// retryDelayPerHost lengthens the pause, up to maxRetryDelay, of hosts that do not usually read
+	// the source, so that all together retry about as often as a few hosts would at retryDelay.
+	retryDelayPerHost = 36 * time.Millisecond
+	maxRetryDelay     = 4 * time.Second
 	// fallbackAge is the staleness at which a host that gets changes from its peers reads the source
 	// itself. It spans several exchanges with peers that do not answer or cannot reach the source.
 	fallbackAge = 1500 * time.Millisecond
@@ -138,7 +143,9 @@
 	// that covered everything and not only the configuration. ownReadAt is when the last successful
 	// call of this host was sent.
 	confirmedAt, readAt, ownReadAt atomic.Int64
-	wake                           chan struct{}
+	// peerAnsweredAt is when the last call to a peer that answered was sent.
+	peerAnsweredAt atomic.Int64
+	wake           chan struct{}
 
 	mu sync.Mutex
 	// position is how far this host has read the source or applied updates of peers.
@@ -240,7 +247,7 @@
 			next = max(minFallbackCheckInterval, fallbackAge-f.ReadAge())
 		} else if err := f.poll(ctx); err != nil && ctx.Err() == nil {
 			f.noteOutage(err)
-			next = retryDelay
+			next = f.retryInterval()
 		}
 		select {
 		case <-ctx.Done():
@@ -288,6 +295,19 @@
 	return min(maxPollInterval, max(minPollInterval, pollIntervalPerReader*time.Duration(readers)))
 }
 
+// retryInterval returns the pause after a failed call. Where peers answer, any host that reaches the
+// source again serves the others, so that in a large fleet each tries less often than its readers.
+func (f *Follower) retryInterval() time.Duration {
+	if f.ReadsSource == nil || f.ReadsSource() || f.ageOf(&f.peerAnsweredAt) > fallbackAge {
+		return retryDelay
+	}
+	longest := min(maxRetryDelay, retryDelayPerHost*time.Duration(len(f.Hosts())+1))
+	if longest <= retryDelay {
+		return retryDelay
+	}
+	return longest/2 + rand.N(longest)
+}
+
 // poll makes one call to the source and applies the answer.
 func (f *Follower) poll(ctx context.Context) error {
 	sent := f.Now()
--- a/follower/peers.go
+++ b/follower/peers.go
@@ -44,6 +44,7 @@
 // If the peer has a newer configuration or changes that it cannot send, this host reads the source
 // itself: a configuration is too large to be sent over the link of one host to all others.
 func (f *Follower) ApplyPeerState(sent time.Duration, s *State) {
+	f.peerAnsweredAt.Store(int64(sent))
 	f.mu.Lock()
 	applied := f.applyPeerState(sent, s)
 	f.mu.Unlock()
--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -476,3 +476,55 @@
 		})
 	}
 }
+
+// TestSourceSilent guards against a fleet in which each host calls a source that answers none of
+// them, as often as a reader does.
+func TestSourceSilent(t *testing.T) {
+	for _, size := range []struct{ centres, each int }{{1, 4}, {3, 24}, {3, 46}} {
+		t.Run(fmt.Sprint(size.centres*size.each), func(t *testing.T) {
+			runFleet(t, size.centres, size.each, func(is *is.I, fl *fleet) {
+				for _, m := range fl.members {
+					m.refused.Store(true)
+				}
+				fl.calls.Store(0)
+				time.Sleep(10 * time.Second)
+				t.Logf("%d calls in 10 s", fl.calls.Load())
+				// A reader retries four times a second, and one of the others a tenth as often.
+				readers := min(2*size.centres, len(fl.members))
+				if len(fl.members) <= 4 {
+					readers = len(fl.members)
+				}
+				is.True(fl.calls.Load() <= int64(40*readers+4*(len(fl.members)-readers)))
+				for _, m := range fl.members {
+					m.refused.Store(false)
+				}
+				is.True(await(3*time.Second, func() bool { return maxReadAge(fl.members) < 1500*time.Millisecond }) <= time.Second)
+			})
+		})
+	}
+}
+
+// TestOneHostReadsSource guards against a fleet that stays out of date although one of its hosts,
+// which is no relay, can read the source.
+func TestOneHostReadsSource(t *testing.T) {
+	for _, each := range []int{8, 46} {
+		t.Run(fmt.Sprint(3*each), func(t *testing.T) {
+			runFleet(t, 3, each, func(is *is.I, fl *fleet) {
+				var one *member
+				for _, m := range fl.members {
+					if m.refused.Store(true); !m.share.IsRelay() && !m.share.ReadsSource() && m.dataCentre == "dc1" {
+						one = m
+					}
+				}
+				one.refused.Store(false)
+				time.Sleep(3 * time.Second)
+				fl.calls.Store(0)
+				for range 100 {
+					is.True(maxReadAge(fl.members) <= 3*time.Second)
+					time.Sleep(100 * time.Millisecond)
+				}
+				t.Logf("%d calls in 10 s", fl.calls.Load())
+			})
+		})
+	}
+}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -79,6 +79,8 @@
 	mu    sync.Mutex
 	// inProgress holds the names of the hosts with which an exchange is in progress.
 	inProgress map[string]bool
+	// ahead is the name of a host that knows more of the source than this one.
+	ahead string
 	// encoded is the configuration that was last sent to a host.
 	encoded encodedConfiguration
 	// rotation advances with each round, so that hosts are asked in turn.
@@ -226,6 +228,29 @@
 	for i := range min(maxSources, len(list)) {
 		out = append(out, list[(start+i)%len(list)])
 	}
+	ahead := s.takeAhead()
+	if i := slices.IndexFunc(hosts, func(h follower.Host) bool { return h.Name == ahead }); i >= 0 {
+		out = append(out, hosts[i])
+	}
+	return out
+}
+
+// noteAhead records a host that called and knows more of the source than this one.
+func (s *Sharer) noteAhead(host string, at follower.Position) {
+	if !s.Follower.Position().Before(at) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ahead = host
+}
+
+// takeAhead returns and forgets the host that was last recorded by noteAhead.
+func (s *Sharer) takeAhead() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.ahead
+	s.ahead = ""
 	return out
 }
 
@@ -329,7 +354,9 @@
 	if req.GetReport().GetScope() == peer.Scope_SCOPE_HOST && s.roles.noteRelayCall(s.Now()) {
 		s.Follower.Wake()
 	}
-	state := s.Follower.State(follower.Position{Era: req.Era, Revision: req.Revision})
+	at := follower.Position{Era: req.Era, Revision: req.Revision}
+	s.noteAhead(req.Host, at)
+	state := s.Follower.State(at)
 	resp := &peer.ShareResponse{
 		Host: s.Self, Report: s.report(answerScope(req.GetReport().GetScope()), req.Host, req.Upstreams), Strikes: s.strikes(), Limits: s.limits(),
 		Version: state.Version, Era: state.Era, Revision: state.Revision, AgeMs: state.Age.Milliseconds() + 1, ReadAgeMs: state.ReadAge.Milliseconds() + 1,
