--- a/follower/follower.go
+++ b/follower/follower.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -69,8 +70,9 @@
 	// Changes returns what changed after a position: at once if anything did, else after wait at
 	// the latest. It returns ErrCompacted if the source no longer knows these changes.
 	Changes(ctx context.Context, after Position, wait time.Duration) (*Changes, error)
-	// Configuration reads only the configuration.
-	Configuration(ctx context.Context) (*matcher.Configuration, error)
+	// Configuration reads only the configuration. Unless it is to be fresh, it may be seconds old,
+	// which costs the source less.
+	Configuration(ctx context.Context, fresh bool) (*matcher.Configuration, error)
 }
 
 const (
@@ -97,11 +99,18 @@
 	loadTimeout = 12 * time.Second
 	// retryDelay is the pause after a failed call.
 	retryDelay = 250 * time.Millisecond
+	// retryDelayPerHost lengthens the pause, up to maxRetryDelay, of hosts that do not usually read
+	// the source, so that all together retry about as often as a few hosts would at retryDelay.
+	retryDelayPerHost = 36 * time.Millisecond
+	maxRetryDelay     = 4 * time.Second
 	// fallbackAge is the staleness at which a host that gets changes from its peers reads the source
 	// itself. It spans several exchanges with peers that do not answer or cannot reach the source.
 	fallbackAge = 1500 * time.Millisecond
 	// minFallbackCheckInterval is the shortest time between two checks whether to fall back.
 	minFallbackCheckInterval = 50 * time.Millisecond
+	// staleReadTerm is how long a host reads a new configuration from copies that may be old. It
+	// leaves time for a fresh read before a change must be in force.
+	staleReadTerm = 700 * time.Millisecond
 	// reregisterGrace is how long an entry that expired while the source was unreachable may take
 	// to be written again before it counts as removed.
 	reregisterGrace = 2200 * time.Millisecond
@@ -134,7 +143,9 @@
 	// that covered everything and not only the configuration. ownReadAt is when the last successful
 	// call of this host was sent.
 	confirmedAt, readAt, ownReadAt atomic.Int64
-	wake                           chan struct{}
+	// peerAnsweredAt is when the last call to a peer that answered was sent.
+	peerAnsweredAt atomic.Int64
+	wake           chan struct{}
 
 	mu sync.Mutex
 	// position is how far this host has read the source or applied updates of peers.
@@ -149,6 +160,8 @@
 	// sending the changes that lead there.
 	newestPeerVersion  int64
 	newestPeerPosition Position
+	// newVersionAt is when a peer first reported newestPeerVersion.
+	newVersionAt time.Duration
 	// missingUpstreams maps upstreams whose entry expired while the source was unreachable to the
 	// time at which they count as removed.
 	missingUpstreams map[string]time.Duration
@@ -234,7 +247,7 @@
 			next = max(minFallbackCheckInterval, fallbackAge-f.ReadAge())
 		} else if err := f.poll(ctx); err != nil && ctx.Err() == nil {
 			f.noteOutage(err)
-			next = retryDelay
+			next = f.retryInterval()
 		}
 		select {
 		case <-ctx.Done():
@@ -282,6 +295,19 @@
 	return min(maxPollInterval, max(minPollInterval, pollIntervalPerReader*time.Duration(readers)))
 }
 
+// retryInterval returns the pause after a failed call. Where peers answer, any host that reaches the
+// source again serves the others, so that in a large fleet each tries less often than its readers.
+func (f *Follower) retryInterval() time.Duration {
+	if f.ReadsSource == nil || f.ReadsSource() || f.ageOf(&f.peerAnsweredAt) > fallbackAge {
+		return retryDelay
+	}
+	longest := min(maxRetryDelay, retryDelayPerHost*time.Duration(len(f.Hosts())+1))
+	if longest <= retryDelay {
+		return retryDelay
+	}
+	return longest/2 + rand.N(longest)
+}
+
 // poll makes one call to the source and applies the answer.
 func (f *Follower) poll(ctx context.Context) error {
 	sent := f.Now()
@@ -322,12 +348,22 @@
 }
 
 // readConfiguration reads only the configuration. In a large fleet the entries, which are rewritten
-// all the time, are many times as large.
+// all the time, are many times as large. All hosts read it when it changes, so they first read one
+// that may be old: its version shows whether it is, and the peers confirm that it is in force.
 func (f *Follower) readConfiguration(ctx context.Context, sent time.Duration) error {
-	cfg, err := f.Source.Configuration(ctx)
+	f.mu.Lock()
+	fresh := sent-f.newVersionAt >= staleReadTerm
+	f.mu.Unlock()
+	cfg, err := f.Source.Configuration(ctx, fresh)
 	if err != nil {
 		return err
 	}
+	if !fresh {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.configure(cfg)
+		return nil
+	}
 	f.noteRecovery()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/follower/peers.go
+++ b/follower/peers.go
@@ -44,6 +44,7 @@
 // If the peer has a newer configuration or changes that it cannot send, this host reads the source
 // itself: a configuration is too large to be sent over the link of one host to all others.
 func (f *Follower) ApplyPeerState(sent time.Duration, s *State) {
+	f.peerAnsweredAt.Store(int64(sent))
 	f.mu.Lock()
 	applied := f.applyPeerState(sent, s)
 	f.mu.Unlock()
@@ -70,7 +71,9 @@
 			default:
 			}
 		}
-		f.newestPeerVersion = max(f.newestPeerVersion, s.Version)
+		if s.Version > f.newestPeerVersion {
+			f.newestPeerVersion, f.newVersionAt = s.Version, f.Now()
+		}
 		if s.Version == t.Version {
 			f.newestPeerPosition = later(f.newestPeerPosition, s.Position)
 		}
