connector, launcher: count connections to upstreams by purpose

Change: upstream_connections_opened_total{purpose}; each connection to an upstream is opened through the pool, which calls OnDial with the purpose. connections_opened_total keeps counting those of requests.

--- a/cmd/sardineward/forward.go
+++ b/cmd/sardineward/forward.go
@@ -43,7 +43,8 @@
 	signal.Ignore(syscall.SIGHUP)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true}}
 	store := &platform.Store{Address: cfg.Platform, HTTP: client, Timeout: storeTimeout, Log: log}
-	engineTransport := &forwarder.EngineTransport{Base: &http.Transport{DisableKeepAlives: true}}
+	engineTransport := new(forwarder.EngineTransport)
+	engineTransport.Base = &http.Transport{DialContext: engineTransport.DialContext, DisableKeepAlives: true}
 	h := &launcher.Host{
 		Settings:        cfg,
 		Store:           store,
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -85,8 +85,8 @@
 	Now func() time.Duration
 	// RequestIDHeader is the name of the header that identifies a request; the response repeats it.
 	RequestIDHeader string
-	// OnDial is called before each dial; nil means no call.
-	OnDial func()
+	// OnDial is called before each dial with its purpose; nil means no call.
+	OnDial func(purpose Purpose)
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the most recently used last.
@@ -111,6 +111,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Purpose is what a connection opened for the request counts as.
+	Purpose Purpose
 	// AtMostOnce is set when the request must not run twice.
 	AtMostOnce bool
 	// MaySend is called right before the request is written, which may be a dial after the
@@ -264,16 +266,9 @@
 		}
 		c.Close()
 	}
-	if p.OnDial != nil {
-		p.OnDial()
-	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	dial := p.Dial
-	if dial == nil {
-		dial = new(net.Dialer).DialContext
-	}
-	nc, err := dial(dialCtx, "tcp", r.Address)
+	nc, err := p.Open(dialCtx, r.Address, r.Purpose)
 	if err != nil {
 		return nil, err
 	}
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -46,7 +46,7 @@
 		opened := 0
 		p := &connector.Pool{
 			Dial: n.Dialer("host"), Now: func() time.Duration { return time.Since(started) },
-			RequestIDHeader: "Id", OnDial: func() { opened++ },
+			RequestIDHeader: "Id", OnDial: func(connector.Purpose) { opened++ },
 		}
 		f(p, &opened)
 		p.Close()
--- /dev/null
+++ b/connector/purpose.go
@@ -0,0 +1,56 @@
+package connector
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+//go:generate enumer -type Purpose -trimprefix Purpose -transform title-lower -output purpose_gen.go
+
+// Purpose is what a connection to an upstream is opened for.
+type Purpose int
+
+// The purposes of a connection.
+const (
+	// PurposeStream: a request whose response is a stream.
+	PurposeStream Purpose = iota
+	// PurposePlain: any other request.
+	PurposePlain
+	// PurposeSilentProbe: a check of an upstream over which streams get no event.
+	PurposeSilentProbe
+	// PurposeSlowStartProbe: a check of an upstream of a stream whose first event is late.
+	PurposeSlowStartProbe
+	// PurposeDeadProbe: a check whether a dead upstream accepts connections again.
+	PurposeDeadProbe
+	// PurposeNeighbourProbe: a check of an upstream in whose data centre another one was just lost or
+	// just returned.
+	PurposeNeighbourProbe
+	// PurposeCrashProbe: a check whether an upstream that gave no answer still accepts connections.
+	PurposeCrashProbe
+	// PurposeControl: an order or a query to an engine.
+	PurposeControl
+)
+
+// Open opens a connection that the pool doesn't manage.
+func (p *Pool) Open(ctx context.Context, address string, purpose Purpose) (net.Conn, error) {
+	if p.OnDial != nil {
+		p.OnDial(purpose)
+	}
+	dial := p.Dial
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	return dial(ctx, "tcp", address)
+}
+
+// Check opens a connection within timeout and closes it.
+func (p *Pool) Check(ctx context.Context, address string, purpose Purpose, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c, err := p.Open(ctx, address, purpose)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -274,8 +274,13 @@
 	if l.First.To > 0 {
 		h.Set(k.Headers.Path, FormatPath(k.Balancer.Path(l)))
 	}
+	purpose := connector.PurposePlain
+	if k.route.Kind == matcher.KindStreaming {
+		purpose = connector.PurposeStream
+	}
 	return &connector.Request{
 		Address:    l.First.Address,
+		Purpose:    purpose,
 		Method:     k.r.Method,
 		Target:     k.r.RequestURI,
 		Host:       k.r.Host,
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -8,6 +8,7 @@
 
 	"github.com/sardineward/sardineward/admitter"
 	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/connector"
 	"github.com/sardineward/sardineward/tracker"
 )
 
@@ -42,7 +43,7 @@
 // after the caller disconnects, because a canceled dial would look like a refused one: a healthy
 // upstream would be marked dead and the request would get a strike.
 func (k *call) detectCrash(ctx context.Context, h balancer.Hop) {
-	err := k.checkDial(context.WithoutCancel(ctx), h.Address)
+	err := k.Pool.Check(context.WithoutCancel(ctx), h.Address, connector.PurposeCrashProbe, probeTimeout)
 	if err == nil || isTimeout(err) {
 		return
 	}
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"time"
 
 	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/connector"
 )
 
 const (
@@ -83,10 +83,10 @@
 			continue
 		}
 		for _, h := range f.Balancer.SilentUpstreams(now) {
-			f.probe(ctx, h, probeInterval)
+			f.probe(ctx, h, probeInterval, connector.PurposeSilentProbe)
 		}
 		for _, h := range f.slowStartHops(now) {
-			f.probe(ctx, h, slowFirstEvent)
+			f.probe(ctx, h, slowFirstEvent, connector.PurposeSlowStartProbe)
 		}
 		for _, h := range f.stalledFirstHops(now) {
 			f.queryStalls(ctx, h)
@@ -96,7 +96,7 @@
 		}
 		lastDeadProbe = now
 		for _, h := range f.Balancer.DeadUpstreams(round, deadProbesPerDataCentre) {
-			f.probe(ctx, h, probeInterval)
+			f.probe(ctx, h, probeInterval, connector.PurposeDeadProbe)
 		}
 		round++
 	}
@@ -227,14 +227,14 @@
 
 // probe checks in the background whether an upstream accepts connections. It does nothing while
 // another probe of that upstream runs, or ended less than interval ago.
-func (f *Forwarder) probe(ctx context.Context, h balancer.Hop, interval time.Duration) {
+func (f *Forwarder) probe(ctx context.Context, h balancer.Hop, interval time.Duration, purpose connector.Purpose) {
 	if !f.beginProbe(h.ID) {
 		return
 	}
 	go func() {
 		defer f.endProbe(h.ID, interval)
 		startedAt := f.Now()
-		err := f.checkDial(ctx, h.Address)
+		err := f.Pool.Check(ctx, h.Address, purpose, probeTimeout)
 		switch {
 		case ctx.Err() != nil:
 		case err == nil:
@@ -256,21 +256,6 @@
 	return errors.Is(err, context.DeadlineExceeded) || (errors.As(err, &t) && t.Timeout())
 }
 
-// checkDial opens a connection to address within probeTimeout and closes it.
-func (f *Forwarder) checkDial(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	dial := f.Pool.Dial
-	if dial == nil {
-		dial = new(net.Dialer).DialContext
-	}
-	c, err := dial(ctx, "tcp", address)
-	if err != nil {
-		return err
-	}
-	return c.Close()
-}
-
 // recordProbe records whether an upstream accepts connections, and reroutes the streams over one
 // that does not. dialErr is why it does not, or nil.
 func (f *Forwarder) recordProbe(ctx context.Context, h balancer.Hop, dialErr error) {
@@ -284,12 +269,12 @@
 	if dialErr == nil {
 		f.Log.Info().Str("upstream", h.ID).Str("address", h.Address).Msg("forwarder: upstream accepts connections again")
 		for _, other := range f.Balancer.DeadInSameDataCentre(h.ID) {
-			f.probe(ctx, other, probeInterval)
+			f.probe(ctx, other, probeInterval, connector.PurposeNeighbourProbe)
 		}
 		return
 	}
 	for _, other := range f.Balancer.CorrelatedSuspects(f.Now(), h.ID) {
-		f.probe(ctx, other, probeInterval)
+		f.probe(ctx, other, probeInterval, connector.PurposeNeighbourProbe)
 	}
 	streams := f.streamsThrough(h.ID)
 	f.Log.Warn().Str("upstream", h.ID).Str("address", h.Address).Int("streams", len(streams)).Msg("forwarder: silent upstream out")
--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -1,7 +1,11 @@
 package forwarder
 
 import (
+	"context"
+	"net"
 	"net/http"
+
+	"github.com/sardineward/sardineward/connector"
 )
 
 // EngineTransport is an http.RoundTripper for orders and queries to engines. Like requests, they are
@@ -24,6 +28,14 @@
 	return "forwarder: upstream " + e.Upstream + " at " + e.Address + " has asked for a backoff, nothing is sent"
 }
 
+// DialContext opens a connection for Base, which is counted as one for control.
+func (t *EngineTransport) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if t.Forwarder == nil {
+		return new(net.Dialer).DialContext(ctx, network, address)
+	}
+	return t.Forwarder.Pool.Open(ctx, address, connector.PurposeControl)
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *EngineTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	f := t.Forwarder
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -95,6 +95,7 @@
 	pool      *connector.Pool
 	meter     *meter.Meter
 
+	// connectionsOpened counts the connections that requests needed.
 	connectionsOpened atomic.Int64
 	// unhostedSince maps the name of a data centre to the time of Now, a time.Duration, since
 	// which it is known to have no host.
@@ -183,7 +184,7 @@
 		Rand:       rand.New(rand.NewPCG(h.Seed, 1)),
 	}
 	h.follower = &follower.Follower{Host: cfg.Host, Source: h.Source, Balancer: h.balancer, Now: h.Now, OnChange: h.updateHosts, Log: h.Log}
-	h.pool = &connector.Pool{Dial: h.Dial, Now: h.Now, RequestIDHeader: h.Headers.RequestID, OnDial: func() { h.connectionsOpened.Add(1) }}
+	h.pool = &connector.Pool{Dial: h.Dial, Now: h.Now, RequestIDHeader: h.Headers.RequestID, OnDial: h.countConnection}
 	suspects := new(tracker.Suspects)
 	h.forwarder = &forwarder.Forwarder{
 		Tables:        h.follower,
--- a/launcher/metrics.go
+++ b/launcher/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/connector"
 )
 
 // exportMetrics registers the metrics whose values are computed on each scrape.
@@ -37,9 +38,20 @@
 	if h.DroppedLogLines != nil {
 		m.CounterFunc("log_lines_dropped_total", "Log lines that were too many, or whose reader was too slow.", h.DroppedLogLines)
 	}
+	for _, p := range connector.PurposeValues() {
+		m.ConnectionsOpened.WithLabelValues(p.String())
+	}
 	m.CounterFunc("connections_opened_total", "Connections made to upstreams.", func() float64 { return float64(h.connectionsOpened.Load()) })
 }
 
+// countConnection counts a connection to an upstream by its purpose.
+func (h *Host) countConnection(p connector.Purpose) {
+	h.meter.ConnectionsOpened.WithLabelValues(p.String()).Inc()
+	if p == connector.PurposeStream || p == connector.PurposePlain {
+		h.connectionsOpened.Add(1)
+	}
+}
+
 // boolGauge returns 1 for true and 0 for false.
 func boolGauge(ok bool) float64 {
 	if ok {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -31,6 +31,8 @@
 	// AnnouncementsUnreadable counts upstreams' responses with an announcement that can't be
 	// parsed, by header.
 	AnnouncementsUnreadable *prometheus.CounterVec
+	// ConnectionsOpened counts connections opened to upstreams, by purpose.
+	ConnectionsOpened *prometheus.CounterVec
 	// ThroughputBound is the upper bound of each pipeline's throughput, in tokens per second.
 	ThroughputBound *prometheus.GaugeVec
 }
@@ -50,6 +52,7 @@
 			Namespace: namespace, Name: "limits_unreadable_total", Help: "Answers that named a limit which can't be read.",
 		}),
 		AnnouncementsUnreadable: counter("announcements_unreadable_total", "Responses of upstreams with a Retry-After or a leave that can't be read.", "header"),
+		ConnectionsOpened:       counter("upstream_connections_opened_total", "Connections opened to upstreams, by what they are opened for.", "purpose"),
 		ThroughputBound: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "bound_tokens_per_second", Help: "Most tokens a second that what is up can carry.",
 		}, []string{"pipeline"}),
@@ -60,7 +63,7 @@
 	for _, c := range causes {
 		m.Retries.WithLabelValues(c)
 	}
-	m.Registry.MustRegister(m.Refusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ThroughputBound)
+	m.Registry.MustRegister(m.Refusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ConnectionsOpened, m.ThroughputBound)
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
