balancer: requests without a retry avoid upstreams that recently rejected

Cause, by a trace of the refusals in TestHalfOfUpstreamsBackOff: a host's report counts a backoff for its length and at most a second more. Where none of the few hosts that return first has a request in that second, no report names the upstream any longer, though it still rejects. A host whose retries are used up then sends it a request as to any other, the request is rejected, and no retry is left for it.

A backoff that other hosts reported, or that ended on this host, now counts for 10 s more against requests that have no retry left or were rejected before, unless the upstream has accepted a request of this host since. It is a preference as before: with no other upstream the request is sent.

--- a/balancer/backoff.go
+++ b/balancer/backoff.go
@@ -20,6 +20,10 @@
 	// requests before: other hosts still learn of the backoff, so that this one finds out whether
 	// the upstream still rejects requests.
 	returnTime = time.Second
+	// backoffMemory is how long after its last known backoff an upstream that no request of this
+	// host was accepted by since is expected to reject requests. It spans the window that retries
+	// are counted in, so that one host does not spend them on the same upstreams again and again.
+	backoffMemory = 10 * time.Second
 	// firstToReturn is how many of the hosts that keep a backoff of an upstream send to it again
 	// without regard to the others, on average. With one, there would often be none.
 	firstToReturn = 2
@@ -71,8 +75,18 @@
 }
 
 // withheldFrom reports whether a request with these requirements must not go to the upstream now.
-func (a *announcement) withheldFrom(now time.Duration, n *Requirements) bool {
-	return a.withheld(now) || (n.AvoidReturning && a.isReturning(now))
+func (u *upstream) withheldFrom(now time.Duration, n *Requirements) bool {
+	a := u.announcement
+	return a.withheld(now) || (n.AvoidReturning && (a.isReturning(now) || u.mayRejectAgain(now)))
+}
+
+// mayRejectAgain reports whether the upstream has recently asked this host or another one for a
+// backoff and has accepted no request of this host since.
+func (u *upstream) mayRejectAgain(now time.Duration) bool {
+	if a := u.announcement; a != nil && a.returnWindow == 1 && now < a.backoffUntil+backoffMemory {
+		return true
+	}
+	return u.othersBackoffUntil > now
 }
 
 // isReported reports whether this host's reports count the backoff.
@@ -225,6 +239,11 @@
 		return
 	}
 	l.accepted = true
+	for _, h := range l.hops {
+		if u := b.upstreams[h.ID]; u != nil {
+			u.othersBackoffUntil = 0
+		}
+	}
 	for _, a := range l.returning {
 		if a.returnWindow *= 2; a.returnWindow > maxReturnWindow {
 			a.returnWindow = 0
--- a/balancer/backoff_test.go
+++ b/balancer/backoff_test.go
@@ -165,6 +165,44 @@
 	is.True(slices.Contains(b.Usage(backoffAt).Usage, balancer.Usage{Upstream: "bdesk", BackoffHosts: 1}))
 }
 
+// TestOnlyTryAvoidsRecentBackoff guards against a request without a retry left that goes to an
+// upstream which still rejects, because no host has sent it a request since its last backoff.
+func TestOnlyTryAvoidsRecentBackoff(t *testing.T) {
+	const ended = backoffAt + 5*time.Second
+	onlyTry := balancer.Requirements{Service: "desk", AvoidReturning: true}
+	reported := func(t *testing.T) *balancer.Balancer {
+		b := newBalancer()
+		is := is.New(t)
+		is.NoErr(b.SetReport(backoffAt, "other", balancer.Report{Usage: []balancer.Usage{{Upstream: "adesk", BackoffHosts: 1}}}))
+		is.NoErr(b.SetReport(backoffAt+time.Second, "other", balancer.Report{}))
+		return b
+	}
+	t.Run("reported by another host", func(t *testing.T) {
+		is := is.New(t)
+		b := reported(t)
+		is.Equal(acquire(t, b, ended, onlyTry).First.ID, "bdesk")
+		is.Equal(acquire(t, b, ended, balancer.Requirements{Service: "desk"}).First.ID, "adesk") // a retry is left
+	})
+	t.Run("asked of this host", func(t *testing.T) {
+		is := is.New(t)
+		b := newBalancer()
+		backOff(t, b, backoffAt, time.Second, "adesk")
+		is.Equal(acquire(t, b, ended, onlyTry).First.ID, "bdesk")
+	})
+	t.Run("accepted since", func(t *testing.T) {
+		is := is.New(t)
+		b := reported(t)
+		l := acquire(t, b, ended, balancer.Requirements{Service: "desk"})
+		b.RecordAccepted(l)
+		b.Release(l)
+		is.Equal(acquire(t, b, ended, onlyTry).First.ID, "adesk")
+	})
+	t.Run("long ago", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(acquire(t, reported(t), backoffAt+10*time.Second, onlyTry).First.ID, "adesk")
+	})
+}
+
 // TestLeavingOfIncarnation guards against a list that takes back what an upstream has announced, and
 // against a leave that outlasts a restart of the upstream.
 func TestLeavingOfIncarnation(t *testing.T) {
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -89,8 +89,8 @@
 	// InProgress is set for a stream that has begun and needs a path to continue on. It may use
 	// the capacity that is otherwise kept free.
 	InProgress bool
-	// AvoidReturning leaves out upstreams whose backoff has ended and that have not accepted a
-	// request since. It is set for a request that was rejected once already.
+	// AvoidReturning leaves out upstreams that asked this host or another one for a backoff and
+	// have not accepted a request since. It is set for a request that was rejected once already.
 	AvoidReturning bool
 	// FirstEventTarget is the wanted time to the first event of the answer's stream; 0 when that
 	// is not known.
@@ -164,6 +164,9 @@
 	unreadable []string
 	// announcement is nil until the incarnation makes one.
 	announcement *announcement
+	// othersBackoffUntil is until when a backoff that other hosts reported counts as recent; 0 once
+	// a request of this host was accepted.
+	othersBackoffUntil time.Duration
 	// rank is its sort key in this host's own order of the upstreams. retired is set where the
 	// subset keeps it only for requests in flight.
 	rank    uint64
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -106,7 +106,7 @@
 		if u.Service != n.Service || u.Layers.Len() == 0 || u.retired || !u.reachable(now, n.Avoid) {
 			continue
 		}
-		if u.announcement.withheldFrom(now, &n) {
+		if u.withheldFrom(now, &n) {
 			withheld = append(withheld, u.ID)
 			continue
 		}
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -244,6 +244,11 @@
 	defer b.mu.Unlock()
 	b.peerReports.expire(now)
 	b.peerReports.set(now, source, r)
+	for i := range r.Usage {
+		if u := b.upstreams[r.Usage[i].Upstream]; u != nil && r.Usage[i].BackoffHosts > 0 {
+			u.othersBackoffUntil = now + backoffMemory
+		}
+	}
 	return err
 }
 
--- a/balancer/plain.go
+++ b/balancer/plain.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		found = true
-		if u.announcement.withheldFrom(now, &n) {
+		if u.withheldFrom(now, &n) {
 			withheld = append(withheld, u.ID)
 			continue
 		}
