admitter, sharer: demand by rank and workspace over all hosts

A host knew what others have in flight, but not what they are asked for, so that neither room for more urgent ranks nor shares of workspaces could be worked out.

Each host counts arrivals and first admissions by service, rank and workspace with exponentially weighted rates of 0.5 s, which have no steps. At most 256 keys are counted; the least used are joined into one key a service and rank. Reports of the exchange that exists carry them, at most 8 KB each, with the number of hosts they cover: 0, as of an older version, is no report, and hosts without one are taken to be like the mean of the others. Rates travel in steps of 1/64, of which sums are exact. Package aggregator keeps the last report of each source and their sum.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,6 +67,8 @@
 	RetryBudget func(service string) *admitter.WindowRetryBudget
 	// StreamLimiter returns the limit on a service's streams in flight.
 	StreamLimiter func(service string) *admitter.StreamLimiter
+	// Demands counts what callers ask for, over all hosts; nil means that it is not counted.
+	Demands *admitter.Demands
 	// Suspects records which requests were in flight when upstreams crashed.
 	Suspects *tracker.Suspects
 	// LimitsKnown reports whether this host has learned which upstreams announce a request
@@ -86,6 +88,9 @@
 	// nanoseconds of Now.
 	lastContact atomic.Int64
 
+	// contended is of the last table that a request was served by.
+	contended atomic.Pointer[contended]
+
 	mu sync.Mutex
 	// streams holds the attempts under way.
 	streams map[*attempt]struct{}
@@ -147,6 +152,8 @@
 	// lastEventID is the id of the last event that the caller has; at first the one that the
 	// caller names in Last-Event-Id.
 	lastEventID eventID
+	// admitted is set once upstreams were reserved for the request.
+	admitted bool
 	// headerSent is set once the status and the headers were written to the caller.
 	headerSent bool
 	// retryAfter is the wait after which a retry can succeed; 0 when it is not known.
@@ -166,6 +173,7 @@
 	if !k.resolve() || !k.readBody() {
 		return
 	}
+	k.recordArrival()
 	k.fingerprint = fingerprintOf(k)
 	if k.refuseQuarantined() {
 		return
@@ -311,6 +319,7 @@
 		k.refuseNoUpstream(reason)
 		return nil
 	}
+	k.recordAdmitted()
 	if len(l.Throttled) > 0 {
 		k.Log.Debug().Str("requestId", k.id).Str("upstream", l.First.ID).Strs("heldOff", l.Throttled).Msg("forwarder: upstreams passed over for their limit")
 	}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -185,6 +185,7 @@
 	h.follower = &follower.Follower{Host: cfg.Host, Source: h.Source, Balancer: h.balancer, Now: h.Now, OnChange: h.updateHosts, Log: h.Log}
 	h.pool = &connector.Pool{Dial: h.Dial, Now: h.Now, RequestIDHeader: h.Headers.RequestID, OnDial: func() { h.connectionsOpened.Add(1) }}
 	suspects := new(tracker.Suspects)
+	demands := &admitter.Demands{Hosts: func() int { return len(h.follower.Hosts()) + 1 }}
 	h.forwarder = &forwarder.Forwarder{
 		Tables:        h.follower,
 		Balancer:      h.balancer,
@@ -193,6 +194,7 @@
 		Headers:       h.Headers,
 		RetryBudget:   h.retryBudgets.Get,
 		StreamLimiter: h.latencies.Get,
+		Demands:       demands,
 		Suspects:      suspects,
 		Now:           h.Now,
 		Meter:         h.meter,
@@ -220,6 +222,7 @@
 		DataCentre: cfg.DataCentre,
 		Follower:   h.follower,
 		Balancer:   h.balancer,
+		Demands:    demands,
 		Suspects:   suspects,
 		Now:        h.Now,
 		HTTP:       &http.Client{Transport: &http.Transport{DialContext: h.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/sardineward/sardineward/admitter"
 	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/faker"
 	"github.com/sardineward/sardineward/follower"
@@ -29,6 +30,7 @@
 	balancer         *balancer.Balancer
 	share            *sharer.Sharer
 	suspects         *tracker.Suspects
+	demands          *admitter.Demands
 	// refused makes the source refuse the calls of this host.
 	refused   atomic.Bool
 	run, kill func()
@@ -134,6 +136,7 @@
 	t.Helper()
 	m.balancer = &balancer.Balancer{DataCentre: m.dataCentre}
 	m.suspects = new(tracker.Suspects)
+	m.demands = &admitter.Demands{Hosts: func() int { return len(m.follow.Hosts()) + 1 }}
 	m.follow = &follower.Follower{Source: sourceView{m, fl}, Balancer: m.balancer, Now: fl.now, Log: zerolog.Nop()}
 	m.follow.OnChange = func() {
 		hosts := make(map[string]string)
@@ -143,7 +146,7 @@
 		m.balancer.SetHosts(hosts)
 	}
 	tr := &http.Transport{DialContext: fl.net.Dialer(m.name), MaxIdleConnsPerHost: 1}
-	m.share = &sharer.Sharer{Self: m.name, DataCentre: m.dataCentre, Follower: m.follow, Balancer: m.balancer, Suspects: m.suspects, Now: fl.now, HTTP: &http.Client{Transport: tr}, Log: zerolog.Nop()}
+	m.share = &sharer.Sharer{Self: m.name, DataCentre: m.dataCentre, Follower: m.follow, Balancer: m.balancer, Demands: m.demands, Suspects: m.suspects, Now: fl.now, HTTP: &http.Client{Transport: tr}, Log: zerolog.Nop()}
 	m.follow.ReadsSource, m.follow.ReaderCount = m.share.ReadsSource, m.share.ReaderCount
 	fl.net.SetLocation(m.name+":1", m.name)
 	fl.net.SetAlias(m.name+":1", m.dataCentre)
--- a/sharer/report.go
+++ b/sharer/report.go
@@ -36,6 +36,13 @@
 // centre if this host is no relay and does not know the hosts one by one. In the fleet scope the
 // report is limited to the given upstreams; none means all.
 func (s *Sharer) report(scope peer.Scope, to string, upstreams []string) *peer.Report {
+	out := s.usageReport(scope, to, upstreams)
+	s.addDemands(out, to)
+	return out
+}
+
+// usageReport returns the part of a report on the usage of upstreams.
+func (s *Sharer) usageReport(scope peer.Scope, to string, upstreams []string) *peer.Report {
 	now := s.Now()
 	switch scope {
 	case peer.Scope_SCOPE_HOST:
@@ -78,6 +85,7 @@
 	if err := s.Balancer.SetReport(s.Now(), source, decodeReport(r)); err != nil && s.firstInvalid(host) {
 		s.Log.Warn().Err(err).Str("peer", host).Msg("sharer: invalid figure in a report from peer, ignored")
 	}
+	s.applyDemands(host, source, r)
 }
 
 // firstInvalid reports whether host sent invalid figures for the first time.
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -20,6 +20,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/sardineward/sardineward/admitter"
 	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/follower"
 	"github.com/sardineward/sardineward/matcher"
@@ -65,6 +66,8 @@
 	DataCentre string
 	Follower   *follower.Follower
 	Balancer   *balancer.Balancer
+	// Demands counts what callers ask for; nil means that it is neither reported nor received.
+	Demands *admitter.Demands
 	// Suspects keeps the strikes against requests that were in flight when an upstream crashed.
 	Suspects *tracker.Suspects
 	// Now reads a clock that keeps running while the machine is suspended.
@@ -96,6 +99,7 @@
 			s.hostsKnownAt.CompareAndSwap(0, int64(s.Now()))
 		}
 		p := s.updateRole(hosts)
+		s.keepDemands(p.relay)
 		calls := s.calls(p)
 		if s.Follower.OwnAge() > staleAge && s.Follower.ReadAge() > unservedAge {
 			calls = requestFull(calls, s.sources(hosts))
