matcher, forwarder: ranks of a service, and the urgency of its requests at upstreams

Nothing read the priority of routes and workspaces, and the urgency header was only removed. Table.Ranks lists the priorities that a service's requests may have; where there are several, upstreams get the urgency of each request, spread over 0 to 9 in order. With one rank there is no header, as before. Tests: TestRanks, TestUrgencyHeader.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -124,7 +124,9 @@
 	service     *matcher.Service
 	workspace   *matcher.Workspace
 	keyRequired bool
-	body        []byte
+	// rank is the priority of the request; 0 is the most urgent.
+	rank int
+	body []byte
 	// fingerprint is the same when the caller repeats the request.
 	fingerprint uint64
 	// header is the header to forward, without the fields that differ by upstream; nil until
@@ -212,6 +214,7 @@
 	if k.service == nil {
 		return k.refuse(admitter.ReasonNoRoute, "no such service")
 	}
+	k.rank = k.route.Rank(k.workspace)
 	k.deadline = k.Now() + k.timeout()
 	return true
 }
@@ -271,6 +274,9 @@
 	if k.workspace != nil {
 		h.Set(k.Headers.Workspace, k.workspace.Name)
 	}
+	if ranks := k.ranks(); ranks != nil {
+		h.Set(k.Headers.Urgency, strconv.Itoa(urgency(ranks, k.rank)))
+	}
 	if l.First.To > 0 {
 		h.Set(k.Headers.Path, FormatPath(k.Balancer.Path(l)))
 	}
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -154,6 +154,8 @@
 	RequiresKey bool
 	routes      map[string]map[string]*Route
 	keys        map[string]*Workspace
+	// ranks holds the result of Ranks by service.
+	ranks map[string][]int
 }
 
 // New compiles a configuration.
@@ -182,6 +184,7 @@
 			t.keys[k] = &cfg.Workspaces[i]
 		}
 	}
+	t.ranks = ranksByService(cfg)
 	return t
 }
 
