matcher: whether requests compete for a service, from the ranks that the table holds

Table.Competes takes the place of Contended and RankOn, which worked out the ranks a second time. go test ./matcher ./forwarder and TestDemandReported of ./launcher pass.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -88,9 +88,6 @@
 	// nanoseconds of Now.
 	lastContact atomic.Int64
 
-	// contended is of the last table that a request was served by.
-	contended atomic.Pointer[contended]
-
 	mu sync.Mutex
 	// streams holds the attempts under way.
 	streams map[*attempt]struct{}
--- a/matcher/demand_test.go
+++ b/matcher/demand_test.go
@@ -13,13 +13,13 @@
 	return matcher.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Priority: rank, Splits: []matcher.Split{{Service: service, Weight: 1}}}
 }
 
-func TestContended(t *testing.T) {
+func TestCompetes(t *testing.T) {
 	one := matcher.Workspace{Name: "a", Keys: []string{"ka", "kb"}}
 	urgent := matcher.Workspace{Name: "b", Keys: []string{"kc"}, HasPriority: true}
 	for name, c := range map[string]struct {
 		routes     []matcher.Route
 		workspaces []matcher.Workspace
-		contended  bool
+		competes   bool
 	}{
 		"one rank, no workspaces":   {[]matcher.Route{route("x", 1, "s"), route("y", 1, "s")}, nil, false},
 		"one rank, one workspace":   {[]matcher.Route{route("x", 1, "s")}, []matcher.Workspace{one}, false},
@@ -30,15 +30,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			table := matcher.New(&matcher.Configuration{Routes: c.routes, Workspaces: c.workspaces})
-			is.New(t).Equal(table.Contended()["s"], c.contended)
+			is.New(t).Equal(table.Competes("s"), c.competes)
 		})
 	}
 }
-
-func TestRankOn(t *testing.T) {
-	is := is.New(t)
-	r := route("x", 3, "s")
-	is.Equal((*matcher.Workspace)(nil).RankOn(&r), 3)
-	is.Equal((&matcher.Workspace{Priority: 1}).RankOn(&r), 3)
-	is.Equal((&matcher.Workspace{HasPriority: true}).RankOn(&r), 0)
-}
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -156,6 +156,8 @@
 	keys        map[string]*Workspace
 	// ranks holds the result of Ranks by service.
 	ranks map[string][]int
+	// competing holds the services that several workspaces may use.
+	competing map[string]bool
 }
 
 // New compiles a configuration.
@@ -184,7 +186,7 @@
 			t.keys[k] = &cfg.Workspaces[i]
 		}
 	}
-	t.ranks = ranksByService(cfg)
+	t.ranks, t.competing = ranksByService(cfg), competingByService(cfg)
 	return t
 }
 
