--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,6 +67,8 @@
 	RetryBudget func(service string) *admitter.WindowRetryBudget
 	// StreamLimiter returns the limit on a service's streams in flight.
 	StreamLimiter func(service string) *admitter.StreamLimiter
+	// Demands counts what callers ask for, over all hosts; nil means that it is not counted.
+	Demands *admitter.Demands
 	// Suspects records which requests were in flight when upstreams crashed.
 	Suspects *tracker.Suspects
 	// LimitsKnown reports whether this host has learned which upstreams announce a request
@@ -123,7 +125,9 @@
 	service     *matcher.Service
 	workspace   *matcher.Workspace
 	keyRequired bool
-	body        []byte
+	// rank is the priority of the request; 0 is the most urgent.
+	rank int
+	body []byte
 	// fingerprint is the same when the caller repeats the request.
 	fingerprint uint64
 	// header is the header to forward, without the fields that differ by upstream; nil until
@@ -146,6 +150,8 @@
 	// lastEventID is the id of the last event that the caller has; at first the one that the
 	// caller names in Last-Event-Id.
 	lastEventID eventID
+	// admitted is set once upstreams were reserved for the request.
+	admitted bool
 	// headerSent is set once the status and the headers were written to the caller.
 	headerSent bool
 	// retryAfter is the wait after which a retry can succeed; 0 when it is not known.
@@ -165,6 +171,7 @@
 	if !k.resolve() || !k.readBody() {
 		return
 	}
+	k.recordArrival()
 	k.fingerprint = fingerprintOf(k)
 	if k.refuseQuarantined() {
 		return
@@ -211,6 +218,7 @@
 	if k.service == nil {
 		return k.refuse(admitter.ReasonNoRoute, "no such service")
 	}
+	k.rank = k.route.Rank(k.workspace)
 	k.deadline = k.Now() + k.timeout()
 	return true
 }
@@ -270,6 +278,9 @@
 	if k.workspace != nil {
 		h.Set(k.Headers.Workspace, k.workspace.Name)
 	}
+	if ranks := k.ranks(); ranks != nil {
+		h.Set(k.Headers.Urgency, strconv.Itoa(urgency(ranks, k.rank)))
+	}
 	if l.First.To > 0 {
 		h.Set(k.Headers.Path, FormatPath(k.Balancer.Path(l)))
 	}
@@ -315,6 +326,7 @@
 		k.refuseNoUpstream(reason)
 		return nil
 	}
+	k.recordAdmitted()
 	if len(l.Throttled) > 0 {
 		k.Log.Debug().Str("requestId", k.id).Str("upstream", l.First.ID).Strs("heldOff", l.Throttled).Msg("forwarder: upstreams passed over for their limit")
 	}
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -154,6 +154,10 @@
 	RequiresKey bool
 	routes      map[string]map[string]*Route
 	keys        map[string]*Workspace
+	// ranks holds the result of Ranks by service.
+	ranks map[string][]int
+	// competing holds the services that several workspaces may use.
+	competing map[string]bool
 }
 
 // New compiles a configuration.
@@ -182,6 +186,7 @@
 			t.keys[k] = &cfg.Workspaces[i]
 		}
 	}
+	t.ranks, t.competing = ranksByService(cfg), competingByService(cfg)
 	return t
 }
 
