admitter, balancer, forwarder: less urgent requests leave capacity to more urgent ones

RankReserve computes the share of the capacity that a request leaves to more urgent ranks: their arrivals times the age of reports, times a factor that follows refusals, plus what other hosts have admitted unseen. Balancer.candidate and the StreamLimiter keep it free. A rank that stands still for a third of its deadline leaves nothing for one request.

New: counter rank_refusals_total, log fields rank and keepFree.

--- a/admitter/latency.go
+++ b/admitter/latency.go
@@ -69,17 +69,21 @@
 
 // TryAcquire admits a stream, and returns false when the limit is reached. Release must be called for
 // each admitted stream.
-func (l *StreamLimiter) TryAcquire() bool {
+func (l *StreamLimiter) TryAcquire() bool { return l.TryAcquireKeeping(0) }
+
+// TryAcquireKeeping is TryAcquire for a stream that leaves a share of the limit, from 0 to 1, to more
+// urgent ones.
+func (l *StreamLimiter) TryAcquireKeeping(free float64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.limit == 0 {
 		l.limit, l.usualInFlight = initialLimit, initialUsual
 	}
-	admitted := float64(l.inFlight) < l.limit
+	admitted := float64(l.inFlight) < l.limit*(1-free)
 	if admitted {
 		l.inFlight++
 	}
-	l.limitReached = l.limitReached || float64(l.inFlight) >= l.limit*reachedFraction
+	l.limitReached = l.limitReached || !admitted || float64(l.inFlight) >= l.limit*reachedFraction
 	return admitted
 }
 
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -95,6 +95,9 @@
 	// FirstEventTarget is the wanted time to the first event of the answer's stream; 0 when that
 	// is not known.
 	FirstEventTarget time.Duration
+	// KeepFree is the share of each upstream's capacity that the request leaves to more urgent
+	// ones, from 0 to 1.
+	KeepFree float64
 }
 
 //go:generate enumer -type Reason -trimprefix Reason -transform title-lower -output reason_gen.go
@@ -204,6 +207,8 @@
 	// limitedSent counts requests sent to upstreams with a limit in force, throttledCount
 	// requests that skipped an upstream because its limit had no capacity.
 	limitedSent, throttledCount int64
+	// capacities holds the last results of Capacity by service.
+	capacities map[string]serviceCapacity
 	// announced holds the announcements of incarnations, also of those that are not listed now,
 	// backingOff those whose backoff was not yet returned by EndedBackoffs.
 	announced, backingOff map[incarnation]*announcement
@@ -223,7 +228,7 @@
 func (b *Balancer) Configure(services map[string]*matcher.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.services = services
+	b.services, b.capacities = services, nil
 	for _, u := range b.upstreams {
 		u.updateCapacity(services[u.Service])
 	}
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -68,6 +68,8 @@
 	}
 	first := b.upstreams[hops[0].ID]
 	l := &Lease{requirements: n, tokens: n.expectedTokens(), hops: hops, First: hops[0], StartedAt: first.StartedAt, Throttled: throttled, Withheld: withheld}
+	// Once the request runs, its path may change into the capacity that others are left.
+	l.requirements.KeepFree = 0
 	b.reserve(l)
 	b.trackReturning(now, l)
 	b.countSent(now, first)
@@ -275,7 +277,7 @@
 func (b *Balancer) candidate(now time.Duration, e *matcher.Engine, u *upstream, n Requirements, tokens float64) picker.Candidate {
 	card := CardOf(e, u.Card)
 	span := u.Layers
-	free := headroom
+	free := headroom + n.KeepFree
 	if n.InProgress {
 		free = 0
 	}
@@ -294,7 +296,7 @@
 		Slots:      u.capacity*(1-free) - tokens*float64(span.To-span.From),
 		Bias:       failureBias * u.failureRate,
 		// Only the first hop of a path takes a slot.
-		Excluded: span.From == 0 && (!n.allowsFirst(u.ID) || (e.Slots > 0 && known.requests >= maxSlotShare*float64(e.Slots))),
+		Excluded: span.From == 0 && (!n.allowsFirst(u.ID) || (e.Slots > 0 && known.requests >= (maxSlotShare-n.KeepFree)*float64(e.Slots))),
 	}
 	if u.DataCentre != b.DataCentre {
 		c.Bias += remoteBias
--- /dev/null
+++ b/balancer/ranks_test.go
@@ -0,0 +1,74 @@
+package balancer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// rankShares is the usual mix of three ranks, the most urgent first.
+var rankShares = []float64{0.47 / 0.89, 0.26 / 0.89, 0.16 / 0.89}
+
+// TestRankOverload replays three ranks at 1.3, 2 and 4 times the capacity for 3 and 12 s, at hosts
+// whose reports are 0.4 s old. It guards against less urgent requests that are served more often,
+// and against capacity that stays free while requests are refused.
+func TestRankOverload(t *testing.T) {
+	for _, length := range []time.Duration{3 * time.Second, 12 * time.Second} {
+		for _, times := range []float64{1.3, 2, 4} {
+			t.Run(fmt.Sprint(length, " ", times, " times"), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				p := playSeeds(times, length, func(p *rankReplay) { p.reserve = true })
+				unranked := playSeeds(times, length, func(*rankReplay) {})
+				alone := playSeeds(times, length, func(p *rankReplay) { p.alone = true })
+				t.Logf("ranks %v, unranked %v, alone %v", p, unranked, alone)
+				for rank := 1; rank < len(rankShares); rank++ {
+					is.True(p.servedShare(rank) <= p.servedShare(rank-1)+0.05) // no inversion of ranks
+				}
+				is.True(p.servedShare(0) >= 0.9*alone.servedShare(0)) // as if alone
+				is.True(p.busy/p.ticks >= 0.93*unranked.busy/unranked.ticks)
+			})
+		}
+	}
+}
+
+// TestRanksWithoutShortage guards against a reserve that has less urgent requests refused while there
+// is capacity for all.
+func TestRanksWithoutShortage(t *testing.T) {
+	p := playSeeds(0.7, 6*time.Second, func(p *rankReplay) { p.reserve = true })
+	is.New(t).Equal(p.refused, []int{0, 0, 0})
+}
+
+// TestRankProperties guards against a rank that stands still for longer than its deadline, and against
+// inversions, over random loads, mixes and deadlines.
+func TestRankProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.Float64Range(0.1, 1), 2, 5).Draw(t, "weights")
+		total := 0.0
+		for _, w := range weights {
+			total += w
+		}
+		for i := range weights {
+			weights[i] /= total
+		}
+		hosts := rapid.IntRange(1, 12).Draw(t, "hosts")
+		p := newRankReplay(rapid.Uint64().Draw(t, "seed"), weights, hosts, 1)
+		p.reserve = true
+		p.deadline = rapid.SampledFrom([]time.Duration{6 * time.Second, 20 * time.Second}).Draw(t, "deadline")
+		const length = 10 * time.Second
+		p.play(rapid.Float64Range(0.5, 4).Draw(t, "times"), length)
+		// Each host admits a request of a rank that stands still for two thirds of its deadline.
+		least := float64(hosts) * float64(length) / (float64(p.deadline) * 2 / 3)
+		for rank, standstill := range p.standstill {
+			if standstill > p.deadline {
+				t.Errorf("rank %d was served nothing for %v, its deadline is %v", rank, standstill, p.deadline)
+			}
+			if rank > 0 && p.servedShare(rank) > p.servedShare(rank-1)+0.05+least/float64(p.arrived[rank]) {
+				t.Errorf("rank %d is served more often than rank %d: %v", rank, rank-1, p)
+			}
+		}
+	})
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,6 +67,10 @@
 	RetryBudget func(service string) *admitter.WindowRetryBudget
 	// StreamLimiter returns the limit on a service's streams in flight.
 	StreamLimiter func(service string) *admitter.StreamLimiter
+	// RankReserve decides what requests leave to more urgent ones, from what RankArrivals counts.
+	// They matter for services with several ranks; nil leaves nothing.
+	RankReserve  *admitter.RankReserve
+	RankArrivals *admitter.RankArrivals
 	// Suspects records which requests were in flight when upstreams crashed.
 	Suspects *tracker.Suspects
 	// LimitsKnown reports whether this host has learned which upstreams announce a request
@@ -126,7 +130,11 @@
 	keyRequired bool
 	// rank is the priority of the request; 0 is the most urgent.
 	rank int
-	body []byte
+	// keepFree is the share of the capacity that the request left to more urgent ones when it last
+	// asked for some, leasedAt when it last got some.
+	keepFree float64
+	leasedAt time.Duration
+	body     []byte
 	// fingerprint is the same when the caller repeats the request.
 	fingerprint uint64
 	// header is the header to forward, without the fields that differ by upstream; nil until
@@ -178,6 +186,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), left)
 	defer cancel()
 	k.RetryBudget(k.service.Name).RecordRequest(f.Now())
+	k.recordArrival()
 	if k.route.Kind == matcher.KindStreaming {
 		k.serveStream(ctx)
 		return
@@ -300,6 +309,8 @@
 	}
 	n.Service = k.service.Name
 	n.Avoid = k.avoid
+	k.updateKeepFree()
+	n.KeepFree = k.keepFree
 	// An upstream whose backoff has just ended may reject the request again.
 	n.AvoidReturning = k.rejected > 0 || !k.RetryBudget(k.service.Name).HasRetry(k.Now())
 	l, reason := k.Balancer.Acquire(k.Now(), n)
@@ -314,9 +325,13 @@
 		l, reason = k.Balancer.Acquire(k.Now(), n)
 	}
 	if l == nil {
+		if reason == balancer.ReasonNoRoom || reason == balancer.ReasonLimit {
+			k.recordShortage()
+		}
 		k.refuseNoUpstream(reason)
 		return nil
 	}
+	k.recordAdmitted()
 	if len(l.Throttled) > 0 {
 		k.Log.Debug().Str("requestId", k.id).Str("upstream", l.First.ID).Strs("heldOff", l.Throttled).Msg("forwarder: upstreams passed over for their limit")
 	}
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -52,7 +52,7 @@
 			return
 		}
 		a, v := k.exchange(ctx, l)
-		k.Balancer.Release(l)
+		k.release(l)
 		if v == verdictAnswered {
 			k.writeAnswer(a)
 			return
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -51,6 +51,7 @@
 	if k.deadline > 0 {
 		event.Dur("left", k.deadline-k.Now())
 	}
+	k.recordRankRefusal(event, reason)
 	event.Msg("forwarder: refused: " + detail)
 	k.headerSent = true
 	k.w.WriteHeader(code)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -65,12 +65,14 @@
 // serveStream serves a streaming request, over further attempts where one is interrupted.
 func (k *call) serveStream(ctx context.Context) {
 	limit := k.StreamLimiter(k.service.Name)
-	if !limit.TryAcquire() {
+	k.lastEventID = parseEventID(k.r.Header.Get("Last-Event-Id"))
+	k.updateKeepFree()
+	if !limit.TryAcquireKeeping(k.keepFree) {
+		k.recordShortage()
 		k.refuse(admitter.ReasonQueueFull, "first events come late")
 		return
 	}
 	defer limit.Release()
-	k.lastEventID = parseEventID(k.r.Header.Get("Last-Event-Id"))
 	resumptions := 0
 	for {
 		l := k.acquireOrAbort(k.requirements())
@@ -78,7 +80,7 @@
 			return
 		}
 		v, retryTaken := k.runStream(ctx, l)
-		k.Balancer.Release(l)
+		k.release(l)
 		if v == verdictAnswered {
 			return
 		}
@@ -130,6 +132,7 @@
 			l, _ = k.Balancer.Acquire(k.Now(), n)
 		}
 		if l != nil {
+			k.recordAdmitted()
 			return l
 		}
 		if k.Now() > until || k.r.Context().Err() != nil {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -185,6 +185,8 @@
 	h.follower = &follower.Follower{Host: cfg.Host, Source: h.Source, Balancer: h.balancer, Now: h.Now, OnChange: h.updateHosts, Log: h.Log}
 	h.pool = &connector.Pool{Dial: h.Dial, Now: h.Now, RequestIDHeader: h.Headers.RequestID, OnDial: func() { h.connectionsOpened.Add(1) }}
 	suspects := new(tracker.Suspects)
+	hostCount := func() int { return len(h.follower.Hosts()) + 1 }
+	arrivals := &admitter.RankArrivals{Hosts: hostCount}
 	h.forwarder = &forwarder.Forwarder{
 		Tables:        h.follower,
 		Balancer:      h.balancer,
@@ -193,6 +195,8 @@
 		Headers:       h.Headers,
 		RetryBudget:   h.retryBudgets.Get,
 		StreamLimiter: h.latencies.Get,
+		RankReserve:   &admitter.RankReserve{MoreUrgent: arrivals.MoreUrgent, Hosts: hostCount},
+		RankArrivals:  arrivals,
 		Suspects:      suspects,
 		Now:           h.Now,
 		Meter:         h.meter,
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -17,6 +17,8 @@
 	// Refusals counts refused requests by reason, Retries counts further attempts by the cause
 	// that ended the attempt before.
 	Refusals, Retries *prometheus.CounterVec
+	// RankRefusals counts refused requests by rank and reason, at services with several ranks.
+	RankRefusals *prometheus.CounterVec
 	// Requests counts requests answered in full, by workspace and kind.
 	Requests *prometheus.CounterVec
 	// FirstToken is the time to the first token of a generation, TokenGap the time between its
@@ -39,13 +41,14 @@
 // retries. It also registers the metrics of the Go runtime and of the process.
 func New(reasons, causes []string) *Meter {
 	m := &Meter{
-		Registry:   prometheus.NewRegistry(),
-		Refusals:   counter("refusals_total", "Requests refused or given up on, by reason.", "reason"),
-		Retries:    counter("retries_total", "Further attempts, by the cause that ended the one before.", "cause"),
-		Requests:   counter("requests_total", "Requests answered whole.", "workspace", "kind"),
-		FirstToken: histogram("first_token_seconds", "Time to the first token of a generation."),
-		TokenGap:   histogram("token_gap_seconds", "Time between tokens of a generation, sampled."),
-		Rejections: counter("upstream_rejections_total", "Requests that upstreams rejected without running them.", "status", "retryAfter"),
+		Registry:     prometheus.NewRegistry(),
+		Refusals:     counter("refusals_total", "Requests refused or given up on, by reason.", "reason"),
+		Retries:      counter("retries_total", "Further attempts, by the cause that ended the one before.", "cause"),
+		Requests:     counter("requests_total", "Requests answered whole.", "workspace", "kind"),
+		RankRefusals: counter("rank_refusals_total", "Requests refused at services with several ranks.", "rank", "reason"),
+		FirstToken:   histogram("first_token_seconds", "Time to the first token of a generation."),
+		TokenGap:     histogram("token_gap_seconds", "Time between tokens of a generation, sampled."),
+		Rejections:   counter("upstream_rejections_total", "Requests that upstreams rejected without running them.", "status", "retryAfter"),
 		LimitsUnreadable: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "limits_unreadable_total", Help: "Answers that named a limit which can't be read.",
 		}),
@@ -60,7 +63,7 @@
 	for _, c := range causes {
 		m.Retries.WithLabelValues(c)
 	}
-	m.Registry.MustRegister(m.Refusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ThroughputBound)
+	m.Registry.MustRegister(m.Refusals, m.RankRefusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ThroughputBound)
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
