--- a/forwarder/demand.go
+++ b/forwarder/demand.go
@@ -20,8 +20,9 @@
 	}
 }
 
-// recordAdmitted counts the request when it first gets upstreams.
+// recordAdmitted records that the request got upstreams. It counts as admitted demand the first time.
 func (k *call) recordAdmitted() {
+	k.recordRankAdmitted()
 	if k.admitted {
 		return
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -69,6 +69,9 @@
 	StreamLimiter func(service string) *admitter.StreamLimiter
 	// Demands counts what callers ask for, over all hosts; nil means that it is not counted.
 	Demands *admitter.Demands
+	// RankReserve decides what requests leave to more urgent ones. It matters for services with several
+	// ranks; nil leaves nothing.
+	RankReserve *admitter.RankReserve
 	// Suspects records which requests were in flight when upstreams crashed.
 	Suspects *tracker.Suspects
 	// LimitsKnown reports whether this host has learned which upstreams announce a request
@@ -127,7 +130,11 @@
 	keyRequired bool
 	// rank is the priority of the request; 0 is the most urgent.
 	rank int
-	body []byte
+	// keepFree is the share of the capacity that the request left to more urgent ones when it last
+	// asked for some, leasedAt when it last got some.
+	keepFree float64
+	leasedAt time.Duration
+	body     []byte
 	// fingerprint is the same when the caller repeats the request.
 	fingerprint uint64
 	// header is the header to forward, without the fields that differ by upstream; nil until
@@ -309,6 +316,8 @@
 	}
 	n.Service = k.service.Name
 	n.Avoid = k.avoid
+	k.updateKeepFree()
+	n.KeepFree = k.keepFree
 	// An upstream whose backoff has just ended may reject the request again.
 	n.AvoidReturning = k.rejected > 0 || !k.RetryBudget(k.service.Name).HasRetry(k.Now())
 	l, reason := k.Balancer.Acquire(k.Now(), n)
@@ -323,6 +332,9 @@
 		l, reason = k.Balancer.Acquire(k.Now(), n)
 	}
 	if l == nil {
+		if reason == balancer.ReasonNoRoom || reason == balancer.ReasonLimit {
+			k.recordShortage()
+		}
 		k.refuseNoUpstream(reason)
 		return nil
 	}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -186,7 +186,8 @@
 	h.follower = &follower.Follower{Host: cfg.Host, Source: h.Source, Balancer: h.balancer, Now: h.Now, OnChange: h.updateHosts, Log: h.Log}
 	h.pool = &connector.Pool{Dial: h.Dial, Now: h.Now, RequestIDHeader: h.Headers.RequestID, OnDial: h.countConnection}
 	suspects := new(tracker.Suspects)
-	demands := &admitter.Demands{Hosts: func() int { return len(h.follower.Hosts()) + 1 }}
+	hostCount := func() int { return len(h.follower.Hosts()) + 1 }
+	demands := &admitter.Demands{Hosts: hostCount}
 	h.forwarder = &forwarder.Forwarder{
 		Tables:        h.follower,
 		Balancer:      h.balancer,
@@ -196,6 +197,7 @@
 		RetryBudget:   h.retryBudgets.Get,
 		StreamLimiter: h.latencies.Get,
 		Demands:       demands,
+		RankReserve:   &admitter.RankReserve{MoreUrgent: demands.MoreUrgent, Hosts: hostCount},
 		Suspects:      suspects,
 		Now:           h.Now,
 		Meter:         h.meter,
