registrar: hosts of a large fleet extend their lease less often

A host without a duty that knows of more than 32 hosts now does so every 1.2 s, with a timeout of 0.4 s and a retry 0.6 s after one that failed, so that three still fit into the lease. The lease itself, hosts with a duty and small fleets are as before.

TestLeaseInLargeFleet: no lease ends in outages of 1.15 s.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -210,6 +210,7 @@
 		Entry:      registrar.Entry{Name: cfg.Host, Address: cfg.Peer, DataCentre: cfg.DataCentre},
 		Now:        h.Now,
 		FreeDuties: h.claimableDuties,
+		Hosts:      func() int { return len(h.follower.Hosts()) + 1 },
 		Log:        h.Log,
 	}
 	if s, ok := h.Store.(storer.Restorable); ok {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -23,8 +23,25 @@
 	// heartbeatPeriod is the time between two heartbeats, and the timeout of each; three fit
 	// into leaseTTL.
 	heartbeatPeriod = 800 * time.Millisecond
+	// largeFleet is the number of hosts above which those without a duty extend their lease less
+	// often. A small fleet saves little by it.
+	largeFleet = 32
+	// largeFleetPeriod is the time between two extensions in a large fleet, and retryPeriod that
+	// between two which fail; three fit into leaseTTL. retryTimeout is the timeout of each. One
+	// that takes longer still extends the lease.
+	largeFleetPeriod = 1200 * time.Millisecond
+	retryPeriod      = 600 * time.Millisecond
+	retryTimeout     = 400 * time.Millisecond
 )
 
+// extendAfter returns the time from one extension of a lease to the next.
+func extendAfter(hosts int, hasDuty bool) time.Duration {
+	if hosts <= largeFleet || hasDuty {
+		return heartbeatPeriod
+	}
+	return largeFleetPeriod
+}
+
 // Entry describes a host to the others.
 type Entry struct {
 	Name       string `json:"name"`
@@ -60,6 +77,8 @@
 	// FreeDuties lists the data centres whose duty this host should take, as no host is known to
 	// hold it.
 	FreeDuties func() []string
+	// Hosts returns the number of known hosts; nil means one.
+	Hosts func() int
 	// Era counts how often the store was restored from a copy; nil means never. Leases and
 	// duties from an earlier era are void, even if the store still has them.
 	Era func() int64
@@ -106,17 +125,50 @@
 // Run keeps the entry alive until ctx ends, and then removes it.
 func (r *Registrar) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := r.heartbeat(ctx); err != nil && ctx.Err() == nil {
+		start := r.Now()
+		err := r.heartbeat(ctx)
+		if err != nil && ctx.Err() == nil {
 			r.Log.Debug().Err(err).Msg("registrar: heartbeat failed")
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(heartbeatPeriod):
+		case <-time.After(r.pause(err, r.Now()-start)):
 		}
 	}
 	r.deregister(context.WithoutCancel(ctx))
 }
 
+// period returns the time from one heartbeat to the next.
+func (r *Registrar) period() time.Duration {
+	hosts := 1
+	if r.Hosts != nil {
+		hosts = r.Hosts()
+	}
+	return extendAfter(hosts, r.HoldingAny())
+}
+
+// pause returns the time until the next heartbeat, after one that took some time and ended with err.
+func (r *Registrar) pause(err error, took time.Duration) time.Duration {
+	period := r.period()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil && period > heartbeatPeriod && r.lease != 0 {
+		return max(0, retryPeriod-took)
+	}
+	return period
+}
+
+// extend extends the lease. A host with a duty must know whether that succeeded; any other waits
+// for the response only as long as a retry can wait.
+func (r *Registrar) extend(ctx context.Context, lease int64) error {
+	if r.period() > heartbeatPeriod {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, retryTimeout)
+		defer cancel()
+	}
+	return r.Store.KeepAlive(ctx, lease)
+}
+
 // deregister gives up all duties and revokes the lease, which removes the entry.
 func (r *Registrar) deregister(ctx context.Context) {
 	r.mu.Lock()
@@ -146,7 +198,7 @@
 		lease = 0
 	}
 	if lease != 0 {
-		err := r.Store.KeepAlive(call, lease)
+		err := r.extend(call, lease)
 		if err == nil && leaseEra != r.currentEra() {
 			r.dropLease()
 			return r.register(call)
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -201,3 +202,52 @@
 		two.stop()
 	})
 }
+
+// TestLeaseInLargeFleet guards against renewals whose number grows with the hosts and against
+// a lease that ends because the store does not answer for a second.
+func TestLeaseInLargeFleet(t *testing.T) {
+	for _, c := range []struct{ hosts, most, least int }{{4, 39, 37}, {137, 27, 24}} {
+		t.Run(strconv.Itoa(c.hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := new(faker.Platform)
+				h := &registrar.Registrar{
+					Store: store, Entry: registrar.Entry{Name: "one", Address: "1", DataCentre: "a"}, Now: clock(),
+					FreeDuties: func() []string { return nil }, Hosts: func() int { return c.hosts }, Log: zerolog.Nop(),
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					h.Run(ctx)
+				}()
+				time.Sleep(5 * time.Second)
+				before := store.Calls()
+				time.Sleep(30 * time.Second)
+				calls := int(store.Calls() - before)
+				is.True(calls <= c.most && calls >= c.least)
+				entry := func() int64 {
+					e, err := store.Get(t.Context(), registrar.HostPrefix+"one")
+					is.NoErr(err)
+					return e.Revision
+				}
+				first := entry()
+				for range 10 { // outages of one or two heartbeats
+					store.SetFaults(faker.Faults{Delay: 5 * time.Second})
+					time.Sleep(1150 * time.Millisecond)
+					store.SetFaults(faker.Faults{})
+					time.Sleep(2400 * time.Millisecond)
+					is.Equal(entry(), first) // the lease has not ended
+				}
+				cancel()
+				<-done
+			})
+		})
+	}
+}
+
+// clock returns a clock that starts at 0.
+func clock() func() time.Duration {
+	started := time.Now()
+	return func() time.Duration { return time.Since(started) }
+}
