sharer: relays exchange with each other as often in a large data centre

Relays of a data centre exchanged once a round, whose length grows with its hosts: 0.46 s for 46 hosts, 1 s for 100. What the second relay got was then often older than the 1.2 s after which it reads the store itself, and with 100 hosts all of them fell back to reading. A relay calls no hosts, so its rounds now take 0.2 s; calls to other data centres are as frequent as before.

--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -255,7 +255,7 @@
 // TestFleetScale checks that calls to the source stay bounded by the number of data centres, and
 // that changes reach all hosts in time in fleets of different sizes.
 func TestFleetScale(t *testing.T) {
-	for _, size := range []struct{ centres, each int }{{5, 24}, {3, 8}, {1, 3}} {
+	for _, size := range []struct{ centres, each int }{{5, 24}, {3, 46}, {3, 100}, {3, 8}, {1, 3}} {
 		t.Run(fmt.Sprint(size.centres, " data centres of ", size.each), func(t *testing.T) {
 			runFleet(t, size.centres, size.each, func(is *is.I, fl *fleet) {
 				const seconds = 10
--- a/sharer/roles.go
+++ b/sharer/roles.go
@@ -53,6 +53,8 @@
 // plan holds the relays with which a host exchanges state, and whether it is a relay itself.
 type plan struct {
 	relay bool
+	// localHosts is the number of hosts of the own data centre, with this one.
+	localHosts int
 	// localRelays are the other relays of the own data centre, remoteRelays those of all others.
 	localRelays, remoteRelays []follower.Host
 }
@@ -67,7 +69,12 @@
 			centres[h.DataCentre] = append(centres[h.DataCentre], h)
 		}
 	}
-	var out plan
+	out := plan{localHosts: 1}
+	for _, h := range hosts {
+		if h.DataCentre == self.DataCentre {
+			out.localHosts++
+		}
+	}
 	reader := false
 	for dc, list := range centres {
 		list = sortByRank(list)
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -118,7 +118,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(min(s.roundInterval(hosts, p), untilAsk(s.Follower.ReadAge()))):
+		case <-time.After(min(s.roundInterval(p), untilAsk(s.Follower.ReadAge()))):
 		}
 	}
 }
@@ -149,7 +149,7 @@
 	for _, h := range p.localRelays {
 		out = append(out, call{host: h, scope: peer.Scope_SCOPE_HOST, changes: true})
 	}
-	if !s.remoteCallDue(len(p.remoteRelays)) {
+	if !s.remoteCallDue(max(hostsInterval(p.localHosts), time.Duration(len(p.remoteRelays))*intervalPerRemoteRelay)) {
 		return out
 	}
 	for _, h := range p.remoteRelays {
@@ -174,14 +174,14 @@
 	return calls
 }
 
-// remoteCallDue reports whether relays of other data centres are to be called in this round, and if
-// so records the time.
-func (s *Sharer) remoteCallDue(relays int) bool {
+// remoteCallDue reports whether relays of other data centres, which are called at an interval, are to
+// be called in this round, and if so records the time.
+func (s *Sharer) remoteCallDue(interval time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Now()
 	// Half an interval of tolerance, because rounds start a little after they are due.
-	if now-s.remoteCalledAt < max(exchangeInterval, time.Duration(relays)*intervalPerRemoteRelay)-exchangeInterval/2 {
+	if now-s.remoteCalledAt < interval-exchangeInterval/2 {
 		return false
 	}
 	s.remoteCalledAt = now
@@ -189,22 +189,24 @@
 }
 
 // roundInterval returns the time between two rounds. A host that is no relay calls one relay in
-// each round, in turn, and so exchanges with all of them within one interval.
-func (s *Sharer) roundInterval(hosts []follower.Host, p plan) time.Duration {
-	if s.Follower.Position().IsZero() {
+// each round, in turn, and so exchanges with all of them within one interval. A relay calls only
+// other relays; what it gets from the one that reads the source must be as recent in a large data
+// centre as in a small one, else both read the source.
+func (s *Sharer) roundInterval(p plan) time.Duration {
+	switch {
+	case s.Follower.Position().IsZero():
 		return startupInterval
+	case p.relay:
+		return exchangeInterval
+	default:
+		return hostsInterval(p.localHosts) / time.Duration(max(1, len(p.localRelays)))
 	}
-	localHosts := 1
-	for _, h := range hosts {
-		if h.DataCentre == s.DataCentre {
-			localHosts++
-		}
-	}
-	out := max(exchangeInterval, time.Duration(localHosts)*intervalPerHost)
-	if !p.relay {
-		out /= time.Duration(max(1, len(p.localRelays)))
-	}
-	return out
+}
+
+// hostsInterval returns the time between two exchanges of a relay with one of the hosts of its data
+// centre, and with the relays of another one.
+func hostsInterval(localHosts int) time.Duration {
+	return max(exchangeInterval, time.Duration(localHosts)*intervalPerHost)
 }
 
 // sources returns the hosts to ask for what they read, in turn. Hosts that answered their last call
