--- a/launcher/metrics.go
+++ b/launcher/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/meter"
+	"github.com/sardineward/sardineward/storer"
 )
 
 // exportMetrics registers the metrics whose values are computed on each scrape.
@@ -37,6 +39,11 @@
 	if h.DroppedLogLines != nil {
 		m.CounterFunc("log_lines_dropped_total", "Log lines that were too many, or whose reader was too slow.", h.DroppedLogLines)
 	}
+	if c, ok := h.Store.(storer.Counter); ok {
+		purposes := meter.LabelValues(storer.PurposeValues())
+		m.CounterFuncs("store_calls_total", "Calls on the store, by what they are for.", "purpose", purposes, func(i int) float64 { return float64(c.CallCount(storer.Purpose(i))) })
+		m.CounterFuncs("store_calls_failed_total", "Calls on the store that it refused or did not answer.", "purpose", purposes, func(i int) float64 { return float64(c.FailedCallCount(storer.Purpose(i))) })
+	}
 	m.CounterFunc("connections_opened_total", "Connections made to upstreams.", func() float64 { return float64(h.connectionsOpened.Load()) })
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -76,6 +76,14 @@
 	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, f))
 }
 
+// CounterFuncs is like CounterFunc for several counters of one name, one for each value of a label.
+func (m *Meter) CounterFuncs(name, help, label string, values []string, f func(i int) float64) {
+	for i, v := range values {
+		opts := prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help, ConstLabels: prometheus.Labels{label: v}}
+		m.Registry.MustRegister(prometheus.NewCounterFunc(opts, func() float64 { return f(i) }))
+	}
+}
+
 // LabelValues returns the texts of an enum's values, for use as label values.
 func LabelValues[T fmt.Stringer](values []T) []string {
 	out := make([]string, len(values))
