--- a/launcher/metrics.go
+++ b/launcher/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/connector"
+	"github.com/sardineward/sardineward/meter"
+	"github.com/sardineward/sardineward/storer"
 )
 
 // exportMetrics registers the metrics whose values are computed on each scrape.
@@ -41,6 +43,11 @@
 	for _, p := range connector.PurposeValues() {
 		m.ConnectionsOpened.WithLabelValues(p.String())
 	}
+	if c, ok := h.Store.(storer.Counter); ok {
+		purposes := meter.LabelValues(storer.PurposeValues())
+		m.CounterFuncs("store_calls_total", "Calls on the store, by what they are for.", "purpose", purposes, func(i int) float64 { return float64(c.CallCount(storer.Purpose(i))) })
+		m.CounterFuncs("store_calls_failed_total", "Calls on the store that it refused or did not answer.", "purpose", purposes, func(i int) float64 { return float64(c.FailedCallCount(storer.Purpose(i))) })
+	}
 	m.CounterFunc("connections_opened_total", "Connections made to upstreams.", func() float64 { return float64(h.connectionsOpened.Load()) })
 }
 
