balancer: leave a released lease alone

Cause: a stream may end while its path is changed. Repath and ShouldRestartElsewhere then released its capacity a second time and reserved it once more, for good: the upstreams of the path counted a stream that never gets an event, and each host probed them for good.

Change: a lease knows that it is released; nothing is reserved, released or recorded for it after that. The pause between checks of a silent engine that accepts each of them doubles three times.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -69,8 +69,8 @@
 	requirements Requirements
 	// tokens is the capacity reserved on each hop, in tokens for each layer.
 	tokens float64
-	// started is set once the stream has had its first event.
-	started bool
+	// started is set once the stream has had its first event, released once its capacity is free.
+	started, released bool
 	// returning holds the upstreams of the path whose backoff was over when the lease was
 	// acquired. accepted is set once they have not rejected the request.
 	returning []*announcement
@@ -293,7 +293,11 @@
 func (b *Balancer) Release(l *Lease) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if l.released {
+		return
+	}
 	b.release(l)
+	l.released = true
 	for _, a := range l.returning {
 		a.returning--
 	}
--- a/balancer/health.go
+++ b/balancer/health.go
@@ -10,7 +10,7 @@
 func (b *Balancer) RecordStart(now time.Duration, l *Lease) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if l.started {
+	if l.started || l.released {
 		return
 	}
 	l.started = true
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -186,6 +186,9 @@
 func (b *Balancer) Repath(now time.Duration, l *Lease, avoid string) []Hop {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if l.released {
+		return nil
+	}
 	b.release(l)
 	defer b.reserve(l)
 	hops := b.detour(now, l, avoid)
@@ -242,7 +245,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u, s := b.upstreams[avoid], b.services[l.requirements.Service]
-	if u == nil || s == nil || s.Engine == nil {
+	if u == nil || s == nil || s.Engine == nil || l.released {
 		return false
 	}
 	b.release(l)
--- a/forwarder/probepace.go
+++ b/forwarder/probepace.go
@@ -8,7 +8,7 @@
 const (
 	// maxSilentDoublings and maxSlowDoublings bound how often the time between two checks of one
 	// upstream doubles while it accepts connections and delivers no event.
-	maxSilentDoublings = 1
+	maxSilentDoublings = 3
 	maxSlowDoublings   = 2
 	// probeStateMemory is how long the last check of an upstream is remembered.
 	probeStateMemory = 5 * time.Second
