balancer, connector: prefer first hops with an idle connection

Change: from 16 hosts on, a first hop or a plain upstream to which this host has an idle connection is preferred where costs are about equal: a tenth of the hop's cost, half a request in flight. An idle connection that is too old for a request that must not run twice stays open for others.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -92,6 +92,9 @@
 	// AvoidReturning leaves out upstreams whose backoff has ended and that have not accepted a
 	// request since. It is set for a request that was rejected once already.
 	AvoidReturning bool
+	// HasConnection reports whether this host has an idle connection to an address; nil means that
+	// no upstream is preferred for that.
+	HasConnection func(address string) bool
 	// FirstEventTarget is the wanted time to the first event of the answer's stream; 0 when that
 	// is not known.
 	FirstEventTarget time.Duration
@@ -193,11 +196,11 @@
 	baseDelay   time.Duration
 	linkDelays  map[[2]string]*delayAverage
 	localDelays map[string]*delayAverage
+	// firstEvents holds the recent first events of each data centre.
+	firstEvents map[string]*firstEvents
 	peerReports reports
 	services    map[string]*matcher.Service
 	upstreams   map[string]*upstream
-	// firstEvents holds the recent first events of each data centre.
-	firstEvents map[string]*firstEvents
 	byAddress   map[string]*upstream
 	subset      subset
 	pipes       pipeBudgets
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -299,6 +299,7 @@
 		// Only the first hop of a path takes a slot.
 		Excluded: span.From == 0 && (!n.allowsFirst(u.ID) || (e.Slots > 0 && known.requests >= maxSlotShare*float64(e.Slots))),
 	}
+	c.Preferred = span.From == 0 && b.prefersConnected(&n, u.Address)
 	if u.DataCentre != b.DataCentre {
 		c.Bias += remoteBias
 	}
--- a/balancer/plain.go
+++ b/balancer/plain.go
@@ -14,6 +14,8 @@
 	// backoffPenalty is how many requests in flight an upstream counts for that has asked another
 	// host for a backoff.
 	backoffPenalty = 40.0
+	// connectedBonus is how many requests in flight a connection that is open already is worth.
+	connectedBonus = 0.5
 	// maxLoadAge is how long a load report is used; older ones are ignored.
 	maxLoadAge = time.Second
 )
@@ -39,6 +41,9 @@
 			continue
 		}
 		c := u.estimatedLoad(now) + failurePenalty*u.failureRate + b.Rand.Float64()*0.5
+		if b.prefersConnected(&n, u.Address) {
+			c -= connectedBonus
+		}
 		if u.DataCentre != b.DataCentre {
 			c += remotePenalty
 		}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -261,7 +261,11 @@
 			break
 		}
 		now := p.Now()
-		if c.usableUntil > now && (!r.AtMostOnce || now-c.idleSince < maxIdleForOnce) && isIdle(c) {
+		if c.usableUntil > now && r.AtMostOnce && now-c.idleSince >= maxIdleForOnce {
+			p.putBack(c) // the others have been idle for longer
+			break
+		}
+		if c.usableUntil > now && isIdle(c) {
 			return c, nil
 		}
 		c.Close()
@@ -276,6 +280,20 @@
 	return &conn{Conn: nc, address: r.Address, br: bufio.NewReaderSize(nc, bufferSize), idleSince: now, usableUntil: now + defaultKeepAlive}, nil
 }
 
+// HasIdle reports whether a request to an upstream needs no new connection, as far as is known
+// without reading from the idle ones.
+func (p *Pool) HasIdle(address string, atMostOnce bool) bool {
+	now := p.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return false
+	}
+	c := list[len(list)-1]
+	return c.usableUntil > now && (!atMostOnce || now-c.idleSince < maxIdleForOnce)
+}
+
 // popIdle removes and returns the most recently used idle connection, or nil.
 func (p *Pool) popIdle(address string) *conn {
 	p.mu.Lock()
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -230,3 +230,35 @@
 		is.Equal(*opened, 2)
 	})
 }
+
+// TestIdleKeptForOthers guards against an idle connection that is closed since the request at hand
+// must not run twice, though others could use it.
+func TestIdleKeptForOthers(t *testing.T) {
+	runScript(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for respond(c, br, "", contentLength("ok")+"Keep-Alive: timeout=9\r\n", "ok") {
+		}
+	}, func(p *connector.Pool, opened *int) {
+		is := is.New(t)
+		do := func(once bool, want int) {
+			_, err := doRequest(p, "r", once)
+			is.NoErr(err)
+			is.Equal(*opened, want)
+		}
+		is.True(!p.HasIdle(address, false))
+		do(false, 1)
+		is.True(p.HasIdle(address, true))
+		time.Sleep(time.Second)
+		is.True(!p.HasIdle(address, true)) // idle for too long
+		is.True(p.HasIdle(address, false))
+		do(true, 2)
+		do(true, 2)
+		resp, err := p.Do(context.Background(), &connector.Request{Address: address, Method: http.MethodGet, Target: "/", Host: "x", Header: http.Header{"Id": {"g"}}})
+		is.NoErr(err)
+		do(false, 2) // the first connection is still open
+		_, err = io.ReadAll(resp)
+		is.NoErr(err)
+		is.True(resp.Done())
+		time.Sleep(9 * time.Second)
+		is.True(!p.HasIdle(address, false))
+	})
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -298,6 +298,7 @@
 	}
 	n.Service = k.service.Name
 	n.Avoid = k.avoid
+	n.HasConnection = k.hasConnection
 	// An upstream whose backoff has just ended may reject the request again.
 	n.AvoidReturning = k.rejected > 0 || !k.RetryBudget(k.service.Name).HasRetry(k.Now())
 	l, reason := k.Balancer.Acquire(k.Now(), n)
@@ -324,6 +325,11 @@
 	return l
 }
 
+// hasConnection reports whether the request needs no new connection to an address.
+func (k *call) hasConnection(address string) bool {
+	return k.Pool.HasIdle(address, !k.route.Repeatable())
+}
+
 // avoidUpstream excludes an upstream that failed the request from later attempts.
 func (k *call) avoidUpstream(id string) {
 	if !slices.Contains(k.avoid, id) {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -121,6 +121,7 @@
 	}
 	n.Service = k.service.Name
 	n.InProgress = true
+	n.HasConnection = k.hasConnection
 	n.AllowedFirst = k.allowedFirsts()
 	for until := k.Now() + resumeTimeout; ; {
 		n.Avoid = k.avoid
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -180,7 +180,7 @@
 	h.balancer = &balancer.Balancer{
 		Host:       cfg.Host,
 		DataCentre: cfg.DataCentre,
-		Policy:     picker.Cheapest{Steepness: 2, Jitter: 0.1},
+		Policy:     picker.Cheapest{Steepness: 2, Jitter: 0.1, PreferredFactor: 0.9},
 		Rand:       rand.New(rand.NewPCG(h.Seed, 1)),
 	}
 	h.follower = &follower.Follower{Host: cfg.Host, Source: h.Source, Balancer: h.balancer, Now: h.Now, OnChange: h.updateHosts, Log: h.Log}
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -33,7 +33,8 @@
 	Excluded bool
 	// Bias raises its cost for this request: the cost is multiplied by 1+Bias.
 	Bias float64
-	// Preferred is set when it likely has the prefix of the request's prompt in its cache.
+	// Preferred is set when it likely has the prefix of the request's prompt in its cache, or when
+	// this host has an idle connection to it.
 	Preferred bool
 }
 
