--- a/cmd/sardineward/forward.go
+++ b/cmd/sardineward/forward.go
@@ -44,7 +44,6 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true}}
 	store := &platform.Store{Address: cfg.Platform, HTTP: client, Timeout: storeTimeout, Log: log}
 	engineTransport := new(forwarder.EngineTransport)
-	engineTransport.Base = &http.Transport{DialContext: engineTransport.DialContext, DisableKeepAlives: true}
 	h := &launcher.Host{
 		Settings:        cfg,
 		Store:           store,
--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -1,20 +1,16 @@
 package forwarder
 
 import (
-	"context"
-	"net"
 	"net/http"
-
-	"github.com/sardineward/sardineward/connector"
 )
 
 // EngineTransport is an http.RoundTripper for orders and queries to engines. Like requests, they are
 // not sent to an engine that has asked for a backoff, and their answers may ask for one or announce
 // that the engine leaves.
 type EngineTransport struct {
-	// Base sends the calls.
+	// Base sends the calls; nil means a PoolTransport of Forwarder.
 	Base http.RoundTripper
-	// Forwarder knows the engines; nil means that each call is sent. It is set before the first one.
+	// Forwarder knows the engines; nil means that Base sends each call. It is set before the first one.
 	Forwarder *Forwarder
 }
 
@@ -28,25 +24,21 @@
 	return "forwarder: upstream " + e.Upstream + " at " + e.Address + " has asked for a backoff, nothing is sent"
 }
 
-// DialContext opens a connection for Base, which is counted as one for control.
-func (t *EngineTransport) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	if t.Forwarder == nil {
-		return new(net.Dialer).DialContext(ctx, network, address)
-	}
-	return t.Forwarder.Pool.Open(ctx, address, connector.PurposeControl)
-}
-
 // RoundTrip implements http.RoundTripper.
 func (t *EngineTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	f := t.Forwarder
 	if f == nil {
 		return t.Base.RoundTrip(r)
 	}
+	base := t.Base
+	if base == nil {
+		base = &PoolTransport{Forwarder: f}
+	}
 	id, startedAt := f.Balancer.IncarnationAt(r.URL.Host)
 	if id != "" && !f.Balancer.MaySend(f.Now(), id, startedAt) {
 		return nil, &BackoffError{Upstream: id, Address: r.URL.Host}
 	}
-	resp, err := t.Base.RoundTrip(r)
+	resp, err := base.RoundTrip(r)
 	if err != nil || id == "" {
 		return resp, err
 	}
