forwarder: bound the checks of a host

Change: a host makes at most 64 checks at once, or one of each upstream it uses, and as many again in 4 s; half of that at most for dead upstreams and slow first events, so that streams that wait come first. After an accepted check for a slow first event the next one comes a second later: a stage lost meanwhile shows in the stalled requests of the first hop after 400 ms.

--- a/forwarder/probepace.go
+++ b/forwarder/probepace.go
@@ -6,10 +6,16 @@
 )
 
 const (
-	// maxSilentDoublings and maxSlowDoublings bound how often the time between two checks of one
-	// upstream doubles while it accepts connections and delivers no event.
-	maxSilentDoublings = 3
-	maxSlowDoublings   = 2
+	// maxDoublings bounds how often the time between two checks of one upstream doubles while it
+	// accepts connections and delivers no event.
+	maxDoublings = 3
+	// slowStartPause is the least time between two checks of an upstream for slow first events after
+	// it has accepted one: a stage lost meanwhile shows in the first hop's stalled requests sooner.
+	slowStartPause = time.Second
+	// minChecks is how many checks a host may make at once where it uses no more upstreams; else one
+	// of each. checksRefill is the time in which that many more may be made.
+	minChecks    = 64
+	checksRefill = 4 * time.Second
 	// probeStateMemory is how long the last check of an upstream is remembered.
 	probeStateMemory = 5 * time.Second
 )
@@ -18,8 +24,34 @@
 type probePacer struct {
 	mu     sync.Mutex
 	states map[string]*probeState
+	// upstreams is the number of upstreams that the host uses. spent is how many checks were made of
+	// those that may be made at once, as of spentAt.
+	upstreams int
+	spent     float64
+	spentAt   time.Duration
 }
 
+// probeSpec says how often one kind of check may be made.
+type probeSpec struct {
+	// interval is the time between two checks of one name, afterAccepted that after the name has
+	// accepted one; 0 means interval.
+	interval, afterAccepted time.Duration
+	// doubles is set where the pause doubles, up to maxDoublings times, while the name accepts checks
+	// and delivers no event.
+	doubles bool
+	// share is the share of the checks at once that such checks may use; 0 means that they don't count.
+	share float64
+}
+
+var (
+	// silentProbe is a check where streams wait, deadProbe one of an upstream that is out and
+	// slowStartProbe one for a slow first event. stallQuery asks a first hop over a kept connection.
+	silentProbe    = probeSpec{interval: probeInterval, doubles: true, share: 1}
+	deadProbe      = probeSpec{interval: probeInterval, share: 0.5}
+	slowStartProbe = probeSpec{interval: slowFirstEvent, afterAccepted: slowStartPause, share: 0.5}
+	stallQuery     = probeSpec{interval: stallQueryInterval}
+)
+
 // probeState is the last check of one name.
 type probeState struct {
 	running bool
@@ -29,26 +61,55 @@
 	accepted int
 }
 
-// begin reports whether a check may begin now, interval after the last one ended. Where the upstream
-// accepted the last checks and has delivered no event since, the pause doubles up to doublings times.
-func (p *probePacer) begin(now time.Duration, name string, interval, lastEventAt time.Duration, doublings int) bool {
+// begin reports whether a check may begin now. lastEventAt is when the upstream last delivered an event.
+func (p *probePacer) begin(now time.Duration, name string, lastEventAt time.Duration, spec probeSpec) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.states == nil {
 		p.states = make(map[string]*probeState)
 	}
 	s := p.states[name]
+	if s != nil && (s.running || now-s.endedAt < s.pause(lastEventAt, spec)) {
+		return false
+	}
+	if !p.take(now, spec.share) {
+		return false
+	}
 	if s == nil {
-		p.states[name] = &probeState{running: true}
-		return true
+		s = new(probeState)
+		p.states[name] = s
+	}
+	s.running = true
+	return true
+}
+
+// pause returns the time to the next check.
+func (s *probeState) pause(lastEventAt time.Duration, spec probeSpec) time.Duration {
+	if s.accepted > 0 && spec.afterAccepted > 0 {
+		return spec.afterAccepted
 	}
 	if lastEventAt > s.endedAt {
 		s.accepted = 0
 	}
-	if s.running || now-s.endedAt < interval<<min(doublings, max(0, s.accepted-1)) {
+	if !spec.doubles {
+		return spec.interval
+	}
+	return spec.interval << min(maxDoublings, max(0, s.accepted-1))
+}
+
+// take takes one check from a share of those that may be made at once, and reports whether there was
+// one left.
+func (p *probePacer) take(now time.Duration, share float64) bool {
+	if share == 0 {
+		return true
+	}
+	atOnce := float64(max(minChecks, p.upstreams))
+	p.spent = max(0, p.spent-atOnce*float64(now-p.spentAt)/float64(checksRefill))
+	p.spentAt = now
+	if p.spent+1 > share*atOnce {
 		return false
 	}
-	s.running = true
+	p.spent++
 	return true
 }
 
@@ -68,10 +129,11 @@
 	}
 }
 
-// expire forgets checks that ended long ago.
-func (p *probePacer) expire(now time.Duration) {
+// expire forgets checks that ended long ago, and sets the number of upstreams.
+func (p *probePacer) expire(now time.Duration, upstreams int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.upstreams = upstreams
 	for name, s := range p.states {
 		if !s.running && now-s.endedAt > probeStateMemory {
 			delete(p.states, name)
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -95,7 +95,7 @@
 			continue
 		}
 		lastDeadProbe = now
-		f.probes.expire(now)
+		f.probes.expire(now, f.Balancer.SubsetSize(now))
 		for _, h := range f.Balancer.DeadUpstreams(round, deadProbesPerDataCentre) {
 			f.probe(ctx, h, connector.PurposeDeadProbe)
 		}
@@ -144,7 +144,7 @@
 // those.
 func (f *Forwarder) queryStalls(ctx context.Context, h balancer.Hop) {
 	name := "stalled " + h.ID
-	if !f.probes.begin(f.Now(), name, stallQueryInterval, 0, 0) {
+	if !f.probes.begin(f.Now(), name, 0, stallQuery) {
 		return
 	}
 	if !f.Balancer.AllowProbe(f.Now(), h.ID) {
@@ -209,11 +209,14 @@
 // probe checks in the background whether an upstream accepts connections. It does nothing while
 // another probe of that upstream runs, or ended just now.
 func (f *Forwarder) probe(ctx context.Context, h balancer.Hop, purpose connector.Purpose) {
-	interval, doublings := probeInterval, maxSilentDoublings
+	spec := silentProbe
 	if purpose == connector.PurposeSlowStartProbe {
-		interval, doublings = slowFirstEvent, maxSlowDoublings
+		spec = slowStartProbe
 	}
-	if !f.probes.begin(f.Now(), h.ID, interval, f.Balancer.LastEventAt(h.ID), doublings) {
+	if purpose == connector.PurposeDeadProbe {
+		spec = deadProbe
+	}
+	if !f.probes.begin(f.Now(), h.ID, f.Balancer.LastEventAt(h.ID), spec) {
 		return
 	}
 	go func() {
