forwarder: release the path of a stream whose caller is gone

Cause: a stream whose caller can't be written to ends with a panic that skipped the release of its path.

Change: the attempt releases its lease in a deferred call.

Measured: TestCallerGoneInStream; without the change one request stays in flight at the upstream.

--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -78,7 +78,6 @@
 			return
 		}
 		v, retryTaken := k.runStream(ctx, l)
-		k.Balancer.Release(l)
 		if v == verdictAnswered {
 			return
 		}
@@ -188,9 +187,11 @@
 	return n
 }
 
-// runStream makes one attempt over a leased path and relays its events. retryTaken reports that the
-// retry for the next attempt is taken already.
+// runStream makes one attempt over a leased path, relays its events and releases the lease, also where
+// it panics since the caller has gone. retryTaken reports that the retry for the next attempt is taken
+// already.
 func (k *call) runStream(ctx context.Context, l *balancer.Lease) (v verdict, retryTaken bool) {
+	defer k.Balancer.Release(l)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a := &attempt{id: k.id, fingerprint: k.fingerprint, lease: l, sentAt: k.Now(), cancel: cancel}
--- /dev/null
+++ b/forwarder/stream_test.go
@@ -0,0 +1,90 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/sardineward/sardineward/admitter"
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/connector"
+	"github.com/sardineward/sardineward/matcher"
+	"github.com/sardineward/sardineward/meter"
+	"github.com/sardineward/sardineward/tracker"
+)
+
+// goneCaller is a response writer whose caller disconnects after some events.
+type goneCaller struct {
+	*httptest.ResponseRecorder
+	events int
+}
+
+func (w *goneCaller) Write(b []byte) (int, error) {
+	if w.events--; w.events < 0 {
+		return 0, errors.New("broken pipe")
+	}
+	return w.ResponseRecorder.Write(b)
+}
+
+// dialEvents connects to an upstream that streams events until its connection is closed.
+func dialEvents(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() {
+		defer far.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(far)); err != nil {
+			return
+		}
+		_, err := fmt.Fprintf(far, "HTTP/1.1 200 OK\r\n%s: stamp\r\nContent-Type: text/event-stream\r\n\r\n", DefaultHeaders.Stamp)
+		for n := 1; err == nil; n++ {
+			time.Sleep(20 * time.Millisecond)
+			_, err = fmt.Fprintf(far, "id: %d\ndata: x\n\n", n)
+		}
+	}()
+	return near, nil
+}
+
+// TestCallerGoneInStream guards against capacity that stays reserved for a stream whose caller can't be
+// written to: a frozen host finds its callers gone when it wakes.
+func TestCallerGoneInStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const address = "10.1.0.1:80"
+		started := time.Now()
+		now := func() time.Duration { return time.Since(started) + time.Minute }
+		b := &balancer.Balancer{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 1))}
+		b.Configure(map[string]*matcher.Service{"model": {Name: "model"}})
+		b.UpdateUpstreams([]balancer.Upstream{{ID: "engine", Address: address, Service: "model", DataCentre: "a", StartedAt: 1}}, nil)
+		limiter, budget := new(admitter.StreamLimiter), new(admitter.WindowRetryBudget)
+		f := &Forwarder{
+			Balancer: b, Headers: DefaultHeaders, Suspects: new(tracker.Suspects), Meter: meter.New(nil, nil), Now: now, Log: zerolog.Nop(),
+			Pool:          &connector.Pool{Dial: dialEvents, Now: now, RequestIDHeader: DefaultHeaders.RequestID},
+			StreamLimiter: func(string) *admitter.StreamLimiter { return limiter },
+			RetryBudget:   func(string) *admitter.WindowRetryBudget { return budget },
+		}
+		r := httptest.NewRequest(http.MethodPost, "/stream/1", nil)
+		r.Header.Set(DefaultHeaders.RequestID, "r")
+		w := &goneCaller{httptest.NewRecorder(), 3}
+		k := &call{
+			Forwarder: f, w: w, r: r, id: "r", table: new(matcher.Table), service: &matcher.Service{Name: "model"},
+			route: &matcher.Route{Kind: matcher.KindStreaming, MaxAttempts: 2}, deadline: now() + time.Minute,
+		}
+		func() {
+			defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
+			k.serveStream(t.Context())
+		}()
+		is.Equal(b.InFlight("engine"), 0)
+		is.Equal(len(b.SilentUpstreams(now()+time.Minute)), 0)
+		time.Sleep(time.Second) // the upstream ends
+	})
+}
