balancer, forwarder: share the checks of dead engines among hosts

Cause: each host checked four dead engines of each data centre each 400 ms, so that checks grew with hosts times engines. With fewer checks under way, a host whose streams all wait for one dark engine could not tell that engine from its own link.

Change: of the hosts that report an engine as dead, about four check it in a round, each drawing by itself. Once fewer hosts report it, some have reached it, and the others check it in the next round. With up to four hosts, or for an engine that only this host can't reach, nothing changes. Where no upstream has answered within half the time of a check, one more is checked as a witness. A silent engine that accepts connections is checked four times at the usual pace before the pause doubles.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -147,6 +147,8 @@
 	// dead is set while it accepts no connection; diedAt is when that was last found.
 	dead   bool
 	diedAt time.Duration
+	// deadElsewhere is how many other hosts said so, at the last check of whether it has returned.
+	deadElsewhere int64
 	// stopped is set while it refuses connections, which shows that its process has ended.
 	stopped bool
 	// failureRate is the moving average of the share of failed requests.
--- a/balancer/health.go
+++ b/balancer/health.go
@@ -135,7 +135,7 @@
 	if u == nil || u.dead == dead {
 		return false
 	}
-	u.dead = dead
+	u.dead, u.deadElsewhere = dead, 0
 	b.subset.stale = true
 	if dead {
 		u.diedAt = now
--- a/balancer/probing.go
+++ b/balancer/probing.go
@@ -95,6 +95,60 @@
 	return out
 }
 
+// DeadChecks returns the dead upstreams to check in a round, at most a given number for each data centre.
+// The hosts that know one to be dead share its checks. Once fewer of them say so, some have reached it,
+// and the others check it at once.
+func (b *Balancer) DeadChecks(now time.Duration, turn, maxPerDataCentre int) []Hop {
+	out := b.DeadUpstreams(turn, maxPerDataCentre)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out = slices.DeleteFunc(out, func(h Hop) bool {
+		u := b.upstreams[h.ID]
+		if u == nil {
+			return true
+		}
+		_, others := b.otherHosts(now, u)
+		return !b.isProber(h.ID, int64(turn), others)
+	})
+	returned := make(map[string]int)
+	for _, u := range b.subset.used {
+		if !u.dead {
+			continue
+		}
+		_, others := b.otherHosts(now, u)
+		if others >= u.deadElsewhere {
+			u.deadElsewhere = others
+			continue
+		}
+		if returned[u.DataCentre] >= maxPerDataCentre {
+			continue
+		}
+		u.deadElsewhere = others
+		returned[u.DataCentre]++
+		if !slices.ContainsFunc(out, func(h Hop) bool { return h.ID == u.ID }) {
+			out = append(out, Hop{ID: u.ID, Address: u.Address})
+		}
+	}
+	return out
+}
+
+// Witness returns the upstream over which the last event came, other than a given one and those known to
+// be dead.
+func (b *Balancer) Witness(id string) (h Hop, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var last *upstream
+	for _, u := range b.subset.used {
+		if u.ID != id && !u.dead && (last == nil || u.lastEventAt > last.lastEventAt || (u.lastEventAt == last.lastEventAt && u.ID < last.ID)) {
+			last = u
+		}
+	}
+	if last == nil {
+		return Hop{}, false
+	}
+	return Hop{ID: last.ID, Address: last.Address}, true
+}
+
 // otherHosts returns how many other hosts may have requests over an upstream, and how many can't
 // reach it.
 func (b *Balancer) otherHosts(now time.Duration, u *upstream) (users, dead int64) {
--- a/connector/purpose.go
+++ b/connector/purpose.go
@@ -28,6 +28,8 @@
 	PurposeNeighbourProbe
 	// PurposeCrashProbe: a check whether an upstream that gave no answer still accepts connections.
 	PurposeCrashProbe
+	// PurposeWitnessProbe: a check whether any upstream answers this host.
+	PurposeWitnessProbe
 	// PurposeControl: an order or a query to an engine.
 	PurposeControl
 )
--- a/connector/purpose_gen.go
+++ b/connector/purpose_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _PurposeName = "streamplainsilentProbeslowStartProbedeadProbeneighbourProbecrashProbecontrol"
+const _PurposeName = "streamplainsilentProbeslowStartProbedeadProbeneighbourProbecrashProbewitnessProbecontrol"
 
-var _PurposeIndex = [...]uint8{0, 6, 11, 22, 36, 45, 59, 69, 76}
+var _PurposeIndex = [...]uint8{0, 6, 11, 22, 36, 45, 59, 69, 81, 88}
 
-const _PurposeLowerName = "streamplainsilentprobeslowstartprobedeadprobeneighbourprobecrashprobecontrol"
+const _PurposeLowerName = "streamplainsilentprobeslowstartprobedeadprobeneighbourprobecrashprobewitnessprobecontrol"
 
 func (i Purpose) String() string {
 	if i < 0 || i >= Purpose(len(_PurposeIndex)-1) {
@@ -31,10 +31,11 @@
 	_ = x[PurposeDeadProbe-(4)]
 	_ = x[PurposeNeighbourProbe-(5)]
 	_ = x[PurposeCrashProbe-(6)]
-	_ = x[PurposeControl-(7)]
+	_ = x[PurposeWitnessProbe-(7)]
+	_ = x[PurposeControl-(8)]
 }
 
-var _PurposeValues = []Purpose{PurposeStream, PurposePlain, PurposeSilentProbe, PurposeSlowStartProbe, PurposeDeadProbe, PurposeNeighbourProbe, PurposeCrashProbe, PurposeControl}
+var _PurposeValues = []Purpose{PurposeStream, PurposePlain, PurposeSilentProbe, PurposeSlowStartProbe, PurposeDeadProbe, PurposeNeighbourProbe, PurposeCrashProbe, PurposeWitnessProbe, PurposeControl}
 
 var _PurposeNameToValueMap = map[string]Purpose{
 	_PurposeName[0:6]:   PurposeStream,
@@ -44,7 +45,8 @@
 	_PurposeName[36:45]: PurposeDeadProbe,
 	_PurposeName[45:59]: PurposeNeighbourProbe,
 	_PurposeName[59:69]: PurposeCrashProbe,
-	_PurposeName[69:76]: PurposeControl,
+	_PurposeName[69:81]: PurposeWitnessProbe,
+	_PurposeName[81:88]: PurposeControl,
 }
 
 var _PurposeLowerNameToValueMap = map[string]Purpose{
@@ -55,7 +57,8 @@
 	_PurposeLowerName[36:45]: PurposeDeadProbe,
 	_PurposeLowerName[45:59]: PurposeNeighbourProbe,
 	_PurposeLowerName[59:69]: PurposeCrashProbe,
-	_PurposeLowerName[69:76]: PurposeControl,
+	_PurposeLowerName[69:81]: PurposeWitnessProbe,
+	_PurposeLowerName[81:88]: PurposeControl,
 }
 
 var _PurposeNames = []string{
@@ -66,7 +69,8 @@
 	_PurposeName[36:45],
 	_PurposeName[45:59],
 	_PurposeName[59:69],
-	_PurposeName[69:76],
+	_PurposeName[69:81],
+	_PurposeName[81:88],
 }
 
 // PurposeString retrieves an enum value from the enum constants string name.
--- a/forwarder/probepace.go
+++ b/forwarder/probepace.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// maxDoublings bounds how often the time between two checks of one upstream doubles while it
-	// accepts connections and delivers no event.
+	// usualChecks is how many checks of a silent upstream are made at the usual pace. Then the pause
+	// doubles, up to maxDoublings times, while the upstream accepts them and delivers no event.
+	usualChecks  = 4
 	maxDoublings = 3
 	// slowStartPause is the least time between two checks of an upstream for slow first events after
 	// it has accepted one: a stage lost meanwhile shows in the first hop's stalled requests sooner.
@@ -45,10 +46,12 @@
 
 var (
 	// silentProbe is a check where streams wait, deadProbe one of an upstream that is out and
-	// slowStartProbe one for a slow first event. stallQuery asks a first hop over a kept connection.
+	// slowStartProbe one for a slow first event. witnessProbe
+	// is a check of another upstream beside one that does not answer. stallQuery asks a first hop over a kept connection.
 	silentProbe    = probeSpec{interval: probeInterval, doubles: true, share: 1}
 	deadProbe      = probeSpec{interval: probeInterval, share: 0.5}
 	slowStartProbe = probeSpec{interval: slowFirstEvent, afterAccepted: slowStartPause, share: 0.5}
+	witnessProbe   = probeSpec{share: 1}
 	stallQuery     = probeSpec{interval: stallQueryInterval}
 )
 
@@ -57,7 +60,11 @@
 	running bool
 	// endedAt is when it ended.
 	endedAt time.Duration
-	// accepted counts the checks in a row that were accepted, with no event after any of them.
+	// spec is that of the last check, lastAccepted whether it was accepted.
+	spec         probeSpec
+	lastAccepted bool
+	// accepted counts the checks in a row that were accepted, with no event after any of them, of
+	// those whose pause doubles.
 	accepted int
 }
 
@@ -79,13 +86,13 @@
 		s = new(probeState)
 		p.states[name] = s
 	}
-	s.running = true
+	s.running, s.spec = true, spec
 	return true
 }
 
 // pause returns the time to the next check.
 func (s *probeState) pause(lastEventAt time.Duration, spec probeSpec) time.Duration {
-	if s.accepted > 0 && spec.afterAccepted > 0 {
+	if s.lastAccepted && spec.afterAccepted > 0 {
 		return spec.afterAccepted
 	}
 	if lastEventAt > s.endedAt {
@@ -94,7 +101,7 @@
 	if !spec.doubles {
 		return spec.interval
 	}
-	return spec.interval << min(maxDoublings, max(0, s.accepted-1))
+	return spec.interval << min(maxDoublings, max(0, s.accepted-usualChecks))
 }
 
 // take takes one check from a share of those that may be made at once, and reports whether there was
@@ -121,11 +128,11 @@
 	if s == nil {
 		return
 	}
-	s.running, s.endedAt = false, now
-	if accepted {
-		s.accepted++
-	} else {
+	s.running, s.endedAt, s.lastAccepted = false, now, accepted
+	if !accepted {
 		s.accepted = 0
+	} else if s.spec.doubles {
+		s.accepted++
 	}
 }
 
--- a/forwarder/probepace_test.go
+++ b/forwarder/probepace_test.go
@@ -26,7 +26,9 @@
 		return pause
 	}
 	is.Equal(check(0), time.Duration(0))
-	is.Equal(check(0), interval)
+	for range usualChecks {
+		is.Equal(check(0), interval)
+	}
 	for _, pause := range []time.Duration{2 * interval, 4 * interval, 8 * interval, 8 * interval} {
 		is.Equal(check(0), pause)
 	}
--- a/forwarder/probes_test.go
+++ b/forwarder/probes_test.go
@@ -358,3 +358,45 @@
 		})
 	}
 }
+
+// TestDeadEnginesShared guards against checks of dead engines that grow with the hosts, and against
+// engines that are found again later for sharing them. The load: a fifth of the engines dark for 5 s.
+func TestDeadEnginesShared(t *testing.T) {
+	for _, hosts := range []int{4, 24, 137} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			runProbeFleet(t, hosts, 12, func(is *is.I, fl *probeFleet) {
+				lost := []string{"engine-0-0", "engine-2-1", "engine-3-1", "engine-5-2"}
+				fl.setDark(true, lost...)
+				time.Sleep(2 * time.Second)
+				for _, id := range lost {
+					is.True(fl.knowingHosts(id) > hosts/2)
+				}
+				before := fl.counts()[connector.PurposeDeadProbe]
+				const seconds = 3
+				time.Sleep(seconds * time.Second)
+				perUpstream := float64(fl.counts()[connector.PurposeDeadProbe]-before) / seconds / float64(len(lost))
+				t.Logf("%.1f checks an engine and second", perUpstream)
+				is.True(perUpstream <= 30)
+				is.True(perUpstream > 1)
+				fl.setDark(false, lost...)
+				from := fl.counts()
+				started := time.Now()
+				for fl.knowingAny(lost) > 0 && time.Since(started) < 10*time.Second {
+					time.Sleep(20 * time.Millisecond)
+				}
+				to := fl.counts()
+				t.Logf("all hosts know after %v; %d checks of dead engines, %d of their neighbours", time.Since(started), to[connector.PurposeDeadProbe]-from[connector.PurposeDeadProbe], to[connector.PurposeNeighbourProbe]-from[connector.PurposeNeighbourProbe])
+				is.True(time.Since(started) < 1500*time.Millisecond)
+			})
+		})
+	}
+}
+
+// knowingAny adds up knowingHosts over some upstreams.
+func (fl *probeFleet) knowingAny(ids []string) int {
+	n := 0
+	for _, id := range ids {
+		n += fl.knowingHosts(id)
+	}
+	return n
+}
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -96,7 +96,7 @@
 		}
 		lastDeadProbe = now
 		f.probes.expire(now, f.Balancer.SubsetSize(now))
-		for _, h := range f.Balancer.DeadUpstreams(round, deadProbesPerDataCentre) {
+		for _, h := range f.Balancer.DeadChecks(now, round, deadProbesPerDataCentre) {
 			f.probe(ctx, h, connector.PurposeDeadProbe)
 		}
 		round++
@@ -221,7 +221,9 @@
 	}
 	go func() {
 		startedAt := f.Now()
+		witness := time.AfterFunc(probeTimeout/2, func() { f.findWitness(ctx, h, startedAt) })
 		err := f.Pool.Check(ctx, h.Address, purpose, probeTimeout)
+		witness.Stop()
 		f.probes.end(f.Now(), h.ID, err == nil)
 		switch {
 		case ctx.Err() != nil:
@@ -238,6 +240,20 @@
 	}()
 }
 
+// findWitness checks another upstream where none has answered this host since a check of h began, so
+// that the end of that check tells whether h or this host's own link is out.
+func (f *Forwarder) findWitness(ctx context.Context, h balancer.Hop, since time.Duration) {
+	other, ok := f.Balancer.Witness(h.ID)
+	if f.lastContact.Load() >= int64(since) || !ok || !f.probes.begin(f.Now(), "witness", 0, witnessProbe) {
+		return
+	}
+	err := f.Pool.Check(ctx, other.Address, connector.PurposeWitnessProbe, probeTimeout/2)
+	if err == nil {
+		f.lastContact.Store(int64(f.Now()))
+	}
+	f.probes.end(f.Now(), "witness", err == nil)
+}
+
 // isTimeout reports whether a dial got no answer, as opposed to a refused connection.
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
