balancer, forwarder: check slow first events as before with few hosts

Cause: the limit under load and the pause after an accepted check held for any number of hosts, while checks are dear with many only.

Change: both need 16 hosts, as the preference for idle connections does.

--- a/balancer/probing.go
+++ b/balancer/probing.go
@@ -160,7 +160,8 @@
 }
 
 // FirstEventLimit returns how long a stream waits for its first event before its upstreams are
-// checked: usual, or longer where even the fastest recent first events took long.
+// checked: usual, or longer where there are many hosts and even the fastest recent first events took
+// long.
 func (b *Balancer) FirstEventLimit(now time.Duration, l *Lease, usual time.Duration) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -169,7 +170,7 @@
 
 func (b *Balancer) firstEventLimit(now time.Duration, l *Lease, usual time.Duration) time.Duration {
 	u := b.upstreams[l.First.ID]
-	if u == nil || b.firstEvents[u.DataCentre] == nil {
+	if u == nil || b.firstEvents[u.DataCentre] == nil || !b.hasManyHosts() {
 		return usual
 	}
 	return max(usual, min(maxFirstEventLimit, loadFactor*b.firstEvents[u.DataCentre].lowerQuartile(now)))
--- a/balancer/probing_test.go
+++ b/balancer/probing_test.go
@@ -26,6 +26,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			b := newBalancer()
+			b.SetHosts(manyHosts(23))
 			l := acquire(t, b, 0, modelRequirements)
 			for i := range 20 {
 				if c.took != nil {
@@ -34,6 +35,8 @@
 			}
 			is.Equal(b.FirstEventLimit(2*time.Second, l, usual), c.want)
 			is.Equal(b.FirstEventLimit(6*time.Second, l, usual), usual) // load ends
+			b.SetHosts(manyHosts(3))
+			is.Equal(b.FirstEventLimit(2*time.Second, l, usual), usual) // few hosts
 		})
 	}
 }
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -212,6 +212,9 @@
 	spec := silentProbe
 	if purpose == connector.PurposeSlowStartProbe {
 		spec = slowStartProbe
+		if !f.Balancer.HasManyHosts() {
+			spec.afterAccepted = 0
+		}
 	}
 	if purpose == connector.PurposeDeadProbe {
 		spec = deadProbe
