--- a/balancer/path.go
+++ b/balancer/path.go
@@ -188,6 +188,9 @@
 func (b *Balancer) Repath(now time.Duration, l *Lease, avoid string) []Hop {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if l.released {
+		return nil
+	}
 	b.release(l)
 	defer b.reserve(l)
 	hops := b.detour(now, l, avoid)
@@ -244,7 +247,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u, s := b.upstreams[avoid], b.services[l.requirements.Service]
-	if u == nil || s == nil || s.Engine == nil {
+	if u == nil || s == nil || s.Engine == nil || l.released {
 		return false
 	}
 	b.release(l)
@@ -298,6 +301,7 @@
 		// Only the first hop of a path takes a slot.
 		Excluded: span.From == 0 && (!n.allowsFirst(u.ID) || (e.Slots > 0 && known.requests >= (maxSlotShare-n.KeepFree)*float64(e.Slots))),
 	}
+	c.Preferred = span.From == 0 && b.prefersConnected(&n, u.Address)
 	if u.DataCentre != b.DataCentre {
 		c.Bias += remoteBias
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -80,7 +80,6 @@
 			return
 		}
 		v, retryTaken := k.runStream(ctx, l)
-		k.release(l)
 		if v == verdictAnswered {
 			return
 		}
@@ -123,6 +122,7 @@
 	}
 	n.Service = k.service.Name
 	n.InProgress = true
+	n.HasConnection = k.hasConnection
 	n.AllowedFirst = k.allowedFirsts()
 	for until := k.Now() + resumeTimeout; ; {
 		n.Avoid = k.avoid
@@ -190,9 +190,11 @@
 	return n
 }
 
-// runStream makes one attempt over a leased path and relays its events. retryTaken reports that the
-// retry for the next attempt is taken already.
+// runStream makes one attempt over a leased path, relays its events and releases the lease, also where
+// it panics since the caller has gone. retryTaken reports that the retry for the next attempt is taken
+// already.
 func (k *call) runStream(ctx context.Context, l *balancer.Lease) (v verdict, retryTaken bool) {
+	defer k.release(l)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a := &attempt{id: k.id, fingerprint: k.fingerprint, lease: l, sentAt: k.Now(), cancel: cancel}
