balancer: ranks at plain services

A plain service has no memory that runs out: less urgent requests wait at the upstreams in front of more urgent ones until all are late. An upstream whose load is at its slots without the share that the request leaves free is no candidate; without KeepFree nothing changes.

--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -76,3 +76,9 @@
 	}
 	return max(0, least)
 }
+
+// leavesTooLittle reports whether a request that leaves a share of a plain upstream's slots to others
+// finds none beyond them.
+func (u *upstream) leavesTooLittle(now time.Duration, keepFree float64) bool {
+	return keepFree > 0 && u.Slots > 0 && u.estimatedLoad(now) >= float64(u.Slots)*(1-keepFree)
+}
--- a/balancer/plain.go
+++ b/balancer/plain.go
@@ -38,6 +38,9 @@
 			throttled = append(throttled, u.ID)
 			continue
 		}
+		if u.leavesTooLittle(now, n.KeepFree) {
+			continue
+		}
 		c := u.estimatedLoad(now) + failurePenalty*u.failureRate + b.Rand.Float64()*0.5
 		if u.DataCentre != b.DataCentre {
 			c += remotePenalty
