matcher, forwarder: routes order the requests of equally urgent workspaces

Where some workspace has a priority, the rank is the workspace's priority first and the route's second; without one it is the route's alone, as before.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -128,7 +128,7 @@
 	service     *matcher.Service
 	workspace   *matcher.Workspace
 	keyRequired bool
-	// rank is the priority of the request; 0 is the most urgent.
+	// rank is the rank of the request, see matcher.Table.Rank; the lowest is the most urgent.
 	rank int
 	// keepFree is the share of the capacity that the request left to more urgent ones when it last
 	// asked for some, leasedAt when it last got some.
@@ -223,7 +223,7 @@
 	if k.service == nil {
 		return k.refuse(admitter.ReasonNoRoute, "no such service")
 	}
-	k.rank = k.route.Rank(k.workspace)
+	k.rank = k.table.Rank(k.route, k.workspace)
 	k.deadline = k.Now() + k.timeout()
 	return true
 }
--- a/forwarder/rank_test.go
+++ b/forwarder/rank_test.go
@@ -49,7 +49,7 @@
 	for i := range cfg.Routes {
 		r := httptest.NewRequest("POST", "/", nil)
 		r.Header.Set(DefaultHeaders.Urgency, "4")
-		k := &call{Forwarder: f, r: r, table: table, route: &cfg.Routes[i], service: &cfg.Services[0], rank: cfg.Routes[i].Rank(nil)}
+		k := &call{Forwarder: f, r: r, table: table, route: &cfg.Routes[i], service: &cfg.Services[0], rank: table.Rank(&cfg.Routes[i], nil)}
 		out = append(out, k.upstreamRequest(new(balancer.Lease)).Header.Get(DefaultHeaders.Urgency))
 	}
 	return out
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -154,8 +154,10 @@
 	RequiresKey bool
 	routes      map[string]map[string]*Route
 	keys        map[string]*Workspace
-	// ranks holds the result of Ranks by service.
-	ranks map[string][]int
+	// ranks holds the result of Ranks by service. ranksWorkspaces is set where some workspace has a
+	// priority.
+	ranks           map[string][]int
+	ranksWorkspaces bool
 }
 
 // New compiles a configuration.
@@ -184,7 +186,7 @@
 			t.keys[k] = &cfg.Workspaces[i]
 		}
 	}
-	t.ranks = ranksByService(cfg)
+	t.setRanks(cfg)
 	return t
 }
 
--- a/matcher/ranks_test.go
+++ b/matcher/ranks_test.go
@@ -28,8 +28,13 @@
 	t.Run("workspaces go before routes that need a key", func(t *testing.T) {
 		is := is.New(t)
 		table := matcher.New(&matcher.Configuration{Routes: routes, Workspaces: []matcher.Workspace{{Priority: 7, HasPriority: true}, {Priority: 9}}})
-		is.Equal(table.Ranks("model"), []int{0, 2, 7})
-		is.Equal(table.Ranks("desk"), []int{1, 7})
+		is.Equal(table.Ranks("model"), []int{0, 2002, 7000, 7002})
+		is.Equal(table.Ranks("desk"), []int{1001, 7001})
+	})
+	t.Run("workspaces without priority", func(t *testing.T) {
+		is := is.New(t)
+		table := matcher.New(&matcher.Configuration{Routes: routes, Workspaces: []matcher.Workspace{{Priority: 9}}})
+		is.Equal(table.Ranks("model"), []int{0, 2})
 	})
 	t.Run("splits without weight", func(t *testing.T) {
 		is := is.New(t)
@@ -40,10 +45,15 @@
 	})
 }
 
+// TestRank guards against a request of a less urgent workspace that goes before one of a more urgent
+// workspace because of its route, and against routes that count for nothing inside a workspace.
 func TestRank(t *testing.T) {
 	is := is.New(t)
-	r := rankedRoute("/a/", 2, false, "model")
-	is.Equal(r.Rank(nil), 2)
-	is.Equal(r.Rank(&matcher.Workspace{Priority: 4}), 2)
-	is.Equal(r.Rank(&matcher.Workspace{Priority: 4, HasPriority: true}), 4)
+	hint, essay := rankedRoute("/a/", 0, false, "model"), rankedRoute("/b/", 2, false, "model")
+	first, second := matcher.Workspace{HasPriority: true}, matcher.Workspace{Priority: 1, HasPriority: true}
+	table := matcher.New(&matcher.Configuration{Routes: []matcher.Route{hint, essay}, Workspaces: []matcher.Workspace{first, second}})
+	is.True(table.Rank(&hint, &first) < table.Rank(&essay, &first))
+	is.True(table.Rank(&essay, &first) < table.Rank(&hint, &second))
+	is.True(table.Rank(&hint, &second) < table.Rank(&essay, &second))
+	is.Equal(len(table.Ranks("model")), 4)
 }
