admitter: no rank is admitted less than a quarter as often as all

The users' rules ask that no kind of request and no workspace is served less than a quarter as often as all. Over the time that callers of streams wait, a rank below 0.3 times the share of all leaves nothing to others.

--- a/admitter/rank.go
+++ b/admitter/rank.go
@@ -43,6 +43,8 @@
 	// factor multiplies the capacity that is left to more urgent requests, as of changedAt.
 	factor    float64
 	changedAt time.Duration
+	// asked and admitted count the requests of about the last shareMemory, as of changedAt.
+	asked, admitted float64
 	// refusals counts the refusals since the last admission, of which the first was at
 	// refusedSince.
 	refusals     int
@@ -70,6 +72,10 @@
 	starvedRefusals    = 20
 	starvedFraction    = 1.0 / 3
 	maxStarvedFraction = 2.0 / 3
+	// minServedRatio is how often the requests of a rank are admitted, at least, relative to all
+	// requests of the service over shareMemory, the time that callers of streams wait.
+	minServedRatio = 0.3
+	shareMemory    = 20 * time.Second
 	// holdWeight is the weight of one request in holdTime.
 	holdWeight = 0.1
 	// maxReserveRanks bounds the ranks of a service that are kept in memory.
@@ -88,7 +94,7 @@
 	defer r.mu.Unlock()
 	s := r.service(service)
 	own := s.rank(now, rank)
-	if own.starved(now, deadline) {
+	if own.starved(now, deadline) || s.servesTooFew(now, own) {
 		return 0
 	}
 	lag := reportLag
@@ -106,7 +112,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.service(service)
-	s.rank(now, rank).refusals = 0
+	own := s.rank(now, rank)
+	own.refusals = 0
+	own.asked++
+	own.admitted++
 	s.grow(now, 1)
 }
 
@@ -128,6 +137,7 @@
 	defer r.mu.Unlock()
 	s := r.service(service)
 	own := s.rank(now, rank)
+	own.asked++
 	if own.refusals++; own.refusals == 1 {
 		own.refusedSince = now
 	}
@@ -140,6 +150,18 @@
 	}
 }
 
+// servesTooFew reports whether the requests of a rank are admitted too rarely, relative to all.
+func (s *serviceReserve) servesTooFew(now time.Duration, own *rankReserve) bool {
+	asked, admitted := 0.0, 0.0
+	for rank := range s.ranks {
+		other := s.rank(now, rank)
+		asked += other.asked
+		admitted += other.admitted
+	}
+	// One admission more keeps a rank with few requests from counting as refused.
+	return (own.admitted+1)/(own.asked+1) < minServedRatio*admitted/max(1, asked)
+}
+
 // unseenGrowth estimates by how many the requests in flight at other hosts have increased since their
 // reports. It leaves out what may be chance, by which the hosts differ.
 func (r *RankReserve) unseenGrowth(now time.Duration, s *serviceReserve) float64 {
@@ -191,7 +213,8 @@
 	}
 	if now > own.changedAt {
 		own.factor = 1 + (own.factor-1)*math.Exp(-(now-own.changedAt).Seconds()/reserveMemory.Seconds())
-		own.changedAt = now
+		kept := math.Exp(-(now - own.changedAt).Seconds() / shareMemory.Seconds())
+		own.asked, own.admitted, own.changedAt = own.asked*kept, own.admitted*kept, now
 	}
 	return own
 }
--- a/admitter/rank_test.go
+++ b/admitter/rank_test.go
@@ -80,6 +80,9 @@
 	})
 	t.Run("a rank that stands still", func(t *testing.T) {
 		is, r := is.New(t), newReserve()
+		for range 2000 {
+			r.RecordAdmitted(time.Second, "model", 1)
+		}
 		for range 20 {
 			is.True(r.KeepFree(7*time.Second, "model", 1, capacity, deadline) > 0)
 			r.RecordRefused(time.Second, "model", 1)
@@ -90,6 +93,26 @@
 	})
 }
 
+// TestLeastShare guards against a rank that is admitted once in a while only, although the service admits
+// half of all requests.
+func TestLeastShare(t *testing.T) {
+	is := is.New(t)
+	r := newReserve()
+	admitted, asked := 0, 1000
+	for n := range asked {
+		now := time.Duration(n) * 10 * ms
+		r.RecordAdmitted(now, "model", 0)
+		if r.KeepFree(now, "model", 1, capacity, deadline) == 0 {
+			admitted++
+			r.RecordAdmitted(now, "model", 1)
+		} else {
+			r.RecordRefused(now, "model", 1)
+		}
+	}
+	is.True(float64(admitted) > 0.25*0.55*float64(asked)) // a quarter as often as all
+	is.True(float64(admitted) < 0.25*float64(asked))
+}
+
 // TestKeepFreeOfRareRank guards against a rank with few requests, none of which is admitted.
 func TestKeepFreeOfRareRank(t *testing.T) {
 	is := is.New(t)
--- a/balancer/rank_replay_test.go
+++ b/balancer/rank_replay_test.go
@@ -311,6 +311,15 @@
 	p.rejected += other.rejected
 }
 
+// total returns the sum of a count over the ranks.
+func (p *rankReplay) total(counts []int) float64 {
+	sum := 0
+	for _, n := range counts {
+		sum += n
+	}
+	return float64(sum)
+}
+
 // servedShare returns the share of a rank's requests that were served.
 func (p *rankReplay) servedShare(rank int) float64 {
 	return float64(p.served[rank]) / float64(max(1, p.arrived[rank]))
