--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,10 +67,11 @@
 	RetryBudget func(service string) *admitter.WindowRetryBudget
 	// StreamLimiter returns the limit on a service's streams in flight.
 	StreamLimiter func(service string) *admitter.StreamLimiter
-	// RankReserve decides what requests leave to more urgent ones, from what RankArrivals counts.
-	// They matter for services with several ranks; nil leaves nothing.
-	RankReserve  *admitter.RankReserve
-	RankArrivals *admitter.RankArrivals
+	// Demands counts what callers ask for, over all hosts; nil means that it is not counted.
+	Demands *admitter.Demands
+	// RankReserve decides what requests leave to more urgent ones. It matters for services with several
+	// ranks; nil leaves nothing.
+	RankReserve *admitter.RankReserve
 	// Suspects records which requests were in flight when upstreams crashed.
 	Suspects *tracker.Suspects
 	// LimitsKnown reports whether this host has learned which upstreams announce a request
@@ -89,12 +90,11 @@
 	// lastContact is when any upstream last sent an event or accepted a connection, as
 	// nanoseconds of Now.
 	lastContact atomic.Int64
+	probes      probePacer
 
 	mu sync.Mutex
 	// streams holds the attempts under way.
 	streams map[*attempt]struct{}
-	// probing holds the names of the probes under way, see beginProbe.
-	probing map[string]bool
 }
 
 // Stop starts draining: the host is no longer ready, and responses ask callers to close their
@@ -157,6 +157,8 @@
 	// lastEventID is the id of the last event that the caller has; at first the one that the
 	// caller names in Last-Event-Id.
 	lastEventID eventID
+	// admitted is set once upstreams were reserved for the request.
+	admitted bool
 	// headerSent is set once the status and the headers were written to the caller.
 	headerSent bool
 	// retryAfter is the wait after which a retry can succeed; 0 when it is not known.
@@ -176,6 +178,7 @@
 	if !k.resolve() || !k.readBody() {
 		return
 	}
+	k.recordArrival()
 	k.fingerprint = fingerprintOf(k)
 	if k.refuseQuarantined() {
 		return
@@ -186,7 +189,6 @@
 	ctx, cancel := context.WithTimeout(r.Context(), left)
 	defer cancel()
 	k.RetryBudget(k.service.Name).RecordRequest(f.Now())
-	k.recordArrival()
 	if k.route.Kind == matcher.KindStreaming {
 		k.serveStream(ctx)
 		return
@@ -289,8 +291,13 @@
 	if l.First.To > 0 {
 		h.Set(k.Headers.Path, FormatPath(k.Balancer.Path(l)))
 	}
+	purpose := connector.PurposePlain
+	if k.route.Kind == matcher.KindStreaming {
+		purpose = connector.PurposeStream
+	}
 	return &connector.Request{
 		Address:    l.First.Address,
+		Purpose:    purpose,
 		Method:     k.r.Method,
 		Target:     k.r.RequestURI,
 		Host:       k.r.Host,
--- a/forwarder/rank.go
+++ b/forwarder/rank.go
@@ -52,13 +52,6 @@
 	return k.rank
 }
 
-// recordArrival counts the request in the demand of its rank.
-func (k *call) recordArrival() {
-	if k.RankArrivals != nil && k.ranks() != nil {
-		k.RankArrivals.RecordArrival(k.Now(), k.service.Name, k.rank)
-	}
-}
-
 // recordShortage records that the request found no capacity.
 func (k *call) recordShortage() {
 	if k.RankReserve != nil && k.ranks() != nil {
@@ -66,8 +59,8 @@
 	}
 }
 
-// recordAdmitted records that the request got capacity.
-func (k *call) recordAdmitted() {
+// recordRankAdmitted records that the request got capacity.
+func (k *call) recordRankAdmitted() {
 	k.leasedAt = k.Now()
 	if k.RankReserve != nil && k.ranks() != nil {
 		k.RankReserve.RecordAdmitted(k.leasedAt, k.service.Name, k.rank)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -95,6 +95,7 @@
 	pool      *connector.Pool
 	meter     *meter.Meter
 
+	// connectionsOpened counts the connections that requests needed.
 	connectionsOpened atomic.Int64
 	// unhostedSince maps the name of a data centre to the time of Now, a time.Duration, since
 	// which it is known to have no host.
@@ -183,10 +184,10 @@
 		Rand:       rand.New(rand.NewPCG(h.Seed, 1)),
 	}
 	h.follower = &follower.Follower{Host: cfg.Host, Source: h.Source, Balancer: h.balancer, Now: h.Now, OnChange: h.updateHosts, Log: h.Log}
-	h.pool = &connector.Pool{Dial: h.Dial, Now: h.Now, RequestIDHeader: h.Headers.RequestID, OnDial: func() { h.connectionsOpened.Add(1) }}
+	h.pool = &connector.Pool{Dial: h.Dial, Now: h.Now, RequestIDHeader: h.Headers.RequestID, OnDial: h.countConnection}
 	suspects := new(tracker.Suspects)
 	hostCount := func() int { return len(h.follower.Hosts()) + 1 }
-	arrivals := &admitter.RankArrivals{Hosts: hostCount}
+	demands := &admitter.Demands{Hosts: hostCount}
 	h.forwarder = &forwarder.Forwarder{
 		Tables:        h.follower,
 		Balancer:      h.balancer,
@@ -195,8 +196,8 @@
 		Headers:       h.Headers,
 		RetryBudget:   h.retryBudgets.Get,
 		StreamLimiter: h.latencies.Get,
-		RankReserve:   &admitter.RankReserve{MoreUrgent: arrivals.MoreUrgent, Hosts: hostCount},
-		RankArrivals:  arrivals,
+		Demands:       demands,
+		RankReserve:   &admitter.RankReserve{MoreUrgent: demands.MoreUrgent, Hosts: hostCount},
 		Suspects:      suspects,
 		Now:           h.Now,
 		Meter:         h.meter,
@@ -224,6 +225,7 @@
 		DataCentre: cfg.DataCentre,
 		Follower:   h.follower,
 		Balancer:   h.balancer,
+		Demands:    demands,
 		Suspects:   suspects,
 		Now:        h.Now,
 		HTTP:       &http.Client{Transport: &http.Transport{DialContext: h.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -158,6 +158,8 @@
 	// priority.
 	ranks           map[string][]int
 	ranksWorkspaces bool
+	// competing holds the services that several workspaces may use.
+	competing map[string]bool
 }
 
 // New compiles a configuration.
@@ -187,6 +189,7 @@
 		}
 	}
 	t.setRanks(cfg)
+	t.competing = competingByService(cfg)
 	return t
 }
 
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -20,6 +20,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/sardineward/sardineward/admitter"
 	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/follower"
 	"github.com/sardineward/sardineward/matcher"
@@ -40,12 +41,12 @@
 	intervalPerRemoteRelay = 50 * time.Millisecond
 	// exchangeTimeout bounds one exchange: a hundred times the round-trip time.
 	exchangeTimeout = 300 * time.Millisecond
-	// staleAge is the staleness of what was read from which a host is no source for others, and the
-	// staleness of its own reads from which a host asks others.
+	// staleAge is the staleness of what was read from which a host is no source for others. It is
+	// also the time within which a host must know that an upstream leaves.
 	staleAge = 2 * time.Second
-	// unservedAge is the staleness of everything read or received from peers from which a host
-	// whose own reads are stale asks others.
-	unservedAge = 1800 * time.Millisecond
+	// askAge is the staleness from which a host asks others for what they read. One round and one
+	// exchange later it knows what they know.
+	askAge = staleAge - exchangeInterval - exchangeTimeout
 	// maxSources is how many other hosts a stale host asks at once for what they read. More than
 	// one, because any of them may be stale as well.
 	maxSources = 2
@@ -53,6 +54,9 @@
 	maxStrikes = 32
 	// maxLimits bounds the upstream limits sent in one exchange: 3 KB.
 	maxLimits = 64
+	// maxConfigurationBytes bounds the configurations that are sent to hosts that can read the
+	// source. A relay sends one to fifty hosts in half a second over a link of 14 Mbit/s.
+	maxConfigurationBytes = 16 << 10
 	// startupInterval is the time between two rounds before the source was first read.
 	startupInterval = 10 * time.Millisecond
 )
@@ -65,6 +69,8 @@
 	DataCentre string
 	Follower   *follower.Follower
 	Balancer   *balancer.Balancer
+	// Demands counts what callers ask for; nil means that it is neither reported nor received.
+	Demands *admitter.Demands
 	// Suspects keeps the strikes against requests that were in flight when an upstream crashed.
 	Suspects *tracker.Suspects
 	// Now reads a clock that keeps running while the machine is suspended.
@@ -76,6 +82,10 @@
 	mu    sync.Mutex
 	// inProgress holds the names of the hosts with which an exchange is in progress.
 	inProgress map[string]bool
+	// ahead is the name of a host that knows more of the source than this one.
+	ahead string
+	// encoded is the configuration that was last sent to a host.
+	encoded encodedConfiguration
 	// rotation advances with each round, so that hosts are asked in turn.
 	rotation int
 	// remoteCalledAt is when relays of other data centres were last called.
@@ -96,8 +106,9 @@
 			s.hostsKnownAt.CompareAndSwap(0, int64(s.Now()))
 		}
 		p := s.updateRole(hosts)
+		s.keepDemands(p.relay)
 		calls := s.calls(p)
-		if s.Follower.OwnAge() > staleAge && s.Follower.ReadAge() > unservedAge {
+		if s.Follower.OwnAge() > askAge && s.Follower.ReadAge() > askAge {
 			calls = requestFull(calls, s.sources(hosts))
 		}
 		for _, h := range s.roles.dueProbes(s.Now()) {
@@ -111,11 +122,15 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(s.roundInterval(hosts, p)):
+		case <-time.After(min(s.roundInterval(hosts, p), untilAsk(s.Follower.ReadAge()))):
 		}
 	}
 }
 
+// untilAsk returns when a host whose knowledge has the given age looks again whether to ask others.
+// The rounds of a large data centre are longer than that.
+func untilAsk(age time.Duration) time.Duration { return max(exchangeInterval, askAge-age) }
+
 // call is an exchange to start.
 type call struct {
 	host  follower.Host
@@ -217,6 +232,29 @@
 	for i := range min(maxSources, len(list)) {
 		out = append(out, list[(start+i)%len(list)])
 	}
+	ahead := s.takeAhead()
+	if i := slices.IndexFunc(hosts, func(h follower.Host) bool { return h.Name == ahead }); i >= 0 {
+		out = append(out, hosts[i])
+	}
+	return out
+}
+
+// noteAhead records a host that called and knows more of the source than this one.
+func (s *Sharer) noteAhead(host string, at follower.Position) {
+	if !s.Follower.Position().Before(at) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ahead = host
+}
+
+// takeAhead returns and forgets the host that was last recorded by noteAhead.
+func (s *Sharer) takeAhead() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.ahead
+	s.ahead = ""
 	return out
 }
 
@@ -320,7 +358,9 @@
 	if req.GetReport().GetScope() == peer.Scope_SCOPE_HOST && s.roles.noteRelayCall(s.Now()) {
 		s.Follower.Wake()
 	}
-	state := s.Follower.State(follower.Position{Era: req.Era, Revision: req.Revision})
+	at := follower.Position{Era: req.Era, Revision: req.Revision}
+	s.noteAhead(req.Host, at)
+	state := s.Follower.State(at)
 	resp := &peer.ShareResponse{
 		Host: s.Self, Report: s.report(answerScope(req.GetReport().GetScope()), req.Host, req.Upstreams), Strikes: s.strikes(), Limits: s.limits(),
 		Version: state.Version, Era: state.Era, Revision: state.Revision, AgeMs: state.Age.Milliseconds() + 1, ReadAgeMs: state.ReadAge.Milliseconds() + 1,
@@ -331,12 +371,14 @@
 			return nil, err
 		}
 	}
+	// A host that can read the source is sent only a short configuration. Otherwise each change
+	// of it would saturate the links of the relays.
+	if b := s.newerConfiguration(req.Version); req.Behind || len(b) <= maxConfigurationBytes {
+		resp.Configuration = b
+	}
 	if !req.Behind {
 		return resp, nil
 	}
-	// Only a host that cannot read the source is sent the configuration. Otherwise each change of
-	// it would be sent from each host to all others and saturate their links.
-	resp.Configuration = s.newerConfiguration(req.Version)
 	if state.Update == nil && state.ReadAge < staleAge {
 		if resp.Upstreams, err = json.Marshal(s.Balancer.Upstreams()); err != nil {
 			return nil, err
@@ -352,14 +394,26 @@
 	if cfg == nil || cfg.Version <= version {
 		return nil
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.encoded.version == cfg.Version {
+		return s.encoded.json
+	}
 	b, err := json.Marshal(cfg)
 	if err != nil {
 		s.Log.Error().Err(err).Msg("sharer: encoding the configuration failed")
 		return nil
 	}
+	s.encoded = encodedConfiguration{cfg.Version, b}
 	return b
 }
 
+// encodedConfiguration is a configuration as JSON. Relays send the same one to many hosts.
+type encodedConfiguration struct {
+	version int64
+	json    []byte
+}
+
 // decode parses JSON; it returns nil for empty input.
 func decode[T any](b []byte) (*T, error) {
 	if len(b) == 0 {
