--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -154,8 +154,10 @@
 	RequiresKey bool
 	routes      map[string]map[string]*Route
 	keys        map[string]*Workspace
-	// ranks holds the result of Ranks by service.
-	ranks map[string][]int
+	// ranks holds the result of Ranks by service. ranksWorkspaces is set where some workspace has a
+	// priority.
+	ranks           map[string][]int
+	ranksWorkspaces bool
 	// competing holds the services that several workspaces may use.
 	competing map[string]bool
 }
@@ -186,7 +188,8 @@
 			t.keys[k] = &cfg.Workspaces[i]
 		}
 	}
-	t.ranks, t.competing = ranksByService(cfg), competingByService(cfg)
+	t.setRanks(cfg)
+	t.competing = competingByService(cfg)
 	return t
 }
 
