admitter, forwarder: Retry-After from promised returns and what a host serves

Refused callers returned 0.8 to 1.6 s later whatever the load, and where demand stays above the capacity for longer most were refused a second time.

Each host counts the returns that it promised by tenths of a second. A refused caller gets the first tenth in which they stay below half of what the host serves, else the one that is least above it; less urgent ranks begin 0.4 s later each; 0.8 s at least, a third of what the caller has left at most. Callers with less than 4.8 s left wait 0.8 to 1.6 s as before.

Requests that return as asked are recognised at any host by what their deadline leaves, as many as the host promised; they are logged and counted, and take no precedence yet.

--- /dev/null
+++ b/admitter/promise_test.go
@@ -0,0 +1,229 @@
+package admitter_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/sardineward/sardineward/admitter"
+)
+
+// replayCaller is a caller that returns once, when it was asked to, after some repeats at once.
+type replayCaller struct {
+	rank, repeats int
+	arrivedAt     time.Duration
+	returned      bool
+}
+
+// replayEvent is an attempt of a caller, or the end of a request that was served, with no caller.
+type replayEvent struct {
+	at     time.Duration
+	caller *replayCaller
+	// host is the one that serves the request.
+	host int
+}
+
+type replayEvents []replayEvent
+
+func (h replayEvents) Len() int           { return len(h) }
+func (h replayEvents) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h replayEvents) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *replayEvents) Push(x any)        { *h = append(*h, x.(replayEvent)) }
+func (h *replayEvents) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// outcome counts callers.
+type outcome struct{ asked, served, inTime, refusedTwice float64 }
+
+// returnsReplay is a service that starts 600 requests a second, with arrivals of three ranks at some
+// times that for a while.
+type returnsReplay struct {
+	hosts  int
+	times  float64
+	length time.Duration
+	// repeating is the fraction of callers that repeat five times at once.
+	repeating float64
+	seed      uint64
+}
+
+const (
+	replayDrain  = 600.0
+	replaySlots  = 420 // held for 0.7 s each
+	replayTarget = 300 * time.Millisecond
+)
+
+// arrivals returns the first attempts of all callers.
+func (c *returnsReplay) arrivals(rnd *rand.Rand) (out replayEvents) {
+	end := 3 + c.length.Seconds()
+	for now := 0.0; now < end+9; {
+		rate := replayDrain * 0.42
+		if now >= 3 && now < end {
+			rate = replayDrain * c.times
+		}
+		now += rnd.ExpFloat64() / rate
+		k := &replayCaller{arrivedAt: time.Duration(now * float64(time.Second))}
+		if rank := rnd.Float64(); rank > 0.82 {
+			k.rank = 2
+		} else if rank > 0.53 {
+			k.rank = 1
+		}
+		if rnd.Float64() < c.repeating {
+			k.repeats = 5
+		}
+		out = append(out, replayEvent{at: k.arrivedAt, caller: k})
+	}
+	return out
+}
+
+// run plays the load, with promised waits or random ones, and returns the outcome of each rank.
+func (c *returnsReplay) run(promised bool) (out [3]outcome) {
+	rnd := rand.New(rand.NewPCG(c.seed, 1))
+	events := c.arrivals(rnd)
+	heap.Init(&events)
+	promises := make([]admitter.Promises, c.hosts)
+	inFlight := 0
+	for events.Len() > 0 {
+		e := heap.Pop(&events).(replayEvent)
+		k := e.caller
+		if k == nil {
+			inFlight--
+			promises[e.host].RecordServed(e.at, "hints")
+			continue
+		}
+		host, o := rnd.IntN(c.hosts), &out[k.rank]
+		p := &promises[host]
+		if e.at == k.arrivedAt {
+			o.asked++
+		}
+		if float64(inFlight) < replaySlots*(1-0.06*float64(k.rank)) {
+			inFlight++
+			heap.Push(&events, replayEvent{at: e.at + time.Duration((0.2+0.5*rnd.ExpFloat64())*float64(time.Second)), host: host})
+			o.served++
+			if e.at-k.arrivedAt < replayTarget {
+				o.inTime++
+			}
+			continue
+		}
+		wait := time.Duration((0.8 + 0.8*rnd.Float64()) * float64(time.Second))
+		if promised {
+			left := 20*time.Second - (e.at - k.arrivedAt)
+			wait = p.Promise(e.at, admitter.Refused{Service: "hints", Rank: k.rank, MaxWait: left / 3, Draw: rnd.Float64()})
+		}
+		switch {
+		case k.repeats > 0:
+			k.repeats--
+			heap.Push(&events, replayEvent{at: e.at + 10*time.Millisecond, caller: k})
+		case k.returned:
+			o.refusedTwice++
+		default:
+			k.returned = true
+			heap.Push(&events, replayEvent{at: e.at + wait, caller: k})
+		}
+	}
+	return out
+}
+
+// TestPromisedReturns: callers that all return 0.8 to 1.6 s after a refusal find the service full
+// again while demand is above the capacity for longer, and are refused a second time.
+func TestPromisedReturns(t *testing.T) {
+	for _, hosts := range []int{24, 137} {
+		for _, times := range []float64{1.3, 2, 4} {
+			for _, length := range []time.Duration{3 * time.Second, 12 * time.Second} {
+				for _, repeating := range []float64{0, 0.5} {
+					if hosts == 137 && (repeating > 0 || times < 2) {
+						continue
+					}
+					t.Run(fmt.Sprintf("%d hosts, %g times for %v, %g repeat", hosts, times, length, repeating), func(t *testing.T) {
+						is := is.New(t)
+						var before, after [4]outcome // the last is all ranks together
+						for seed := range uint64(3) {
+							c := returnsReplay{hosts, times, length, repeating, seed}
+							sumOutcomes(&before, c.run(false))
+							sumOutcomes(&after, c.run(true))
+						}
+						t.Logf("served, in time, refused twice of rank 0, 1, 2, all: before %.3f, after %.3f", shares(before), shares(after))
+						is.True(after[3].served >= before[3].served)
+						is.True(after[3].inTime >= before[3].inTime-0.02*before[3].asked)
+						is.True(after[0].inTime >= 0.99*before[0].inTime)
+						is.True(after[0].refusedTwice <= 0.75*before[0].refusedTwice)
+					})
+				}
+			}
+		}
+	}
+}
+
+// sumOutcomes adds the outcome of each rank, and that of all.
+func sumOutcomes(sum *[4]outcome, ranks [3]outcome) {
+	for rank, o := range ranks {
+		for _, s := range []*outcome{&sum[rank], &sum[3]} {
+			*s = outcome{s.asked + o.asked, s.served + o.served, s.inTime + o.inTime, s.refusedTwice + o.refusedTwice}
+		}
+	}
+}
+
+// shares returns what was served, in time and refused twice of what was asked for.
+func shares(list [4]outcome) (out [4][3]float64) {
+	for i, o := range list {
+		out[i] = [3]float64{o.served / o.asked, o.inTime / o.asked, o.refusedTwice / o.asked}
+	}
+	return out
+}
+
+// TestReturnsDoNotPeak: promises of a second must not exceed the part of the drain while there is room
+// later, also where a host starts less than one request in an interval.
+func TestReturnsDoNotPeak(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		var p admitter.Promises
+		served := rapid.IntRange(1, 60).Draw(t, "served")
+		maxWait := time.Duration(rapid.IntRange(2500, 8000).Draw(t, "maxWait")) * time.Millisecond
+		now := time.Duration(rapid.IntRange(0, 1e9).Draw(t, "start")) * time.Millisecond
+		for range served {
+			p.RecordServed(now, "s")
+		}
+		drain := float64(served)
+		const latest = 1900 * time.Millisecond // when the last of three ranks may return first
+		room := int(drain / 2 * (maxWait - latest).Seconds())
+		var count [100]int
+		for range rapid.IntRange(0, room).Draw(t, "refused") {
+			wait := p.Promise(now, admitter.Refused{
+				Service: "s", Rank: rapid.IntRange(0, 2).Draw(t, "rank"), MaxWait: maxWait, Draw: rapid.Float64Range(0, 0.999).Draw(t, "draw"),
+			})
+			is.True(wait >= 800*time.Millisecond)
+			is.True(wait <= maxWait)
+			count[(now+wait)/(100*time.Millisecond)-now/(100*time.Millisecond)]++
+		}
+		for first := range len(count) - 9 {
+			sum := 0
+			for _, n := range count[first : first+10] {
+				sum += n
+			}
+			is.True(float64(sum) <= drain/2+2)
+		}
+	})
+}
+
+func TestReturn(t *testing.T) {
+	is := is.New(t)
+	var p admitter.Promises
+	urgent := admitter.Refused{Service: "s", MaxWait: 6 * time.Second}
+	later := urgent
+	later.Rank = 2
+	first, second := p.Promise(0, urgent), p.Promise(0, later)
+	is.True(second > first+500*time.Millisecond)
+	is.True(!p.Return(first/2, "s", 0)) // before the time
+	is.True(!p.Return(first, "s", 1))   // another rank
+	is.True(!p.Return(first, "other", 0))
+	is.True(p.Return(first+200*time.Millisecond, "s", 0))
+	is.True(!p.Return(first+200*time.Millisecond, "s", 0)) // each promise counts once
+	is.True(!p.Return(second+time.Second, "s", 2))         // too late
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -87,6 +87,8 @@
 	// lastContact is when any upstream last sent an event or accepted a connection, as
 	// nanoseconds of Now.
 	lastContact atomic.Int64
+	// promises holds when refused callers are to return.
+	promises admitter.Promises
 
 	mu sync.Mutex
 	// streams holds the attempts under way.
@@ -151,6 +153,8 @@
 	// lastEventID is the id of the last event that the caller has; at first the one that the
 	// caller names in Last-Event-Id.
 	lastEventID eventID
+	// returning is set where the caller was refused before and returns as it was asked to.
+	returning bool
 	// admitted is set once upstreams were reserved for the request.
 	admitted bool
 	// headerSent is set once the status and the headers were written to the caller.
@@ -173,6 +177,7 @@
 		return
 	}
 	k.recordArrival()
+	k.recordReturn()
 	k.fingerprint = fingerprintOf(k)
 	if k.refuseQuarantined() {
 		return
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -229,5 +229,6 @@
 		name = k.workspace.Name
 	}
 	k.Meter.Requests.WithLabelValues(name, k.route.Kind.String()).Inc()
+	k.recordServed()
 	k.clearStrikes()
 }
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -37,8 +37,9 @@
 func (k *call) refuse(reason admitter.Reason, detail string) bool {
 	code := httpStatus(reason)
 	h := k.w.Header()
+	var wait time.Duration
 	if code == http.StatusServiceUnavailable {
-		wait := max(k.retryAfter, minRetryAfter+time.Duration(rand.Float64()*float64(minRetryAfter)))
+		wait = k.refusalWait(reason)
 		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
 	}
 	if k.id != "" {
@@ -47,7 +48,8 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	k.Meter.Refusals.WithLabelValues(reason.String()).Inc()
 	event := k.Log.Info().Str("requestId", k.id).Str("path", k.r.URL.Path).Stringer("reason", reason).Int("status", code).
-		Int("runs", k.runs).Int("turned", k.rejected).Strs("avoid", k.avoid).Dur("age", k.Tables.Age())
+		Int("runs", k.runs).Int("turned", k.rejected).Strs("avoid", k.avoid).Dur("age", k.Tables.Age()).
+		Dur("retryAfter", wait).Bool("returning", k.returning).Int("rank", k.rank)
 	if k.deadline > 0 {
 		event.Dur("left", k.deadline-k.Now())
 	}
--- /dev/null
+++ b/forwarder/returns.go
@@ -0,0 +1,60 @@
+package forwarder
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sardineward/sardineward/admitter"
+)
+
+// maxWaitFraction is the fraction of the time that a caller has left for which it waits at most
+// before it returns.
+const maxWaitFraction = 1.0 / 3
+
+// refusalWait returns after which time the caller of a refused request is to return.
+func (k *call) refusalWait(reason admitter.Reason) time.Duration {
+	if reason == admitter.ReasonQueueFull && k.ranks() != nil {
+		return k.promisedWait()
+	}
+	return max(k.retryAfter, minRetryAfter+time.Duration(rand.Float64()*float64(minRetryAfter)))
+}
+
+// promisedWait returns when a request that found no capacity is to return, and counts its return.
+// Where its caller does not wait for as long as others do, the wait is random.
+func (k *call) promisedWait() time.Duration {
+	now := k.Now()
+	maxWait := time.Duration(float64(k.deadline-now) * maxWaitFraction)
+	if maxWait < 2*minRetryAfter {
+		return minRetryAfter + time.Duration(rand.Float64()*float64(minRetryAfter))
+	}
+	k.Meter.Returns.WithLabelValues("promised").Inc()
+	return k.promises.Promise(now, admitter.Refused{
+		Service: k.service.Name, Rank: k.rankPlace(), MaxWait: maxWait, Draw: rand.Float64(),
+	})
+}
+
+// rankPlace returns the place of the request's rank among those of the service; 0 is the most urgent.
+func (k *call) rankPlace() int {
+	out, _ := slices.BinarySearch(k.ranks(), k.rank)
+	return out
+}
+
+// recordReturn determines whether the request returns as it was asked to, by this host or another
+// one: it has less time left than the route allows, and this host has promised returns for about
+// now. Callers reach other hosts than before, but about as many come as each host promised.
+func (k *call) recordReturn() {
+	if k.ranks() == nil || k.route.Timeout == 0 || k.route.Timeout-(k.deadline-k.arrivedAt) < minRetryAfter {
+		return
+	}
+	if k.returning = k.promises.Return(k.Now(), k.service.Name, k.rankPlace()); k.returning {
+		k.Meter.Returns.WithLabelValues("kept").Inc()
+	}
+}
+
+// recordServed counts a served request for the times at which refused callers may return.
+func (k *call) recordServed() {
+	if k.ranks() != nil {
+		k.promises.RecordServed(k.Now(), k.service.Name)
+	}
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -26,6 +26,9 @@
 	// Rejections counts upstreams' responses that reject a request without running it, by status
 	// and by whether they name a Retry-After.
 	Rejections *prometheus.CounterVec
+	// Returns counts callers that found no capacity and were given a time to return, and those that
+	// came at such a time, by step.
+	Returns *prometheus.CounterVec
 	// LimitsUnreadable counts upstreams' responses with a limit that can't be parsed.
 	LimitsUnreadable prometheus.Counter
 	// AnnouncementsUnreadable counts upstreams' responses with an announcement that can't be
@@ -46,6 +49,7 @@
 		FirstToken: histogram("first_token_seconds", "Time to the first token of a generation."),
 		TokenGap:   histogram("token_gap_seconds", "Time between tokens of a generation, sampled."),
 		Rejections: counter("upstream_rejections_total", "Requests that upstreams rejected without running them.", "status", "retryAfter"),
+		Returns:    counter("returns_total", "Refused callers: promised a time to return, and kept, which came at such a time.", "step"),
 		LimitsUnreadable: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "limits_unreadable_total", Help: "Answers that named a limit which can't be read.",
 		}),
@@ -60,7 +64,10 @@
 	for _, c := range causes {
 		m.Retries.WithLabelValues(c)
 	}
-	m.Registry.MustRegister(m.Refusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ThroughputBound)
+	for _, step := range []string{"promised", "kept"} {
+		m.Returns.WithLabelValues(step)
+	}
+	m.Registry.MustRegister(m.Refusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.Returns, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ThroughputBound)
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
