admitter, forwarder: requests that come before their time are refused at once

Callers that repeat a refused request at once and often took places and retries from those that wait as asked.

A host keeps the fingerprints of at most 8,192 requests that it refused for lack of capacity, until they may return. One that comes before that is refused with reason "repeated" and the wait that remains, takes no retry and does not count as demand; not once others find capacity again (0.5 s without a refusal). The host has not sent it, so that "not run" is true. Only where a service has several ranks (TestRepeatRefused).

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -72,6 +72,8 @@
 	ReasonUpstreamLimit
 	// ReasonUpstreamBackoff: the upstreams that could run the request have asked for a backoff.
 	ReasonUpstreamBackoff
+	// ReasonRepeated: the same request was asked to return later, and came before that.
+	ReasonRepeated
 )
 
 // Refusal is the error for a request that was not served; it holds the reason.
--- a/admitter/promise_test.go
+++ b/admitter/promise_test.go
@@ -15,9 +15,11 @@
 
 // replayCaller is a caller that returns once, when it was asked to, after some repeats at once.
 type replayCaller struct {
-	rank, repeats int
-	arrivedAt     time.Duration
-	returned      bool
+	id, rank, repeats int
+	// group is 1 where the caller repeats.
+	group     int
+	arrivedAt time.Duration
+	returned  bool
 }
 
 // replayEvent is an attempt of a caller, or the end of a request that was served, with no caller.
@@ -43,6 +45,10 @@
 // outcome counts callers.
 type outcome struct{ asked, served, inTime, refusedTwice float64 }
 
+func (o *outcome) add(part outcome) {
+	*o = outcome{o.asked + part.asked, o.served + part.served, o.inTime + part.inTime, o.refusedTwice + part.refusedTwice}
+}
+
 // returnsReplay is a service that starts 600 requests a second, with arrivals of three ranks at some
 // times that for a while.
 type returnsReplay struct {
@@ -52,6 +58,10 @@
 	// repeating is the fraction of callers that repeat five times at once.
 	repeating float64
 	seed      uint64
+	// refuseRepeats is set where hosts refuse requests that come before their time.
+	refuseRepeats bool
+	// groups is the outcome of those that wait as asked and those that repeat.
+	groups [2]outcome
 }
 
 const (
@@ -69,14 +79,14 @@
 			rate = replayDrain * c.times
 		}
 		now += rnd.ExpFloat64() / rate
-		k := &replayCaller{arrivedAt: time.Duration(now * float64(time.Second))}
+		k := &replayCaller{id: len(out), arrivedAt: time.Duration(now * float64(time.Second))}
 		if rank := rnd.Float64(); rank > 0.82 {
 			k.rank = 2
 		} else if rank > 0.53 {
 			k.rank = 1
 		}
 		if rnd.Float64() < c.repeating {
-			k.repeats = 5
+			k.repeats, k.group = 5, 1
 		}
 		out = append(out, replayEvent{at: k.arrivedAt, caller: k})
 	}
@@ -88,7 +98,8 @@
 	rnd := rand.New(rand.NewPCG(c.seed, 1))
 	events := c.arrivals(rnd)
 	heap.Init(&events)
-	promises := make([]admitter.Promises, c.hosts)
+	promises, repeats := make([]admitter.Promises, c.hosts), make([]admitter.Repeats, c.hosts)
+	c.groups = [2]outcome{}
 	inFlight := 0
 	for events.Len() > 0 {
 		e := heap.Pop(&events).(replayEvent)
@@ -98,24 +109,35 @@
 			promises[e.host].RecordServed(e.at, "hints")
 			continue
 		}
-		host, o := rnd.IntN(c.hosts), &out[k.rank]
-		p := &promises[host]
+		host := rnd.IntN(c.hosts)
+		p, r := &promises[host], &repeats[host]
+		var o outcome
 		if e.at == k.arrivedAt {
 			o.asked++
 		}
-		if float64(inFlight) < replaySlots*(1-0.06*float64(k.rank)) {
+		early := false
+		if c.refuseRepeats {
+			_, early = r.Remaining(e.at, "hints", uint64(k.id))
+		}
+		if !early && float64(inFlight) < replaySlots*(1-0.06*float64(k.rank)) {
 			inFlight++
 			heap.Push(&events, replayEvent{at: e.at + time.Duration((0.2+0.5*rnd.ExpFloat64())*float64(time.Second)), host: host})
 			o.served++
 			if e.at-k.arrivedAt < replayTarget {
 				o.inTime++
 			}
+			out[k.rank].add(o)
+			c.groups[k.group].add(o)
 			continue
 		}
 		wait := time.Duration((0.8 + 0.8*rnd.Float64()) * float64(time.Second))
-		if promised {
+		if promised && !early {
 			left := 20*time.Second - (e.at - k.arrivedAt)
 			wait = p.Promise(e.at, admitter.Refused{Service: "hints", Rank: k.rank, MaxWait: left / 3, Draw: rnd.Float64()})
+			r.RecordRefused(e.at, "hints", uint64(k.id), wait)
+		}
+		if early {
+			wait, _ = r.Remaining(e.at, "hints", uint64(k.id))
 		}
 		switch {
 		case k.repeats > 0:
@@ -127,6 +149,8 @@
 			k.returned = true
 			heap.Push(&events, replayEvent{at: e.at + wait, caller: k})
 		}
+		out[k.rank].add(o)
+		c.groups[k.group].add(o)
 	}
 	return out
 }
@@ -145,7 +169,7 @@
 						is := is.New(t)
 						var before, after [4]outcome // the last is all ranks together
 						for seed := range uint64(3) {
-							c := returnsReplay{hosts, times, length, repeating, seed}
+							c := returnsReplay{hosts: hosts, times: times, length: length, repeating: repeating, seed: seed}
 							sumOutcomes(&before, c.run(false))
 							sumOutcomes(&after, c.run(true))
 						}
@@ -165,7 +189,7 @@
 func sumOutcomes(sum *[4]outcome, ranks [3]outcome) {
 	for rank, o := range ranks {
 		for _, s := range []*outcome{&sum[rank], &sum[3]} {
-			*s = outcome{s.asked + o.asked, s.served + o.served, s.inTime + o.inTime, s.refusedTwice + o.refusedTwice}
+			s.add(o)
 		}
 	}
 }
--- a/admitter/reason_gen.go
+++ b/admitter/reason_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "nonequeueFulldeadlinerateLimitnoRoutequarantinedstoppingnotReadyunauthorisedforbiddenmalformedtooLargeunknownnoKeykeyReusedrunningoutcomeUnknownplatformupstreamretryBudgetcanceledupstreamLimitupstreamBackoff"
+const _ReasonName = "nonequeueFulldeadlinerateLimitnoRoutequarantinedstoppingnotReadyunauthorisedforbiddenmalformedtooLargeunknownnoKeykeyReusedrunningoutcomeUnknownplatformupstreamretryBudgetcanceledupstreamLimitupstreamBackoffrepeated"
 
-var _ReasonIndex = [...]uint8{0, 4, 13, 21, 30, 37, 48, 56, 64, 76, 85, 94, 102, 109, 114, 123, 130, 144, 152, 160, 171, 179, 192, 207}
+var _ReasonIndex = [...]uint8{0, 4, 13, 21, 30, 37, 48, 56, 64, 76, 85, 94, 102, 109, 114, 123, 130, 144, 152, 160, 171, 179, 192, 207, 215}
 
-const _ReasonLowerName = "nonequeuefulldeadlineratelimitnoroutequarantinedstoppingnotreadyunauthorisedforbiddenmalformedtoolargeunknownnokeykeyreusedrunningoutcomeunknownplatformupstreamretrybudgetcanceledupstreamlimitupstreambackoff"
+const _ReasonLowerName = "nonequeuefulldeadlineratelimitnoroutequarantinedstoppingnotreadyunauthorisedforbiddenmalformedtoolargeunknownnokeykeyreusedrunningoutcomeunknownplatformupstreamretrybudgetcanceledupstreamlimitupstreambackoffrepeated"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -47,9 +47,10 @@
 	_ = x[ReasonCanceled-(20)]
 	_ = x[ReasonUpstreamLimit-(21)]
 	_ = x[ReasonUpstreamBackoff-(22)]
+	_ = x[ReasonRepeated-(23)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonQueueFull, ReasonDeadline, ReasonRateLimit, ReasonNoRoute, ReasonQuarantined, ReasonStopping, ReasonNotReady, ReasonUnauthorised, ReasonForbidden, ReasonMalformed, ReasonTooLarge, ReasonUnknown, ReasonNoKey, ReasonKeyReused, ReasonRunning, ReasonOutcomeUnknown, ReasonPlatform, ReasonUpstream, ReasonRetryBudget, ReasonCanceled, ReasonUpstreamLimit, ReasonUpstreamBackoff}
+var _ReasonValues = []Reason{ReasonNone, ReasonQueueFull, ReasonDeadline, ReasonRateLimit, ReasonNoRoute, ReasonQuarantined, ReasonStopping, ReasonNotReady, ReasonUnauthorised, ReasonForbidden, ReasonMalformed, ReasonTooLarge, ReasonUnknown, ReasonNoKey, ReasonKeyReused, ReasonRunning, ReasonOutcomeUnknown, ReasonPlatform, ReasonUpstream, ReasonRetryBudget, ReasonCanceled, ReasonUpstreamLimit, ReasonUpstreamBackoff, ReasonRepeated}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:     ReasonNone,
@@ -75,6 +76,7 @@
 	_ReasonName[171:179]: ReasonCanceled,
 	_ReasonName[179:192]: ReasonUpstreamLimit,
 	_ReasonName[192:207]: ReasonUpstreamBackoff,
+	_ReasonName[207:215]: ReasonRepeated,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -101,6 +103,7 @@
 	_ReasonLowerName[171:179]: ReasonCanceled,
 	_ReasonLowerName[179:192]: ReasonUpstreamLimit,
 	_ReasonLowerName[192:207]: ReasonUpstreamBackoff,
+	_ReasonLowerName[207:215]: ReasonRepeated,
 }
 
 var _ReasonNames = []string{
@@ -127,6 +130,7 @@
 	_ReasonName[171:179],
 	_ReasonName[179:192],
 	_ReasonName[192:207],
+	_ReasonName[207:215],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- /dev/null
+++ b/admitter/repeat_test.go
@@ -0,0 +1,70 @@
+package admitter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/admitter"
+)
+
+func TestRepeats(t *testing.T) {
+	is := is.New(t)
+	var p admitter.Repeats
+	remaining := func(now time.Duration, service string, fingerprint uint64) time.Duration {
+		wait, _ := p.Remaining(now, service, fingerprint)
+		return wait
+	}
+	p.RecordRefused(0, "s", 1, 2*time.Second)
+	is.Equal(remaining(100*time.Millisecond, "s", 1), 1900*time.Millisecond)
+	is.Equal(remaining(100*time.Millisecond, "s", 2), time.Duration(0))     // another request
+	is.Equal(remaining(100*time.Millisecond, "other", 1), time.Duration(0)) // not short
+	is.Equal(remaining(time.Second, "s", 1), time.Duration(0))              // others find capacity again
+	p.RecordRefused(1900*time.Millisecond, "s", 3, 2*time.Second)
+	is.Equal(remaining(1950*time.Millisecond, "s", 1), 50*time.Millisecond)
+	is.Equal(remaining(2*time.Second, "s", 1), time.Duration(0)) // its time has come
+}
+
+// TestRepeatsAreBounded: callers of many distinct requests must not make a host grow.
+func TestRepeatsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var p admitter.Repeats
+	for i := range uint64(100_000) {
+		p.RecordRefused(time.Duration(i), "s", i, time.Second)
+	}
+	_, oldest := p.Remaining(100_000, "s", 0)
+	_, newest := p.Remaining(100_000, "s", 99_999)
+	is.True(!oldest)
+	is.True(newest)
+	is.True(p.Len() <= 8192)
+	p.RecordRefused(time.Minute, "s", 1, time.Second)
+	is.Equal(p.Len(), 1) // the others have expired
+}
+
+// TestRepeatsGainNothing: of callers that are refused, half repeat five times at once. Those that wait
+// as asked must not be served less for it.
+func TestRepeatsGainNothing(t *testing.T) {
+	for _, times := range []float64{1.3, 2, 4} {
+		for _, hosts := range []int{1, 24} {
+			is := is.New(t)
+			var waiting, repeating, without outcome
+			for seed := range uint64(3) {
+				c := returnsReplay{hosts: hosts, times: times, length: 12 * time.Second, repeating: 0.5, seed: seed}
+				c.run(true)
+				without.add(c.groups[1])
+				c.refuseRepeats = true
+				c.run(true)
+				waiting.add(c.groups[0])
+				repeating.add(c.groups[1])
+			}
+			t.Logf("%g times, %d hosts: served, in time of those that wait %.3f %.3f, that repeat %.3f %.3f, were repeats not refused %.3f %.3f", times, hosts,
+				waiting.served/waiting.asked, waiting.inTime/waiting.asked, repeating.served/repeating.asked, repeating.inTime/repeating.asked,
+				without.served/without.asked, without.inTime/without.asked)
+			if hosts == 1 {
+				is.True(repeating.served/repeating.asked <= waiting.served/waiting.asked+0.01)
+				is.True(repeating.inTime/repeating.asked <= waiting.inTime/waiting.asked+0.01)
+			}
+		}
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -89,6 +89,8 @@
 	lastContact atomic.Int64
 	// promises holds when refused callers are to return.
 	promises admitter.Promises
+	// repeats holds which refused requests are to return later.
+	repeats admitter.Repeats
 
 	mu sync.Mutex
 	// streams holds the attempts under way.
@@ -176,12 +178,12 @@
 	if !k.resolve() || !k.readBody() {
 		return
 	}
-	k.recordArrival()
-	k.recordReturn()
 	k.fingerprint = fingerprintOf(k)
-	if k.refuseQuarantined() {
+	if k.refuseQuarantined() || k.refuseRepeat() {
 		return
 	}
+	k.recordArrival()
+	k.recordReturn()
 	ctl := http.NewResponseController(w)
 	left := k.deadline - f.Now()
 	ctl.SetWriteDeadline(time.Now().Add(left + writeGrace))
--- a/forwarder/returns.go
+++ b/forwarder/returns.go
@@ -14,8 +14,13 @@
 
 // refusalWait returns after which time the caller of a refused request is to return.
 func (k *call) refusalWait(reason admitter.Reason) time.Duration {
-	if reason == admitter.ReasonQueueFull && k.ranks() != nil {
-		return k.promisedWait()
+	switch {
+	case reason == admitter.ReasonRepeated:
+		return k.retryAfter
+	case reason == admitter.ReasonQueueFull && k.ranks() != nil:
+		wait := k.promisedWait()
+		k.repeats.RecordRefused(k.Now(), k.service.Name, k.fingerprint, min(wait, k.maxWait()))
+		return wait
 	}
 	return max(k.retryAfter, minRetryAfter+time.Duration(rand.Float64()*float64(minRetryAfter)))
 }
@@ -23,8 +28,7 @@
 // promisedWait returns when a request that found no capacity is to return, and counts its return.
 // Where its caller does not wait for as long as others do, the wait is random.
 func (k *call) promisedWait() time.Duration {
-	now := k.Now()
-	maxWait := time.Duration(float64(k.deadline-now) * maxWaitFraction)
+	now, maxWait := k.Now(), k.maxWait()
 	if maxWait < 2*minRetryAfter {
 		return minRetryAfter + time.Duration(rand.Float64()*float64(minRetryAfter))
 	}
@@ -34,12 +38,31 @@
 	})
 }
 
+// maxWait returns for how long the caller waits at most before it returns.
+func (k *call) maxWait() time.Duration {
+	return time.Duration(float64(k.deadline-k.Now()) * maxWaitFraction)
+}
+
 // rankPlace returns the place of the request's rank among those of the service; 0 is the most urgent.
 func (k *call) rankPlace() int {
 	out, _ := slices.BinarySearch(k.ranks(), k.rank)
 	return out
 }
 
+// refuseRepeat refuses a request that this host asked to return later and that comes before its time,
+// and reports whether it did. It takes no retry from the budget.
+func (k *call) refuseRepeat() bool {
+	if k.ranks() == nil {
+		return false
+	}
+	wait, ok := k.repeats.Remaining(k.Now(), k.service.Name, k.fingerprint)
+	if !ok {
+		return false
+	}
+	k.retryAfter = wait
+	return !k.refuse(admitter.ReasonRepeated, "asked to return later")
+}
+
 // recordReturn determines whether the request returns as it was asked to, by this host or another
 // one: it has less time left than the route allows, and this host has promised returns for about
 // now. Callers reach other hosts than before, but about as many come as each host promised.
--- a/launcher/returns_test.go
+++ b/launcher/returns_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -72,3 +73,32 @@
 		})
 	}
 }
+
+// TestRepeatRefused: a caller that repeats a refused request before its time must not be sent to
+// upstreams while they have no capacity for others, and must be once they do.
+func TestRepeatRefused(t *testing.T) {
+	for _, c := range []struct {
+		priority int
+		refused  bool
+	}{{0, false}, {2, true}} {
+		t.Run(fmt.Sprint("priority ", c.priority), func(t *testing.T) {
+			runHost(t, 0, func(b *testbed) {
+				is := is.New(t)
+				b.setPriority("/book/", c.priority)
+				b.injectFaults("desk", faults(faker.StageFaultOverloaded, 2)...)
+				first := b.request(http.MethodPost, "/book/1", "first", nil)
+				b.assertRetryLater(first)
+				b.injectFaults("desk")
+				again := b.request(http.MethodPost, "/book/1", "again", nil)
+				is.Equal(strings.HasPrefix(again.body, "repeated:"), c.refused)
+				is.Equal(b.runs("again") == 0, c.refused)
+				if c.refused {
+					b.assertRetryLater(again)
+				}
+				is.Equal(b.request(http.MethodPost, "/book/2", "other", nil).status, http.StatusOK)
+				time.Sleep(600 * time.Millisecond)
+				is.Equal(b.request(http.MethodPost, "/book/1", "later", nil).status, http.StatusOK)
+			})
+		})
+	}
+}
