--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -91,6 +91,10 @@
 	// nanoseconds of Now.
 	lastContact atomic.Int64
 	probes      probePacer
+	// promises holds when refused callers are to return.
+	promises admitter.Promises
+	// repeats holds which refused requests are to return later.
+	repeats admitter.Repeats
 
 	mu sync.Mutex
 	// streams holds the attempts under way.
@@ -157,6 +161,8 @@
 	// lastEventID is the id of the last event that the caller has; at first the one that the
 	// caller names in Last-Event-Id.
 	lastEventID eventID
+	// returning is set where the caller was refused before and returns as it was asked to.
+	returning bool
 	// admitted is set once upstreams were reserved for the request.
 	admitted bool
 	// headerSent is set once the status and the headers were written to the caller.
@@ -178,11 +184,12 @@
 	if !k.resolve() || !k.readBody() {
 		return
 	}
-	k.recordArrival()
 	k.fingerprint = fingerprintOf(k)
-	if k.refuseQuarantined() {
+	if k.refuseQuarantined() || k.refuseRepeat() {
 		return
 	}
+	k.recordArrival()
+	k.recordReturn()
 	ctl := http.NewResponseController(w)
 	left := k.deadline - f.Now()
 	ctl.SetWriteDeadline(time.Now().Add(left + writeGrace))
