balancer, forwarder: log and count what was known of an engine that rejects

A rejection by a later hop of a path was logged without what the host knew of that engine, so that a log could not tell engines that others had filled since their reports from engines that hold more than expected or leave. RecordRejection returns the capacity, this host's own usage, the known and the expected usage and the age of the reports; they go into the log line of the rejection, and path_rejections_total counts them by cause (unexplained, hidden, full).

--- a/balancer/health.go
+++ b/balancer/health.go
@@ -260,39 +260,3 @@
 	u.ejections++
 	return true
 }
-
-// hiddenUsageMemory is how long the usage revealed by a rejection is added to the reported
-// usage: the time in which about a fifth of the streams there end.
-const hiddenUsageMemory = 500 * time.Millisecond
-
-// unexplainedRejectionBelow is the share of the capacity in use below which a rejection can't
-// be for lack of capacity: the upstream is leaving or unloads layers, and the list doesn't show
-// that yet.
-const unexplainedRejectionBelow = 0.5
-
-// RecordRejection records that an upstream rejected a request. One that should have had capacity is
-// ejected for a while. Otherwise other hosts fill it, or answers are longer than expected, and
-// the difference counts as hidden usage.
-func (b *Balancer) RecordRejection(now time.Duration, id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	u := b.upstreams[id]
-	if u == nil {
-		return
-	}
-	known := b.totalUsage(now, u).tokenLayers
-	if known < unexplainedRejectionBelow*u.capacity {
-		u.eject(now)
-		return
-	}
-	u.hiddenUsage = max(0, u.capacity-known)
-	u.rejectedAt = now
-}
-
-// estimatedUsage adds what is left of the hidden usage to the known usage, in token-layers.
-func (u *upstream) estimatedUsage(now time.Duration, known float64) float64 {
-	if age := now - u.rejectedAt; age < hiddenUsageMemory {
-		known += u.hiddenUsage * (1 - float64(age)/float64(hiddenUsageMemory))
-	}
-	return known
-}
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -167,16 +167,17 @@
 	id := k.rejecter(l, resp)
 	k.avoidRejecter(id)
 	load := parseLoad(resp.Header.Get(k.Headers.Load))
+	var known *balancer.Rejection
 	switch backingOff := !k.Balancer.MaySend(k.Now(), id, k.Balancer.StartedAt(id)); {
 	case misdirected || (faultAddress != "" && !backingOff && k.Now()-sent > minHopFailureDelay):
 		k.Balancer.Eject(k.Now(), id)
 	case faultAddress != "" && !backingOff:
-		k.Balancer.RecordRejection(k.Now(), id)
+		known = k.Balancer.RecordRejection(k.Now(), id)
 	case load != nil:
 		// A backoff is neither a failure nor a sign of too little capacity.
 		k.Balancer.RecordSuccess(k.Now(), l.First.ID, load)
 	}
-	k.logRejection(l, id, resp)
+	k.logRejection(l, id, resp, known)
 	return verdictNotRun, true
 }
 
@@ -194,12 +195,17 @@
 }
 
 // logRejection counts and logs a response that rejects a request, with the upstream of the path that
-// is the reason and what the response says about when to return.
-func (k *call) logRejection(l *balancer.Lease, reason string, resp *http.Response) {
+// is the reason, what this host knew of it, and what the response says about when to return. known is
+// nil where the reason is not the usage of a later hop.
+func (k *call) logRejection(l *balancer.Lease, reason string, resp *http.Response, known *balancer.Rejection) {
 	retryAfter := strings.Join(resp.Header.Values("Retry-After"), ", ")
 	k.Meter.Rejections.WithLabelValues(strconv.Itoa(resp.StatusCode), strconv.FormatBool(retryAfter != "")).Inc()
 	event := k.Log.Info().Str("requestId", k.id).Str("upstream", l.First.ID).Str("hops", FormatPath(k.Balancer.Path(l))).Dur("left", k.deadline-k.Now()).
 		Int("inFlight", k.Balancer.InFlight(l.First.ID)).Str("load", resp.Header.Get(k.Headers.Load))
+	if known != nil {
+		k.Meter.PathRejections.WithLabelValues(known.Cause.String()).Inc()
+		event.EmbedObject(known)
+	}
 	if retryAfter != "" {
 		event.Str("retryAfter", retryAfter[:min(len(retryAfter), maxHeaderLength)])
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -26,6 +26,9 @@
 	// Rejections counts upstreams' responses that reject a request without running it, by status
 	// and by whether they name a Retry-After.
 	Rejections *prometheus.CounterVec
+	// PathRejections counts the rejections by an upstream on a path of engines, by what this host knew
+	// of its usage.
+	PathRejections *prometheus.CounterVec
 	// LimitsUnreadable counts upstreams' responses with a limit that can't be parsed.
 	LimitsUnreadable prometheus.Counter
 	// AnnouncementsUnreadable counts upstreams' responses with an announcement that can't be
@@ -39,13 +42,14 @@
 // retries. It also registers the metrics of the Go runtime and of the process.
 func New(reasons, causes []string) *Meter {
 	m := &Meter{
-		Registry:   prometheus.NewRegistry(),
-		Refusals:   counter("refusals_total", "Requests refused or given up on, by reason.", "reason"),
-		Retries:    counter("retries_total", "Further attempts, by the cause that ended the one before.", "cause"),
-		Requests:   counter("requests_total", "Requests answered whole.", "workspace", "kind"),
-		FirstToken: histogram("first_token_seconds", "Time to the first token of a generation."),
-		TokenGap:   histogram("token_gap_seconds", "Time between tokens of a generation, sampled."),
-		Rejections: counter("upstream_rejections_total", "Requests that upstreams rejected without running them.", "status", "retryAfter"),
+		Registry:       prometheus.NewRegistry(),
+		Refusals:       counter("refusals_total", "Requests refused or given up on, by reason.", "reason"),
+		Retries:        counter("retries_total", "Further attempts, by the cause that ended the one before.", "cause"),
+		Requests:       counter("requests_total", "Requests answered whole.", "workspace", "kind"),
+		FirstToken:     histogram("first_token_seconds", "Time to the first token of a generation."),
+		TokenGap:       histogram("token_gap_seconds", "Time between tokens of a generation, sampled."),
+		Rejections:     counter("upstream_rejections_total", "Requests that upstreams rejected without running them.", "status", "retryAfter"),
+		PathRejections: counter("path_rejections_total", "Requests that engines rejected for want of capacity or without a known cause.", "cause"),
 		LimitsUnreadable: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "limits_unreadable_total", Help: "Answers that named a limit which can't be read.",
 		}),
@@ -60,7 +64,7 @@
 	for _, c := range causes {
 		m.Retries.WithLabelValues(c)
 	}
-	m.Registry.MustRegister(m.Refusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ThroughputBound)
+	m.Registry.MustRegister(m.Refusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.PathRejections, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ThroughputBound)
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
