forwarder: release the path of a stream whose caller resets its connection

Cause: a write to the caller that fails ends the handler by a panic, and Balancer.Release came after it, so the host took the path's upstreams for fuller with each such caller, for good: their capacity seemed used up while it was free. Found by reading. TestReleaseOnReset: one request in flight left at the upstream before, none now.

--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -79,8 +79,7 @@
 		if l == nil {
 			return
 		}
-		v, retryTaken := k.runStream(ctx, l)
-		k.release(l)
+		v, retryTaken := k.runLeased(ctx, l)
 		if v == verdictAnswered {
 			return
 		}
@@ -102,6 +101,13 @@
 	}
 }
 
+// runLeased makes one attempt over a leased path and releases the path, also where the attempt panics
+// because the caller's connection can't be written to.
+func (k *call) runLeased(ctx context.Context, l *balancer.Lease) (v verdict, retryTaken bool) {
+	defer k.release(l)
+	return k.runStream(ctx, l)
+}
+
 // takeResumeRetry takes a retry to resume a stream that has begun, and reports whether there was
 // one.
 func (k *call) takeResumeRetry() bool {
