admitter, balancer, forwarder: limit streams by the data centre of their path, and avoid one where they are late

Cause: a host had one limit on its streams in flight. Where the local data centre had lost or slow engines, its streams were late, the limit fell and the host refused callers, while engines of another data centre answered in time. Change: a limit for each data centre of a path; a full one is left out of the choice, and a stream is refused only where all are. The share of late streams over a data centre raises the cost of its upstreams, as much as that of another data centre where a tenth is late.

--- a/admitter/latency.go
+++ b/admitter/latency.go
@@ -76,17 +76,47 @@
 func (l *StreamLimiter) TryAcquireKeeping(free float64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.limit == 0 {
-		l.limit, l.usualInFlight = initialLimit, initialUsual
-	}
-	admitted := float64(l.inFlight) < l.limit*(1-free)
+	admitted := l.admits(free)
 	if admitted {
-		l.inFlight++
+		l.acquire()
 	}
-	l.limitReached = l.limitReached || !admitted || float64(l.inFlight) >= l.limit*reachedFraction
 	return admitted
 }
 
+// Admits reports whether there is a place for a stream that leaves a share of the limit, from 0 to 1,
+// to more urgent ones.
+func (l *StreamLimiter) Admits(free float64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.admits(free)
+}
+
+func (l *StreamLimiter) admits(free float64) bool {
+	l.initialize()
+	admitted := float64(l.inFlight) < l.limit*(1-free)
+	l.limitReached = l.limitReached || !admitted
+	return admitted
+}
+
+// Acquire counts a stream that was admitted before. Release must be called for it.
+func (l *StreamLimiter) Acquire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.initialize()
+	l.acquire()
+}
+
+func (l *StreamLimiter) acquire() {
+	l.inFlight++
+	l.limitReached = l.limitReached || float64(l.inFlight) >= l.limit*reachedFraction
+}
+
+func (l *StreamLimiter) initialize() {
+	if l.limit == 0 {
+		l.limit, l.usualInFlight = initialLimit, initialUsual
+	}
+}
+
 // Release ends an admitted stream.
 func (l *StreamLimiter) Release() {
 	l.mu.Lock()
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -59,6 +59,8 @@
 	First Hop
 	// StartedAt is when the upstream of First was started, in Unix milliseconds.
 	StartedAt int64
+	// DataCentre is the data centre of First.
+	DataCentre string
 	// hops is the whole path. It may change while the lease is held; read it through
 	// Balancer.Path.
 	hops []Hop
@@ -86,6 +88,8 @@
 	Avoid []string
 	// AllowedFirst lists the upstreams that the request may be sent to; nil allows any.
 	AllowedFirst []string
+	// AvoidDataCentres lists data centres whose upstreams are left out; nil leaves out none.
+	AvoidDataCentres []string
 	// InProgress is set for a stream that has begun and needs a path to continue on. It may use
 	// the capacity that is otherwise kept free.
 	InProgress bool
@@ -200,8 +204,10 @@
 	linkDelays  map[[2]string]*delayAverage
 	localDelays map[string]*delayAverage
 	peerReports reports
-	services    map[string]*matcher.Service
-	upstreams   map[string]*upstream
+	// lateShares holds the share of late streams over each data centre.
+	lateShares map[string]*lateShare
+	services   map[string]*matcher.Service
+	upstreams  map[string]*upstream
 	// firstEvents holds the recent first events of each data centre.
 	firstEvents map[string]*firstEvents
 	byAddress   map[string]*upstream
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -67,7 +67,7 @@
 		return nil, reason
 	}
 	first := b.upstreams[hops[0].ID]
-	l := &Lease{requirements: n, tokens: n.expectedTokens(), hops: hops, First: hops[0], StartedAt: first.StartedAt, Throttled: throttled, Withheld: withheld}
+	l := &Lease{requirements: n, tokens: n.expectedTokens(), hops: hops, First: hops[0], StartedAt: first.StartedAt, DataCentre: first.DataCentre, Throttled: throttled, Withheld: withheld}
 	// Once the request runs, its path may change into the capacity that others are left.
 	l.requirements.KeepFree = 0
 	b.reserve(l)
@@ -105,7 +105,7 @@
 func (b *Balancer) candidates(now time.Duration, s *matcher.Service, n Requirements) (out []picker.Candidate, withheld []string) {
 	out = make([]picker.Candidate, 0, len(b.subset.used))
 	for _, u := range b.subset.used {
-		if u.Service != n.Service || u.Layers.Len() == 0 || u.retired || !u.reachable(now, n.Avoid) {
+		if u.Service != n.Service || u.Layers.Len() == 0 || u.retired || !u.reachable(now, n.Avoid) || slices.Contains(n.AvoidDataCentres, u.DataCentre) {
 			continue
 		}
 		if u.withheldFrom(now, &n) {
@@ -306,6 +306,7 @@
 	if n.FirstEventTarget > 0 {
 		c.Bias += lateBias * float64(b.localDelay(now, u.DataCentre).delay) / float64(n.FirstEventTarget)
 	}
+	c.Bias += lateShareBias * b.lateShares[u.DataCentre].decayed(now)
 	if b.isSuspected(now, u) {
 		c.Bias += suspectBias
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -65,8 +65,8 @@
 	Headers  Headers
 	// RetryBudget returns the retry budget of a service.
 	RetryBudget func(service string) *admitter.WindowRetryBudget
-	// StreamLimiter returns the limit on a service's streams in flight.
-	StreamLimiter func(service string) *admitter.StreamLimiter
+	// StreamLimiters returns the limits on a service's streams in flight.
+	StreamLimiters func(service string) *admitter.StreamLimiters
 	// Demands counts what callers ask for, over all hosts; nil means that it is not counted.
 	Demands *admitter.Demands
 	// RankReserve decides what requests leave to more urgent ones. It matters for services with several
@@ -331,6 +331,15 @@
 		n.Avoid = k.rejecters
 		l, reason = k.Balancer.Acquire(k.Now(), n)
 	}
+	if l == nil && len(n.AvoidDataCentres) > 0 {
+		if !k.admitted {
+			k.recordShortage()
+			k.refuse(admitter.ReasonQueueFull, "first events come late")
+			return nil
+		}
+		n.AvoidDataCentres = nil
+		l, reason = k.Balancer.Acquire(k.Now(), n)
+	}
 	if l == nil {
 		if reason == balancer.ReasonNoRoom || reason == balancer.ReasonLimit {
 			k.recordShortage()
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -75,7 +75,7 @@
 			k.Balancer.RecordFirstEvent(now, a.lease, now-a.sentAt)
 		}
 		if !repathed && k.route.TargetLatency > 0 && now-a.sentAt > k.route.TargetLatency {
-			k.sampleLatency(now, true)
+			k.sampleLatency(now, a, true)
 		}
 		if !repathed && k.route.TargetLatency > 0 && now-a.sentAt > k.route.TargetLatency/slowDivisor {
 			k.Balancer.RecordSlowEvent(now, a.lease)
@@ -89,7 +89,7 @@
 	pause := now - delivered.lastEvent
 	delivered.longestGap, delivered.lastEvent = max(delivered.longestGap, pause), now
 	if !repathed && k.route.MaxGap > 0 && pause > k.route.MaxGap {
-		k.sampleLatency(now, true)
+		k.sampleLatency(now, a, true)
 	}
 	if !repathed && k.route.MaxGap > 0 && pause > k.route.MaxGap/slowDivisor {
 		k.Balancer.RecordSlowEvent(now, a.lease)
@@ -101,7 +101,7 @@
 	now := k.Now()
 	k.Balancer.RecordSuccess(now, a.lease.First.ID, nil)
 	k.recordSuccess()
-	k.sampleLatency(now, false)
+	k.sampleLatency(now, a, false)
 	k.Meter.TokenGap.Observe(gap.Seconds())
 	k.Log.Debug().Str("requestId", k.id).Str("route", k.route.Name).Dur("first", k.firstEventLatency).Dur("longestGap", gap).
 		Dur("whole", now-k.arrivedAt).Int("runs", k.runs).Int32("moves", a.repaths.Load()).Str("hops", FormatPath(k.Balancer.Path(a.lease))).
--- a/forwarder/release_test.go
+++ b/forwarder/release_test.go
@@ -50,12 +50,12 @@
 	b.UpdateUpstreams([]balancer.Upstream{{ID: "model-a", Address: strings.TrimPrefix(up.URL, "http://"), Service: "model", DataCentre: "a", StartedAt: 1}}, nil)
 	start := time.Now()
 	now := func() time.Duration { return time.Since(start) + time.Second }
-	budget, limit := &admitter.WindowRetryBudget{Length: time.Second}, new(admitter.StreamLimiter)
+	budget, limits := &admitter.WindowRetryBudget{Length: time.Second}, new(admitter.StreamLimiters)
 	f := &Forwarder{
 		Tables: fixedTable{table}, Balancer: b, Pool: &connector.Pool{Now: now, RequestIDHeader: DefaultHeaders.RequestID}, Headers: DefaultHeaders,
-		RetryBudget:   func(string) *admitter.WindowRetryBudget { return budget },
-		StreamLimiter: func(string) *admitter.StreamLimiter { return limit },
-		Suspects:      new(tracker.Suspects), Now: now, Meter: meter.New(nil, nil), Log: zerolog.Nop(),
+		RetryBudget:    func(string) *admitter.WindowRetryBudget { return budget },
+		StreamLimiters: func(string) *admitter.StreamLimiters { return limits },
+		Suspects:       new(tracker.Suspects), Now: now, Meter: meter.New(nil, nil), Log: zerolog.Nop(),
 	}
 	r := httptest.NewRequestWithContext(context.Background(), http.MethodPost, "/stream/1", strings.NewReader("x"))
 	r.Host = "h"
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -64,22 +64,18 @@
 
 // serveStream serves a streaming request, over further attempts where one is interrupted.
 func (k *call) serveStream(ctx context.Context) {
-	limit := k.StreamLimiter(k.service.Name)
+	limits := k.StreamLimiters(k.service.Name)
 	k.lastEventID = parseEventID(k.r.Header.Get("Last-Event-Id"))
 	k.updateKeepFree()
-	if !limit.TryAcquireKeeping(k.keepFree) {
-		k.recordShortage()
-		k.refuse(admitter.ReasonQueueFull, "first events come late")
-		return
-	}
-	defer limit.Release()
 	resumptions := 0
 	for {
-		l := k.acquireOrAbort(k.requirements())
+		n := k.requirements()
+		n.AvoidDataCentres = limits.Full(k.keepFree)
+		l := k.acquireOrAbort(n)
 		if l == nil {
 			return
 		}
-		v, retryTaken := k.runLeased(ctx, l)
+		v, retryTaken := k.runLeased(ctx, l, limits.Get(l.DataCentre))
 		if v == verdictAnswered {
 			return
 		}
@@ -101,9 +97,11 @@
 	}
 }
 
-// runLeased makes one attempt over a leased path and releases the path, also where the attempt panics
-// because the caller's connection can't be written to.
-func (k *call) runLeased(ctx context.Context, l *balancer.Lease) (v verdict, retryTaken bool) {
+// runLeased makes one attempt over a leased path, which counts for limit. It releases the path also where
+// the attempt panics because the caller's connection can't be written to.
+func (k *call) runLeased(ctx context.Context, l *balancer.Lease, limit *admitter.StreamLimiter) (v verdict, retryTaken bool) {
+	limit.Acquire()
+	defer limit.Release()
 	defer k.release(l)
 	return k.runStream(ctx, l)
 }
@@ -129,6 +127,7 @@
 	}
 	n.Service = k.service.Name
 	n.InProgress = true
+	n.AvoidDataCentres = nil
 	n.AllowedFirst = k.allowedFirsts()
 	for until := k.Now() + resumeTimeout; ; {
 		n.Avoid = k.avoid
@@ -250,11 +249,12 @@
 	return v
 }
 
-// sampleLatency records with the service's StreamLimiter whether this stream is late. Only the first
+// sampleLatency records whether this stream is late over the data centre of its attempt. Only the first
 // call counts.
-func (k *call) sampleLatency(now time.Duration, late bool) {
+func (k *call) sampleLatency(now time.Duration, a *attempt, late bool) {
 	if k.latencySampled.CompareAndSwap(false, true) {
-		k.StreamLimiter(k.service.Name).Observe(now, late)
+		k.StreamLimiters(k.service.Name).Get(a.lease.DataCentre).Observe(now, late)
+		k.Balancer.RecordLateness(now, a.lease.DataCentre, late)
 	}
 }
 
@@ -268,7 +268,7 @@
 	}
 	return time.AfterFunc(target, func() {
 		if now := k.Now(); !a.begun.Load() && a.repaths.Load() == 0 {
-			k.sampleLatency(now, true)
+			k.sampleLatency(now, a, true)
 			k.Balancer.RecordFirstEventDelay(a.lease, now, now-a.sentAt)
 		}
 	})
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -104,7 +104,7 @@
 	servers       []*http.Server
 
 	retryBudgets lazyMap[admitter.WindowRetryBudget]
-	latencies    lazyMap[admitter.StreamLimiter]
+	latencies    lazyMap[admitter.StreamLimiters]
 }
 
 // Run serves requests until ctx ends, then stops gracefully. It returns an error if an address
@@ -189,19 +189,19 @@
 	hostCount := func() int { return len(h.follower.Hosts()) + 1 }
 	demands := &admitter.Demands{Hosts: hostCount}
 	h.forwarder = &forwarder.Forwarder{
-		Tables:        h.follower,
-		Balancer:      h.balancer,
-		Pool:          h.pool,
-		Engines:       h.Engines,
-		Headers:       h.Headers,
-		RetryBudget:   h.retryBudgets.Get,
-		StreamLimiter: h.latencies.Get,
-		Demands:       demands,
-		RankReserve:   &admitter.RankReserve{MoreUrgent: demands.MoreUrgent, Hosts: hostCount},
-		Suspects:      suspects,
-		Now:           h.Now,
-		Meter:         h.meter,
-		Log:           h.Log,
+		Tables:         h.follower,
+		Balancer:       h.balancer,
+		Pool:           h.pool,
+		Engines:        h.Engines,
+		Headers:        h.Headers,
+		RetryBudget:    h.retryBudgets.Get,
+		StreamLimiters: h.latencies.Get,
+		Demands:        demands,
+		RankReserve:    &admitter.RankReserve{MoreUrgent: demands.MoreUrgent, Hosts: hostCount},
+		Suspects:       suspects,
+		Now:            h.Now,
+		Meter:          h.meter,
+		Log:            h.Log,
 	}
 	suspects.WentDown = h.forwarder.WentDown
 	if h.EngineTransport != nil {
