soaker: callers of three ranks in a surge, with checks of urgency and of shares by rank

Cause: no run of the soak had callers of several ranks, more callers than slots, or callers that repeat at once. Change: a service with twelve slots behind three routes of different priority, several workspaces, a fault surge (48 callers, every other one repeats at once up to five times) and a fault that reverses the priorities. Checked: the urgency that upstreams receive, at most one run of each request, no rank served less often than a less urgent one by more than 5 in 100 and three standard errors. Requests to that service don't count for the share of undisturbed requests answered, as it is overloaded on purpose.

--- a/faker/stage.go
+++ b/faker/stage.go
@@ -70,7 +70,9 @@
 type ReceivedRequest struct {
 	RequestID, Workspace, Path, Key, Target, Body string
 	LastEventID                                   string
-	DeadlineMs                                    int
+	// Urgency is the value of the urgency header.
+	Urgency    string
+	DeadlineMs int
 	// Executed is false if the request was refused as not executed.
 	Executed bool
 	// Backoff is the wait that its rejection asked the host for; 0 if none.
@@ -155,6 +157,7 @@
 		Target:      r.RequestURI,
 		Body:        body,
 		LastEventID: r.Header.Get("Last-Event-Id"),
+		Urgency:     r.Header.Get(h.Urgency),
 		DeadlineMs:  left,
 		Executed:    executed,
 		Backoff:     s.backoff.wait,
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -23,8 +23,10 @@
 	fallback bool
 	// status is 0 when no response came; body is as much as was received.
 	status int
-	body   string
-	err    error
+	// retryAfter is the wait that a refusal asked for; 0 if none.
+	retryAfter time.Duration
+	body       string
+	err        error
 }
 
 // incident is an injected fault and the time for which it lasted.
@@ -45,6 +47,8 @@
 	// revokedAt and leftAt are when the store accepted that a key was revoked or an upstream
 	// began to leave.
 	revokedAt, leftAt map[string]time.Time
+	// reversedAt is when the store accepted that the ranks were reversed; zero before.
+	reversedAt time.Time
 	// badExits describes the planned stops that took too long or failed.
 	badExits []string
 }
@@ -115,6 +119,8 @@
 	h.checkLimits(cl, report)
 	h.checkBackoffs(cl, report)
 	h.checkLeavingHeader(cl, report)
+	h.checkUrgency(cl, report)
+	h.checkRanks(report)
 	for _, text := range h.badExits {
 		report("%s", text)
 	}
@@ -126,7 +132,8 @@
 func (h *history) countUndisturbed() (sent, answered int) {
 	for i := range h.calls {
 		c := &h.calls[i]
-		if _, gone := h.revokedAt[c.key]; gone || c.fallback || !h.undisturbed(c.host, c.sent, c.ended) {
+		// The ranked service is overloaded on purpose; checkRanks covers it.
+		if _, gone := h.revokedAt[c.key]; gone || c.fallback || rankOf(c.path) >= 0 || !h.undisturbed(c.host, c.sent, c.ended) {
 			continue
 		}
 		sent++
@@ -139,8 +146,8 @@
 
 // checkCall reports violations by a single request; runs is how often upstreams ran it.
 func (h *history) checkCall(c *call, runs int, report func(string, ...any)) {
-	if strings.HasPrefix(c.path, "/book/") && runs > 1 {
-		report("booking %s ran %d times", c.id, runs)
+	if (strings.HasPrefix(c.path, "/book/") || rankOf(c.path) >= 0) && runs > 1 {
+		report("%s %s ran %d times, want at most once", c.path, c.id, runs)
 	}
 	switch c.status {
 	case 503, 429, 421, 408:
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -23,7 +23,7 @@
 // time, the guarantees for undisturbed hosts would never be tested.
 func (r *Run) injectFaults(ctx context.Context, wg *sync.WaitGroup) {
 	rnd := rand.New(rand.NewPCG(r.Seed, 0))
-	faults := []faultFunc{killHost, pauseHost, stopHost, disruptStoreLink, crashUpstream, disruptUpstreamLink, leaveUpstream, revokeKeys, moveRoute, failUpstreamRequests, limitUpstream, restoreStore, backOffUpstream, leaveByHeader}
+	faults := []faultFunc{killHost, pauseHost, stopHost, disruptStoreLink, crashUpstream, disruptUpstreamLink, leaveUpstream, revokeKeys, moveRoute, failUpstreamRequests, limitUpstream, restoreStore, backOffUpstream, leaveByHeader, surgeOfRanks, reverseRanks}
 	rnd.Shuffle(len(faults), func(i, j int) { faults[i], faults[j] = faults[j], faults[i] })
 	faults = faults[:3+rnd.IntN(len(faults)-2)]
 	maxGapMs := 300 + rnd.IntN(1500)
@@ -191,12 +191,14 @@
 	}
 	at := r.cluster.updateConfiguration(func(c *matcher.Configuration) {
 		var left []string
-		for _, k := range c.Workspaces[0].Keys {
-			if !gone[k] {
-				left = append(left, k)
+		for _, w := range c.Workspaces {
+			for _, k := range w.Keys {
+				if !gone[k] {
+					left = append(left, k)
+				}
 			}
 		}
-		c.Workspaces = []matcher.Workspace{{Name: "mill", Keys: left}}
+		c.Workspaces = workspaces(left)
 	})
 	r.history.mu.Lock()
 	for key := range gone {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -215,6 +216,9 @@
 	}
 	defer resp.Body.Close()
 	c.status = resp.StatusCode
+	if wait, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		c.retryAfter = time.Duration(wait * float64(time.Second))
+	}
 	body, err := io.ReadAll(resp.Body)
 	c.body, c.err = string(body), err
 }
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -133,14 +133,15 @@
 	for n := range all {
 		all[n] = keyName(n)
 	}
+	ranked := rankedRoutes(rankPrefixes)
 	c.cfg = matcher.Configuration{
 		Version: 1,
-		Routes: []matcher.Route{
+		Routes: append([]matcher.Route{
 			route("/look/", "desk", matcher.KindIdempotent), route("/book/", "desk", matcher.KindNonIdempotent),
 			route("/moving/", "desk", matcher.KindIdempotent), route("/stream/", "model", matcher.KindStreaming),
-		},
-		Services:   []matcher.Service{{Name: "desk"}, {Name: "model"}, {Name: "other"}},
-		Workspaces: []matcher.Workspace{{Name: "mill", Keys: all}},
+		}, ranked...),
+		Services:   []matcher.Service{{Name: "desk"}, {Name: "model"}, {Name: "other"}, {Name: rankedService}},
+		Workspaces: workspaces(all),
 	}
 	c.updateConfiguration(func(*matcher.Configuration) {})
 	storeAddress := c.freeAddress()
@@ -150,7 +151,7 @@
 	}
 	c.server = &http.Server{Handler: c.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = c.server.Serve(l) }()
-	for _, id := range []string{"desk-a", "desk-b", "desk-c", "other-a", "other-b", "model-a", "model-b", "model-c"} {
+	for _, id := range []string{"desk-a", "desk-b", "desk-c", "other-a", "other-b", "model-a", "model-b", "model-c", "pool-a", "pool-b"} {
 		if err := c.addUpstream(id); err != nil {
 			return nil, err
 		}
@@ -188,7 +189,12 @@
 	if err != nil {
 		return err
 	}
-	u.Upstream = balancer.Upstream{ID: id, Service: service, Address: address, DataCentre: dataCentre, Slots: 64, StartedAt: time.Now().UnixMilli()}
+	slots := 64
+	if service == rankedService {
+		slots = rankedSlots
+		u.stage.Slots = slots
+	}
+	u.Upstream = balancer.Upstream{ID: id, Service: service, Address: address, DataCentre: dataCentre, Slots: slots, StartedAt: time.Now().UnixMilli()}
 	if err := u.serve(); err != nil {
 		return err
 	}
