--- a/storer/purpose.go
+++ b/storer/purpose.go
@@ -5,17 +5,23 @@
 // Purpose is what a call to the service is for.
 type Purpose int
 
+// The purposes of a call.
 const (
-	// PurposeList reads a page of all entries, PurposeChanges what changed since, PurposeRead one
-	// entry, and PurposeStaleRead one that may be seconds old.
+	// PurposeList reads a page of all entries.
 	PurposeList Purpose = iota
+	// PurposeChanges reads what changed after a position.
 	PurposeChanges
+	// PurposeRead reads one entry.
 	PurposeRead
+	// PurposeStaleRead reads one entry that may be seconds old.
 	PurposeStaleRead
+	// PurposeWrite writes or removes entries.
 	PurposeWrite
-	// PurposeGrant, PurposeRenewal and PurposeRevocation create, extend and end a lease.
+	// PurposeGrant creates a lease.
 	PurposeGrant
+	// PurposeRenewal extends a lease.
 	PurposeRenewal
+	// PurposeRevocation ends a lease.
 	PurposeRevocation
 )
 
