sharer: answer compressed, so that relays hand on usual configurations

Long answers of the peer server are now compressed for callers that accept it, as Go's client does unasked, also that of earlier versions, and the bound counts compressed bytes.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -346,7 +346,7 @@
 	}{
 		{cfg.Ready, newServer(h.readyHandler())},
 		{cfg.Admin, newServer(h.adminHandler())},
-		{cfg.Peer, newServer(peer.NewShareServer(h.sharer))},
+		{cfg.Peer, newServer(sharer.Compress(peer.NewShareServer(h.sharer)))},
 		{cfg.Callers, callers},
 	} {
 		listener, err := h.Listen(endpoint.address)
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -53,8 +53,8 @@
 	maxStrikes = 32
 	// maxLimits bounds the upstream limits sent in one exchange: 3 KB.
 	maxLimits = 64
-	// maxConfigurationBytes bounds the configurations that are sent to hosts that can read the
-	// source. A relay sends one to fifty hosts in half a second over a link of 14 Mbit/s.
+	// maxConfigurationBytes bounds the compressed configurations that are sent to hosts that can
+	// read the source. A relay sends one to fifty hosts in half a second over a link of 14 Mbit/s.
 	maxConfigurationBytes = 16 << 10
 	// startupInterval is the time between two rounds before the source was first read.
 	startupInterval = 10 * time.Millisecond
@@ -371,7 +371,7 @@
 	}
 	// A host that can read the source is sent only a short configuration. Otherwise each change
 	// of it would saturate the links of the relays.
-	if b := s.newerConfiguration(req.Version); req.Behind || len(b) <= maxConfigurationBytes {
+	if b, size := s.newerConfiguration(req.Version); req.Behind || size <= maxConfigurationBytes {
 		resp.Configuration = b
 	}
 	if !req.Behind {
@@ -386,30 +386,31 @@
 }
 
 // newerConfiguration returns the configuration in force as JSON if its version is above the given
-// one, else nil.
-func (s *Sharer) newerConfiguration(version int64) []byte {
+// one, else nil, and its size when compressed.
+func (s *Sharer) newerConfiguration(version int64) (b []byte, compressed int) {
 	cfg := s.Follower.Configuration()
 	if cfg == nil || cfg.Version <= version {
-		return nil
+		return nil, 0
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.encoded.version == cfg.Version {
-		return s.encoded.json
-	}
-	b, err := json.Marshal(cfg)
-	if err != nil {
-		s.Log.Error().Err(err).Msg("sharer: encoding the configuration failed")
-		return nil
+	if s.encoded.version != cfg.Version {
+		b, err := json.Marshal(cfg)
+		if err != nil {
+			s.Log.Error().Err(err).Msg("sharer: encoding the configuration failed")
+			return nil, 0
+		}
+		s.encoded = encodedConfiguration{cfg.Version, b, len(compress(b))}
 	}
-	s.encoded = encodedConfiguration{cfg.Version, b}
-	return b
+	return s.encoded.json, s.encoded.compressed
 }
 
 // encodedConfiguration is a configuration as JSON. Relays send the same one to many hosts.
 type encodedConfiguration struct {
 	version int64
 	json    []byte
+	// compressed is the size of json when compressed.
+	compressed int
 }
 
 // decode parses JSON; it returns nil for empty input.
--- a/storer/purpose.go
+++ b/storer/purpose.go
@@ -5,15 +5,14 @@
 // Purpose is what a call to the service is for.
 type Purpose int
 
+// A list is a page of all entries, changes are those since a revision, and a stale read is one of an
+// entry that may be seconds old. Grants, renewals and revocations create, extend and end a lease.
 const (
-	// PurposeList reads a page of all entries, PurposeChanges what changed since, PurposeRead one
-	// entry, and PurposeStaleRead one that may be seconds old.
 	PurposeList Purpose = iota
 	PurposeChanges
 	PurposeRead
 	PurposeStaleRead
 	PurposeWrite
-	// PurposeGrant, PurposeRenewal and PurposeRevocation create, extend and end a lease.
 	PurposeGrant
 	PurposeRenewal
 	PurposeRevocation
