--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -54,8 +54,8 @@
 	maxStrikes = 32
 	// maxLimits bounds the upstream limits sent in one exchange: 3 KB.
 	maxLimits = 64
-	// maxConfigurationBytes bounds the configurations that are sent to hosts that can read the
-	// source. A relay sends one to fifty hosts in half a second over a link of 14 Mbit/s.
+	// maxConfigurationBytes bounds the compressed configurations that are sent to hosts that can
+	// read the source. A relay sends one to fifty hosts in half a second over a link of 14 Mbit/s.
 	maxConfigurationBytes = 16 << 10
 	// startupInterval is the time between two rounds before the source was first read.
 	startupInterval = 10 * time.Millisecond
@@ -127,10 +127,6 @@
 	}
 }
 
-// untilAsk returns when a host whose knowledge has the given age looks again whether to ask others.
-// The rounds of a large data centre are longer than that.
-func untilAsk(age time.Duration) time.Duration { return max(exchangeInterval, askAge-age) }
-
 // call is an exchange to start.
 type call struct {
 	host  follower.Host
@@ -164,20 +160,6 @@
 	return out
 }
 
-// requestFull makes the calls to some hosts ask for everything, and adds calls to the other
-// sources. A separate second call would not start while one to the same host is in progress.
-func requestFull(calls []call, sources []follower.Host) []call {
-	for _, h := range sources {
-		i := slices.IndexFunc(calls, func(c call) bool { return c.host.Name == h.Name })
-		if i < 0 {
-			calls = append(calls, call{host: h, full: true})
-		} else {
-			calls[i].full = true
-		}
-	}
-	return calls
-}
-
 // remoteCallDue reports whether relays of other data centres, which are called at an interval, are to
 // be called in this round, and if so records the time.
 func (s *Sharer) remoteCallDue(interval time.Duration) bool {
@@ -213,53 +195,6 @@
 	return max(exchangeInterval, time.Duration(localHosts)*intervalPerHost)
 }
 
-// sources returns the hosts to ask for what they read, in turn. Hosts that answered their last call
-// come first. At most maxSources are asked, because the answers of all hosts together would
-// saturate the link of the one that asks.
-func (s *Sharer) sources(hosts []follower.Host) []follower.Host {
-	var list []follower.Host
-	for _, answering := range []bool{true, false} {
-		for _, h := range hosts {
-			if s.roles.isUnresponsive(h.Name) != answering {
-				list = append(list, h)
-			}
-		}
-		if len(list) >= maxSources {
-			break
-		}
-	}
-	sortByName(list)
-	start := s.advanceRotation(maxSources)
-	var out []follower.Host
-	for i := range min(maxSources, len(list)) {
-		out = append(out, list[(start+i)%len(list)])
-	}
-	ahead := s.takeAhead()
-	if i := slices.IndexFunc(hosts, func(h follower.Host) bool { return h.Name == ahead }); i >= 0 {
-		out = append(out, hosts[i])
-	}
-	return out
-}
-
-// noteAhead records a host that called and knows more of the source than this one.
-func (s *Sharer) noteAhead(host string, at follower.Position) {
-	if !s.Follower.Position().Before(at) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ahead = host
-}
-
-// takeAhead returns and forgets the host that was last recorded by noteAhead.
-func (s *Sharer) takeAhead() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := s.ahead
-	s.ahead = ""
-	return out
-}
-
 // advanceRotation adds n to the rotation and returns its value before.
 func (s *Sharer) advanceRotation(n int) int {
 	s.mu.Lock()
@@ -375,7 +310,7 @@
 	}
 	// A host that can read the source is sent only a short configuration. Otherwise each change
 	// of it would saturate the links of the relays.
-	if b := s.newerConfiguration(req.Version); req.Behind || len(b) <= maxConfigurationBytes {
+	if b, size := s.newerConfiguration(req.Version); req.Behind || size <= maxConfigurationBytes {
 		resp.Configuration = b
 	}
 	if !req.Behind {
@@ -389,33 +324,6 @@
 	return resp, nil
 }
 
-// newerConfiguration returns the configuration in force as JSON if its version is above the given
-// one, else nil.
-func (s *Sharer) newerConfiguration(version int64) []byte {
-	cfg := s.Follower.Configuration()
-	if cfg == nil || cfg.Version <= version {
-		return nil
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.encoded.version == cfg.Version {
-		return s.encoded.json
-	}
-	b, err := json.Marshal(cfg)
-	if err != nil {
-		s.Log.Error().Err(err).Msg("sharer: encoding the configuration failed")
-		return nil
-	}
-	s.encoded = encodedConfiguration{cfg.Version, b}
-	return b
-}
-
-// encodedConfiguration is a configuration as JSON. Relays send the same one to many hosts.
-type encodedConfiguration struct {
-	version int64
-	json    []byte
-}
-
 // decode parses JSON; it returns nil for empty input.
 func decode[T any](b []byte) (*T, error) {
 	if len(b) == 0 {
