balancer: share checks of slow first events among many hosts, in calm load too

Change: from 16 hosts on, the hosts with requests over an engine share these checks whatever the load; once one host reports the engine as dead, all that wait there check it.

--- a/balancer/probing.go
+++ b/balancer/probing.go
@@ -71,8 +71,8 @@
 
 // SlowStartHops returns the hops to check of a path whose stream was sent at sentAt and waits for its
 // first event: those over which no event has come since. Such a stream reveals a lost upstream that
-// has no other streams. Under load it waits longer, and the hosts with requests over an upstream share
-// its checks, unless one of them can't reach it.
+// has no other streams. Many hosts with requests over an upstream share its checks, unless one of them
+// can't reach it. Under load such a stream waits longer.
 func (b *Balancer) SlowStartHops(now time.Duration, l *Lease, sentAt, usual time.Duration) []Hop {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -87,8 +87,7 @@
 			continue
 		}
 		users, dead := b.otherHosts(now, u)
-		underLoad := limit > usual
-		if dead > 0 || (waited > limit && (!underLoad || b.isProber(u.ID, int64(now/usual), users))) {
+		if dead > 0 || (waited > limit && (!b.hasManyHosts() || b.isProber(u.ID, int64(now/usual), users))) {
 			out = append(out, h)
 		}
 	}
--- a/forwarder/probes_test.go
+++ b/forwarder/probes_test.go
@@ -3,300 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"net"
-	"slices"
-	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/rs/zerolog"
 
-	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/connector"
-	"github.com/sardineward/sardineward/matcher"
-	"github.com/sardineward/sardineward/meter"
-	"github.com/sardineward/sardineward/picker"
-	"github.com/sardineward/sardineward/tracker"
 )
 
-const (
-	engineRanges  = 6
-	engineCopies  = 4
-	engineLayers  = 24
-	eventInterval = 50 * time.Millisecond
-	// reportInterval is the time between two exchanges of reports in a fleet of many hosts.
-	reportInterval = 400 * time.Millisecond
-)
-
-// probeFleet is a number of hosts with streams over engines of one data centre, in virtual time. It
-// replays events and reports, and counts the connections that checks open.
-type probeFleet struct {
-	t     *testing.T
-	hosts []*probeHost
-	stop  context.CancelFunc
-	wg    sync.WaitGroup
-
-	mu sync.Mutex
-	// dark holds the addresses that don't answer.
-	dark map[string]bool
-	// opened counts connections by purpose.
-	opened map[connector.Purpose]int
-}
-
-type probeHost struct {
-	fl *probeFleet
-	f  *Forwarder
-	b  *balancer.Balancer
-	// rnd draws when streams arrive.
-	rnd *rand.Rand
-	mu  sync.Mutex
-	// streams holds those under way; call relays their events.
-	streams []*probeStream
-}
-
-type probeStream struct {
-	call      *call
-	attempt   *attempt
-	delivered progress
-	// firstAt is when its first event is due.
-	firstAt time.Duration
-}
-
-// runProbeFleet runs f with hosts that have streams running streams each.
-func runProbeFleet(t *testing.T, hosts, streams int, f func(is *is.I, fl *probeFleet)) {
-	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		fl := &probeFleet{t: t, dark: make(map[string]bool), opened: make(map[connector.Purpose]int)}
-		ctx, cancel := context.WithCancel(context.Background())
-		fl.stop = cancel
-		names := make(map[string]string)
-		for n := range hosts {
-			names[fmt.Sprint("host-", n)] = "a"
-		}
-		for n := range hosts {
-			h := fl.newHost(n, names)
-			fl.hosts = append(fl.hosts, h)
-			for range streams {
-				h.send(0)
-			}
-			fl.wg.Go(func() { h.f.Watch(ctx) })
-			fl.wg.Go(func() { h.deliver(ctx) })
-		}
-		fl.wg.Go(func() { fl.exchange(ctx) })
-		time.Sleep(2 * time.Second)
-		f(is.NewRelaxed(t), fl)
-		cancel()
-		fl.wg.Wait()
-		time.Sleep(5 * time.Second)
-	})
-}
-
-func (fl *probeFleet) newHost(n int, names map[string]string) *probeHost {
-	name := fmt.Sprint("host-", n)
-	b := &balancer.Balancer{Host: name, DataCentre: "a", Policy: picker.Cheapest{Steepness: 2, Jitter: 0.1}, Rand: rand.New(rand.NewPCG(uint64(n), 1))}
-	e := &matcher.Engine{Layers: engineLayers, LayerMB: 1750, TokenBytes: 590000, StepMs: 1, ReadPerSecond: 164000}
-	b.Configure(map[string]*matcher.Service{"model": {Name: "model", Engine: e}})
-	span := engineLayers / engineRanges
-	for i := range engineRanges {
-		for c := range engineCopies {
-			id := engineID(i, c)
-			b.UpdateUpstreams([]balancer.Upstream{{ID: id, Address: id, Service: "model", DataCentre: "a", Layers: balancer.Span{From: span * i, To: span * (i + 1)}}}, nil)
-		}
-	}
-	others := make(map[string]string)
-	for other, dc := range names {
-		if other != name {
-			others[other] = dc
-		}
-	}
-	b.SetHosts(others)
-	started := time.Now()
-	pool := &connector.Pool{Dial: fl.dial, OnDial: fl.count}
-	h := &probeHost{fl: fl, b: b, rnd: rand.New(rand.NewPCG(uint64(n), 2))}
-	h.f = &Forwarder{
-		Balancer: b, Engines: new(repathEngines), Pool: pool, Suspects: new(tracker.Suspects), Meter: meter.New(nil, nil),
-		Now: func() time.Duration { return time.Since(started) + time.Minute }, Log: zerolog.Nop(),
-	}
-	return h
-}
-
-func engineID(rank, copyNumber int) string { return fmt.Sprintf("engine-%d-%d", rank, copyNumber) }
-
-func (fl *probeFleet) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	fl.mu.Lock()
-	dark := fl.dark[address]
-	fl.mu.Unlock()
-	if dark {
-		<-ctx.Done()
-		return nil, ctx.Err()
-	}
-	return acceptAnyDial(ctx, network, address)
-}
-
-func (fl *probeFleet) count(p connector.Purpose) {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	fl.opened[p]++
-}
-
-// counts returns the connections opened so far by purpose.
-func (fl *probeFleet) counts() map[connector.Purpose]int {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	out := make(map[connector.Purpose]int)
-	for p, n := range fl.opened {
-		out[p] = n
-	}
-	return out
-}
-
-// setDark makes engines silent, or ends that.
-func (fl *probeFleet) setDark(dark bool, ids ...string) {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	for _, id := range ids {
-		fl.dark[id] = dark
-	}
-}
-
-// exchange gives each host the sum of the others' reports.
-func (fl *probeFleet) exchange(ctx context.Context) {
-	for ctx.Err() == nil {
-		var sum balancer.Report
-		own := make([]balancer.Report, len(fl.hosts))
-		total := make(map[string]balancer.Usage)
-		for i, h := range fl.hosts {
-			own[i] = h.b.Usage(h.f.Now())
-			for _, u := range own[i].Usage {
-				total[u.Upstream] = addUsage(total[u.Upstream], u, 1)
-			}
-		}
-		for i, h := range fl.hosts {
-			rest := make(map[string]balancer.Usage, len(total))
-			for id, u := range total {
-				rest[id] = u
-			}
-			for _, u := range own[i].Usage {
-				rest[u.Upstream] = addUsage(rest[u.Upstream], u, -1)
-			}
-			sum.Hosts, sum.Usage = map[string]int{"a": len(fl.hosts) - 1}, nil
-			for id, u := range rest {
-				u.Upstream = id
-				sum.Usage = append(sum.Usage, u)
-			}
-			if err := h.b.SetReport(h.f.Now(), "others", sum); err != nil {
-				fl.t.Error(err)
-			}
-		}
-		time.Sleep(reportInterval)
-	}
-}
-
-func addUsage(sum, part balancer.Usage, times int64) balancer.Usage {
-	sum.Requests += times * part.Requests
-	sum.TokenLayers += times * part.TokenLayers
-	sum.DeadHosts += times * part.DeadHosts
-	return sum
-}
-
-// send starts a stream whose first event comes after firstDelay; 0 means that it has come.
-func (h *probeHost) send(firstDelay time.Duration) {
-	now := h.f.Now()
-	l, reason := h.b.Acquire(now, balancer.Requirements{Service: "model", PromptTokens: 700, AnswerTokens: 200})
-	if l == nil {
-		h.fl.t.Errorf("no path: %v", reason)
-		return
-	}
-	a := &attempt{id: fmt.Sprint("r", h.rnd.Uint64()), lease: l, sentAt: now, cancel: func(error) {}}
-	a.lastEvent.Store(int64(now))
-	s := &probeStream{call: &call{Forwarder: h.f, route: new(matcher.Route)}, attempt: a, delivered: progress{lastEvent: now}, firstAt: now + firstDelay}
-	h.f.track(a)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.streams = append(h.streams, s)
-}
-
-// deliver relays an event of each stream whose path has no dark engine, at intervals. A stream that
-// lost its first hop is sent anew.
-func (h *probeHost) deliver(ctx context.Context) {
-	time.Sleep(time.Duration(h.rnd.Int64N(int64(eventInterval)))) // hosts aren't in step
-	for ctx.Err() == nil {
-		h.mu.Lock()
-		streams := slices.Clone(h.streams)
-		h.mu.Unlock()
-		for _, s := range streams {
-			if h.f.Now() >= s.firstAt && !h.stalls(s) {
-				s.call.recordEvents(s.attempt, &s.delivered)
-			}
-		}
-		time.Sleep(eventInterval)
-	}
-}
-
-// stalls reports whether the path of a stream has a dark engine.
-func (h *probeHost) stalls(s *probeStream) bool {
-	h.fl.mu.Lock()
-	defer h.fl.mu.Unlock()
-	return slices.ContainsFunc(h.b.Path(s.attempt.lease), func(hop balancer.Hop) bool { return h.fl.dark[hop.Address] })
-}
-
-// finish ends the streams that have had their first event for long enough.
-func (h *probeHost) finish(lasting time.Duration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.streams = slices.DeleteFunc(h.streams, func(s *probeStream) bool {
-		if !s.attempt.begun.Load() || h.f.Now()-s.firstAt < lasting || h.stalls(s) {
-			return false
-		}
-		h.f.untrack(s.attempt)
-		h.b.Release(s.attempt.lease)
-		return true
-	})
-}
-
-// arrive lets streams arrive at each host, perSecond of them, with their first events late, until ctx
-// ends.
-func (fl *probeFleet) arrive(ctx context.Context, perSecond float64, firstDelay time.Duration) {
-	for _, h := range fl.hosts {
-		fl.wg.Go(func() {
-			for ctx.Err() == nil {
-				time.Sleep(time.Duration(h.rnd.ExpFloat64() / perSecond * float64(time.Second)))
-				h.finish(200 * time.Millisecond)
-				h.send(firstDelay * time.Duration(80+h.rnd.IntN(40)) / 100)
-			}
-		})
-	}
-}
-
-// knowingHosts counts the hosts that know an upstream to be dead.
-func (fl *probeFleet) knowingHosts(id string) int {
-	n := 0
-	for _, h := range fl.hosts {
-		if slices.ContainsFunc(h.b.DeadUpstreams(0, engineRanges*engineCopies), func(hop balancer.Hop) bool { return hop.ID == id }) {
-			n++
-		}
-	}
-	return n
-}
-
-// runningHosts counts the hosts with a stream over an upstream that has begun.
-func (fl *probeFleet) runningHosts(id string) int {
-	n := 0
-	for _, h := range fl.hosts {
-		h.mu.Lock()
-		if slices.ContainsFunc(h.streams, func(s *probeStream) bool {
-			return s.attempt.begun.Load() && slices.ContainsFunc(h.b.Path(s.attempt.lease), func(hop balancer.Hop) bool { return hop.ID == id })
-		}) {
-			n++
-		}
-		h.mu.Unlock()
-	}
-	return n
-}
-
 // TestSlowFirstEventsUnderLoad guards against a check of each engine by each host when all first events
 // are slow, which opened most connections in a burst of four times the usual load.
 func TestSlowFirstEventsUnderLoad(t *testing.T) {
@@ -339,6 +53,34 @@
 	})
 }
 
+// TestDarkEngineCalm guards against a dark engine that hosts find late whose streams there all wait for
+// their first event.
+func TestDarkEngineCalm(t *testing.T) {
+	for _, hosts := range []int{4, 24, 137} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			runProbeFleet(t, hosts, 0, func(is *is.I, fl *probeFleet) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				fl.arrive(ctx, 6, 80*time.Millisecond)
+				time.Sleep(3 * time.Second)
+				const lost = "engine-3-1"
+				fl.setDark(true, lost)
+				started := time.Now()
+				for fl.knowingHosts(lost) == 0 && time.Since(started) < 5*time.Second {
+					time.Sleep(10 * time.Millisecond)
+				}
+				first := time.Since(started)
+				for fl.knowingHosts(lost) < hosts*9/10 && time.Since(started) < 5*time.Second {
+					time.Sleep(10 * time.Millisecond)
+				}
+				t.Logf("first host knows after %v, nine tenths after %v", first, time.Since(started))
+				is.True(first < 700*time.Millisecond)
+				is.True(time.Since(started) < 3*time.Second)
+			})
+		})
+	}
+}
+
 // TestDarkEngineFound guards against checks divided among hosts such that one that runs streams over a
 // dark engine finds it later than by itself.
 func TestDarkEngineFound(t *testing.T) {
@@ -391,12 +133,3 @@
 		})
 	}
 }
-
-// knowingAny adds up knowingHosts over some upstreams.
-func (fl *probeFleet) knowingAny(ids []string) int {
-	n := 0
-	for _, id := range ids {
-		n += fl.knowingHosts(id)
-	}
-	return n
-}
