admitter: the state of up to 256 ranks is kept

Where each of many workspaces has a priority, a service has more than 64 ranks; the state was dropped with each further one, so that no rank was ever found to stand still. TestKeepFreeOfManyRanks.

--- a/admitter/rank.go
+++ b/admitter/rank.go
@@ -79,7 +79,7 @@
 	// holdWeight is the weight of one request in holdTime.
 	holdWeight = 0.1
 	// maxReserveRanks bounds the ranks of a service that are kept in memory.
-	maxReserveRanks = 64
+	maxReserveRanks = 256
 )
 
 // KeepFree returns the share of the capacity that a request leaves to more urgent ones, from 0 to
--- a/admitter/rank_test.go
+++ b/admitter/rank_test.go
@@ -113,6 +113,20 @@
 	is.True(float64(admitted) < 0.25*float64(asked))
 }
 
+// TestKeepFreeOfManyRanks guards against state that is lost where each of many workspaces has a
+// priority of its own.
+func TestKeepFreeOfManyRanks(t *testing.T) {
+	is := is.New(t)
+	r := newReserve()
+	for rank := range 120 {
+		r.RecordRefused(time.Second, "model", rank)
+	}
+	for rank := 1; rank < 120; rank++ {
+		is.True(r.KeepFree(14*time.Second, "model", rank, capacity, deadline) > 0)
+		is.Equal(r.KeepFree(15*time.Second, "model", rank, capacity, deadline), 0.0)
+	}
+}
+
 // TestKeepFreeOfRareRank guards against a rank with few requests, none of which is admitted.
 func TestKeepFreeOfRareRank(t *testing.T) {
 	is := is.New(t)
