balancer: spread paths by the rejections observed while reports are old

137 hosts know each other's usage from reports of up to a second ago. With the same old sums they all choose the same engines and fill them before the next reports show it, while others have capacity left. TestStaleReports replays that load with the balancers themselves, without a network: 137 hosts that exchange each 460 ms against 24 hosts each 200 ms, at 1x, 2x, 4x for 12 s.

Now a host counts which share of its paths was rejected by engines that seemed to have capacity. From none to a tenth (the share that may be retried) its choice goes from the cheapest path to a draw in proportion to the capacity left and in inverse proportion to the cost. Meanwhile a rejection by an engine known to be a quarter to a half in use ejects it no longer: others have filled it. Only while reports come less often than each 250 ms (more than 25 hosts in a data centre), and only after rejections; TestSpreadOnlyWhereStale shows that nothing changes otherwise.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -197,6 +197,7 @@
 	linkDelays  map[[2]string]*delayAverage
 	localDelays map[string]*delayAverage
 	peerReports reports
+	spread      spread
 	services    map[string]*matcher.Service
 	upstreams   map[string]*upstream
 	byAddress   map[string]*upstream
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -69,6 +69,7 @@
 	first := b.upstreams[hops[0].ID]
 	l := &Lease{requirements: n, tokens: n.expectedTokens(), hops: hops, First: hops[0], StartedAt: first.StartedAt, Throttled: throttled, Withheld: withheld}
 	b.reserve(l)
+	b.spread.recordSent(now)
 	b.trackReturning(now, l)
 	b.countSent(now, first)
 	return l, ReasonNone
@@ -102,6 +103,7 @@
 // are withheld from it because of a backoff.
 func (b *Balancer) candidates(now time.Duration, s *matcher.Service, n Requirements) (out []picker.Candidate, withheld []string) {
 	out = make([]picker.Candidate, 0, len(b.subset.used))
+	degree := b.spreadDegree(now)
 	for _, u := range b.subset.used {
 		if u.Service != n.Service || u.Layers.Len() == 0 || u.retired || !u.reachable(now, n.Avoid) {
 			continue
@@ -110,7 +112,9 @@
 			withheld = append(withheld, u.ID)
 			continue
 		}
-		out = append(out, b.candidate(now, s.Engine, u, n, n.expectedTokens()))
+		c := b.candidate(now, s.Engine, u, n, n.expectedTokens())
+		spreadCost(&c, (c.Slots-c.Sequences)/(n.expectedTokens()*float64(u.Layers.Len())), degree, b.Rand)
+		out = append(out, c)
 	}
 	return out, withheld
 }
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -113,8 +113,9 @@
 	sum      map[string]*Usage
 	// hosts counts the hosts that the reports cover, by data centre.
 	hosts map[string]int
-	// oldest is when the oldest report arrived.
-	oldest time.Duration
+	// oldest is when the oldest report arrived. interval is the time between the last report and
+	// the one before it of the same source; 0 before any source has reported twice.
+	oldest, interval time.Duration
 }
 
 // report is the last report of one source, received at at.
@@ -131,6 +132,9 @@
 		r.sum = make(map[string]*Usage)
 		r.hosts = make(map[string]int)
 	}
+	if last := r.bySource[source]; last != nil {
+		r.interval = now - last.at
+	}
 	r.remove(source)
 	next := &report{at: now, hosts: from.Hosts, usage: make(map[string]Usage, len(from.Usage))}
 	for _, u := range from.Usage {
--- a/balancer/rejection.go
+++ b/balancer/rejection.go
@@ -44,10 +44,16 @@
 // usage: the time in which about a fifth of the streams there end.
 const hiddenUsageMemory = 500 * time.Millisecond
 
-// unexplainedRejectionBelow is the share of the capacity in use below which a rejection can't
-// be for lack of capacity: the upstream is leaving or unloads layers, and the list doesn't show
-// that yet.
-const unexplainedRejectionBelow = 0.5
+const (
+	// unexplainedRejectionBelow is the share of the capacity in use below which a rejection can't
+	// be for lack of capacity: the upstream is leaving or unloads layers, and the list doesn't show
+	// that yet.
+	unexplainedRejectionBelow = 0.5
+	// hiddenFillBelow replaces it while requests are spread by at least hiddenFillDegree: several
+	// recent rejections show that other hosts fill upstreams between their reports.
+	hiddenFillBelow  = 0.25
+	hiddenFillDegree = 0.5
+)
 
 // RecordRejection records that an upstream rejected a request. One that should have had capacity is
 // ejected for a while. Otherwise other hosts fill it, or answers are longer than expected, and
@@ -64,7 +70,14 @@
 	if len(b.peerReports.bySource) > 0 {
 		out.ReportAge = now - b.peerReports.oldest
 	}
-	if known < unexplainedRejectionBelow*u.capacity {
+	if known < u.capacity*(1-headroom) {
+		b.spread.recordRejected(now)
+	}
+	explained := unexplainedRejectionBelow
+	if b.spreadDegree(now) >= hiddenFillDegree {
+		explained = hiddenFillBelow
+	}
+	if known < explained*u.capacity {
 		u.eject(now)
 		return out
 	}
--- a/launcher/metrics.go
+++ b/launcher/metrics.go
@@ -28,6 +28,7 @@
 		m.GaugeFunc("upstreams_"+state.String(), "Upstreams in this state.", func() float64 { return float64(h.balancer.Count(h.Now(), state)) })
 	}
 	m.GaugeFunc("upstreams_in_use", "Upstreams that this host sends to or has requests at; a part of a large fleet.", func() float64 { return float64(h.balancer.SubsetSize(h.Now())) })
+	m.GaugeFunc("spread_degree", "How much requests are spread over engines by the rejections observed: 0 for the cheapest path, 1 in proportion to the capacity left.", func() float64 { return h.balancer.SpreadDegree(h.Now()) })
 	m.GaugeFunc("limits_in_force", "Upstreams that name a limit in their answers.", func() float64 { return float64(h.balancer.LimitCount()) })
 	m.CounterFunc("limited_requests_sent_total", "Requests sent to upstreams while they named a limit.", func() float64 { return float64(h.balancer.LimitedSentCount()) })
 	m.CounterFunc("limited_requests_held_off_total", "Requests that did not go to an upstream since its limit had no room.", func() float64 { return float64(h.balancer.ThrottledCount()) })
