--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -211,6 +211,7 @@
 	// firstEvents holds the recent first events of each data centre.
 	firstEvents map[string]*firstEvents
 	peerReports reports
+	spread      spread
 	// lateShares holds the share of late streams over each data centre.
 	lateShares map[string]*lateShare
 	services   map[string]*matcher.Service
