balancer, forwarder: leave a plain upstream that was full alone for a moment

A plain upstream that rejects a request without a Retry-After and reports no load went on drawing requests: a host with few requests in flight thinks it idle. Now such a rejection counts for ten requests in flight, which decays over 3 s. It is a cost: with no other upstream, or all full, requests go there as before. Nothing changes without such a rejection.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -159,7 +159,9 @@
 	// upstream had no capacity left though this host expected some.
 	hiddenUsage float64
 	rejectedAt  time.Duration
-	limit       limit
+	// fullUntil is until when a rejection for want of capacity raises the cost of a plain upstream.
+	fullUntil time.Duration
+	limit     limit
 	// unreadable holds the names of the headers that it sent with a value that can't be parsed.
 	unreadable []string
 	// announcement is nil until the incarnation makes one.
--- a/balancer/plain.go
+++ b/balancer/plain.go
@@ -14,6 +14,10 @@
 	// backoffPenalty is how many requests in flight an upstream counts for that has asked another
 	// host for a backoff.
 	backoffPenalty = 40.0
+	// maxFullPenalty is how many requests in flight an upstream counts for that has just rejected one
+	// for want of capacity, fullMemory the time in which that decays.
+	maxFullPenalty = 10.0
+	fullMemory     = 3 * time.Second
 	// maxLoadAge is how long a load report is used; older ones are ignored.
 	maxLoadAge = time.Second
 )
@@ -42,6 +46,7 @@
 		if u.DataCentre != b.DataCentre {
 			c += remotePenalty
 		}
+		c += u.fullPenalty(now)
 		if b.othersBackOff(now, u) {
 			c += backoffPenalty
 		}
@@ -70,6 +75,22 @@
 	return l, ReasonNone
 }
 
+// RecordFull records that a plain upstream rejected a request for want of capacity, without saying
+// for how long.
+func (b *Balancer) RecordFull(now time.Duration, id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if u := b.upstreams[id]; u != nil {
+		u.fullUntil = now + fullMemory
+	}
+}
+
+// fullPenalty returns how many requests in flight the upstream counts for beyond its load, because it
+// was full a moment ago. It decays to 0.
+func (u *upstream) fullPenalty(now time.Duration) float64 {
+	return maxFullPenalty * max(0, float64(u.fullUntil-now)) / float64(fullMemory)
+}
+
 // estimatedLoad estimates the requests at an upstream, with less weight for older reports.
 func (u *upstream) estimatedLoad(now time.Duration) float64 {
 	own := float64(u.firstHopRequests)
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -168,7 +168,11 @@
 	k.avoidRejecter(id)
 	load := parseLoad(resp.Header.Get(k.Headers.Load))
 	var known *balancer.Rejection
-	switch backingOff := !k.Balancer.MaySend(k.Now(), id, k.Balancer.StartedAt(id)); {
+	backingOff := !k.Balancer.MaySend(k.Now(), id, k.Balancer.StartedAt(id))
+	if !misdirected && !backingOff && l.First.To == 0 {
+		k.Balancer.RecordFull(k.Now(), id)
+	}
+	switch {
 	case misdirected || (faultAddress != "" && !backingOff && k.Now()-sent > minHopFailureDelay):
 		k.Balancer.Eject(k.Now(), id)
 	case faultAddress != "" && !backingOff:
--- a/launcher/backoff_test.go
+++ b/launcher/backoff_test.go
@@ -188,3 +188,16 @@
 		})
 	}
 }
+
+// TestFullUpstreamLeftAlone guards against requests that go on to an upstream which has just rejected one
+// without a Retry-After, while another one accepts them.
+func TestFullUpstreamLeftAlone(t *testing.T) {
+	runHost(t, 0, func(b *testbed) {
+		is := is.New(t)
+		b.injectFaults("desk-a", slices.Repeat([]faker.StageFault{faker.StageFaultOverloaded}, 20)...)
+		for i := range 20 {
+			is.Equal(b.request(http.MethodPost, "/look/1", fmt.Sprint(i), nil).status, http.StatusOK)
+		}
+		is.True(len(b.stages["desk-a"].Received()) <= 1)
+	})
+}
