registrar: renew early again only while that can save the lease

Once the lease may have ended, a host of a large fleet now tries every 1.6 s, as one of a small fleet does.

TestLeaseInLargeFleet: 12 s without an answer, red before.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -148,11 +148,12 @@
 }
 
 // pause returns the time until the next heartbeat, after one that took some time and ended with err.
+// A retry is early only while it can still save the lease.
 func (r *Registrar) pause(err error, took time.Duration) time.Duration {
 	period := r.period()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err != nil && period > heartbeatPeriod && r.lease != 0 {
+	if err != nil && period > heartbeatPeriod && r.lease != 0 && r.Now() < r.expiresAt {
 		return max(0, retryPeriod-took)
 	}
 	return period
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -239,6 +239,14 @@
 					time.Sleep(2400 * time.Millisecond)
 					is.Equal(entry(), first) // the lease has not ended
 				}
+				store.SetFaults(faker.Faults{Delay: 5 * time.Second})
+				before = store.Calls()
+				time.Sleep(12 * time.Second)
+				// Up to four while the lease may last, then one in 1.6 s as in a small fleet.
+				is.True(float64(store.Calls()-before) <= 4+12/1.6)
+				store.SetFaults(faker.Faults{})
+				time.Sleep(2 * time.Second)
+				entry()
 				cancel()
 				<-done
 			})
