--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -91,7 +91,9 @@
 	done := make(chan error, 1)
 	go func() { done <- h.Run(ctx) }()
 	fl.killHost[f.Name] = func() {
+		fl.mu.Lock()
 		delete(fl.killHost, f.Name)
+		fl.mu.Unlock()
 		cancel()
 		fl.net.CloseConnections(f.Name)
 		<-done
