admitter: the share kept free follows few refusals faster

A host that sees few of the more urgent requests raised the share too slowly. A step of the factor is now in proportion to what a request is among them.

--- a/admitter/rank.go
+++ b/admitter/rank.go
@@ -45,6 +45,8 @@
 	changedAt time.Duration
 	// asked and admitted count the requests of about the last shareMemory, as of changedAt.
 	asked, admitted float64
+	// moreUrgent counts the more urgent requests of the same time.
+	moreUrgent float64
 	// refusals counts the refusals since the last admission, of which the first was at
 	// refusedSince.
 	refusals     int
@@ -59,13 +61,15 @@
 	// minReserveFactor and maxReserveFactor bound the factor. Without refusals it returns to 1, with
 	// the time constant reserveMemory.
 	minReserveFactor = 0.25
-	maxReserveFactor = 4.0
-	reserveMemory    = 4 * time.Second
-	// reserveIncrease is what each refusal of a more urgent request adds to the factor. Each
-	// admission of one takes maxRefusedShare of that from it, so that it settles where this share of
-	// them is refused. Users accept that a rank is served less often by up to 5 in 100.
-	reserveIncrease = 0.1
+	maxReserveFactor = 8.0
+	reserveMemory    = 10 * time.Second
+	// Each refusal of a more urgent request adds a step to the factor, and each admission of one takes
+	// maxRefusedShare of a step from it, so that it settles where this share of them is refused. Users
+	// accept that a rank is served less often by up to 5 in 100. A step is reserveStepSum by the number of
+	// more urgent requests over shareMemory, so that the same share of refusals has the same effect.
 	maxRefusedShare = 0.02
+	maxReserveStep  = 0.5
+	reserveStepSum  = 20.0
 	// starvedRefusals and starvedFraction are after how many refusals in which fraction of its
 	// deadline a request leaves nothing to others, so that no rank stands still. One request in
 	// starvedRefusals does not invert ranks. maxStarvedFraction is the same for any refusals.
@@ -116,7 +120,7 @@
 	own.refusals = 0
 	own.asked++
 	own.admitted++
-	s.adjustLower(now, rank, -reserveIncrease*maxRefusedShare)
+	s.adjustLower(now, rank, -maxRefusedShare)
 	s.grow(now, 1)
 }
 
@@ -142,15 +146,18 @@
 	if own.refusals++; own.refusals == 1 {
 		own.refusedSince = now
 	}
-	s.adjustLower(now, rank, reserveIncrease)
+	s.adjustLower(now, rank, 1)
 }
 
-// adjustLower adds to the factors of the ranks that are less urgent.
-func (s *serviceReserve) adjustLower(now time.Duration, rank int, change float64) {
+// adjustLower adds steps to the factors of the ranks that are less urgent. The fewer more urgent
+// requests a host sees, the larger a step is.
+func (s *serviceReserve) adjustLower(now time.Duration, rank int, steps float64) {
 	for other := range s.ranks {
 		if other > rank {
 			lower := s.rank(now, other)
-			lower.factor = min(max(lower.factor+change, minReserveFactor), maxReserveFactor)
+			lower.moreUrgent++
+			step := min(maxReserveStep, reserveStepSum/lower.moreUrgent)
+			lower.factor = min(max(lower.factor+steps*step, minReserveFactor), maxReserveFactor)
 		}
 	}
 }
@@ -219,7 +226,7 @@
 	if now > own.changedAt {
 		own.factor = 1 + (own.factor-1)*math.Exp(-(now-own.changedAt).Seconds()/reserveMemory.Seconds())
 		kept := math.Exp(-(now - own.changedAt).Seconds() / shareMemory.Seconds())
-		own.asked, own.admitted, own.changedAt = own.asked*kept, own.admitted*kept, now
+		own.asked, own.admitted, own.moreUrgent, own.changedAt = own.asked*kept, own.admitted*kept, own.moreUrgent*kept, now
 	}
 	return own
 }
