--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -59,6 +59,8 @@
 	First Hop
 	// StartedAt is when the upstream of First was started, in Unix milliseconds.
 	StartedAt int64
+	// DataCentre is the data centre of First.
+	DataCentre string
 	// hops is the whole path. It may change while the lease is held; read it through
 	// Balancer.Path.
 	hops []Hop
@@ -69,8 +71,8 @@
 	requirements Requirements
 	// tokens is the capacity reserved on each hop, in tokens for each layer.
 	tokens float64
-	// started is set once the stream has had its first event.
-	started bool
+	// started is set once the stream has had its first event, released once its capacity is free.
+	started, released bool
 	// returning holds the upstreams of the path whose backoff was over when the lease was
 	// acquired. accepted is set once they have not rejected the request.
 	returning []*announcement
@@ -86,12 +88,17 @@
 	Avoid []string
 	// AllowedFirst lists the upstreams that the request may be sent to; nil allows any.
 	AllowedFirst []string
+	// AvoidDataCentres lists data centres whose upstreams are left out; nil leaves out none.
+	AvoidDataCentres []string
 	// InProgress is set for a stream that has begun and needs a path to continue on. It may use
 	// the capacity that is otherwise kept free.
 	InProgress bool
 	// AvoidReturning leaves out upstreams that asked this host or another one for a backoff and
 	// have not accepted a request since. It is set for a request that was rejected once already.
 	AvoidReturning bool
+	// HasConnection reports whether this host has an idle connection to an address; nil means that
+	// no upstream is preferred for that.
+	HasConnection func(address string) bool
 	// FirstEventTarget is the wanted time to the first event of the answer's stream; 0 when that
 	// is not known.
 	FirstEventTarget time.Duration
@@ -147,6 +154,8 @@
 	// dead is set while it accepts no connection; diedAt is when that was last found.
 	dead   bool
 	diedAt time.Duration
+	// deadElsewhere is how many other hosts said so, at the last check of whether it has returned.
+	deadElsewhere int64
 	// stopped is set while it refuses connections, which shows that its process has ended.
 	stopped bool
 	// failureRate is the moving average of the share of failed requests.
@@ -199,14 +208,17 @@
 	baseDelay   time.Duration
 	linkDelays  map[[2]string]*delayAverage
 	localDelays map[string]*delayAverage
-	peerReports reports
-	services    map[string]*matcher.Service
-	upstreams   map[string]*upstream
 	// firstEvents holds the recent first events of each data centre.
 	firstEvents map[string]*firstEvents
-	byAddress   map[string]*upstream
-	subset      subset
-	pipes       pipeBudgets
+	peerReports reports
+	spread      spread
+	// lateShares holds the share of late streams over each data centre.
+	lateShares map[string]*lateShare
+	services   map[string]*matcher.Service
+	upstreams  map[string]*upstream
+	byAddress  map[string]*upstream
+	subset     subset
+	pipes      pipeBudgets
 	// limited holds the upstreams that have named a rate limit.
 	limited map[string]*upstream
 	// limitedSent counts requests sent to upstreams with a limit in force, throttledCount
@@ -301,7 +313,11 @@
 func (b *Balancer) Release(l *Lease) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if l.released {
+		return
+	}
 	b.release(l)
+	l.released = true
 	for _, a := range l.returning {
 		a.returning--
 	}
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -67,10 +67,11 @@
 		return nil, reason
 	}
 	first := b.upstreams[hops[0].ID]
-	l := &Lease{requirements: n, tokens: n.expectedTokens(), hops: hops, First: hops[0], StartedAt: first.StartedAt, Throttled: throttled, Withheld: withheld}
+	l := &Lease{requirements: n, tokens: n.expectedTokens(), hops: hops, First: hops[0], StartedAt: first.StartedAt, DataCentre: first.DataCentre, Throttled: throttled, Withheld: withheld}
 	// Once the request runs, its path may change into the capacity that others are left.
 	l.requirements.KeepFree = 0
 	b.reserve(l)
+	b.spread.recordSent(now)
 	b.trackReturning(now, l)
 	b.countSent(now, first)
 	return l, ReasonNone
@@ -104,15 +105,18 @@
 // are withheld from it because of a backoff.
 func (b *Balancer) candidates(now time.Duration, s *matcher.Service, n Requirements) (out []picker.Candidate, withheld []string) {
 	out = make([]picker.Candidate, 0, len(b.subset.used))
+	degree := b.spreadDegree(now)
 	for _, u := range b.subset.used {
-		if u.Service != n.Service || u.Layers.Len() == 0 || u.retired || !u.reachable(now, n.Avoid) {
+		if u.Service != n.Service || u.Layers.Len() == 0 || u.retired || !u.reachable(now, n.Avoid) || slices.Contains(n.AvoidDataCentres, u.DataCentre) {
 			continue
 		}
 		if u.withheldFrom(now, &n) {
 			withheld = append(withheld, u.ID)
 			continue
 		}
-		out = append(out, b.candidate(now, s.Engine, u, n, n.expectedTokens()))
+		c := b.candidate(now, s.Engine, u, n, n.expectedTokens())
+		spreadCost(&c, (c.Slots-c.Sequences)/(n.expectedTokens()*float64(u.Layers.Len())), degree, b.Rand)
+		out = append(out, c)
 	}
 	return out, withheld
 }
@@ -188,6 +192,9 @@
 func (b *Balancer) Repath(now time.Duration, l *Lease, avoid string) []Hop {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if l.released {
+		return nil
+	}
 	b.release(l)
 	defer b.reserve(l)
 	hops := b.detour(now, l, avoid)
@@ -244,7 +251,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u, s := b.upstreams[avoid], b.services[l.requirements.Service]
-	if u == nil || s == nil || s.Engine == nil {
+	if u == nil || s == nil || s.Engine == nil || l.released {
 		return false
 	}
 	b.release(l)
@@ -298,6 +305,7 @@
 		// Only the first hop of a path takes a slot.
 		Excluded: span.From == 0 && (!n.allowsFirst(u.ID) || (e.Slots > 0 && known.requests >= (maxSlotShare-n.KeepFree)*float64(e.Slots))),
 	}
+	c.Preferred = span.From == 0 && b.prefersConnected(&n, u.Address)
 	if u.DataCentre != b.DataCentre {
 		c.Bias += remoteBias
 	}
@@ -306,6 +314,7 @@
 	if n.FirstEventTarget > 0 {
 		c.Bias += lateBias * float64(b.localDelay(now, u.DataCentre).delay) / float64(n.FirstEventTarget)
 	}
+	c.Bias += lateShareBias * b.lateShares[u.DataCentre].decayed(now)
 	if b.isSuspected(now, u) {
 		c.Bias += suspectBias
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -65,8 +65,8 @@
 	Headers  Headers
 	// RetryBudget returns the retry budget of a service.
 	RetryBudget func(service string) *admitter.WindowRetryBudget
-	// StreamLimiter returns the limit on a service's streams in flight.
-	StreamLimiter func(service string) *admitter.StreamLimiter
+	// StreamLimiters returns the limits on a service's streams in flight.
+	StreamLimiters func(service string) *admitter.StreamLimiters
 	// Demands counts what callers ask for, over all hosts; nil means that it is not counted.
 	Demands *admitter.Demands
 	// RankReserve decides what requests leave to more urgent ones. It matters for services with several
@@ -91,6 +91,10 @@
 	// nanoseconds of Now.
 	lastContact atomic.Int64
 	probes      probePacer
+	// promises holds when refused callers are to return.
+	promises admitter.Promises
+	// repeats holds which refused requests are to return later.
+	repeats admitter.Repeats
 
 	mu sync.Mutex
 	// streams holds the attempts under way.
@@ -157,6 +161,8 @@
 	// lastEventID is the id of the last event that the caller has; at first the one that the
 	// caller names in Last-Event-Id.
 	lastEventID eventID
+	// returning is set where the caller was refused before and returns as it was asked to.
+	returning bool
 	// admitted is set once upstreams were reserved for the request.
 	admitted bool
 	// headerSent is set once the status and the headers were written to the caller.
@@ -178,11 +184,12 @@
 	if !k.resolve() || !k.readBody() {
 		return
 	}
-	k.recordArrival()
 	k.fingerprint = fingerprintOf(k)
-	if k.refuseQuarantined() {
+	if k.refuseQuarantined() || k.refuseRepeat() {
 		return
 	}
+	k.recordArrival()
+	k.recordReturn()
 	ctl := http.NewResponseController(w)
 	left := k.deadline - f.Now()
 	ctl.SetWriteDeadline(time.Now().Add(left + writeGrace))
@@ -318,6 +325,7 @@
 	n.Avoid = k.avoid
 	k.updateKeepFree()
 	n.KeepFree = k.keepFree
+	n.HasConnection = k.hasConnection
 	// An upstream whose backoff has just ended may reject the request again.
 	n.AvoidReturning = k.rejected > 0 || !k.RetryBudget(k.service.Name).HasRetry(k.Now())
 	l, reason := k.Balancer.Acquire(k.Now(), n)
@@ -331,6 +339,15 @@
 		n.Avoid = k.rejecters
 		l, reason = k.Balancer.Acquire(k.Now(), n)
 	}
+	if l == nil && len(n.AvoidDataCentres) > 0 {
+		if !k.admitted {
+			k.recordShortage()
+			k.refuse(admitter.ReasonQueueFull, "first events come late")
+			return nil
+		}
+		n.AvoidDataCentres = nil
+		l, reason = k.Balancer.Acquire(k.Now(), n)
+	}
 	if l == nil {
 		if reason == balancer.ReasonNoRoom || reason == balancer.ReasonLimit {
 			k.recordShortage()
@@ -348,6 +365,11 @@
 	return l
 }
 
+// hasConnection reports whether the request needs no new connection to an address.
+func (k *call) hasConnection(address string) bool {
+	return k.Pool.HasIdle(address, !k.route.Repeatable())
+}
+
 // avoidUpstream excludes an upstream that failed the request from later attempts.
 func (k *call) avoidUpstream(id string) {
 	if !slices.Contains(k.avoid, id) {
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -95,8 +95,8 @@
 			continue
 		}
 		lastDeadProbe = now
-		f.probes.expire(now)
-		for _, h := range f.Balancer.DeadUpstreams(round, deadProbesPerDataCentre) {
+		f.probes.expire(now, f.Balancer.SubsetSize(now))
+		for _, h := range f.Balancer.DeadChecks(now, round, deadProbesPerDataCentre) {
 			f.probe(ctx, h, connector.PurposeDeadProbe)
 		}
 		round++
@@ -144,7 +144,7 @@
 // those.
 func (f *Forwarder) queryStalls(ctx context.Context, h balancer.Hop) {
 	name := "stalled " + h.ID
-	if !f.probes.begin(f.Now(), name, stallQueryInterval, 0, 0) {
+	if !f.probes.begin(f.Now(), name, 0, stallQuery) {
 		return
 	}
 	if !f.Balancer.AllowProbe(f.Now(), h.ID) {
@@ -209,16 +209,24 @@
 // probe checks in the background whether an upstream accepts connections. It does nothing while
 // another probe of that upstream runs, or ended just now.
 func (f *Forwarder) probe(ctx context.Context, h balancer.Hop, purpose connector.Purpose) {
-	interval, doublings := probeInterval, maxSilentDoublings
+	spec := silentProbe
 	if purpose == connector.PurposeSlowStartProbe {
-		interval, doublings = slowFirstEvent, maxSlowDoublings
+		spec = slowStartProbe
+		if !f.Balancer.HasManyHosts() {
+			spec.afterAccepted = 0
+		}
+	}
+	if purpose == connector.PurposeDeadProbe {
+		spec = deadProbe
 	}
-	if !f.probes.begin(f.Now(), h.ID, interval, f.Balancer.LastEventAt(h.ID), doublings) {
+	if !f.probes.begin(f.Now(), h.ID, f.Balancer.LastEventAt(h.ID), spec) {
 		return
 	}
 	go func() {
 		startedAt := f.Now()
+		witness := time.AfterFunc(probeTimeout/2, func() { f.findWitness(ctx, h, startedAt) })
 		err := f.Pool.Check(ctx, h.Address, purpose, probeTimeout)
+		witness.Stop()
 		f.probes.end(f.Now(), h.ID, err == nil)
 		switch {
 		case ctx.Err() != nil:
@@ -235,6 +243,20 @@
 	}()
 }
 
+// findWitness checks another upstream where none has answered this host since a check of h began, so
+// that the end of that check tells whether h or this host's own link is out.
+func (f *Forwarder) findWitness(ctx context.Context, h balancer.Hop, since time.Duration) {
+	other, ok := f.Balancer.Witness(h.ID)
+	if f.lastContact.Load() >= int64(since) || !ok || !f.probes.begin(f.Now(), "witness", 0, witnessProbe) {
+		return
+	}
+	err := f.Pool.Check(ctx, other.Address, connector.PurposeWitnessProbe, probeTimeout/2)
+	if err == nil {
+		f.lastContact.Store(int64(f.Now()))
+	}
+	f.probes.end(f.Now(), "witness", err == nil)
+}
+
 // isTimeout reports whether a dial got no answer, as opposed to a refused connection.
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -104,7 +104,7 @@
 	servers       []*http.Server
 
 	retryBudgets lazyMap[admitter.WindowRetryBudget]
-	latencies    lazyMap[admitter.StreamLimiter]
+	latencies    lazyMap[admitter.StreamLimiters]
 }
 
 // Run serves requests until ctx ends, then stops gracefully. It returns an error if an address
@@ -180,7 +180,7 @@
 	h.balancer = &balancer.Balancer{
 		Host:       cfg.Host,
 		DataCentre: cfg.DataCentre,
-		Policy:     picker.Cheapest{Steepness: 2, Jitter: 0.1},
+		Policy:     picker.Cheapest{Steepness: 2, Jitter: 0.1, PreferredFactor: 0.9},
 		Rand:       rand.New(rand.NewPCG(h.Seed, 1)),
 	}
 	h.follower = &follower.Follower{Host: cfg.Host, Source: h.Source, Balancer: h.balancer, Now: h.Now, OnChange: h.updateHosts, Log: h.Log}
@@ -189,19 +189,19 @@
 	hostCount := func() int { return len(h.follower.Hosts()) + 1 }
 	demands := &admitter.Demands{Hosts: hostCount}
 	h.forwarder = &forwarder.Forwarder{
-		Tables:        h.follower,
-		Balancer:      h.balancer,
-		Pool:          h.pool,
-		Engines:       h.Engines,
-		Headers:       h.Headers,
-		RetryBudget:   h.retryBudgets.Get,
-		StreamLimiter: h.latencies.Get,
-		Demands:       demands,
-		RankReserve:   &admitter.RankReserve{MoreUrgent: demands.MoreUrgent, Hosts: hostCount},
-		Suspects:      suspects,
-		Now:           h.Now,
-		Meter:         h.meter,
-		Log:           h.Log,
+		Tables:         h.follower,
+		Balancer:       h.balancer,
+		Pool:           h.pool,
+		Engines:        h.Engines,
+		Headers:        h.Headers,
+		RetryBudget:    h.retryBudgets.Get,
+		StreamLimiters: h.latencies.Get,
+		Demands:        demands,
+		RankReserve:    &admitter.RankReserve{MoreUrgent: demands.MoreUrgent, Hosts: hostCount},
+		Suspects:       suspects,
+		Now:            h.Now,
+		Meter:          h.meter,
+		Log:            h.Log,
 	}
 	suspects.WentDown = h.forwarder.WentDown
 	if h.EngineTransport != nil {
@@ -215,6 +215,7 @@
 		Entry:      registrar.Entry{Name: cfg.Host, Address: cfg.Peer, DataCentre: cfg.DataCentre},
 		Now:        h.Now,
 		FreeDuties: h.claimableDuties,
+		Hosts:      func() int { return len(h.follower.Hosts()) + 1 },
 		Log:        h.Log,
 	}
 	if s, ok := h.Store.(storer.Restorable); ok {
@@ -351,7 +352,7 @@
 	}{
 		{cfg.Ready, newServer(h.readyHandler())},
 		{cfg.Admin, newServer(h.adminHandler())},
-		{cfg.Peer, newServer(peer.NewShareServer(h.sharer))},
+		{cfg.Peer, newServer(sharer.Compress(peer.NewShareServer(h.sharer)))},
 		{cfg.Callers, callers},
 	} {
 		listener, err := h.Listen(endpoint.address)
--- a/launcher/metrics.go
+++ b/launcher/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/connector"
+	"github.com/sardineward/sardineward/meter"
+	"github.com/sardineward/sardineward/storer"
 )
 
 // exportMetrics registers the metrics whose values are computed on each scrape.
@@ -29,6 +31,7 @@
 		m.GaugeFunc("upstreams_"+state.String(), "Upstreams in this state.", func() float64 { return float64(h.balancer.Count(h.Now(), state)) })
 	}
 	m.GaugeFunc("upstreams_in_use", "Upstreams that this host sends to or has requests at; a part of a large fleet.", func() float64 { return float64(h.balancer.SubsetSize(h.Now())) })
+	m.GaugeFunc("spread_degree", "How much requests are spread over engines by the rejections observed: 0 for the cheapest path, 1 in proportion to the capacity left.", func() float64 { return h.balancer.SpreadDegree(h.Now()) })
 	m.GaugeFunc("limits_in_force", "Upstreams that name a limit in their answers.", func() float64 { return float64(h.balancer.LimitCount()) })
 	m.CounterFunc("limited_requests_sent_total", "Requests sent to upstreams while they named a limit.", func() float64 { return float64(h.balancer.LimitedSentCount()) })
 	m.CounterFunc("limited_requests_held_off_total", "Requests that did not go to an upstream since its limit had no room.", func() float64 { return float64(h.balancer.ThrottledCount()) })
@@ -41,6 +44,11 @@
 	for _, p := range connector.PurposeValues() {
 		m.ConnectionsOpened.WithLabelValues(p.String())
 	}
+	if c, ok := h.Store.(storer.Counter); ok {
+		purposes := meter.LabelValues(storer.PurposeValues())
+		m.CounterFuncs("store_calls_total", "Calls on the store, by what they are for.", "purpose", purposes, func(i int) float64 { return float64(c.CallCount(storer.Purpose(i))) })
+		m.CounterFuncs("store_calls_failed_total", "Calls on the store that it refused or did not answer.", "purpose", purposes, func(i int) float64 { return float64(c.FailedCallCount(storer.Purpose(i))) })
+	}
 	m.CounterFunc("connections_opened_total", "Connections made to upstreams.", func() float64 { return float64(h.connectionsOpened.Load()) })
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -28,6 +28,12 @@
 	// Rejections counts upstreams' responses that reject a request without running it, by status
 	// and by whether they name a Retry-After.
 	Rejections *prometheus.CounterVec
+	// Returns counts callers that found no capacity and were given a time to return, and those that
+	// came at such a time, by step.
+	Returns *prometheus.CounterVec
+	// PathRejections counts the rejections by an upstream on a path of engines, by what this host knew
+	// of its usage.
+	PathRejections *prometheus.CounterVec
 	// LimitsUnreadable counts upstreams' responses with a limit that can't be parsed.
 	LimitsUnreadable prometheus.Counter
 	// AnnouncementsUnreadable counts upstreams' responses with an announcement that can't be
@@ -43,14 +49,16 @@
 // retries. It also registers the metrics of the Go runtime and of the process.
 func New(reasons, causes []string) *Meter {
 	m := &Meter{
-		Registry:     prometheus.NewRegistry(),
-		Refusals:     counter("refusals_total", "Requests refused or given up on, by reason.", "reason"),
-		Retries:      counter("retries_total", "Further attempts, by the cause that ended the one before.", "cause"),
-		Requests:     counter("requests_total", "Requests answered whole.", "workspace", "kind"),
-		RankRefusals: counter("rank_refusals_total", "Requests refused at services with several ranks.", "rank", "reason"),
-		FirstToken:   histogram("first_token_seconds", "Time to the first token of a generation."),
-		TokenGap:     histogram("token_gap_seconds", "Time between tokens of a generation, sampled."),
-		Rejections:   counter("upstream_rejections_total", "Requests that upstreams rejected without running them.", "status", "retryAfter"),
+		Registry:       prometheus.NewRegistry(),
+		Refusals:       counter("refusals_total", "Requests refused or given up on, by reason.", "reason"),
+		Retries:        counter("retries_total", "Further attempts, by the cause that ended the one before.", "cause"),
+		Requests:       counter("requests_total", "Requests answered whole.", "workspace", "kind"),
+		RankRefusals:   counter("rank_refusals_total", "Requests refused at services with several ranks.", "rank", "reason"),
+		FirstToken:     histogram("first_token_seconds", "Time to the first token of a generation."),
+		TokenGap:       histogram("token_gap_seconds", "Time between tokens of a generation, sampled."),
+		Rejections:     counter("upstream_rejections_total", "Requests that upstreams rejected without running them.", "status", "retryAfter"),
+		Returns:        counter("returns_total", "Refused callers: promised a time to return, and kept, which came at such a time.", "step"),
+		PathRejections: counter("path_rejections_total", "Requests that engines rejected for want of capacity or without a known cause.", "cause"),
 		LimitsUnreadable: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "limits_unreadable_total", Help: "Answers that named a limit which can't be read.",
 		}),
@@ -66,7 +74,10 @@
 	for _, c := range causes {
 		m.Retries.WithLabelValues(c)
 	}
-	m.Registry.MustRegister(m.Refusals, m.RankRefusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ConnectionsOpened, m.ThroughputBound)
+	for _, step := range []string{"promised", "kept"} {
+		m.Returns.WithLabelValues(step)
+	}
+	m.Registry.MustRegister(m.Refusals, m.RankRefusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.PathRejections, m.Returns, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ConnectionsOpened, m.ThroughputBound)
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -82,6 +93,14 @@
 	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, f))
 }
 
+// CounterFuncs is like CounterFunc for several counters of one name, one for each value of a label.
+func (m *Meter) CounterFuncs(name, help, label string, values []string, f func(i int) float64) {
+	for i, v := range values {
+		opts := prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help, ConstLabels: prometheus.Labels{label: v}}
+		m.Registry.MustRegister(prometheus.NewCounterFunc(opts, func() float64 { return f(i) }))
+	}
+}
+
 // LabelValues returns the texts of an enum's values, for use as label values.
 func LabelValues[T fmt.Stringer](values []T) []string {
 	out := make([]string, len(values))
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -54,8 +54,8 @@
 	maxStrikes = 32
 	// maxLimits bounds the upstream limits sent in one exchange: 3 KB.
 	maxLimits = 64
-	// maxConfigurationBytes bounds the configurations that are sent to hosts that can read the
-	// source. A relay sends one to fifty hosts in half a second over a link of 14 Mbit/s.
+	// maxConfigurationBytes bounds the compressed configurations that are sent to hosts that can
+	// read the source. A relay sends one to fifty hosts in half a second over a link of 14 Mbit/s.
 	maxConfigurationBytes = 16 << 10
 	// startupInterval is the time between two rounds before the source was first read.
 	startupInterval = 10 * time.Millisecond
@@ -122,15 +122,11 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(min(s.roundInterval(hosts, p), untilAsk(s.Follower.ReadAge()))):
+		case <-time.After(min(s.roundInterval(p), untilAsk(s.Follower.ReadAge()))):
 		}
 	}
 }
 
-// untilAsk returns when a host whose knowledge has the given age looks again whether to ask others.
-// The rounds of a large data centre are longer than that.
-func untilAsk(age time.Duration) time.Duration { return max(exchangeInterval, askAge-age) }
-
 // call is an exchange to start.
 type call struct {
 	host  follower.Host
@@ -153,7 +149,7 @@
 	for _, h := range p.localRelays {
 		out = append(out, call{host: h, scope: peer.Scope_SCOPE_HOST, changes: true})
 	}
-	if !s.remoteCallDue(len(p.remoteRelays)) {
+	if !s.remoteCallDue(max(hostsInterval(p.localHosts), time.Duration(len(p.remoteRelays))*intervalPerRemoteRelay)) {
 		return out
 	}
 	for _, h := range p.remoteRelays {
@@ -164,28 +160,14 @@
 	return out
 }
 
-// requestFull makes the calls to some hosts ask for everything, and adds calls to the other
-// sources. A separate second call would not start while one to the same host is in progress.
-func requestFull(calls []call, sources []follower.Host) []call {
-	for _, h := range sources {
-		i := slices.IndexFunc(calls, func(c call) bool { return c.host.Name == h.Name })
-		if i < 0 {
-			calls = append(calls, call{host: h, full: true})
-		} else {
-			calls[i].full = true
-		}
-	}
-	return calls
-}
-
-// remoteCallDue reports whether relays of other data centres are to be called in this round, and if
-// so records the time.
-func (s *Sharer) remoteCallDue(relays int) bool {
+// remoteCallDue reports whether relays of other data centres, which are called at an interval, are to
+// be called in this round, and if so records the time.
+func (s *Sharer) remoteCallDue(interval time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Now()
 	// Half an interval of tolerance, because rounds start a little after they are due.
-	if now-s.remoteCalledAt < max(exchangeInterval, time.Duration(relays)*intervalPerRemoteRelay)-exchangeInterval/2 {
+	if now-s.remoteCalledAt < interval-exchangeInterval/2 {
 		return false
 	}
 	s.remoteCalledAt = now
@@ -193,69 +175,24 @@
 }
 
 // roundInterval returns the time between two rounds. A host that is no relay calls one relay in
-// each round, in turn, and so exchanges with all of them within one interval.
-func (s *Sharer) roundInterval(hosts []follower.Host, p plan) time.Duration {
-	if s.Follower.Position().IsZero() {
+// each round, in turn, and so exchanges with all of them within one interval. A relay calls only
+// other relays; what it gets from the one that reads the source must be as recent in a large data
+// centre as in a small one, else both read the source.
+func (s *Sharer) roundInterval(p plan) time.Duration {
+	switch {
+	case s.Follower.Position().IsZero():
 		return startupInterval
+	case p.relay:
+		return exchangeInterval
+	default:
+		return hostsInterval(p.localHosts) / time.Duration(max(1, len(p.localRelays)))
 	}
-	localHosts := 1
-	for _, h := range hosts {
-		if h.DataCentre == s.DataCentre {
-			localHosts++
-		}
-	}
-	out := max(exchangeInterval, time.Duration(localHosts)*intervalPerHost)
-	if !p.relay {
-		out /= time.Duration(max(1, len(p.localRelays)))
-	}
-	return out
 }
 
-// sources returns the hosts to ask for what they read, in turn. Hosts that answered their last call
-// come first. At most maxSources are asked, because the answers of all hosts together would
-// saturate the link of the one that asks.
-func (s *Sharer) sources(hosts []follower.Host) []follower.Host {
-	var list []follower.Host
-	for _, answering := range []bool{true, false} {
-		for _, h := range hosts {
-			if s.roles.isUnresponsive(h.Name) != answering {
-				list = append(list, h)
-			}
-		}
-		if len(list) >= maxSources {
-			break
-		}
-	}
-	sortByName(list)
-	start := s.advanceRotation(maxSources)
-	var out []follower.Host
-	for i := range min(maxSources, len(list)) {
-		out = append(out, list[(start+i)%len(list)])
-	}
-	ahead := s.takeAhead()
-	if i := slices.IndexFunc(hosts, func(h follower.Host) bool { return h.Name == ahead }); i >= 0 {
-		out = append(out, hosts[i])
-	}
-	return out
-}
-
-// noteAhead records a host that called and knows more of the source than this one.
-func (s *Sharer) noteAhead(host string, at follower.Position) {
-	if !s.Follower.Position().Before(at) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ahead = host
-}
-
-// takeAhead returns and forgets the host that was last recorded by noteAhead.
-func (s *Sharer) takeAhead() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := s.ahead
-	s.ahead = ""
-	return out
+// hostsInterval returns the time between two exchanges of a relay with one of the hosts of its data
+// centre, and with the relays of another one.
+func hostsInterval(localHosts int) time.Duration {
+	return max(exchangeInterval, time.Duration(localHosts)*intervalPerHost)
 }
 
 // advanceRotation adds n to the rotation and returns its value before.
@@ -373,7 +310,7 @@
 	}
 	// A host that can read the source is sent only a short configuration. Otherwise each change
 	// of it would saturate the links of the relays.
-	if b := s.newerConfiguration(req.Version); req.Behind || len(b) <= maxConfigurationBytes {
+	if b, size := s.newerConfiguration(req.Version); req.Behind || size <= maxConfigurationBytes {
 		resp.Configuration = b
 	}
 	if !req.Behind {
@@ -387,33 +324,6 @@
 	return resp, nil
 }
 
-// newerConfiguration returns the configuration in force as JSON if its version is above the given
-// one, else nil.
-func (s *Sharer) newerConfiguration(version int64) []byte {
-	cfg := s.Follower.Configuration()
-	if cfg == nil || cfg.Version <= version {
-		return nil
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.encoded.version == cfg.Version {
-		return s.encoded.json
-	}
-	b, err := json.Marshal(cfg)
-	if err != nil {
-		s.Log.Error().Err(err).Msg("sharer: encoding the configuration failed")
-		return nil
-	}
-	s.encoded = encodedConfiguration{cfg.Version, b}
-	return b
-}
-
-// encodedConfiguration is a configuration as JSON. Relays send the same one to many hosts.
-type encodedConfiguration struct {
-	version int64
-	json    []byte
-}
-
 // decode parses JSON; it returns nil for empty input.
 func decode[T any](b []byte) (*T, error) {
 	if len(b) == 0 {
