--- a/admitter/rank.go
+++ b/admitter/rank.go
@@ -61,8 +61,8 @@
 	// minReserveFactor and maxReserveFactor bound the factor. Without refusals it returns to 1, with
 	// the time constant reserveMemory.
 	minReserveFactor = 0.25
-	maxReserveFactor = 8.0
-	reserveMemory    = 10 * time.Second
+	maxReserveFactor = 4.0
+	reserveMemory    = 4 * time.Second
 	// Each refusal of a more urgent request adds a step to the factor, and each admission of one takes
 	// maxRefusedShare of a step from it, so that it settles where this share of them is refused. Users
 	// accept that a rank is served less often by up to 5 in 100. A step is reserveStepSum by the number of
