--- a/admitter/rank.go
+++ b/admitter/rank.go
@@ -12,7 +12,7 @@
 //
 // The share is what more urgent requests take until hosts see each other's admissions and places
 // become free, times a factor: it increases with each more urgent request that this host refuses for
-// lack of capacity, and decreases with each of the rank itself. Added to it is what other hosts have
+// lack of capacity, and decreases with each that it admits. Added to it is what other hosts have
 // admitted unseen, taken to be what this one has. Nothing is left to ranks without demand.
 //
 // It is safe for concurrent use. The exported fields are set before use.
@@ -45,6 +45,8 @@
 	changedAt time.Duration
 	// asked and admitted count the requests of about the last shareMemory, as of changedAt.
 	asked, admitted float64
+	// moreUrgent counts the more urgent requests of the same time.
+	moreUrgent float64
 	// refusals counts the refusals since the last admission, of which the first was at
 	// refusedSince.
 	refusals     int
@@ -59,13 +61,15 @@
 	// minReserveFactor and maxReserveFactor bound the factor. Without refusals it returns to 1, with
 	// the time constant reserveMemory.
 	minReserveFactor = 0.25
-	maxReserveFactor = 2.0
+	maxReserveFactor = 4.0
 	reserveMemory    = 4 * time.Second
-	// reserveIncrease is what each refusal of a more urgent request adds to the factor, and
-	// reserveDecrease what each refusal of the rank itself takes from it. Together they settle where
-	// one more urgent request is refused to ten of the rank.
-	reserveIncrease = 0.1
-	reserveDecrease = 0.01
+	// Each refusal of a more urgent request adds a step to the factor, and each admission of one takes
+	// maxRefusedShare of a step from it, so that it settles where this share of them is refused. Users
+	// accept that a rank is served less often by up to 5 in 100. A step is reserveStepSum by the number of
+	// more urgent requests over shareMemory, so that the same share of refusals has the same effect.
+	maxRefusedShare = 0.02
+	maxReserveStep  = 0.5
+	reserveStepSum  = 20.0
 	// starvedRefusals and starvedFraction are after how many refusals in which fraction of its
 	// deadline a request leaves nothing to others, so that no rank stands still. One request in
 	// starvedRefusals does not invert ranks. maxStarvedFraction is the same for any refusals.
@@ -116,6 +120,7 @@
 	own.refusals = 0
 	own.asked++
 	own.admitted++
+	s.adjustLower(now, rank, -maxRefusedShare)
 	s.grow(now, 1)
 }
 
@@ -141,11 +146,18 @@
 	if own.refusals++; own.refusals == 1 {
 		own.refusedSince = now
 	}
-	own.factor = max(minReserveFactor, own.factor-reserveDecrease)
+	s.adjustLower(now, rank, 1)
+}
+
+// adjustLower adds steps to the factors of the ranks that are less urgent. The fewer more urgent
+// requests a host sees, the larger a step is.
+func (s *serviceReserve) adjustLower(now time.Duration, rank int, steps float64) {
 	for other := range s.ranks {
 		if other > rank {
 			lower := s.rank(now, other)
-			lower.factor = min(maxReserveFactor, lower.factor+reserveIncrease)
+			lower.moreUrgent++
+			step := min(maxReserveStep, reserveStepSum/lower.moreUrgent)
+			lower.factor = min(max(lower.factor+steps*step, minReserveFactor), maxReserveFactor)
 		}
 	}
 }
@@ -214,7 +226,7 @@
 	if now > own.changedAt {
 		own.factor = 1 + (own.factor-1)*math.Exp(-(now-own.changedAt).Seconds()/reserveMemory.Seconds())
 		kept := math.Exp(-(now - own.changedAt).Seconds() / shareMemory.Seconds())
-		own.asked, own.admitted, own.changedAt = own.asked*kept, own.admitted*kept, now
+		own.asked, own.admitted, own.moreUrgent, own.changedAt = own.asked*kept, own.admitted*kept, own.moreUrgent*kept, now
 	}
 	return own
 }
