admitter, forwarder: max-min shares of workspaces in a shortage

A workspace that asked for twenty times its usual took nearly all capacity, and the others of its rank were refused with it.

Reports also carry what was refused for lack of capacity. From when that is 2 in 100 over all hosts of a rank with several workspaces, what all hosts admit is divided by max-min over what workspaces ask for. Each host admits the fraction of a workspace's requests that its share is of its demand, and refuses the others at once (queueFull, "workspace exceeds its share"), but for those that return as asked. The shares follow whether more than 1 in 100 lack capacity, and end with the shortage: after an outage what was admitted before it counts (TestSharesEndWithTheShortage). A host that is cut off divides by what it last knew.

--- a/admitter/demand.go
+++ b/admitter/demand.go
@@ -48,30 +48,35 @@
 type Demand struct {
 	DemandKey
 	Arrivals, Admitted float64
+	// Lacked is what was refused for lack of capacity.
+	Lacked float64
 }
 
 // demandRate is the rates of a Demand.
-type demandRate struct{ arrivals, admitted float64 }
+type demandRate struct{ arrivals, admitted, lacked float64 }
 
 // Plus implements aggregator.Value.
 func (r demandRate) Plus(other demandRate) demandRate {
-	return demandRate{r.arrivals + other.arrivals, r.admitted + other.admitted}
+	return demandRate{r.arrivals + other.arrivals, r.admitted + other.admitted, r.lacked + other.lacked}
 }
 
 // Minus implements aggregator.Value.
 func (r demandRate) Minus(other demandRate) demandRate {
-	return demandRate{r.arrivals - other.arrivals, r.admitted - other.admitted}
+	return demandRate{r.arrivals - other.arrivals, r.admitted - other.admitted, r.lacked - other.lacked}
 }
 
 // rounded returns the rates in whole steps.
 func (r demandRate) rounded() demandRate {
-	return demandRate{math.Round(r.arrivals*demandSteps) / demandSteps, math.Round(r.admitted*demandSteps) / demandSteps}
+	round := func(v float64) float64 { return math.Round(v*demandSteps) / demandSteps }
+	return demandRate{round(r.arrivals), round(r.admitted), round(r.lacked)}
 }
 
 // demandCounter is this host's rates of a key, as of at.
 type demandCounter struct {
 	demandRate
 	at time.Duration
+	// credit is the part of a request that the workspace's share allows, see TakeShare.
+	credit float64
 }
 
 // advance brings the rates to now.
@@ -82,6 +87,7 @@
 	decay := math.Exp(-(now - c.at).Seconds() / demandTime.Seconds())
 	c.arrivals *= decay
 	c.admitted *= decay
+	c.lacked *= decay
 	c.at = now
 }
 
@@ -95,6 +101,9 @@
 	mu       sync.Mutex
 	own      map[DemandKey]*demandCounter
 	reported aggregator.Aggregator[DemandKey, demandRate]
+	// latest holds the same reports for longer. shares is worked out from it.
+	latest aggregator.Aggregator[DemandKey, demandRate]
+	shares map[rankKey]*rankShares
 	// totals is the demand over all hosts as of totalsAt; nil when it is to be added up again.
 	totals   []Demand
 	totalsAt time.Duration
@@ -168,7 +177,7 @@
 		if one.Arrivals < minDemand && one.Admitted < minDemand {
 			continue
 		}
-		d.own[one.DemandKey] = &demandCounter{demandRate{one.Arrivals, one.Admitted}, now}
+		d.own[one.DemandKey] = &demandCounter{demandRate: demandRate{one.Arrivals, one.Admitted, one.Lacked}, at: now}
 	}
 }
 
@@ -177,7 +186,7 @@
 	out := make([]Demand, 0, len(d.own))
 	for key, c := range d.own {
 		c.advance(now)
-		out = append(out, Demand{key, c.arrivals, c.admitted})
+		out = append(out, Demand{key, c.arrivals, c.admitted, c.lacked})
 	}
 	return out
 }
@@ -188,33 +197,34 @@
 		return d.totals
 	}
 	d.reported.Expire(now, maxDemandAge)
+	out := d.sum(now, &d.reported)
+	slices.SortFunc(out, func(a, b Demand) int { return a.compare(b.DemandKey) })
+	d.totals, d.totalsAt = out, now
+	return out
+}
+
+// sum adds this host's demand to reports, and scales the sum to all hosts. It is in no order.
+func (d *Demands) sum(now time.Duration, reports *aggregator.Aggregator[DemandKey, demandRate]) []Demand {
 	sums := make(map[DemandKey]demandRate, len(d.own))
-	for key, r := range d.reported.Sums() {
+	for key, r := range reports.Sums() {
 		sums[key] = r
 	}
 	for key, c := range d.own {
 		c.advance(now)
 		sums[key] = sums[key].Plus(c.demandRate)
 	}
-	scale := d.scale()
+	known, all := 1+reports.Hosts(), 1
+	if d.Hosts != nil {
+		all = d.Hosts()
+	}
+	scale := max(1, float64(all)/float64(known))
 	out := make([]Demand, 0, len(sums))
 	for key, r := range sums {
-		out = append(out, Demand{key, r.arrivals * scale, r.admitted * scale})
+		out = append(out, Demand{key, r.arrivals * scale, r.admitted * scale, r.lacked * scale})
 	}
-	slices.SortFunc(out, func(a, b Demand) int { return a.compare(b.DemandKey) })
-	d.totals, d.totalsAt = out, now
 	return out
 }
 
-// scale returns the number of all hosts for each host whose demand is known.
-func (d *Demands) scale() float64 {
-	known, all := 1+d.reported.Hosts(), 1
-	if d.Hosts != nil {
-		all = d.Hosts()
-	}
-	return max(1, float64(all)/float64(known))
-}
-
 // sortByArrivals sorts the demand, the highest first.
 func sortByArrivals(list []Demand) {
 	slices.SortFunc(list, func(a, b Demand) int {
@@ -243,6 +253,7 @@
 		}
 		out[i].Arrivals += one.Arrivals
 		out[i].Admitted += one.Admitted
+		out[i].Lacked += one.Lacked
 	}
 	return out
 }
--- a/admitter/demand_report.go
+++ b/admitter/demand_report.go
@@ -11,7 +11,7 @@
 	// arrivals are joined.
 	maxDemandBytes = 8 << 10
 	// demandBytes is what a demand takes in a report besides its names.
-	demandBytes = 24
+	demandBytes = 29
 	// Upper bounds of what one report may have: the bytes of a name, the absolute value of a rank,
 	// requests a second and hosts.
 	maxDemandName  = 256
@@ -51,6 +51,7 @@
 	}{
 		{"arrivals", d.Arrivals, 0, maxDemandRate},
 		{"admitted", d.Admitted, 0, maxDemandRate},
+		{"lacked", d.Lacked, 0, maxDemandRate},
 		{"rank", float64(d.Rank), -maxDemandRank, maxDemandRank},
 		{"length of service", float64(len(d.Service)), 0, maxDemandName},
 		{"length of workspace", float64(len(d.Workspace)), 0, maxDemandName},
@@ -81,7 +82,7 @@
 	}
 	list := make([]Demand, 0, len(sums))
 	for key, r := range sums {
-		list = append(list, Demand{key, r.arrivals, r.admitted})
+		list = append(list, Demand{key, r.arrivals, r.admitted, r.lacked})
 	}
 	return newDemandReport(hosts+1, list)
 }
@@ -90,9 +91,9 @@
 func newDemandReport(hosts int, list []Demand) DemandReport {
 	rounded := list[:0]
 	for _, one := range list {
-		r := demandRate{one.Arrivals, one.Admitted}.rounded()
+		r := demandRate{one.Arrivals, one.Admitted, one.Lacked}.rounded()
 		if r.arrivals > 0 || r.admitted > 0 {
-			rounded = append(rounded, Demand{one.DemandKey, r.arrivals, r.admitted})
+			rounded = append(rounded, Demand{one.DemandKey, r.arrivals, r.admitted, r.lacked})
 		}
 	}
 	sortByArrivals(rounded)
@@ -128,7 +129,7 @@
 		one := &r.Demands[i]
 		err := one.Check()
 		if _, twice := values[one.DemandKey]; err == nil && !twice {
-			values[one.DemandKey] = demandRate{one.Arrivals, one.Admitted}.rounded()
+			values[one.DemandKey] = demandRate{one.Arrivals, one.Admitted, one.Lacked}.rounded()
 		}
 		if first == nil {
 			first = err
@@ -140,10 +141,12 @@
 	d.reported.Expire(now, maxDemandAge)
 	if r.Hosts == 0 {
 		// A host of an older version reports no demand.
-		d.reported.Keep(func(other string) bool { return other != source })
+		d.keep(func(other string) bool { return other != source })
 		return first
 	}
+	d.latest.Expire(now, maxShareAge)
 	d.reported.Set(now, source, r.Hosts, values)
+	d.latest.Set(now, source, r.Hosts, values)
 	return first
 }
 
@@ -152,6 +155,11 @@
 func (d *Demands) KeepReports(keep func(source string) bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.keep(keep)
+}
+
+func (d *Demands) keep(keep func(source string) bool) {
 	d.totals = nil
 	d.reported.Keep(keep)
+	d.latest.Keep(keep)
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -157,6 +157,8 @@
 	lastEventID eventID
 	// returning is set where the caller was refused before and returns as it was asked to.
 	returning bool
+	// shareExceeded is set where the request was refused for its workspace's share.
+	shareExceeded bool
 	// admitted is set once upstreams were reserved for the request.
 	admitted bool
 	// headerSent is set once the status and the headers were written to the caller.
@@ -184,6 +186,9 @@
 	}
 	k.recordArrival()
 	k.recordReturn()
+	if k.refuseShare() {
+		return
+	}
 	ctl := http.NewResponseController(w)
 	left := k.deadline - f.Now()
 	ctl.SetWriteDeadline(time.Now().Add(left + writeGrace))
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -36,6 +36,7 @@
 // return its result.
 func (k *call) refuse(reason admitter.Reason, detail string) bool {
 	code := httpStatus(reason)
+	k.recordLack(reason)
 	h := k.w.Header()
 	var wait time.Duration
 	if code == http.StatusServiceUnavailable {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -29,6 +29,9 @@
 	// Returns counts callers that found no capacity and were given a time to return, and those that
 	// came at such a time, by step.
 	Returns *prometheus.CounterVec
+	// ShareRefusals counts requests refused because their workspace exceeded its share; they are
+	// also among Refusals.
+	ShareRefusals prometheus.Counter
 	// LimitsUnreadable counts upstreams' responses with a limit that can't be parsed.
 	LimitsUnreadable prometheus.Counter
 	// AnnouncementsUnreadable counts upstreams' responses with an announcement that can't be
@@ -50,6 +53,9 @@
 		TokenGap:   histogram("token_gap_seconds", "Time between tokens of a generation, sampled."),
 		Rejections: counter("upstream_rejections_total", "Requests that upstreams rejected without running them.", "status", "retryAfter"),
 		Returns:    counter("returns_total", "Refused callers: promised a time to return, and kept, which came at such a time.", "step"),
+		ShareRefusals: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "share_refusals_total", Help: "Requests refused since their workspace exceeded its share in a shortage.",
+		}),
 		LimitsUnreadable: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "limits_unreadable_total", Help: "Answers that named a limit which can't be read.",
 		}),
@@ -67,7 +73,7 @@
 	for _, step := range []string{"promised", "kept"} {
 		m.Returns.WithLabelValues(step)
 	}
-	m.Registry.MustRegister(m.Refusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.Returns, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ThroughputBound)
+	m.Registry.MustRegister(m.Refusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.Returns, m.ShareRefusals, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ThroughputBound)
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
--- a/sharer/demands.go
+++ b/sharer/demands.go
@@ -28,7 +28,7 @@
 	r.Demands = make([]*peer.Demand, len(from.Demands))
 	for i, d := range from.Demands {
 		r.Demands[i] = &peer.Demand{
-			Service: d.Service, Rank: int32(d.Rank), Workspace: d.Workspace, Arrivals: float32(d.Arrivals), Admitted: float32(d.Admitted),
+			Service: d.Service, Rank: int32(d.Rank), Workspace: d.Workspace, Arrivals: float32(d.Arrivals), Admitted: float32(d.Admitted), Lacked: float32(d.Lacked),
 		}
 	}
 }
@@ -41,7 +41,7 @@
 	from := admitter.DemandReport{Hosts: int(r.DemandHosts), Demands: make([]admitter.Demand, len(r.Demands))}
 	for i, p := range r.Demands {
 		key := admitter.DemandKey{Service: p.Service, Rank: int(p.Rank), Workspace: p.Workspace}
-		from.Demands[i] = admitter.Demand{DemandKey: key, Arrivals: float64(p.Arrivals), Admitted: float64(p.Admitted)}
+		from.Demands[i] = admitter.Demand{DemandKey: key, Arrivals: float64(p.Arrivals), Admitted: float64(p.Admitted), Lacked: float64(p.Lacked)}
 	}
 	if err := s.Demands.SetReport(s.Now(), source, from); err != nil && s.firstInvalid(host) {
 		s.Log.Warn().Err(err).Str("peer", host).Msg("sharer: invalid demand in a report from peer, ignored")
