--- a/balancer/plain.go
+++ b/balancer/plain.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"time"
 )
 
@@ -32,7 +33,7 @@
 	found := false
 	var throttled, withheld []string
 	for _, u := range b.subset.used {
-		if u.Service != n.Service || !u.reachable(now, n.Avoid) || !n.allowsFirst(u.ID) {
+		if u.Service != n.Service || !u.reachable(now, n.Avoid) || !n.allowsFirst(u.ID) || slices.Contains(n.AvoidDataCentres, u.DataCentre) {
 			continue
 		}
 		found = true
@@ -78,7 +79,7 @@
 	best.firstHopRequests++
 	b.countSent(now, best)
 	hop := Hop{ID: best.ID, Address: best.Address}
-	l := &Lease{requirements: n, First: hop, StartedAt: best.StartedAt, Throttled: throttled, Withheld: withheld, hops: []Hop{hop}}
+	l := &Lease{requirements: n, First: hop, StartedAt: best.StartedAt, DataCentre: best.DataCentre, Throttled: throttled, Withheld: withheld, hops: []Hop{hop}}
 	b.trackReturning(now, l)
 	return l, ReasonNone
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -34,6 +34,9 @@
 	// PathRejections counts the rejections by an upstream on a path of engines, by what this host knew
 	// of its usage.
 	PathRejections *prometheus.CounterVec
+	// ShareRefusals counts requests refused because their workspace exceeded its share; they are
+	// also among Refusals.
+	ShareRefusals prometheus.Counter
 	// LimitsUnreadable counts upstreams' responses with a limit that can't be parsed.
 	LimitsUnreadable prometheus.Counter
 	// AnnouncementsUnreadable counts upstreams' responses with an announcement that can't be
@@ -59,6 +62,9 @@
 		Rejections:     counter("upstream_rejections_total", "Requests that upstreams rejected without running them.", "status", "retryAfter"),
 		Returns:        counter("returns_total", "Refused callers: promised a time to return, and kept, which came at such a time.", "step"),
 		PathRejections: counter("path_rejections_total", "Requests that engines rejected for want of capacity or without a known cause.", "cause"),
+		ShareRefusals: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "share_refusals_total", Help: "Requests refused since their workspace exceeded its share in a shortage.",
+		}),
 		LimitsUnreadable: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "limits_unreadable_total", Help: "Answers that named a limit which can't be read.",
 		}),
@@ -77,7 +83,7 @@
 	for _, step := range []string{"promised", "kept"} {
 		m.Returns.WithLabelValues(step)
 	}
-	m.Registry.MustRegister(m.Refusals, m.RankRefusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.PathRejections, m.Returns, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ConnectionsOpened, m.ThroughputBound)
+	m.Registry.MustRegister(m.Refusals, m.RankRefusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.PathRejections, m.Returns, m.ShareRefusals, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ConnectionsOpened, m.ThroughputBound)
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
