--- a/admitter/share.go
+++ b/admitter/share.go
@@ -18,8 +18,8 @@
 	// force.
 	minLack = 4
 	// tolerableLoss is the same fraction above which hosts take the capacity to be less, by
-	// shareDecrease a second; below, they take it to be more, by shareIncrease, so that nothing stays
-	// unused while somebody asks.
+	// shareDecrease a second; below, they take it to be more, by shareIncrease, so that no capacity
+	// stays unused while requests are refused.
 	tolerableLoss = 0.01
 	shareDecrease = 0.05
 	shareIncrease = 0.02
--- a/admitter/share_test.go
+++ b/admitter/share_test.go
@@ -211,8 +211,8 @@
 	o.starts += part.starts
 }
 
-// TestSharesAreMaxMin draws demands and checks that nobody gets less than its fair part or its
-// demand, that the shares fit, and that nothing stays unused while somebody asks.
+// TestSharesAreMaxMin draws demands and checks that no workspace gets less than its fair part or its
+// demand, that the shares fit, and that no capacity stays unused while some demand is not met.
 func TestSharesAreMaxMin(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		is := is.New(t)
--- a/balancer/desks_test.go
+++ b/balancer/desks_test.go
@@ -120,9 +120,8 @@
 	d.waiting = append(d.waiting, &deskRequest{host: b, lease: l, arrivedAt: now, work: time.Duration((0.5 + r.rnd.Float64()) * float64(deskWork))})
 }
 
-// TestFullDesks replays 24 and 137 hosts whose callers together ask for less than seven plain upstreams
-// can do. It guards against an upstream that rejects requests without a Retry-After and goes on
-// drawing them while others have room, so that more are rejected than may be retried.
+// TestFullDesks replays 24 and 137 hosts before seven plain upstreams with enough slots for all. It guards
+// against an upstream that rejects requests without a Retry-After and goes on drawing them.
 func TestFullDesks(t *testing.T) {
 	const retryRatio = 0.1
 	for _, loadKnown := range []bool{false, true} {
--- a/balancer/ranks_test.go
+++ b/balancer/ranks_test.go
@@ -24,9 +24,8 @@
 	return least
 }
 
-// TestRankOverload replays three ranks at 1.3, 2 and 4 times the capacity for 3 and 12 s, at hosts
-// whose reports are 0.4 s old. It guards against less urgent requests that are served more often,
-// and against capacity that stays free while requests are refused.
+// TestRankOverload replays three ranks at 1.3, 2 and 4 times the capacity. It guards against less urgent
+// requests that are served more often, and against free capacity while requests are refused.
 func TestRankOverload(t *testing.T) {
 	for _, length := range []time.Duration{3 * time.Second, 12 * time.Second} {
 		for _, times := range []float64{1.3, 2, 4} {
@@ -91,9 +90,8 @@
 	})
 }
 
-// TestRareUrgentRequests replays a most urgent rank that is a twentieth of 3.3 times the capacity, at eight
-// hosts that see few of its requests each. It guards against urgent requests that are refused since the
-// others take what becomes free at all hosts at once.
+// TestRareUrgentRequests guards against urgent requests that are a twentieth of the demand and are refused
+// since the others take what becomes free at all hosts at once.
 func TestRareUrgentRequests(t *testing.T) {
 	served, alone := 0.0, 0.0
 	for seed := range uint64(3) {
--- a/balancer/stale_test.go
+++ b/balancer/stale_test.go
@@ -269,9 +269,8 @@
 	return len(room) == staleRanges
 }
 
-// TestStaleReports replays 137 hosts that know each other's usage from reports of up to a second ago, at
-// once, twice and four times the capacity for 12 s. It guards against hosts that all fill the same
-// engines while others have capacity left.
+// TestStaleReports replays 137 hosts with reports of up to a second ago at 1, 2 and 4 times the capacity. It
+// guards against hosts that all fill the same engines while others have capacity left.
 func TestStaleReports(t *testing.T) {
 	const goodputTarget = 0.9 // of what hosts with fresh reports serve
 	for _, factor := range []float64{1, 2, 4} {
--- a/launcher/join_test.go
+++ b/launcher/join_test.go
@@ -13,7 +13,7 @@
 )
 
 // TestHostsJoinAndLeave guards against a joining host that takes callers before it can serve them,
-// and against requests that fail while hosts leave beside a store that answers nobody.
+// and against requests that fail while hosts leave beside a store that does not answer.
 func TestHostsJoinAndLeave(t *testing.T) {
 	const joining, leaving = 45, 23
 	runRestoreFleet(t, 24, func(is *is.I, r *restoreFleet) {
--- a/matcher/ranks.go
+++ b/matcher/ranks.go
@@ -2,7 +2,7 @@
 
 import "slices"
 
-// rankSteps is how many priorities of routes are told apart below a workspace's priority.
+// rankSteps is how many priorities of routes are distinct for each priority of a workspace.
 const rankSteps = 1000
 
 // Ranks returns the distinct ranks that requests to a service may have, ascending: the most urgent one
