--- a/forwarder/moves_test.go
+++ b/forwarder/moves_test.go
@@ -31,10 +31,12 @@
 }
 
 func (e *repathEngines) Repath(ctx context.Context, _ string, hops []balancer.Hop) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(e.duration):
+	if e.duration > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(e.duration):
+		}
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
