--- a/launcher/restart_test.go
+++ b/launcher/restart_test.go
@@ -22,9 +22,14 @@
 		r.net.Partition(h.Name, "store")
 		r.net.CloseConnections(h.Name)
 	}
+	// Each call removes itself from killHost.
+	kills := make([]func(), len(hosts))
+	for n, h := range hosts {
+		kills[n] = r.killHost[h.Name]
+	}
 	var wg sync.WaitGroup
-	for _, h := range hosts {
-		wg.Go(r.killHost[h.Name])
+	for _, kill := range kills {
+		wg.Go(kill)
 	}
 	wg.Wait()
 	for _, h := range hosts {
