forwarder, admitter: shares of workspaces are off unless the setting asks for them

Shares began while upstreams were in a backoff, took what was admitted then for the capacity (16 a second in place of 46) and raised it by 2% a second. Change: setting workspaceShares, false by default; what was admitted before a shortage is kept for 30 s.

--- a/admitter/share.go
+++ b/admitter/share.go
@@ -26,6 +26,9 @@
 	// After recoveryDelay with less than endLoss, the capacity is at least what it was before the
 	// shortage.
 	recoveryDelay = time.Second
+	// capacityMemory is the time in which what was admitted before a shortage loses two thirds of its
+	// weight. An outage may lower it seconds before the first request is refused for lack of capacity.
+	capacityMemory = 30 * time.Second
 	// initialUse is the fraction of what is admitted at first that is divided. Requests that arrive at
 	// random are refused now and then where they ask for all of it.
 	initialUse = 0.9
@@ -154,11 +157,11 @@
 	if loss >= endLoss && all.lacked > s.lacked {
 		s.lossAt = now
 	}
+	elapsed := (now - s.levelAt).Seconds()
 	if loss < endLoss && !s.inForce {
-		s.before = all.admitted
+		s.before = max(all.admitted, s.before*math.Exp(-elapsed/capacityMemory.Seconds()))
 	}
 	s.lacked = all.lacked
-	elapsed := (now - s.levelAt).Seconds()
 	switch {
 	case !s.inForce:
 		s.inForce = len(s.demand) > 1 && loss >= startLoss && all.lacked >= minLack && now-s.lossAt <= recoveryDelay
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -69,6 +69,8 @@
 	StreamLimiters func(service string) *admitter.StreamLimiters
 	// Demands counts what callers ask for, over all hosts; nil means that it is not counted.
 	Demands *admitter.Demands
+	// DivideCapacity is set to refuse workspaces that exceed their share in a shortage.
+	DivideCapacity bool
 	// RankReserve decides what requests leave to more urgent ones. It matters for services with several
 	// ranks; nil leaves nothing.
 	RankReserve *admitter.RankReserve
--- a/forwarder/share.go
+++ b/forwarder/share.go
@@ -7,7 +7,7 @@
 // refuseShare refuses a request of a workspace that takes more than its share while others of its
 // rank lack theirs, and reports whether it did. One that returns as it was asked to is not refused.
 func (k *call) refuseShare() bool {
-	if k.Demands == nil || k.workspace == nil || k.returning || !k.table.Competes(k.service.Name) {
+	if !k.DivideCapacity || k.Demands == nil || k.workspace == nil || k.returning || !k.table.Competes(k.service.Name) {
 		return false
 	}
 	s, exceeds := k.Demands.TakeShare(k.Now(), k.demandKey())
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -196,6 +196,7 @@
 		Headers:        h.Headers,
 		RetryBudget:    h.retryBudgets.Get,
 		StreamLimiters: h.latencies.Get,
+		DivideCapacity: cfg.WorkspaceShares,
 		Demands:        demands,
 		RankReserve:    &admitter.RankReserve{MoreUrgent: demands.MoreUrgent, Hosts: hostCount},
 		Suspects:       suspects,
--- a/loader/forward_gen.go
+++ b/loader/forward_gen.go
@@ -55,6 +55,10 @@
 
 	// Longest graceful stop.
 	StopMs int `json:"stopMs,omitempty,omitzero"`
+
+	// Whether the capacity of a rank is divided among workspaces in a shortage. Off by
+	// default: shares that begin while upstreams are away end late.
+	WorkspaceShares bool `json:"workspaceShares,omitempty,omitzero"`
 }
 
 type ForwardLogLevel string
@@ -192,6 +196,9 @@
 	if 1 > plain.StopMs {
 		return fmt.Errorf("field %s: must be >= %v", "stopMs", 1)
 	}
+	if v, ok := raw["workspaceShares"]; !ok || v == nil {
+		plain.WorkspaceShares = false
+	}
 	*j = Forward(plain)
 	return nil
 }
