--- a/follower/follower.go
+++ b/follower/follower.go
@@ -100,7 +100,7 @@
 	retryDelay = 250 * time.Millisecond
 	// retryDelayPerHost lengthens the pause, up to maxRetryDelay, of hosts that do not usually read
 	// the source, so that all together retry about as often as a few hosts would at retryDelay.
-	retryDelayPerHost = 36 * time.Millisecond
+	retryDelayPerHost = 40 * time.Millisecond
 	maxRetryDelay     = 4 * time.Second
 	// fallbackAge is the staleness at which a host that gets changes from its peers reads the source
 	// itself. It spans several exchanges with peers that do not answer or cannot reach the source.
