--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"sync"
 	"syscall"
-	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rs/zerolog"
@@ -23,6 +22,7 @@
 func main() {
 	app := kingpin.New("soak", "Runs the program as separate processes, injects faults from outside, and checks what callers and upstreams observe.")
 	binary := app.Flag("binary", "The program, built by `go build ./cmd/sardineward`.").Required().ExistingFile()
+	earlier := app.Flag("earlier", "An earlier version of the program, which half of the hosts run; restarts change versions.").ExistingFile()
 	dir := app.Flag("dir", "Directory for the settings and logs of each seed.").Default(filepath.Join(os.TempDir(), "soak")).String()
 	first := app.Flag("seed", "First seed.").Default("1").Uint64()
 	seeds := app.Flag("seeds", "Number of consecutive seeds.").Default("1").Int()
@@ -33,7 +33,7 @@
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	failed := runSeeds(*seeds, *jobs, func(n int) bool {
-		return ctx.Err() != nil || playSeed(ctx, *binary, *dir, *first+uint64(n), *length, *hosts, *callers)
+		return ctx.Err() != nil || playSeed(ctx, &soaker.Run{Seed: *first + uint64(n), Length: *length, Hosts: *hosts, Callers: *callers, Binary: *binary, Earlier: *earlier}, *dir)
 	})
 	if ctx.Err() != nil {
 		fmt.Println("ended early")
@@ -67,8 +67,9 @@
 	return failed
 }
 
-func playSeed(ctx context.Context, binary, dir string, seed uint64, length time.Duration, hosts, callers int) bool {
-	dir = filepath.Join(dir, fmt.Sprint(seed))
+// playSeed executes a run, with its files in a folder of dir that is named after the seed.
+func playSeed(ctx context.Context, r *soaker.Run, dir string) bool {
+	dir = filepath.Join(dir, fmt.Sprint(r.Seed))
 	if err := os.RemoveAll(dir); err != nil {
 		fmt.Println(err)
 		return false
@@ -83,14 +84,14 @@
 		return false
 	}
 	defer log.Close()
-	r := &soaker.Run{Seed: seed, Length: length, Hosts: hosts, Callers: callers, Binary: binary, Dir: dir, Log: zerolog.New(log).With().Timestamp().Logger()}
+	r.Dir, r.Log = dir, zerolog.New(log).With().Timestamp().Logger()
 	report, err := r.Execute(ctx)
 	if err != nil {
-		fmt.Printf("seed %d: %v\n", seed, err)
+		fmt.Printf("seed %d: %v\n", r.Seed, err)
 		return false
 	}
 	fmt.Printf("seed %d: %d requests, %d answered; without faults: %d requests, %d answered; %d faults, %d violations\n",
-		seed, report.Calls, report.Answered, report.Undisturbed, report.UndisturbedAnswered, len(report.Faults), len(report.Violations))
+		r.Seed, report.Calls, report.Answered, report.Undisturbed, report.UndisturbedAnswered, len(report.Faults), len(report.Violations))
 	for n, text := range report.Violations {
 		if n == maxViolationsPrinted {
 			fmt.Println("  …")
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -19,6 +19,8 @@
 	id, path, key string
 	host          int
 	sent, ended   time.Time
+	// earlier is set when the host ran the earlier version of the program.
+	earlier bool
 	// fallback is set when the load balancer also used hosts that were not ready.
 	fallback bool
 	// status is 0 when no response came; body is as much as was received.
--- a/soaker/ranks.go
+++ b/soaker/ranks.go
@@ -138,6 +138,9 @@
 			rank, certain := h.rankAt(c, s.At)
 			// Three ranks are spread over 0 to 9.
 			want := strconv.Itoa(rank * 9 / (len(rankPrefixes) - 1))
+			if s.Urgency == "" && c.earlier {
+				continue // sent by a version that may know no ranks
+			}
 			if s.Urgency == "" || (certain && s.Urgency != want) {
 				report("upstream %s got request %s of rank %d with urgency %q, want %s", u.ID, c.id, rank, s.Urgency, want)
 				return
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -26,7 +26,10 @@
 	Hosts, Callers int
 	// Binary is the path of the program, Dir the directory for settings and logs.
 	Binary, Dir string
-	Log         zerolog.Logger
+	// Earlier is the path of an earlier version of the program; empty if all hosts run Binary. Every
+	// second host starts with it, and each restart of a host changes to the other version.
+	Earlier string
+	Log     zerolog.Logger
 
 	cluster *cluster
 	history *history
@@ -68,7 +71,7 @@
 // when it returns. An error means that the cluster could not be started.
 func (r *Run) Execute(ctx context.Context) (*Report, error) {
 	var err error
-	if r.cluster, err = newCluster(r.Dir, r.Binary, r.Hosts, r.Seed); err != nil {
+	if r.cluster, err = newCluster(r.Dir, r.binaries(), r.Hosts, r.Seed); err != nil {
 		return nil, err
 	}
 	defer r.cluster.close()
@@ -96,6 +99,14 @@
 	return r.report(), nil
 }
 
+// binaries returns the paths of the versions that run.
+func (r *Run) binaries() []string {
+	if r.Earlier == "" {
+		return []string{r.Binary}
+	}
+	return []string{r.Binary, r.Earlier}
+}
+
 // report checks the history and summarises it.
 func (r *Run) report() *Report {
 	out := &Report{Seed: r.Seed, Calls: len(r.history.calls), Violations: r.history.check(r.cluster)}
@@ -193,7 +204,12 @@
 // send sends the request of c and records its result in c.
 func (r *Run) send(client *http.Client, c *call) {
 	c.sent = time.Now()
-	defer func() { c.ended = time.Now() }()
+	h := r.cluster.hosts[c.host]
+	c.earlier = h.runsEarlier(r.Earlier)
+	defer func() {
+		c.ended = time.Now()
+		c.earlier = c.earlier || h.runsEarlier(r.Earlier)
+	}()
 	method := http.MethodPost
 	if strings.HasPrefix(c.path, "/look/") {
 		method = http.MethodGet
