admitter: keep the peak before a shortage whole for 30 s

Cause: what was admitted before a shortage lost two thirds of its weight in 30 s. Where admissions fall seconds before the first refusal for lack of capacity, as when upstreams go away, the capacity after the outage was taken to be 7 in 100 less than what was asked for, and grew by 2 in 100 a second.

Change: the most that was admitted is kept for 30 to 60 s (recentPeak).

--- a/admitter/share.go
+++ b/admitter/share.go
@@ -26,8 +26,8 @@
 	// After recoveryDelay with less than endLoss, the capacity is at least what it was before the
 	// shortage.
 	recoveryDelay = time.Second
-	// capacityMemory is the time in which what was admitted before a shortage loses two thirds of its
-	// weight. An outage may lower it seconds before the first request is refused for lack of capacity.
+	// capacityMemory is for how long, at least, the most that was admitted before a shortage is kept.
+	// An outage may lower what is admitted seconds before the first refusal for lack of capacity.
 	capacityMemory = 30 * time.Second
 	// initialUse is the fraction of what is admitted at first that is divided. Requests that arrive at
 	// random are refused now and then where they ask for all of it.
@@ -52,9 +52,9 @@
 	// inForce is set in a shortage, since when since says.
 	inForce bool
 	since   time.Duration
-	// capacity is what all hosts can admit of the rank, before what they admitted before the
-	// shortage, in requests a second.
-	capacity, before float64
+	// capacity is what all hosts can admit of the rank, in requests a second.
+	capacity float64
+	before   recentPeak
 	// lacked is what was refused for lack of capacity, in requests a second, lossAt when it last rose
 	// while it was endLoss or more.
 	lacked float64
@@ -66,6 +66,23 @@
 	levelAt time.Duration
 }
 
+// recentPeak is the most that all hosts admitted of a rank while there was no shortage, in requests a
+// second, since one to two capacityMemory ago.
+type recentPeak struct {
+	// current is the most from since on, previous the most in the period before.
+	current, previous float64
+	since             time.Duration
+}
+
+func (p *recentPeak) add(now time.Duration, admitted float64) {
+	if now-p.since >= capacityMemory {
+		p.previous, p.current, p.since = p.current, 0, now
+	}
+	p.current = max(p.current, admitted)
+}
+
+func (p *recentPeak) value() float64 { return max(p.current, p.previous) }
+
 // Share is a workspace's part of the capacity of a rank, in requests a second over all hosts.
 type Share struct{ Share, Asked float64 }
 
@@ -159,7 +176,7 @@
 	}
 	elapsed := (now - s.levelAt).Seconds()
 	if loss < endLoss && !s.inForce {
-		s.before = max(all.admitted, s.before*math.Exp(-elapsed/capacityMemory.Seconds()))
+		s.before.add(now, all.admitted)
 	}
 	s.lacked = all.lacked
 	switch {
@@ -167,7 +184,7 @@
 		s.inForce = len(s.demand) > 1 && loss >= startLoss && all.lacked >= minLack && now-s.lossAt <= recoveryDelay
 		s.since, s.capacity = now, all.admitted*initialUse
 	case !cutOff && now-s.lossAt > recoveryDelay:
-		s.capacity = max(s.capacity*math.Exp(shareIncrease*elapsed), s.before)
+		s.capacity = max(s.capacity*math.Exp(shareIncrease*elapsed), s.before.value())
 	case now-s.since < shareMeasureTime:
 		s.capacity = max(s.capacity, all.admitted*initialUse)
 	case cutOff:
