forwarder: check the upstreams of a changed path

Before a path is changed, its upstreams without an event in the last 40 ms are checked, and those that don't answer within 40 ms are avoided. Without another path the order is sent as before. A second detour across data centres is weighed as the first is.

probeFleet now counts orders and ends streams that are cancelled; no check is changed.

--- a/balancer/path.go
+++ b/balancer/path.go
@@ -186,10 +186,10 @@
 // makes them much cheaper: they keep what they have read, while new ones read all of it again.
 const keptBias = -0.9
 
-// Repath finds another path for a running request without the upstream to avoid, and moves the
+// Repath finds another path for a running request without the upstreams to avoid, and moves the
 // reservation there. It keeps the first hop and as many others as it can. It returns nil and
 // leaves the lease as it was when there is no such path.
-func (b *Balancer) Repath(now time.Duration, l *Lease, avoid string) []Hop {
+func (b *Balancer) Repath(now time.Duration, l *Lease, avoid ...string) []Hop {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if l.released {
@@ -197,7 +197,7 @@
 	}
 	b.release(l)
 	defer b.reserve(l)
-	hops := b.detour(now, l, avoid)
+	hops := b.detour(now, l, avoid...)
 	if hops == nil {
 		return nil
 	}
@@ -206,7 +206,7 @@
 }
 
 // detour returns the path for Repath. The caller has released the capacity of the lease.
-func (b *Balancer) detour(now time.Duration, l *Lease, avoid string) []Hop {
+func (b *Balancer) detour(now time.Duration, l *Lease, avoid ...string) []Hop {
 	s := b.services[l.requirements.Service]
 	if s == nil || s.Engine == nil || len(l.hops) < 2 {
 		return nil
@@ -214,7 +214,7 @@
 	e, first := s.Engine, l.First
 	var cands []picker.Candidate
 	for _, u := range b.subset.used {
-		if u.Service != s.Name || u.Layers.To <= first.To || u.ID == first.ID || u.ID == avoid || !u.usable(now, nil) {
+		if u.Service != s.Name || u.Layers.To <= first.To || u.ID == first.ID || !u.usable(now, avoid) {
 			continue
 		}
 		c := b.candidate(now, e, u, l.requirements, l.tokens)
--- a/connector/purpose.go
+++ b/connector/purpose.go
@@ -24,7 +24,7 @@
 	// PurposeDeadProbe: a check whether a dead upstream accepts connections again.
 	PurposeDeadProbe
 	// PurposeNeighbourProbe: a check of an upstream in whose data centre another one was just lost or
-	// just returned.
+	// just returned, or that takes over a stream from a lost one.
 	PurposeNeighbourProbe
 	// PurposeCrashProbe: a check whether an upstream that gave no answer still accepts connections.
 	PurposeCrashProbe
--- a/forwarder/probefleet_test.go
+++ b/forwarder/probefleet_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,8 +42,11 @@
 	wg    sync.WaitGroup
 
 	mu sync.Mutex
-	// dark holds the addresses that don't answer.
-	dark map[string]bool
+	// dark holds the addresses that don't answer, or with crashed set refuse connections.
+	dark    map[string]bool
+	crashed bool
+	// orders counts the orders that reached an engine, refused those for a path with a dark one.
+	orders, refused int
 	// opened counts connections by purpose.
 	opened map[connector.Purpose]int
 }
@@ -119,7 +124,7 @@
 	h := &probeHost{fl: fl, b: b, rnd: rand.New(rand.NewPCG(uint64(n), 2))}
 	h.phase = time.Duration(h.rnd.Int64N(int64(eventInterval)))
 	h.f = &Forwarder{
-		Balancer: b, Engines: new(repathEngines), Pool: pool, Suspects: new(tracker.Suspects), Meter: meter.New(nil, nil),
+		Balancer: b, Engines: fl, Pool: pool, Suspects: new(tracker.Suspects), Meter: meter.New(nil, nil),
 		Now: func() time.Duration { return time.Since(started) + time.Minute }, Log: zerolog.Nop(),
 	}
 	return h
@@ -129,8 +134,11 @@
 
 func (fl *probeFleet) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	fl.mu.Lock()
-	dark := fl.dark[address]
+	dark, crashed := fl.dark[address], fl.crashed
 	fl.mu.Unlock()
+	if dark && crashed {
+		return nil, syscall.ECONNREFUSED
+	}
 	if dark {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -138,6 +146,28 @@
 	return acceptAnyDial(ctx, network, address)
 }
 
+// Repath takes a millisecond, and fails if the first hop is dark or another one is.
+func (fl *probeFleet) Repath(ctx context.Context, _ string, hops []balancer.Hop) error {
+	c, err := fl.dial(ctx, "tcp", hops[0].Address)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	time.Sleep(time.Millisecond)
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.orders++
+	for _, h := range hops[1:] {
+		if fl.dark[h.Address] {
+			fl.refused++
+			return errors.New("refused")
+		}
+	}
+	return nil
+}
+
+func (fl *probeFleet) QueryStalls(context.Context, string) ([]Stall, error) { return nil, nil }
+
 func (fl *probeFleet) count(p connector.Purpose) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
@@ -212,7 +242,8 @@
 		h.fl.t.Errorf("no path: %v", reason)
 		return
 	}
-	a := &attempt{id: fmt.Sprint("r", h.rnd.Uint64()), lease: l, sentAt: now, cancel: func(error) {}}
+	a := &attempt{id: fmt.Sprint("r", h.rnd.Uint64()), lease: l, sentAt: now}
+	a.cancel = func(error) { h.f.untrack(a) }
 	a.lastEvent.Store(int64(now))
 	s := &probeStream{call: &call{Forwarder: h.f, route: new(matcher.Route)}, attempt: a, delivered: progress{lastEvent: now}, firstAt: now + firstDelay}
 	h.f.track(a)
--- a/forwarder/probepace.go
+++ b/forwarder/probepace.go
@@ -47,17 +47,21 @@
 var (
 	// silentProbe is a check where streams wait, deadProbe one of an upstream that is out and
 	// slowStartProbe one for a slow first event. witnessProbe
-	// is a check of another upstream beside one that does not answer. stallQuery asks a first hop over a kept connection.
+	// is a check of another upstream beside one that does not answer, pathProbe one of an upstream that
+	// a stream is about to continue over. stallQuery asks a first hop over a kept connection.
 	silentProbe    = probeSpec{interval: probeInterval, doubles: true, share: 1}
 	deadProbe      = probeSpec{interval: probeInterval, share: 0.5}
 	slowStartProbe = probeSpec{interval: slowFirstEvent, afterAccepted: slowStartPause, share: 0.5}
 	witnessProbe   = probeSpec{share: 1}
+	pathProbe      = probeSpec{interval: pathProbeInterval, share: 0.5}
 	stallQuery     = probeSpec{interval: stallQueryInterval}
 )
 
 // probeState is the last check of one name.
 type probeState struct {
 	running bool
+	// done is closed when it ends.
+	done chan struct{}
 	// endedAt is when it ended.
 	endedAt time.Duration
 	// spec is that of the last check, lastAccepted whether it was accepted.
@@ -86,10 +90,32 @@
 		s = new(probeState)
 		p.states[name] = s
 	}
-	s.running, s.spec = true, spec
+	s.running, s.spec, s.done = true, spec, make(chan struct{})
 	return true
 }
 
+// wait waits for a check under way to end, for no longer than timeout, and reports whether the name was
+// found not to accept checks, or has not answered by then.
+func (p *probePacer) wait(name string, timeout time.Duration) (unanswered bool) {
+	p.mu.Lock()
+	s := p.states[name]
+	if s == nil {
+		p.mu.Unlock()
+		return false
+	}
+	done := s.done
+	p.mu.Unlock()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return s.running || !s.lastAccepted
+}
+
 // pause returns the time to the next check.
 func (s *probeState) pause(lastEventAt time.Duration, spec probeSpec) time.Duration {
 	if s.lastAccepted && spec.afterAccepted > 0 {
@@ -129,6 +155,7 @@
 		return
 	}
 	s.running, s.endedAt, s.lastAccepted = false, now, accepted
+	close(s.done)
 	if !accepted {
 		s.accepted = 0
 	} else if s.spec.doubles {
--- a/forwarder/probes_test.go
+++ b/forwarder/probes_test.go
@@ -133,3 +133,28 @@
 		})
 	}
 }
+
+// TestEnginesLostTogether guards against path changes that engines refuse, as another engine of the new
+// path was lost at the same moment and isn't known to be. The load: three engines of different ranges lost.
+func TestEnginesLostTogether(t *testing.T) {
+	for _, c := range []struct {
+		hosts, streams int
+		crashed        bool
+	}{{24, 20, false}, {24, 20, true}, {137, 4, false}, {137, 4, true}} {
+		t.Run(fmt.Sprintf("%d hosts, crashed %v", c.hosts, c.crashed), func(t *testing.T) {
+			runProbeFleet(t, c.hosts, c.streams, func(is *is.I, fl *probeFleet) {
+				fl.mu.Lock()
+				fl.crashed = c.crashed
+				fl.mu.Unlock()
+				fl.setDark(true, "engine-1-0", "engine-3-1", "engine-5-2")
+				time.Sleep(2 * time.Second)
+				checks := fl.counts()[connector.PurposeNeighbourProbe]
+				fl.mu.Lock()
+				defer fl.mu.Unlock()
+				t.Logf("%d of %d orders refused; %d checks", fl.refused, fl.orders, checks)
+				is.True(fl.orders > c.hosts)
+				is.True(fl.refused*20 < fl.orders)
+			})
+		})
+	}
+}
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/sardineward/sardineward/balancer"
@@ -39,6 +40,14 @@
 	maxTickDelay = 40 * time.Millisecond
 	// repathTimeout bounds one request to an engine to change a path.
 	repathTimeout = 150 * time.Millisecond
+	// pathProbeInterval is the age up to which an event or an accepted check shows that an upstream
+	// can take over a stream: shorter than the silence after which the first of several upstreams
+	// that were lost together is noticed.
+	pathProbeInterval = 40 * time.Millisecond
+	// pathProbeTimeout is how long a changed path waits for the checks of its upstreams.
+	pathProbeTimeout = probeTimeout / 2
+	// maxDetours bounds the paths tried for one change.
+	maxDetours = 3
 )
 
 // Engines controls requests that run on engines.
@@ -219,6 +228,11 @@
 	if purpose == connector.PurposeDeadProbe {
 		spec = deadProbe
 	}
+	f.probeAt(ctx, h, purpose, spec)
+}
+
+// probeAt is probe at a given pace.
+func (f *Forwarder) probeAt(ctx context.Context, h balancer.Hop, purpose connector.Purpose, spec probeSpec) {
 	if !f.probes.begin(f.Now(), h.ID, f.Balancer.LastEventAt(h.ID), spec) {
 		return
 	}
@@ -332,7 +346,7 @@
 		a.cancel(errUpstreamSilent)
 		return
 	}
-	if hops := f.Balancer.Repath(f.Now(), a.lease, lost.ID); hops != nil {
+	if hops := f.detour(ctx, a, lost); hops != nil {
 		ctx, cancel := context.WithTimeout(ctx, repathTimeout)
 		defer cancel()
 		err := f.Engines.Repath(ctx, a.id, hops)
@@ -345,6 +359,51 @@
 	a.cancel(errUpstreamSilent)
 }
 
+// detour moves the reservation of a stream to a path without a lost upstream, and returns that path, or
+// nil if there is none or the stream should be resumed as a new request. Upstreams are often lost
+// together and noticed one after the other, so it avoids those that don't answer a check either while
+// there are others.
+func (f *Forwarder) detour(ctx context.Context, a *attempt, lost balancer.Hop) []balancer.Hop {
+	avoid := []string{lost.ID}
+	hops := f.Balancer.Repath(f.Now(), a.lease, avoid...)
+	for n := 1; n < maxDetours && hops != nil; n++ {
+		unanswered := f.unanswered(ctx, hops[1:])
+		if len(unanswered) == 0 {
+			break
+		}
+		restart := func(id string) bool { return f.Balancer.ShouldRestartElsewhere(f.Now(), a.lease, id) }
+		if slices.ContainsFunc(unanswered, restart) && a.reserveRetry() {
+			return nil
+		}
+		avoid = append(avoid, unanswered...)
+		next := f.Balancer.Repath(f.Now(), a.lease, avoid...)
+		if next == nil {
+			break
+		}
+		hops = next
+	}
+	return hops
+}
+
+// unanswered returns the upstreams that have not delivered an event just now and don't accept a
+// connection either.
+func (f *Forwarder) unanswered(ctx context.Context, hops []balancer.Hop) []string {
+	var checked, out []string
+	for _, h := range hops {
+		if f.Now()-f.Balancer.LastEventAt(h.ID) > pathProbeInterval {
+			f.probeAt(ctx, h, connector.PurposeNeighbourProbe, pathProbe)
+			checked = append(checked, h.ID)
+		}
+	}
+	until := f.Now() + pathProbeTimeout
+	for _, id := range checked {
+		if f.probes.wait(id, until-f.Now()) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 func (f *Forwarder) track(a *attempt) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
