admitter, forwarder: new requests go before returns beyond the promised part

Cause: where all intervals are full, refused callers are promised the least full one. After a burst of 4 times the capacity such callers come for up to 6.7 s and take the places of new requests of their rank, which are refused and served late.

Change: promises beyond the part of the drain are counted apart. A caller that comes on one leaves capacity to new requests of its own and more urgent ranks, and less urgent requests leave nothing to it. Ranks keep their order. Nothing changes with one rank or without promises; interrupted and resuming requests are admitted as before.

--- a/admitter/promise.go
+++ b/admitter/promise.go
@@ -71,6 +71,8 @@
 	// number is the interval's time divided by promiseInterval.
 	number int64
 	ranks  [maxPromiseRanks]int
+	// excess counts those of ranks that were promised when the interval was full.
+	excess [maxPromiseRanks]int
 	// total is the sum over all ranks.
 	total int
 }
@@ -99,14 +101,19 @@
 	s := p.service(r.Service)
 	rank := min(max(0, r.Rank), maxPromiseRanks-1)
 	s.advance(now)
-	at := s.choose(now, rank, r.MaxWait, r.Draw)
-	s.interval(at).add(rank, 1)
+	at, full := s.choose(now, rank, r.MaxWait, r.Draw)
+	c := s.interval(at)
+	c.add(rank, 1)
+	if full {
+		c.excess[rank]++
+	}
 	start := time.Duration(at) * promiseInterval
 	return max(minReturnWait, start+time.Duration(r.Draw*float64(promiseInterval))-now)
 }
 
-// choose returns the number of the interval in which a refused caller may return.
-func (s *servicePromises) choose(now time.Duration, rank int, maxWait time.Duration, draw float64) int64 {
+// choose returns the number of the interval in which a refused caller may return, and whether all
+// intervals that it may return in are full.
+func (s *servicePromises) choose(now time.Duration, rank int, maxWait time.Duration, draw float64) (number int64, full bool) {
 	maxWait = min(maxWait, promiseIntervals*promiseInterval/2)
 	first := int64((now+minReturnWait)/promiseInterval) + 1
 	last := max(first, int64((now+maxWait)/promiseInterval)-1)
@@ -114,7 +121,7 @@
 	capacity := s.drain * promiseInterval.Seconds() * returnShare
 	for n := first; n <= last; n++ {
 		if s.interval(n).total < s.quota(n, capacity) {
-			return n
+			return n, false
 		}
 	}
 	// From a random interval on, so that those that all hosts fill beyond their quotas differ.
@@ -127,7 +134,7 @@
 			best, leastExcess = n, excess
 		}
 	}
-	return best
+	return best, true
 }
 
 // quota returns how many returns an interval takes. Where capacity is a fraction, some of the
@@ -142,23 +149,29 @@
 	return int(whole)
 }
 
-// Return reports whether a caller that returns now was promised to, and counts it as returned. Each
-// promise counts once.
-func (p *Promises) Return(now time.Duration, service string, rank int) bool {
+// Return reports whether a caller that returns now was promised to, and whether it is one of those
+// beyond the part of the drain: the first that come in an interval are the others. It counts the
+// caller as returned. Each promise counts once.
+func (p *Promises) Return(now time.Duration, service string, rank int) (promised, excess bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.services[service]
 	if s == nil {
-		return false
+		return false, false
 	}
 	rank = min(max(0, rank), maxPromiseRanks-1)
 	for n := int64((now - returnTolerance) / promiseInterval); n <= int64(now/promiseInterval); n++ {
-		if c := s.interval(n); c.ranks[rank] > 0 {
-			c.add(rank, -1)
-			return true
+		c := s.interval(n)
+		if c.ranks[rank] == 0 {
+			continue
+		}
+		if excess = c.ranks[rank] == c.excess[rank]; excess {
+			c.excess[rank]--
 		}
+		c.add(rank, -1)
+		return true, excess
 	}
-	return false
+	return false, false
 }
 
 // interval returns the counts of an interval, emptied if they are of an earlier one.
--- a/admitter/promise_test.go
+++ b/admitter/promise_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -42,11 +43,14 @@
 	return last
 }
 
-// outcome counts callers.
-type outcome struct{ asked, served, inTime, refusedTwice float64 }
+// outcome counts callers. Those after are the ones that arrive 2 to 6 s after the shortage.
+type outcome struct{ asked, served, inTime, refusedTwice, askedAfter, inTimeAfter float64 }
 
 func (o *outcome) add(part outcome) {
-	*o = outcome{o.asked + part.asked, o.served + part.served, o.inTime + part.inTime, o.refusedTwice + part.refusedTwice}
+	*o = outcome{
+		o.asked + part.asked, o.served + part.served, o.inTime + part.inTime, o.refusedTwice + part.refusedTwice,
+		o.askedAfter + part.askedAfter, o.inTimeAfter + part.inTimeAfter,
+	}
 }
 
 // returnsReplay is a service that starts 600 requests a second, with arrivals of three ranks at some
@@ -112,19 +116,31 @@
 		host := rnd.IntN(c.hosts)
 		p, r := &promises[host], &repeats[host]
 		var o outcome
+		after := 0.0
+		if since := k.arrivedAt - 3*time.Second - c.length; since >= 2*time.Second && since < 6*time.Second {
+			after = 1
+		}
 		if e.at == k.arrivedAt {
 			o.asked++
+			o.askedAfter += after
+		}
+		place := float64(k.rank)
+		if promised && k.returned {
+			if _, excess := p.Return(e.at, "hints", k.rank); excess {
+				place += 0.5 // after new requests of its rank
+			}
 		}
 		early := false
 		if c.refuseRepeats {
 			_, early = r.Remaining(e.at, "hints", uint64(k.id))
 		}
-		if !early && float64(inFlight) < replaySlots*(1-0.06*float64(k.rank)) {
+		if !early && float64(inFlight) < replaySlots*(1-0.06*place) {
 			inFlight++
 			heap.Push(&events, replayEvent{at: e.at + time.Duration((0.2+0.5*rnd.ExpFloat64())*float64(time.Second)), host: host})
 			o.served++
 			if e.at-k.arrivedAt < replayTarget {
 				o.inTime++
+				o.inTimeAfter += after
 			}
 			out[k.rank].add(o)
 			c.groups[k.group].add(o)
@@ -173,11 +189,13 @@
 							sumOutcomes(&before, c.run(false))
 							sumOutcomes(&after, c.run(true))
 						}
-						t.Logf("served, in time, refused twice of rank 0, 1, 2, all: before %.3f, after %.3f", shares(before), shares(after))
+						t.Logf("served, in time, refused twice, in time after the shortage of rank 0, 1, 2, all: before %.3f, after %.3f", shares(before), shares(after))
 						is.True(after[3].served >= before[3].served)
 						is.True(after[3].inTime >= before[3].inTime-0.02*before[3].asked)
 						is.True(after[0].inTime >= 0.99*before[0].inTime)
 						is.True(after[0].refusedTwice <= 0.75*before[0].refusedTwice)
+						// Within 2 s after the shortage, new requests are served as before it.
+						is.True(after[0].inTimeAfter >= 0.98*after[0].askedAfter)
 					})
 				}
 			}
@@ -194,10 +212,11 @@
 	}
 }
 
-// shares returns what was served, in time and refused twice of what was asked for.
-func shares(list [4]outcome) (out [4][3]float64) {
+// shares returns what was served, in time and refused twice of what was asked for, and what was in
+// time of what was asked for after the shortage.
+func shares(list [4]outcome) (out [4][4]float64) {
 	for i, o := range list {
-		out[i] = [3]float64{o.served / o.asked, o.inTime / o.asked, o.refusedTwice / o.asked}
+		out[i] = [4]float64{o.served / o.asked, o.inTime / o.asked, o.refusedTwice / o.asked, o.inTimeAfter / o.askedAfter}
 	}
 	return out
 }
@@ -244,10 +263,33 @@
 	later.Rank = 2
 	first, second := p.Promise(0, urgent), p.Promise(0, later)
 	is.True(second > first+500*time.Millisecond)
-	is.True(!p.Return(first/2, "s", 0)) // before the time
-	is.True(!p.Return(first, "s", 1))   // another rank
-	is.True(!p.Return(first, "other", 0))
-	is.True(p.Return(first+200*time.Millisecond, "s", 0))
-	is.True(!p.Return(first+200*time.Millisecond, "s", 0)) // each promise counts once
-	is.True(!p.Return(second+time.Second, "s", 2))         // too late
+	returns := func(now time.Duration, service string, rank int) bool {
+		promised, _ := p.Return(now, service, rank)
+		return promised
+	}
+	is.True(!returns(first/2, "s", 0)) // before the time
+	is.True(!returns(first, "s", 1))   // another rank
+	is.True(!returns(first, "other", 0))
+	is.True(returns(first+200*time.Millisecond, "s", 0))
+	is.True(!returns(first+200*time.Millisecond, "s", 0)) // each promise counts once
+	is.True(!returns(second+time.Second, "s", 2))         // too late
+
+	// A host that serves 20 a second promises each of seven intervals to one caller, and the rest beyond.
+	for range 20 {
+		p.RecordServed(0, "full")
+	}
+	waits := make([]time.Duration, 30)
+	for i := range waits {
+		waits[i] = p.Promise(0, admitter.Refused{Service: "full", MaxWait: 1600 * time.Millisecond})
+	}
+	slices.Sort(waits)
+	within := 0
+	for _, wait := range waits {
+		promised, excess := p.Return(wait, "full", 0)
+		is.True(promised)
+		if !excess {
+			within++
+		}
+	}
+	is.Equal(within, 7)
 }
--- a/admitter/rank.go
+++ b/admitter/rank.go
@@ -101,14 +101,33 @@
 	if own.starved(now, deadline) || s.servesTooFew(now, own) {
 		return 0
 	}
-	lag := reportLag
-	if s.holdTime > 0 {
-		lag = min(lag, s.holdTime)
-	}
 	if moreUrgent == 0 {
 		return 0
 	}
-	return min(maxKeepFree, (own.factor*moreUrgent*lag.Seconds()+r.unseenGrowth(now, s))/capacity)
+	return min(maxKeepFree, (own.factor*moreUrgent*s.lag()+r.unseenGrowth(now, s))/capacity)
+}
+
+// KeepFreeForNew is KeepFree for a request that returns beyond what was promised: it leaves capacity
+// to new requests of its own rank too, however seldom such requests are admitted. It answers the time
+// after a shortage, when callers that return would take the places of new ones for seconds.
+func (r *RankReserve) KeepFreeForNew(now time.Duration, service string, rank int, capacity float64) float64 {
+	if capacity <= 0 {
+		return 0
+	}
+	arrivals := r.MoreUrgent(now, service, rank+1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.service(service)
+	return min(maxKeepFree, (arrivals*s.lag()+r.unseenGrowth(now, s))/capacity)
+}
+
+// lag returns for how many seconds admissions are unseen by other hosts or hold their capacity,
+// whichever is shorter.
+func (s *serviceReserve) lag() float64 {
+	if s.holdTime > 0 {
+		return min(reportLag, s.holdTime).Seconds()
+	}
+	return reportLag.Seconds()
 }
 
 // RecordAdmitted records that a request got capacity.
--- a/admitter/rank_test.go
+++ b/admitter/rank_test.go
@@ -34,6 +34,15 @@
 		r.RecordReleased(0, "model", 20*ms)
 		is.True(r.KeepFree(0, "model", 1, capacity, deadline) < free/10) // places become free soon
 	})
+	t.Run("returns beyond what was promised", func(t *testing.T) {
+		is, r := is.New(t), newReserve()
+		is.Equal(r.KeepFreeForNew(0, "model", 0, 0), 0.0) // the capacity is not known
+		is.Equal(r.KeepFreeForNew(0, "model", 0, capacity), r.KeepFree(0, "model", 1, capacity, deadline))
+		for range 100 {
+			r.RecordRefused(time.Second, "model", 0)
+		}
+		is.True(r.KeepFreeForNew(20*time.Second, "model", 0, capacity) > 0.05) // also where they stand still
+	})
 	t.Run("no demand of more urgent requests", func(t *testing.T) {
 		is, r := is.New(t), newReserve()
 		r.RecordRefused(0, "model", 0)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -165,6 +165,8 @@
 	lastEventID eventID
 	// returning is set where the caller was refused before and returns as it was asked to.
 	returning bool
+	// excess is set where it returns beyond what was promised, after which new requests go first.
+	excess bool
 	// shareExceeded is set where the request was refused for its workspace's share.
 	shareExceeded bool
 	// admitted is set once upstreams were reserved for the request.
--- a/forwarder/rank.go
+++ b/forwarder/rank.go
@@ -39,6 +39,9 @@
 	now := k.Now()
 	capacity := k.Balancer.Capacity(now, k.service.Name)
 	k.keepFree = k.RankReserve.KeepFree(now, k.service.Name, k.admissionRank(), capacity, k.deadline-k.arrivedAt)
+	if k.excess && !k.wasInterrupted() {
+		k.keepFree = max(k.keepFree, k.RankReserve.KeepFreeForNew(now, k.service.Name, k.rank, capacity))
+	}
 }
 
 // admissionRank returns the rank that the request is admitted by. One that resumes a stream or was
@@ -46,15 +49,21 @@
 func (k *call) admissionRank() int {
 	ranks := k.ranks()
 	i, _ := slices.BinarySearch(ranks, k.rank)
-	if i > 0 && (k.runs > 0 || k.lastEventID.text != "") {
+	if i > 0 && k.wasInterrupted() {
 		return ranks[i-1]
 	}
 	return k.rank
 }
 
-// recordShortage records that the request found no capacity.
+// wasInterrupted reports whether the request ran before or resumes a stream.
+func (k *call) wasInterrupted() bool {
+	return k.runs > 0 || k.lastEventID.text != ""
+}
+
+// recordShortage records that the request found no capacity. Less urgent requests leave nothing to
+// callers that return beyond what was promised.
 func (k *call) recordShortage() {
-	if k.RankReserve != nil && k.ranks() != nil {
+	if k.RankReserve != nil && k.ranks() != nil && !k.excess {
 		k.RankReserve.RecordRefused(k.Now(), k.service.Name, k.rank)
 	}
 }
--- a/forwarder/rank_test.go
+++ b/forwarder/rank_test.go
@@ -136,4 +136,14 @@
 	interrupted := newCall()
 	interrupted.runs = 1
 	is.True(interrupted.acquire(interrupted.requirements()) != nil) // goes before new requests of its rank
+
+	newCall = rankedCall(&log, 0, 0, 1)
+	returning := func() *call {
+		k := newCall()
+		k.excess = true
+		return k
+	}
+	atOnce := countAdmitted(returning)
+	is.True(atOnce < all) // leaves capacity to new requests of its rank
+	is.Equal(atOnce+countAdmitted(newCall), all)
 }
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -50,7 +50,7 @@
 	k.Meter.Refusals.WithLabelValues(reason.String()).Inc()
 	event := k.Log.Info().Str("requestId", k.id).Str("path", k.r.URL.Path).Stringer("reason", reason).Int("status", code).
 		Int("runs", k.runs).Int("turned", k.rejected).Strs("avoid", k.avoid).Dur("age", k.Tables.Age()).
-		Dur("retryAfter", wait).Bool("returning", k.returning).Int("rank", k.rank)
+		Dur("retryAfter", wait).Bool("returning", k.returning).Bool("excess", k.excess).Int("rank", k.rank)
 	if k.deadline > 0 {
 		event.Dur("left", k.deadline-k.Now())
 	}
--- a/forwarder/returns.go
+++ b/forwarder/returns.go
@@ -70,9 +70,12 @@
 	if k.ranks() == nil || k.route.Timeout == 0 || k.route.Timeout-(k.deadline-k.arrivedAt) < minRetryAfter {
 		return
 	}
-	if k.returning = k.promises.Return(k.Now(), k.service.Name, k.rankPlace()); k.returning {
+	if k.returning, k.excess = k.promises.Return(k.Now(), k.service.Name, k.rankPlace()); k.returning {
 		k.Meter.Returns.WithLabelValues("kept").Inc()
 	}
+	if k.excess {
+		k.Meter.Returns.WithLabelValues("excess").Inc()
+	}
 }
 
 // recordServed counts a served request for the times at which refused callers may return.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -28,8 +28,8 @@
 	// Rejections counts upstreams' responses that reject a request without running it, by status
 	// and by whether they name a Retry-After.
 	Rejections *prometheus.CounterVec
-	// Returns counts callers that found no capacity and were given a time to return, and those that
-	// came at such a time, by step.
+	// Returns counts callers that found no capacity and were given a time to return, those that came
+	// at such a time, and those of them beyond what was promised, by step.
 	Returns *prometheus.CounterVec
 	// PathRejections counts the rejections by an upstream on a path of engines, by what this host knew
 	// of its usage.
@@ -60,7 +60,7 @@
 		FirstToken:     histogram("first_token_seconds", "Time to the first token of a generation."),
 		TokenGap:       histogram("token_gap_seconds", "Time between tokens of a generation, sampled."),
 		Rejections:     counter("upstream_rejections_total", "Requests that upstreams rejected without running them.", "status", "retryAfter"),
-		Returns:        counter("returns_total", "Refused callers: promised a time to return, and kept, which came at such a time.", "step"),
+		Returns:        counter("returns_total", "Refused callers: promised a time to return, kept, which came at such a time, and excess, those of them beyond the promised part of the capacity.", "step"),
 		PathRejections: counter("path_rejections_total", "Requests that engines rejected for want of capacity or without a known cause.", "cause"),
 		ShareRefusals: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "share_refusals_total", Help: "Requests refused since their workspace exceeded its share in a shortage.",
@@ -80,7 +80,7 @@
 	for _, c := range causes {
 		m.Retries.WithLabelValues(c)
 	}
-	for _, step := range []string{"promised", "kept"} {
+	for _, step := range []string{"promised", "kept", "excess"} {
 		m.Returns.WithLabelValues(step)
 	}
 	m.Registry.MustRegister(m.Refusals, m.RankRefusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.PathRejections, m.Returns, m.ShareRefusals, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ConnectionsOpened, m.ThroughputBound)
