admitter: replay new requests of all ranks after a shortage, known red

Cause: after 12 s at 2 or 4 times the capacity, returns of rank 0 go before new requests of ranks 1 and 2 for as long as they come, up to 6.7 s.

--- a/admitter/promise_test.go
+++ b/admitter/promise_test.go
@@ -203,6 +203,23 @@
 	}
 }
 
+// TestAllRanksAfterShortage: returns of more urgent ranks take the places of new requests of less
+// urgent ones for seconds after a shortage, although the capacity would do for all new requests.
+func TestAllRanksAfterShortage(t *testing.T) {
+	for _, times := range []float64{2, 4} {
+		t.Run(fmt.Sprintf("%g times", times), func(t *testing.T) {
+			is := is.New(t)
+			var after [4]outcome
+			for seed := range uint64(3) {
+				c := returnsReplay{hosts: 24, times: times, length: 12 * time.Second, seed: seed}
+				sumOutcomes(&after, c.run(true))
+			}
+			t.Logf("served, in time, refused twice, in time after the shortage of rank 0, 1, 2, all: %.3f", shares(after))
+			is.True(after[3].inTimeAfter >= 0.98*after[3].askedAfter)
+		})
+	}
+}
+
 // sumOutcomes adds the outcome of each rank, and that of all.
 func sumOutcomes(sum *[4]outcome, ranks [3]outcome) {
 	for rank, o := range ranks {
