forwarder: no stream is cut for silence without a retry

Cause: where an upstream seemed silent and the path could not be changed, the attempt was cancelled whether or not there was a retry to resume it with. Without one the stream was cut at once, by this host, though its upstream may only be slow or about to return.

One that has not begun is cancelled as before.

TestSilentWithoutRetry was red (cut after 1 s of 4). Attempts in the tests of path changes got a retry, as cancelling them needs one now; no check is changed.

--- a/forwarder/moves_test.go
+++ b/forwarder/moves_test.go
@@ -82,7 +82,7 @@
 		}
 		l, reason := b.Acquire(f.Now(), balancer.Requirements{Service: "model", PromptTokens: 700, AnswerTokens: 200})
 		is.Equal(reason, balancer.ReasonNone)
-		a := &attempt{id: "r", lease: l, cancel: func(error) { t.Error("stream was resumed as a new request; want its path changed") }}
+		a := &attempt{id: "r", lease: l, takeRetry: func() bool { return true }, cancel: func(error) { t.Error("stream was resumed as a new request; want its path changed") }}
 		a.begun.Store(true)
 		f.track(a)
 		path := b.Path(l)
--- a/forwarder/probefleet_test.go
+++ b/forwarder/probefleet_test.go
@@ -242,7 +242,7 @@
 		h.fl.t.Errorf("no path: %v", reason)
 		return
 	}
-	a := &attempt{id: fmt.Sprint("r", h.rnd.Uint64()), lease: l, sentAt: now}
+	a := &attempt{id: fmt.Sprint("r", h.rnd.Uint64()), lease: l, sentAt: now, takeRetry: func() bool { return true }}
 	a.cancel = func(error) { h.f.untrack(a) }
 	a.lastEvent.Store(int64(now))
 	s := &probeStream{call: &call{Forwarder: h.f, route: new(matcher.Route)}, attempt: a, delivered: progress{lastEvent: now}, firstAt: now + firstDelay}
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -326,7 +326,7 @@
 // upstream is resumed as a new request at once.
 func (f *Forwarder) reroute(ctx context.Context, a *attempt, lost balancer.Hop) {
 	if a.lease.First.ID == lost.ID {
-		a.cancel(errUpstreamSilent)
+		f.resume(a)
 		return
 	}
 	if !a.changes.begin(lost) {
@@ -356,6 +356,20 @@
 			return
 		}
 	}
+	f.resume(a)
+}
+
+// resume cancels an attempt whose upstreams seem lost, so that the stream is resumed as a new request. One
+// that has begun is canceled only once it has the retry for that: without one the caller would lose an
+// answer that may still come.
+func (f *Forwarder) resume(a *attempt) {
+	last := a.lastEvent.Load()
+	for until := f.Now() + resumeTimeout; a.begun.Load() && !a.takeResumption(); {
+		if a.lastEvent.Load() != last || f.Now() >= until || !f.isTracked(a) {
+			return
+		}
+		time.Sleep(resumeRetryInterval)
+	}
 	a.cancel(errUpstreamSilent)
 }
 
@@ -413,6 +427,13 @@
 	f.streams[a] = struct{}{}
 }
 
+func (f *Forwarder) isTracked(a *attempt) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.streams[a]
+	return ok
+}
+
 func (f *Forwarder) untrack(a *attempt) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,20 +47,34 @@
 	// sentAt is when the request was sent.
 	sentAt time.Duration
 	cancel context.CancelCauseFunc
-	// takeRetry takes a retry for resuming as a new request; nil where the route allows no
-	// further run. retryTaken is set once it was taken.
-	takeRetry  func() bool
-	retryTaken atomic.Bool
+	// takeRetry takes a retry for resuming as a new request. mayMove is set where the route allows that
+	// to run on another upstream.
+	takeRetry func() bool
+	mayMove   bool
+	// retryMu guards retryTaken, which is set once the retry was taken.
+	retryMu    sync.Mutex
+	retryTaken bool
 }
 
-// reserveRetry takes the retry that resuming as a new request needs. It returns false when the
+// reserveRetry takes the retry that resuming on another upstream needs. It returns false when the
 // stream has not begun or there is no retry.
 func (a *attempt) reserveRetry() bool {
-	if !a.begun.Load() || a.takeRetry == nil || !a.takeRetry() {
-		return false
-	}
-	a.retryTaken.Store(true)
-	return true
+	return a.begun.Load() && a.mayMove && a.takeResumption()
+}
+
+// takeResumption takes the retry that resuming needs, once, and reports whether it is taken.
+func (a *attempt) takeResumption() bool {
+	a.retryMu.Lock()
+	defer a.retryMu.Unlock()
+	a.retryTaken = a.retryTaken || a.takeRetry()
+	return a.retryTaken
+}
+
+// hasRetry reports whether the retry for resuming is taken.
+func (a *attempt) hasRetry() bool {
+	a.retryMu.Lock()
+	defer a.retryMu.Unlock()
+	return a.retryTaken
 }
 
 // serveStream serves a streaming request, over further attempts where one is interrupted.
@@ -201,9 +216,9 @@
 	defer k.release(l)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a := &attempt{id: k.id, fingerprint: k.fingerprint, lease: l, sentAt: k.Now(), cancel: cancel}
-	if k.allowedFirsts(l.First.ID) == nil {
-		a.takeRetry = k.takeResumeRetry
+	a := &attempt{
+		id: k.id, fingerprint: k.fingerprint, lease: l, sentAt: k.Now(), cancel: cancel,
+		takeRetry: k.takeResumeRetry, mayMove: k.allowedFirsts(l.First.ID) == nil,
 	}
 	a.lastEvent.Store(int64(a.sentAt))
 	k.track(a)
@@ -213,7 +228,7 @@
 	if v != verdictNotRun && v != verdictWithheld {
 		k.ranOn = append(k.ranOn, l.First.ID)
 	}
-	return v, a.retryTaken.Load()
+	return v, a.hasRetry()
 }
 
 // sendStream sends the request of an attempt and relays the response.
--- a/forwarder/stream_test.go
+++ b/forwarder/stream_test.go
@@ -54,37 +54,74 @@
 	return near, nil
 }
 
+// newStream returns a call to a service with one upstream, engine, that streams events until it is cut,
+// and the retry budget of the call. The caller disconnects after some events.
+func newStream(events int) (*call, *admitter.WindowRetryBudget) {
+	started := time.Now()
+	now := func() time.Duration { return time.Since(started) + time.Minute }
+	b := &balancer.Balancer{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 1))}
+	b.Configure(map[string]*matcher.Service{"model": {Name: "model"}})
+	b.UpdateUpstreams([]balancer.Upstream{{ID: "engine", Address: "10.1.0.1:80", Service: "model", DataCentre: "a", StartedAt: 1}}, nil)
+	limits, budget := new(admitter.StreamLimiters), &admitter.WindowRetryBudget{Ratio: 1, Length: 10 * time.Second}
+	f := &Forwarder{
+		Balancer: b, Headers: DefaultHeaders, Suspects: new(tracker.Suspects), Meter: meter.New(nil, nil), Now: now, Log: zerolog.Nop(),
+		Pool:           &connector.Pool{Dial: dialEvents, Now: now, RequestIDHeader: DefaultHeaders.RequestID},
+		StreamLimiters: func(string) *admitter.StreamLimiters { return limits },
+		RetryBudget:    func(string) *admitter.WindowRetryBudget { return budget },
+	}
+	r := httptest.NewRequest(http.MethodPost, "/stream/1", nil)
+	r.Header.Set(DefaultHeaders.RequestID, "r")
+	return &call{
+		Forwarder: f, w: &goneCaller{httptest.NewRecorder(), events}, r: r, id: "r", table: new(matcher.Table), service: &matcher.Service{Name: "model"},
+		route: &matcher.Route{Kind: matcher.KindStreaming, MaxAttempts: 2, Resumable: true}, deadline: now() + time.Minute,
+	}, budget
+}
+
+// serveAborted serves a stream that is aborted, and returns how long it took.
+func serveAborted(t *testing.T, k *call) time.Duration {
+	t.Helper()
+	began := time.Now()
+	func() {
+		defer func() { is.New(t).Equal(recover(), http.ErrAbortHandler) }()
+		k.serveStream(t.Context())
+	}()
+	return time.Since(began)
+}
+
 // TestCallerGoneInStream guards against capacity that stays reserved for a stream whose caller can't be
 // written to: a frozen host finds its callers gone when it wakes.
 func TestCallerGoneInStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		const address = "10.1.0.1:80"
-		started := time.Now()
-		now := func() time.Duration { return time.Since(started) + time.Minute }
-		b := &balancer.Balancer{DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 1))}
-		b.Configure(map[string]*matcher.Service{"model": {Name: "model"}})
-		b.UpdateUpstreams([]balancer.Upstream{{ID: "engine", Address: address, Service: "model", DataCentre: "a", StartedAt: 1}}, nil)
-		limits, budget := new(admitter.StreamLimiters), new(admitter.WindowRetryBudget)
-		f := &Forwarder{
-			Balancer: b, Headers: DefaultHeaders, Suspects: new(tracker.Suspects), Meter: meter.New(nil, nil), Now: now, Log: zerolog.Nop(),
-			Pool:           &connector.Pool{Dial: dialEvents, Now: now, RequestIDHeader: DefaultHeaders.RequestID},
-			StreamLimiters: func(string) *admitter.StreamLimiters { return limits },
-			RetryBudget:    func(string) *admitter.WindowRetryBudget { return budget },
-		}
-		r := httptest.NewRequest(http.MethodPost, "/stream/1", nil)
-		r.Header.Set(DefaultHeaders.RequestID, "r")
-		w := &goneCaller{httptest.NewRecorder(), 3}
-		k := &call{
-			Forwarder: f, w: w, r: r, id: "r", table: new(matcher.Table), service: &matcher.Service{Name: "model"},
-			route: &matcher.Route{Kind: matcher.KindStreaming, MaxAttempts: 2}, deadline: now() + time.Minute,
-		}
-		func() {
-			defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
-			k.serveStream(t.Context())
-		}()
-		is.Equal(b.InFlight("engine"), 0)
-		is.Equal(len(b.SilentUpstreams(now()+time.Minute)), 0)
+		k, _ := newStream(3)
+		serveAborted(t, k)
+		is.Equal(k.Balancer.InFlight("engine"), 0)
+		is.Equal(len(k.Balancer.SilentUpstreams(k.Now()+time.Minute)), 0)
 		time.Sleep(time.Second) // the upstream ends
 	})
 }
+
+// TestSilentWithoutRetry guards against a running stream that a host cuts since an upstream seems silent,
+// although there is no retry to resume it with.
+func TestSilentWithoutRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		dials := 0
+		k, _ := newStream(200)
+		k.Pool.OnDial = func(connector.Purpose) { dials++ }
+		hop := balancer.Hop{ID: "engine", Address: "10.1.0.1:80"}
+		time.AfterFunc(time.Second, func() { k.reroute(t.Context(), k.findAttempt("r"), hop) })
+		is.True(serveAborted(t, k) > 3*time.Second) // all 200 events
+		is.Equal(dials, 1)
+
+		k, budget := newStream(200)
+		k.Pool.OnDial = func(connector.Purpose) { dials++ }
+		for range 10 {
+			budget.RecordRequest(k.Now())
+		}
+		time.AfterFunc(time.Second, func() { k.reroute(t.Context(), k.findAttempt("r"), hop) })
+		serveAborted(t, k)
+		is.True(dials > 2) // resumed
+		time.Sleep(time.Second)
+	})
+}
