forwarder: a broken stream waits for a retry

Cause: a stream whose upstream broke off was cut at once where no retry was left, although retries come with each new request and callers wait 2 s. Change: it waits for one as long as it waits for a path, 1.5 s. TestBrokenWithoutRetry was red (one attempt, cut at once).

--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -105,7 +105,7 @@
 			continue
 		}
 		resumptions++
-		if ctx.Err() != nil || resumptions > maxResumptions || (!retryTaken && !k.takeResumeRetry()) {
+		if ctx.Err() != nil || resumptions > maxResumptions || (!retryTaken && !k.awaitResumeRetry(ctx)) {
 			k.abortStream(resumptions)
 		}
 		k.Meter.Retries.WithLabelValues(verdictBroken.String()).Inc()
@@ -125,6 +125,20 @@
 	return k.route.Resumable && k.RetryBudget(k.service.Name).Spend(k.Now())
 }
 
+// awaitResumeRetry is takeResumeRetry, and waits for a retry as long as a stream waits for a path.
+func (k *call) awaitResumeRetry(ctx context.Context) bool {
+	if !k.route.Resumable {
+		return false
+	}
+	for until := k.Now() + resumeTimeout; !k.takeResumeRetry(); {
+		if k.Now() > until || ctx.Err() != nil {
+			return false
+		}
+		time.Sleep(resumeRetryInterval)
+	}
+	return true
+}
+
 // avoidFirst excludes the first upstream of an attempt that delivered no event from later attempts.
 func (k *call) avoidFirst(l *balancer.Lease, v verdict) {
 	if v != verdictNotRun {
--- a/forwarder/stream_test.go
+++ b/forwarder/stream_test.go
@@ -125,3 +125,39 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// dialBroken connects to an upstream that breaks off after its first event.
+func dialBroken(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() {
+		defer far.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(far)); err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(far, "HTTP/1.1 200 OK\r\n%s: stamp\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n", DefaultHeaders.Stamp)
+	}()
+	return near, nil
+}
+
+// TestBrokenWithoutRetry guards against a stream that is cut although a retry to resume it with comes
+// before its caller gives up.
+func TestBrokenWithoutRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		dials := 0
+		k, budget := newStream(9)
+		k.Pool.Dial = dialBroken
+		k.Pool.OnDial = func(p connector.Purpose) {
+			if p == connector.PurposeStream {
+				dials++
+			}
+		}
+		time.AfterFunc(time.Second, func() {
+			for range 2 {
+				budget.RecordRequest(k.Now())
+			}
+		})
+		is.True(serveAborted(t, k) < 4*time.Second) // no longer than callers wait
+		is.Equal(dials, 2)
+	})
+}
