forwarder: no order for a path that is known to be lost

Where every other path was lost too, a change was ordered over an upstream that had just failed its check. Not every such line is shown to have this cause: checks were also withheld, as they shared their number with checks of slow starts.

The end of the check now decides: if the upstream is found dead, the stream is resumed at once; else the order is sent. The number of paths tried is bounded by repathTimeout, and these checks may use all of the checks at once, as those of silent upstreams may. A check ends after its result is recorded, so that who waits for it sees that.

--- a/balancer/health.go
+++ b/balancer/health.go
@@ -145,6 +145,14 @@
 	return true
 }
 
+// IsDead reports whether an upstream accepts no connection or is no longer listed.
+func (b *Balancer) IsDead(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := b.upstreams[id]
+	return u == nil || u.dead
+}
+
 // DiedAround returns the ids of the upstreams that were found dead within a time around at.
 func (b *Balancer) DiedAround(at, within time.Duration) []string {
 	b.mu.Lock()
--- a/forwarder/probepace.go
+++ b/forwarder/probepace.go
@@ -53,7 +53,7 @@
 	deadProbe      = probeSpec{interval: probeInterval, share: 0.5}
 	slowStartProbe = probeSpec{interval: slowFirstEvent, afterAccepted: slowStartPause, share: 0.5}
 	witnessProbe   = probeSpec{share: 1}
-	pathProbe      = probeSpec{interval: pathProbeInterval, share: 0.5}
+	pathProbe      = probeSpec{interval: pathProbeInterval, share: 1}
 	stallQuery     = probeSpec{interval: stallQueryInterval}
 )
 
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -46,8 +46,6 @@
 	pathProbeInterval = 40 * time.Millisecond
 	// pathProbeTimeout is how long a changed path waits for the checks of its upstreams.
 	pathProbeTimeout = probeTimeout / 2
-	// maxDetours bounds the paths tried for one change.
-	maxDetours = 3
 )
 
 // Engines controls requests that run on engines.
@@ -241,7 +239,7 @@
 		witness := time.AfterFunc(probeTimeout/2, func() { f.findWitness(ctx, h, startedAt) })
 		err := f.Pool.Check(ctx, h.Address, purpose, probeTimeout)
 		witness.Stop()
-		f.probes.end(f.Now(), h.ID, err == nil)
+		defer func() { f.probes.end(f.Now(), h.ID, err == nil) }()
 		switch {
 		case ctx.Err() != nil:
 		case err == nil:
@@ -366,7 +364,7 @@
 func (f *Forwarder) detour(ctx context.Context, a *attempt, lost balancer.Hop) []balancer.Hop {
 	avoid := []string{lost.ID}
 	hops := f.Balancer.Repath(f.Now(), a.lease, avoid...)
-	for n := 1; n < maxDetours && hops != nil; n++ {
+	for until := f.Now() + repathTimeout; hops != nil && f.Now() < until; {
 		unanswered := f.unanswered(ctx, hops[1:])
 		if len(unanswered) == 0 {
 			break
@@ -378,6 +376,11 @@
 		avoid = append(avoid, unanswered...)
 		next := f.Balancer.Repath(f.Now(), a.lease, avoid...)
 		if next == nil {
+			// Without another path only the end of the checks tells whether this one is lost too.
+			lost := func(id string) bool { return f.probes.wait(id, probeTimeout) && f.Balancer.IsDead(id) }
+			if slices.ContainsFunc(unanswered, lost) {
+				return nil
+			}
 			break
 		}
 		hops = next
