admitter: average the level of shares over two seconds

Cause: each host worked out the shares from rates of half a second, in reports up to half a second old. The rates of random arrivals vary by the square root of the rate, and the shares followed that late, so that the requests admitted varied by more than the arrivals.

Change: from one second after shares come into force, the level is averaged over 2 s. A difference of more than three square roots of the capacity is followed at once, and so are the end of a shortage and its beginning.

--- a/admitter/share.go
+++ b/admitter/share.go
@@ -35,6 +35,14 @@
 	// shareMeasureTime is the time from the first shares until reports show what all hosts admit at
 	// their capacity, and until they show the effect of the shares.
 	shareMeasureTime = 3000 * time.Millisecond
+	// settleTime is the time from the first shares until reports show what workspaces ask for. From
+	// then on, levels are averaged over levelTime: hosts that follow each change of random arrivals
+	// half a second late add to it.
+	settleTime = time.Second
+	levelTime  = 2 * time.Second
+	// maxNoise is the difference between levels that is followed at once, in square roots of the
+	// capacity: the rates of random arrivals vary by one such root.
+	maxNoise = 3
 	// shareAge is how long shares are used before they are worked out again.
 	shareAge = 20 * time.Millisecond
 	// maxShareRanks bounds the ranks that are kept.
@@ -155,9 +163,14 @@
 	d.reported.Expire(now, maxDemandAge)
 	cutOff := d.reported.Hosts() == 0 && d.latest.Hosts() > 0
 	s.updateCapacity(now, all, cutOff)
+	previous := s.level
 	s.level = math.Inf(1)
 	if s.inForce {
 		s.level = s.divide()
+		// Levels that are infinite, before or now, are not averaged.
+		if now-s.since > settleTime && math.Abs(s.level-previous) < maxNoise*math.Sqrt(s.capacity) {
+			s.level = previous + (s.level-previous)*(1-math.Exp(-(now-s.levelAt).Seconds()/levelTime.Seconds()))
+		}
 		s.inForce = !math.IsInf(s.level, 1) || now-s.lossAt <= recoveryDelay
 	}
 	s.levelAt = now
