admitter: let a host that starts in an outage find the capacity again

Cause: shares after an outage go back to what was admitted before the shortage. A host that started in the outage does not know it. Its capacity rose by 2 in 100 a second, and never from zero, while no request lacked capacity.

Change: a host that observed less than 2 s without a shortage, in which 9 in 10 requests were admitted, takes the capacity to rise fourfold a second, from 4 requests a second at least, once nothing lacked capacity for a second.

TestNoSharesWithCapacity (new): nothing is refused where there is capacity for all.

--- a/admitter/share.go
+++ b/admitter/share.go
@@ -29,6 +29,12 @@
 	// capacityMemory is for how long, at least, the most that was admitted before a shortage is kept.
 	// An outage may lower what is admitted seconds before the first refusal for lack of capacity.
 	capacityMemory = 30 * time.Second
+	// A host that observed less than minObserved without a shortage, as one that starts in an outage,
+	// does not know the capacity before it. It takes the capacity to rise fourfold a second, by
+	// unknownIncrease. Times in which less than minAdmitted of the requests was admitted do not count.
+	minObserved     = 2 * time.Second
+	minAdmitted     = 0.9
+	unknownIncrease = 1.4
 	// initialUse is the fraction of what is admitted at first that is divided. Requests that arrive at
 	// random are refused now and then where they ask for all of it.
 	initialUse = 0.9
@@ -80,13 +86,20 @@
 	// current is the most from since on, previous the most in the period before.
 	current, previous float64
 	since             time.Duration
+	// observed is for how long there was no shortage and minAdmitted was admitted.
+	observed time.Duration
 }
 
-func (p *recentPeak) add(now time.Duration, admitted float64) {
+// add counts what is asked for and admitted at a time, elapsed after the time before.
+func (p *recentPeak) add(now, elapsed time.Duration, all demandRate) {
+	// In an outage, requests may be refused for other reasons than lack of capacity.
+	if all.admitted > minAdmitted*all.arrivals {
+		p.observed += min(elapsed, demandTime) // nothing is known of longer pauses
+	}
 	if now-p.since >= capacityMemory {
 		p.previous, p.current, p.since = p.current, 0, now
 	}
-	p.current = max(p.current, admitted)
+	p.current = max(p.current, all.admitted)
 }
 
 func (p *recentPeak) value() float64 { return max(p.current, p.previous) }
@@ -189,7 +202,7 @@
 	}
 	elapsed := (now - s.levelAt).Seconds()
 	if loss < endLoss && !s.inForce {
-		s.before.add(now, all.admitted)
+		s.before.add(now, now-s.levelAt, all)
 	}
 	s.lacked = all.lacked
 	switch {
@@ -197,7 +210,12 @@
 		s.inForce = len(s.demand) > 1 && loss >= startLoss && all.lacked >= minLack && now-s.lossAt <= recoveryDelay
 		s.since, s.capacity = now, all.admitted*initialUse
 	case !cutOff && now-s.lossAt > recoveryDelay:
-		s.capacity = max(s.capacity*math.Exp(shareIncrease*elapsed), s.before.value())
+		increase := shareIncrease
+		if s.before.observed < minObserved {
+			increase = unknownIncrease
+		}
+		// None may have been admitted in the shortage, and a product with zero does not rise.
+		s.capacity = max(max(s.capacity, minLack)*math.Exp(increase*elapsed), s.before.value())
 	case now-s.since < shareMeasureTime:
 		s.capacity = max(s.capacity, all.admitted*initialUse)
 	case cutOff:
--- a/admitter/share_outage_test.go
+++ b/admitter/share_outage_test.go
@@ -9,6 +9,33 @@
 	"github.com/sardineward/sardineward/admitter"
 )
 
+// TestSharesOfHostStartedInOutage guards against shares that keep the capacity of an outage for long
+// at a host that does not know what was admitted before.
+func TestSharesOfHostStartedInOutage(t *testing.T) {
+	d := new(admitter.Demands)
+	asked, refused := 0, 0
+	for now := 10 * time.Millisecond; now < 12*time.Second; now += 10 * time.Millisecond {
+		key := admitter.DemandKey{Service: "desk", Workspace: []string{"mill", "kiln"}[now/(10*time.Millisecond)%2]}
+		d.RecordArrival(now, key)
+		exceeds := d.ExceedsShare(now, key)
+		switch {
+		case now > 8*time.Second: // four seconds after the outage
+			asked++
+			if exceeds {
+				refused++
+			}
+		case exceeds:
+		case now < 4*time.Second && now%(70*time.Millisecond) != 0:
+			d.RecordLack(now, key)
+		}
+		if !exceeds && (now >= 4*time.Second || now%(70*time.Millisecond) == 0) {
+			d.RecordAdmitted(now, key)
+		}
+	}
+	t.Logf("%d of %d refused from four seconds after the outage on", refused, asked)
+	is.New(t).True(refused <= asked/50)
+}
+
 // TestSharesAfterOutage guards against shares that began while upstreams were away and go on refusing
 // workspaces after the capacity is back.
 func TestSharesAfterOutage(t *testing.T) {
--- a/admitter/share_test.go
+++ b/admitter/share_test.go
@@ -242,6 +242,22 @@
 	})
 }
 
+// TestNoSharesWithCapacity guards against shares that refuse a workspace which asks for much more than
+// usual while there is capacity for all.
+func TestNoSharesWithCapacity(t *testing.T) {
+	for _, c := range []shareReplay{{hosts: 24, large: 23, usual: 0.6}, {hosts: 24, large: 8, usual: 0.45}} {
+		t.Run(c.String(), func(t *testing.T) {
+			c.fair = true
+			for c.seed = range 3 {
+				out := c.run()
+				for _, o := range []outcome{out.othersBefore, out.othersFirst, out.others, out.large} {
+					is.New(t).Equal(o.served, o.asked)
+				}
+			}
+		})
+	}
+}
+
 // TestNoShares checks that shares are in force in a shortage only.
 func TestNoShares(t *testing.T) {
 	is := is.New(t)
