--- a/balancer/desks_test.go
+++ b/balancer/desks_test.go
@@ -121,7 +121,7 @@
 }
 
 // TestFullDesks replays 24 and 137 hosts before seven plain upstreams with enough slots for all. It guards
-// against an upstream that rejects requests without a Retry-After and goes on drawing them.
+// against hosts that go on sending requests to an upstream that rejects them without a Retry-After.
 func TestFullDesks(t *testing.T) {
 	const retryRatio = 0.1
 	for _, loadKnown := range []bool{false, true} {
--- a/forwarder/probes_test.go
+++ b/forwarder/probes_test.go
@@ -135,9 +135,8 @@
 	}
 }
 
-// TestEnginesLostTogether guards against path changes that engines refuse, as another engine of the new
-// path was lost at the same moment and isn't known to be. The load: three engines of different ranges lost,
-// or all engines of one range, so that there is no other path.
+// TestEnginesLostTogether guards against changed paths over an engine that was lost at the same moment:
+// engines of different ranges are lost, or all of one range, which leaves no other path.
 func TestEnginesLostTogether(t *testing.T) {
 	differentRanges := []string{"engine-1-0", "engine-3-1", "engine-5-2"}
 	oneRange := []string{"engine-1-0", "engine-1-1", "engine-1-2", "engine-1-3"}
