admitter, forwarder: log and export the retry budget

A request refused for want of a retry, and a stream cut for it, left no trace of what the host believed: how many requests and retries it had counted, how many it might make and by how many hosts the fixed number was divided. Hypotheses 1 (a host that starts has a whole share again) and 2 (the number of hosts is too small) of docs/incidents/retry-budget.md could not be told apart from logs or metrics. Now both show it; choices are as before.

--- a/admitter/window.go
+++ b/admitter/window.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // WindowRetryBudget is a retry budget over a sliding window: all hosts together may make retries
@@ -31,6 +33,24 @@
 // counts holds the requests and retries of one second.
 type counts struct{ requests, retries float64 }
 
+// RetryUsage is the state of a WindowRetryBudget at one host.
+type RetryUsage struct {
+	// Requests and Retries are those of this host in the window.
+	Requests, Retries float64
+	// Allowed is how many retries this host may make in the window.
+	Allowed float64
+	// Hosts is the number of hosts by which the fixed number was divided; at least 1.
+	Hosts int
+}
+
+// hasRetry reports whether one more retry is allowed.
+func (u RetryUsage) hasRetry() bool { return u.Retries+1 <= u.Allowed }
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (u RetryUsage) MarshalZerologObject(e *zerolog.Event) {
+	e.Float64("requests", u.Requests).Float64("retries", u.Retries).Float64("allowed", u.Allowed).Int("hosts", u.Hosts)
+}
+
 // safetyFactor is the fraction of its share that a host uses: a restarted host does not know the
 // retries that it made before, and the window slides in steps of whole seconds.
 const safetyFactor = 0.7
@@ -47,8 +67,7 @@
 func (b *WindowRetryBudget) Spend(now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	used, allowed := b.usage(now)
-	if used+1 > allowed {
+	if !b.usage(now).hasRetry() {
 		return false
 	}
 	b.seconds[len(b.seconds)-1].retries++
@@ -59,29 +78,34 @@
 func (b *WindowRetryBudget) HasRetry(now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	used, allowed := b.usage(now)
-	return used+1 <= allowed
+	return b.usage(now).hasRetry()
+}
+
+// Usage returns what this host used of the budget and what it may use.
+func (b *WindowRetryBudget) Usage(now time.Duration) RetryUsage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.usage(now)
 }
 
-// usage returns the retries in the window so far, and how many this host may make in it.
-func (b *WindowRetryBudget) usage(now time.Duration) (used, allowed float64) {
+// usage is Usage while b.mu is held.
+func (b *WindowRetryBudget) usage(now time.Duration) RetryUsage {
 	b.advance(now)
-	var sum counts
+	u := RetryUsage{Hosts: 1}
 	for _, c := range b.seconds {
-		sum.requests += c.requests
-		sum.retries += c.retries
+		u.Requests += c.requests
+		u.Retries += c.retries
 	}
-	hosts := 1
 	if b.Hosts != nil {
-		hosts = max(1, b.Hosts())
+		u.Hosts = max(1, b.Hosts())
 	}
-	share := b.Fixed / float64(hosts)
-	allowed = safetyFactor * (b.Ratio*sum.requests + share)
+	share := b.Fixed / float64(u.Hosts)
+	u.Allowed = safetyFactor * (b.Ratio*u.Requests + share)
 	if share >= 1 {
 		// With hundreds of hosts, the share of one that has just started would be below one retry.
-		allowed = max(allowed, 1)
+		u.Allowed = max(u.Allowed, 1)
 	}
-	return sum.retries, allowed
+	return u
 }
 
 // advance moves the window to now and drops the seconds that left it.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -158,6 +158,8 @@
 	runs, rejected int
 	// ranOn lists the first upstreams of the stream's attempts that may have run, in order.
 	ranOn []string
+	// lacksRetry is set where the retry budget has no retry for the request.
+	lacksRetry bool
 	// wasSent is set once the request was sent to an upstream.
 	wasSent bool
 	// lastEventID is the id of the last event that the caller has; at first the one that the
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -54,6 +54,9 @@
 	if k.deadline > 0 {
 		event.Dur("left", k.deadline-k.Now())
 	}
+	if k.lacksRetry {
+		event.Object("retryBudget", k.RetryBudget(k.service.Name).Usage(k.Now()))
+	}
 	k.recordRankRefusal(event, reason)
 	event.Msg("forwarder: refused: " + detail)
 	k.headerSent = true
@@ -110,7 +113,8 @@
 	if k.refuseQuarantined() {
 		return false
 	}
-	if k.rejected > maxRejections || !k.RetryBudget(k.service.Name).Spend(k.Now()) {
+	k.lacksRetry = k.rejected <= maxRejections && !k.RetryBudget(k.service.Name).Spend(k.Now())
+	if k.rejected > maxRejections || k.lacksRetry {
 		if k.runs > 0 {
 			return k.refuse(admitter.ReasonRetryBudget, "no retries left")
 		}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -181,7 +181,7 @@
 	if k.r.Context().Err() == nil {
 		k.Meter.Refusals.WithLabelValues(admitter.ReasonUpstream.String()).Inc()
 		k.Log.Warn().Str("requestId", k.id).Str("lastEvent", k.lastEventID.text).Int("moves", resumptions).
-			Dur("left", k.deadline-k.Now()).Msg("forwarder: stream cut")
+			Dur("left", k.deadline-k.Now()).Object("retryBudget", k.RetryBudget(k.service.Name).Usage(k.Now())).Msg("forwarder: stream cut")
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -328,7 +328,8 @@
 	}
 }
 
-// runSweeps closes unusable connections and removes expired crash suspects until ctx ends.
+// runSweeps closes unusable connections, removes expired crash suspects and exports the retry budgets
+// until ctx ends.
 func (h *Host) runSweeps(ctx context.Context) {
 	tick := time.NewTicker(sweepInterval)
 	defer tick.Stop()
@@ -339,6 +340,7 @@
 		case <-tick.C:
 			h.pool.CloseExpired()
 			h.forwarder.Suspects.Sweep(time.Now())
+			h.exportRetryBudgets()
 		}
 	}
 }
--- a/launcher/metrics.go
+++ b/launcher/metrics.go
@@ -52,6 +52,15 @@
 	m.CounterFunc("connections_opened_total", "Connections made to upstreams.", func() float64 { return float64(h.connectionsOpened.Load()) })
 }
 
+// exportRetryBudgets sets the metrics of the retry budgets of all services.
+func (h *Host) exportRetryBudgets() {
+	for service, b := range h.retryBudgets.All() {
+		u := b.Usage(h.Now())
+		h.meter.RetriesUsed.WithLabelValues(service).Set(u.Retries)
+		h.meter.RetriesAllowed.WithLabelValues(service).Set(u.Allowed)
+	}
+}
+
 // countConnection counts a connection to an upstream by its purpose.
 func (h *Host) countConnection(p connector.Purpose) {
 	h.meter.ConnectionsOpened.WithLabelValues(p.String()).Inc()
--- a/launcher/named.go
+++ b/launcher/named.go
@@ -1,6 +1,9 @@
 package launcher
 
-import "sync"
+import (
+	"maps"
+	"sync"
+)
 
 // lazyMap maps names to values that are created on first use. The zero value is ready to use.
 type lazyMap[T any] struct {
@@ -29,3 +32,10 @@
 	n.values[name] = v
 	return v
 }
+
+// All returns a copy of the map.
+func (n *lazyMap[T]) All() map[string]*T {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.values)
+}
