admitter: keep the retry budget while hosts start again, leave or are miscounted

Cause: a host kept to 0.7 x (ratio x its requests + fixed / listed hosts) of its own last ten seconds. A process that starts had forgotten what the one before it had spent, and had a whole share again; a host that saw fewer others, since their entries had lapsed, took their shares; and what requests had earned at one host could be spent there at once while the same callers earned it again at another host. The class: a bound over all hosts that each host divides by what it believes of the others at this moment.

Change: a request earns half of the ratio, which may be used for one window, so that in any window all hosts use at most the earnings of two, wherever callers go and whoever is started again; that is within ratio x the larger of the two windows that the rule counts. Beyond that, a host has an even part of 0.9 x the fixed number, divided by the most hosts known in the last ten minutes, and none for the first 11 s of a process, unless the whole system starts for the first time (setting firstStart, from the platform). One retry may be taken ahead of earnings.

Weighed: hosts told by others what the process before them had spent.

--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -281,6 +281,18 @@
 	return out, first
 }
 
+// ReportedHosts returns how many other hosts the reports cover that are still used.
+func (b *Balancer) ReportedHosts(now time.Duration) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peerReports.expire(now)
+	n := 0
+	for _, hosts := range b.peerReports.hosts {
+		n += hosts
+	}
+	return n
+}
+
 // KeepReports drops the reports of sources for which keep returns false. Otherwise a host whose
 // role in the exchange changes would count some hosts twice.
 func (b *Balancer) KeepReports(keep func(source string) bool) {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -103,6 +103,10 @@
 	mu            sync.Mutex
 	servers       []*http.Server
 
+	// startedAt is when the host was started, by Now.
+	startedAt time.Duration
+	fleetSize admitter.FleetSize
+
 	retryBudgets lazyMap[admitter.WindowRetryBudget]
 	latencies    lazyMap[admitter.StreamLimiters]
 }
@@ -128,7 +132,7 @@
 	wg.Go(func() { h.sharer.Run(workCtx) })
 	wg.Go(func() { h.pacer.Run(workCtx) })
 	wg.Go(func() { h.runSweeps(workCtx) })
-	h.Log.Info().Str("host", h.Settings.Host).Str("dataCentre", h.Settings.DataCentre).Msg("launcher: started")
+	h.Log.Info().Str("host", h.Settings.Host).Str("dataCentre", h.Settings.DataCentre).Bool("firstStart", h.Settings.FirstStart).Msg("launcher: started")
 	<-ctx.Done()
 	err = h.stop(callers)
 	cancelWork()
@@ -175,6 +179,7 @@
 		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * memoryLimitRatio * 1e6))
 	}
 	h.setDefaults()
+	h.startedAt = h.Now()
 	h.retryBudgets.New = h.newRetryBudget
 	h.meter = meter.New(meter.LabelValues(admitter.ReasonValues()), meter.LabelValues(streamer.CauseValues()))
 	h.balancer = &balancer.Balancer{
@@ -262,13 +267,15 @@
 	}
 }
 
-// updateHosts passes the data centres of the other hosts to the balancer.
+// updateHosts passes the data centres of the other hosts to the balancer, and their number to the retry
+// budgets.
 func (h *Host) updateHosts() {
 	hosts := make(map[string]string)
 	for _, other := range h.follower.Hosts() {
 		hosts[other.Name] = other.DataCentre
 	}
 	h.balancer.SetHosts(hosts)
+	h.observeFleetSize()
 }
 
 // takeoverDelay is how long a data centre must have had no host before a host of another data
@@ -321,15 +328,21 @@
 // newRetryBudget returns a retry budget for one service, with the limits of the settings.
 func (h *Host) newRetryBudget() *admitter.WindowRetryBudget {
 	return &admitter.WindowRetryBudget{
-		Ratio:  h.Settings.RetryRatio,
-		Length: time.Duration(h.Settings.RetryWindowS) * time.Second,
-		Fixed:  h.Settings.RetryFixed,
-		Hosts:  func() int { return len(h.follower.Hosts()) + 1 },
+		Ratio:   h.Settings.RetryRatio,
+		Length:  time.Duration(h.Settings.RetryWindowS) * time.Second,
+		Fixed:   h.Settings.RetryFixed,
+		Hosts:   func() int { return h.fleetSize.Max(h.Now()) },
+		Started: h.startedAt, FirstStart: h.Settings.FirstStart,
 	}
 }
 
-// runSweeps closes unusable connections, removes expired crash suspects and exports the retry budgets
-// until ctx ends.
+// observeFleetSize records how many hosts are known, by the list or by what hosts report.
+func (h *Host) observeFleetSize() {
+	h.fleetSize.Observe(h.Now(), max(len(h.follower.Hosts()), h.balancer.ReportedHosts(h.Now()))+1)
+}
+
+// runSweeps closes unusable connections, removes expired crash suspects, counts the hosts and exports the
+// retry budgets until ctx ends.
 func (h *Host) runSweeps(ctx context.Context) {
 	tick := time.NewTicker(sweepInterval)
 	defer tick.Stop()
@@ -340,6 +353,7 @@
 		case <-tick.C:
 			h.pool.CloseExpired()
 			h.forwarder.Suspects.Sweep(time.Now())
+			h.observeFleetSize()
 			h.exportRetryBudgets()
 		}
 	}
--- a/launcher/metrics.go
+++ b/launcher/metrics.go
@@ -24,6 +24,7 @@
 		return 0
 	})
 	m.GaugeFunc("hosts", "Other entry hosts that are listed.", func() float64 { return float64(len(h.follower.Hosts())) })
+	m.GaugeFunc("retry_budget_hosts", "Hosts by which the fixed part of the retry budgets is divided: the most that were known in the last ten minutes.", func() float64 { return float64(h.fleetSize.Max(h.Now())) })
 	m.GaugeFunc("requests_in_flight", "Requests being answered.", func() float64 { return float64(h.forwarder.InFlight()) })
 	m.GaugeFunc("ready", "1 while this host takes requests.", func() float64 { return boolGauge(h.forwarder.Ready()) })
 	m.GaugeFunc("duty_held", "1 while this host gives orders to engines.", func() float64 { return boolGauge(h.registrar.HoldingAny()) })
@@ -57,7 +58,7 @@
 	for service, b := range h.retryBudgets.All() {
 		u := b.Usage(h.Now())
 		h.meter.RetriesUsed.WithLabelValues(service).Set(u.Retries)
-		h.meter.RetriesAllowed.WithLabelValues(service).Set(u.Allowed)
+		h.meter.RetriesAvailable.WithLabelValues(service).Set(u.Available())
 	}
 }
 
--- a/loader/forward_gen.go
+++ b/loader/forward_gen.go
@@ -22,6 +22,10 @@
 	// Data centre of this host.
 	DataCentre string `json:"dataCentre"`
 
+	// Whether the whole system starts for the first time, so that no earlier process
+	// has used a part of the retry budget.
+	FirstStart bool `json:"firstStart,omitempty,omitzero"`
+
 	// Name of this entry host, unique among all hosts.
 	Host string `json:"host"`
 
@@ -56,8 +60,8 @@
 	// Longest graceful stop.
 	StopMs int `json:"stopMs,omitempty,omitzero"`
 
-	// Whether the capacity of a rank is divided among workspaces in a shortage. Off by
-	// default: shares that begin while upstreams are away end late.
+	// Whether the capacity of a rank is divided among workspaces in a shortage. Off
+	// by default: shares that begin while upstreams are away end late.
 	WorkspaceShares bool `json:"workspaceShares,omitempty,omitzero"`
 }
 
@@ -142,6 +146,9 @@
 	if utf8.RuneCountInString(string(plain.DataCentre)) < 1 {
 		return fmt.Errorf("field %s length: must be >= %d", "dataCentre", 1)
 	}
+	if v, ok := raw["firstStart"]; !ok || v == nil {
+		plain.FirstStart = false
+	}
 	if utf8.RuneCountInString(string(plain.Host)) < 1 {
 		return fmt.Errorf("field %s length: must be >= %d", "host", 1)
 	}
--- a/loader/forward_test.go
+++ b/loader/forward_test.go
@@ -65,6 +65,8 @@
 			return `"10.1.0.40:8227"`
 		case p == "{{ip}}":
 			return "10.1.0.40"
+		case strings.Contains(p, "bootstrap"):
+			return "true"
 		case strings.Contains(p, "ports"):
 			return "7340"
 		case strings.Contains(p, "name") || strings.HasPrefix(p, "{{zon"):
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -44,9 +44,9 @@
 	AnnouncementsUnreadable *prometheus.CounterVec
 	// ConnectionsOpened counts connections opened to upstreams, by purpose.
 	ConnectionsOpened *prometheus.CounterVec
-	// RetriesUsed is the number of retries of a service in the window of its budget, RetriesAllowed how
-	// many this host may make in it.
-	RetriesUsed, RetriesAllowed *prometheus.GaugeVec
+	// RetriesUsed is the number of retries of a service in the window of its budget, RetriesAvailable how
+	// many more this host may make now.
+	RetriesUsed, RetriesAvailable *prometheus.GaugeVec
 	// ThroughputBound is the upper bound of each pipeline's throughput, in tokens per second.
 	ThroughputBound *prometheus.GaugeVec
 }
@@ -74,7 +74,7 @@
 		AnnouncementsUnreadable: counter("announcements_unreadable_total", "Responses of upstreams with a Retry-After or a leave that can't be read.", "header"),
 		ConnectionsOpened:       counter("upstream_connections_opened_total", "Connections opened to upstreams, by what they are opened for.", "purpose"),
 		RetriesUsed:             gauge("retries_in_window", "Retries of a service in the window of its budget.", "service"),
-		RetriesAllowed:          gauge("retries_allowed", "Retries of a service that this host may make in the window of its budget.", "service"),
+		RetriesAvailable:        gauge("retries_available", "Retries of a service that this host may make now.", "service"),
 		ThroughputBound:         gauge("bound_tokens_per_second", "Most tokens a second that what is up can carry.", "pipeline"),
 	}
 	for _, r := range reasons {
@@ -86,7 +86,7 @@
 	for _, step := range []string{"promised", "kept", "excess"} {
 		m.Returns.WithLabelValues(step)
 	}
-	m.Registry.MustRegister(m.Refusals, m.RankRefusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.PathRejections, m.Returns, m.ShareRefusals, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ConnectionsOpened, m.RetriesUsed, m.RetriesAllowed, m.ThroughputBound)
+	m.Registry.MustRegister(m.Refusals, m.RankRefusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.PathRejections, m.Returns, m.ShareRefusals, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ConnectionsOpened, m.RetriesUsed, m.RetriesAvailable, m.ThroughputBound)
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
