soaker: check the retry budget over all hosts

Retries are counted at the fake upstreams as the users' rule counts them. A new fault lets all upstreams of a service fail what they get for some seconds, so that hosts use up the budget while others are killed and started.

--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -122,6 +122,7 @@
 	h.checkBackoffs(cl, report)
 	h.checkLeavingHeader(cl, report)
 	h.checkUrgency(cl, report)
+	h.checkRetries(cl, report)
 	h.checkRanks(report)
 	for _, text := range h.badExits {
 		report("%s", text)
@@ -371,3 +372,37 @@
 		}
 	}
 }
+
+// checkRetries reports services that got more retries, over all hosts, than the retry budget allows. A
+// request counts for each service that its route may lead to.
+func (h *history) checkRetries(cl *cluster, report func(string, ...any)) {
+	var epoch time.Time
+	since := func(at time.Time) time.Duration {
+		if epoch.IsZero() {
+			epoch = at
+		}
+		return at.Sub(epoch)
+	}
+	requests, retries := make(map[string][]time.Duration), make(map[string][]time.Duration)
+	for i := range h.calls {
+		for _, service := range servicesOf(h.calls[i].path) {
+			requests[service] = append(requests[service], since(h.calls[i].sent))
+		}
+	}
+	seen := make(map[string]bool)
+	for _, u := range cl.upstreams {
+		for _, s := range u.stage.Received() {
+			// The same request may go to the new service of a moved route; the first of all arrivals is any one.
+			if key := u.Service + " " + s.RequestID; s.RequestID != "" && seen[key] {
+				retries[u.Service] = append(retries[u.Service], since(s.At))
+			} else {
+				seen[key] = true
+			}
+		}
+	}
+	for service, list := range retries {
+		if w := retryRule.Worst(requests[service], list); float64(w.Retries) > w.Allowed {
+			report("service %s got %d retries in %v for %d requests, want at most %.0f", service, w.Retries, retryRule.Length, w.Requests, w.Allowed)
+		}
+	}
+}
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,7 +24,7 @@
 // time, the guarantees for undisturbed hosts would never be tested.
 func (r *Run) injectFaults(ctx context.Context, wg *sync.WaitGroup) {
 	rnd := rand.New(rand.NewPCG(r.Seed, 0))
-	faults := []faultFunc{killHost, pauseHost, stopHost, disruptStoreLink, crashUpstream, disruptUpstreamLink, leaveUpstream, revokeKeys, moveRoute, failUpstreamRequests, limitUpstream, restoreStore, backOffUpstream, leaveByHeader, surgeOfRanks, reverseRanks}
+	faults := []faultFunc{killHost, pauseHost, stopHost, disruptStoreLink, crashUpstream, disruptUpstreamLink, leaveUpstream, revokeKeys, moveRoute, failUpstreamRequests, limitUpstream, restoreStore, backOffUpstream, leaveByHeader, surgeOfRanks, reverseRanks, failService}
 	rnd.Shuffle(len(faults), func(i, j int) { faults[i], faults[j] = faults[j], faults[i] })
 	faults = faults[:3+rnd.IntN(len(faults)-2)]
 	maxGapMs := 300 + rnd.IntN(1500)
@@ -239,6 +240,25 @@
 	u.stage.SetFaults(next...)
 }
 
+// failService makes all upstreams of a random service fail the requests that they get for a while, so that
+// hosts use up the retry budget.
+func failService(r *Run, rnd *rand.Rand, _ int, lasts time.Duration) {
+	service := []string{"desk", "model"}[rnd.IntN(2)]
+	lasts *= 3
+	r.recordFault("fail "+service, -1, lasts, false)
+	setFaults := func(list []faker.StageFault) {
+		for _, u := range r.cluster.upstreams {
+			if u.Service == service {
+				u.stage.SetFaults(list...)
+			}
+		}
+	}
+	const more = 1 << 14 // requests than arrive meanwhile
+	setFaults(slices.Repeat([]faker.StageFault{faker.StageFaultStatus500}, more))
+	time.Sleep(lasts)
+	setFaults(nil)
+}
+
 // limitUpstream makes a random upstream report a low limit on the rate of requests from all hosts
 // together, for a while.
 func limitUpstream(r *Run, rnd *rand.Rand, _ int, lasts time.Duration) {
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -117,6 +118,23 @@
 	panic("soaker: no free port left on loopback in the block of this run")
 }
 
+// retryRule is the retry budget of each service.
+var retryRule = faker.RetryRule{Length: 10 * time.Second, Ratio: 0.2, Fixed: 200}
+
+// servicesOf returns the services that requests for a path may go to.
+func servicesOf(path string) []string {
+	switch {
+	case rankOf(path) >= 0:
+		return []string{rankedService}
+	case strings.HasPrefix(path, "/stream/"):
+		return []string{"model"}
+	case strings.HasPrefix(path, "/moving/"):
+		return []string{"desk", "other"}
+	default:
+		return []string{"desk"}
+	}
+}
+
 // keyName returns the nth API key.
 func keyName(n int) string { return fmt.Sprintf("key-%d", n) }
 
@@ -233,8 +251,9 @@
 	}
 	h.settings = filepath.Join(c.dir, h.name+".jsonc")
 	text := fmt.Sprintf(`{"host": %q, "dataCentre": %q, "callers": %q, "ready": %q, "peer": %q, "admin": %q, "platform": %q,
-		"retryRatio": 0.2, "retryFixed": 200, "retryWindowS": 10, "revokeMs": %d}`,
-		h.name, dataCentre, h.callersAddress, h.readyAddress, c.freeAddress(), c.freeAddress(), link, revokeTimeout.Milliseconds())
+		"retryRatio": %g, "retryFixed": %g, "retryWindowS": %g, "revokeMs": %d}`,
+		h.name, dataCentre, h.callersAddress, h.readyAddress, c.freeAddress(), c.freeAddress(), link,
+		retryRule.Ratio, retryRule.Fixed, retryRule.Length.Seconds(), revokeTimeout.Milliseconds())
 	c.hosts = append(c.hosts, h)
 	return os.WriteFile(h.settings, []byte(text), 0o600)
 }
