--- a/soaker/checks_test.go
+++ b/soaker/checks_test.go
@@ -115,3 +115,40 @@
 		})
 	}
 }
+
+// TestCheckRetries checks that retries beyond the budget are reported, over all upstreams of a service.
+func TestCheckRetries(t *testing.T) {
+	for _, tc := range []struct {
+		name           string
+		requests, runs int
+		// lasts is the time over which the requests are spread.
+		lasts time.Duration
+		found string
+	}{
+		{"no retry", 1000, 1, 5 * time.Second, ""},
+		{"the fixed number", 200, 2, 5 * time.Second, ""},
+		{"one retry of each request", 300, 2, 5 * time.Second, "service desk got 300 retries in 10s for 300 requests, want at most 260"},
+		{"the same over a minute", 300, 2, time.Minute, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l, cl := newHistory(), new(cluster)
+			for n := range 3 {
+				u := &upstream{stage: new(faker.Stage)}
+				u.ID, u.Service = fmt.Sprint("desk-", n), "desk"
+				cl.upstreams = append(cl.upstreams, u)
+			}
+			for n := range tc.requests {
+				id, at := fmt.Sprint("r", n), epoch.Add(tc.lasts*time.Duration(n)/time.Duration(tc.requests))
+				l.addCall(call{id: id, path: "/look/", sent: at})
+				for run := range tc.runs {
+					cl.upstreams[(n+run)%3].stage.AddReceived(faker.ReceivedRequest{RequestID: id, At: at, Executed: true})
+				}
+			}
+			var found []string
+			l.checkRetries(cl, func(format string, args ...any) { found = append(found, fmt.Sprintf(format, args...)) })
+			is := is.New(t)
+			is.Equal(len(found) > 0, tc.found != "")
+			is.True(strings.Contains(strings.Join(found, "\n"), tc.found))
+		})
+	}
+}
