--- a/connector/purpose.go
+++ b/connector/purpose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 )
@@ -34,6 +35,10 @@
 	PurposeControl
 )
 
+// minDialTimeout is how long a dial must have been waited for until its timeout says something about the
+// upstream: many times a link's delay.
+const minDialTimeout = 35 * time.Millisecond
+
 // Open opens a connection that the pool doesn't manage.
 func (p *Pool) Open(ctx context.Context, address string, purpose Purpose) (net.Conn, error) {
 	if p.OnDial != nil {
@@ -43,7 +48,16 @@
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
 	}
-	return dial(ctx, "tcp", address)
+	if p.OnDialed == nil {
+		return dial(ctx, "tcp", address)
+	}
+	began := p.Now()
+	c, err := dial(ctx, "tcp", address)
+	gaveUp := err != nil && (errors.Is(ctx.Err(), context.Canceled) || (ctx.Err() != nil && p.Now()-began < minDialTimeout))
+	if !gaveUp {
+		p.OnDialed(address, purpose, err)
+	}
+	return c, err
 }
 
 // Check opens a connection within timeout and closes it.
--- /dev/null
+++ b/detector/detector.go
@@ -0,0 +1,187 @@
+// Package detector decides from the connections that a host opens whether the host has lost all
+// upstreams, as a host that is partitioned from them does. It does no I/O and takes the time as an
+// argument; what other hosts reach is decided elsewhere.
+package detector
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	// minFailures is how many connections in a row must have failed. On a link that loses three packets
+	// in ten, half of all connections fail in time; as many failures in a row are rare.
+	minFailures = 12
+	// minUpstreams is how many upstreams they must have been to, or all where there are fewer.
+	minUpstreams = 8
+	// minFailuresPerUpstream takes the place of minFailures where there are few upstreams.
+	minFailuresPerUpstream = 3
+	// minDuration is how long the failures must have lasted: longer than a burst of lost packets.
+	minDuration = 150 * time.Millisecond
+	// minAccepted is how many connections in a row must succeed until the upstreams count as back.
+	minAccepted = 3
+	// streakMemory is how long failures count that no other connection followed.
+	streakMemory = 3 * time.Second
+)
+
+// Detector records the connections to upstreams. Its exported fields are set before use; it is safe for
+// concurrent use.
+type Detector struct {
+	// Upstreams returns the number of upstreams that this host uses.
+	Upstreams func() int
+
+	mu sync.Mutex
+	// failed counts the failed connections in a row by address, failures all of them.
+	failed   map[string]int
+	failures int
+	// firstAt and lastAt are when the first and the last of them failed.
+	firstAt, lastAt time.Duration
+	// refused is set while upstreams or the network have refused each of them, without a timeout.
+	refused bool
+	// lastEvent is when an upstream last sent something over an open connection.
+	lastEvent time.Duration
+	// lostAt is when the upstreams were lost; 0 while they are not.
+	lostAt time.Duration
+	// accepted counts the successful connections in a row since the last failure.
+	accepted int
+}
+
+// State is what a Detector knows.
+type State struct {
+	// Lost is set while no upstream accepts connections from this host. Since is when that was found.
+	Lost  bool
+	Since time.Duration
+	// Failures is the number of connections in a row that failed, Upstreams how many upstreams they were
+	// to. StreakAge is how long ago the first of them failed.
+	Failures, Upstreams int
+	StreakAge           time.Duration
+	// Refused is set where each of them was refused, rather than left without an answer.
+	Refused bool
+	// Silence is the time since an upstream last sent something over an open connection.
+	Silence time.Duration
+}
+
+// Suspicious reports whether connections to several upstreams failed in a row, or the only sign of any upstream is
+// older than its failure, so that other upstreams should be checked.
+func (s State) Suspicious() bool {
+	return s.Lost || s.Upstreams > 1 || (s.Upstreams == 1 && s.Silence > s.StreakAge)
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (s State) MarshalZerologObject(e *zerolog.Event) {
+	e.Int("failures", s.Failures).Int("upstreams", s.Upstreams).Dur("streak", s.StreakAge).Bool("refused", s.Refused).Dur("silence", s.Silence)
+}
+
+// RecordAccept records that an upstream accepted a connection. It reports whether the upstreams count as back
+// because of it.
+func (d *Detector) RecordAccept(now time.Duration) (back bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.accepted++
+	if d.lostAt > 0 && d.accepted < minAccepted && d.accepted < d.upstreams() {
+		return false
+	}
+	back = d.lostAt > 0
+	d.forget()
+	d.lostAt = 0
+	d.lastEvent = max(d.lastEvent, now)
+	return back
+}
+
+// RecordFailure records that a connection to an upstream failed, refused or without an answer. It reports
+// whether all upstreams count as lost because of it.
+func (d *Detector) RecordFailure(now time.Duration, address string, refused bool) (lost bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lostAt == 0 && d.failures > 0 && now-d.lastAt > streakMemory {
+		d.forget()
+	}
+	if d.failures == 0 {
+		d.firstAt, d.refused = now, true
+		d.failed = make(map[string]int)
+	}
+	d.accepted = 0
+	d.failures++
+	d.failed[address]++
+	d.lastAt = now
+	d.refused = d.refused && refused
+	if d.lostAt > 0 || !d.isStreakLong(now) {
+		return false
+	}
+	d.lostAt = now
+	return true
+}
+
+// isStreakLong reports whether the failures in a row show that all upstreams are lost. Where an open
+// connection still delivers events, only refusals show that: on a poor link connections time out too.
+func (d *Detector) isStreakLong(now time.Duration) bool {
+	n := d.upstreams()
+	if len(d.failed) < min(minUpstreams, n) || d.failures < min(minFailures, minFailuresPerUpstream*n) || now-d.firstAt < minDuration {
+		return false
+	}
+	return d.refused || d.lastEvent < d.firstAt
+}
+
+// RecordEvent records that an upstream sent something over an open connection.
+func (d *Detector) RecordEvent(now time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lastEvent = max(d.lastEvent, now)
+}
+
+// Forget drops the failures in a row. It is called when the host itself was suspended, as connections then
+// fail that were only not waited for.
+func (d *Detector) Forget() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lostAt == 0 {
+		d.forget()
+	}
+}
+
+// forget drops the failures in a row. d.mu is held.
+func (d *Detector) forget() {
+	d.failed, d.failures, d.refused, d.accepted = nil, 0, false, 0
+}
+
+// State returns what is known now.
+func (d *Detector) State(now time.Duration) State {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lostAt == 0 && d.failures > 0 && now-d.lastAt > streakMemory {
+		d.forget()
+	}
+	out := State{Lost: d.lostAt > 0, Since: d.lostAt, Failures: d.failures, Upstreams: len(d.failed), Refused: d.refused, Silence: now - d.lastEvent}
+	if d.failures > 0 {
+		out.StreakAge = now - d.firstAt
+	}
+	return out
+}
+
+// HasFailed reports whether a connection to an address is among the failures in a row.
+func (d *Detector) HasFailed(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.failed[address] > 0
+}
+
+// Unchecked returns the addresses of which the fewest connections are among the failures in a row, at most n,
+// in the order given.
+func (d *Detector) Unchecked(addresses []string, n int) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := slices.Clone(addresses)
+	slices.SortStableFunc(out, func(a, b string) int { return d.failed[a] - d.failed[b] })
+	return out[:min(n, len(out))]
+}
+
+// upstreams returns the number of upstreams, at least 1.
+func (d *Detector) upstreams() int {
+	if d.Upstreams == nil {
+		return 1
+	}
+	return max(1, d.Upstreams())
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"github.com/sardineward/sardineward/admitter"
 	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/connector"
+	"github.com/sardineward/sardineward/detector"
 	"github.com/sardineward/sardineward/matcher"
 	"github.com/sardineward/sardineward/meter"
 	"github.com/sardineward/sardineward/tracker"
@@ -74,6 +75,8 @@
 	// RankReserve decides what requests leave to more urgent ones. It matters for services with several
 	// ranks; nil leaves nothing.
 	RankReserve *admitter.RankReserve
+	// Detector finds out that this host has lost all upstreams.
+	Detector detector.Detector
 	// Suspects records which requests were in flight when upstreams crashed.
 	Suspects *tracker.Suspects
 	// LimitsKnown reports whether this host has learned which upstreams announce a request
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -66,6 +66,7 @@
 	now := k.Now()
 	a.lastEvent.Store(int64(now))
 	k.lastContact.Store(int64(now))
+	k.Detector.RecordEvent(now)
 	repathed := a.repaths.Load() > 0
 	if !delivered.begun {
 		k.firstEventLatency = now - k.arrivedAt
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -87,6 +87,7 @@
 			f.Log.Info().EmbedObject(&o).Msg("forwarder: backoff of upstream is over")
 		}
 		if late {
+			f.Detector.Forget()
 			continue
 		}
 		for _, h := range f.Balancer.SilentUpstreams(now) {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -23,6 +23,7 @@
 	"github.com/sardineward/sardineward/admitter"
 	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/connector"
+	"github.com/sardineward/sardineward/detector"
 	"github.com/sardineward/sardineward/follower"
 	"github.com/sardineward/sardineward/forwarder"
 	"github.com/sardineward/sardineward/loader"
@@ -205,10 +206,12 @@
 		Demands:        demands,
 		RankReserve:    &admitter.RankReserve{MoreUrgent: demands.MoreUrgent, Hosts: hostCount},
 		Suspects:       suspects,
+		Detector:       detector.Detector{Upstreams: func() int { return h.balancer.SubsetSize(h.Now()) }},
 		Now:            h.Now,
 		Meter:          h.meter,
 		Log:            h.Log,
 	}
+	h.pool.OnDialed = h.forwarder.RecordDial
 	suspects.WentDown = h.forwarder.WentDown
 	if h.EngineTransport != nil {
 		h.EngineTransport.Forwarder = h.forwarder
--- a/launcher/metrics.go
+++ b/launcher/metrics.go
@@ -26,6 +26,13 @@
 	m.GaugeFunc("hosts", "Other entry hosts that are listed.", func() float64 { return float64(len(h.follower.Hosts())) })
 	m.GaugeFunc("retry_budget_hosts", "Hosts by which the fixed part of the retry budgets is divided: the most that were known in the last ten minutes.", func() float64 { return float64(h.fleetSize.Max(h.Now())) })
 	m.GaugeFunc("requests_in_flight", "Requests being answered.", func() float64 { return float64(h.forwarder.InFlight()) })
+	m.GaugeFunc("upstreams_lost_seconds", "Time since no upstream accepts connections from this host; 0 while any does.", func() float64 {
+		s := h.forwarder.Detector.State(h.Now())
+		if !s.Lost {
+			return 0
+		}
+		return (h.Now() - s.Since).Seconds()
+	})
 	m.GaugeFunc("ready", "1 while this host takes requests.", func() float64 { return boolGauge(h.forwarder.Ready()) })
 	m.GaugeFunc("duty_held", "1 while this host gives orders to engines.", func() float64 { return boolGauge(h.registrar.HoldingAny()) })
 	for _, state := range balancer.StateValues() {
