--- a/faker/conn.go
+++ b/faker/conn.go
@@ -63,6 +63,7 @@
 	for {
 		select {
 		case b := <-c.queue:
+			c.network.waitPassing(c.local, c.remote, c.closed)
 			if _, err := c.Conn.Write(b); err != nil {
 				close(c.broken)
 				<-c.closed
--- a/faker/network.go
+++ b/faker/network.go
@@ -19,6 +19,19 @@
 // dialTimeout is the time after which a dial over an interrupted link fails.
 const dialTimeout = 2 * time.Second
 
+// CutMode is what happens to connections between two locations that are cut off from each other.
+type CutMode int
+
+// The modes of a cut.
+const (
+	// CutReset closes open connections; dials get no answer.
+	CutReset CutMode = iota + 1
+	// CutSilent holds up what is sent on open connections; dials get no answer.
+	CutSilent
+	// CutRefuse lets open connections live on and refuses new ones.
+	CutRefuse
+)
+
 // Network connects listeners and dialers in memory, so that complete hosts can run in virtual time.
 // Locations, such as hosts and data centres, can be cut off from each other.
 type Network struct {
@@ -27,8 +40,10 @@
 	// locations maps an address to its location, aliases to a second one. An address without
 	// either can't be cut off.
 	locations, aliases map[string]string
-	partitioned        map[[2]string]bool
+	partitioned        map[[2]string]CutMode
 	conns              map[*conn]bool
+	// healed is closed and replaced by each Heal.
+	healed chan struct{}
 }
 
 // NewNetwork returns an empty network.
@@ -37,8 +52,9 @@
 		listeners:   make(map[string]*listener),
 		locations:   make(map[string]string),
 		aliases:     make(map[string]string),
-		partitioned: make(map[[2]string]bool),
+		partitioned: make(map[[2]string]CutMode),
 		conns:       make(map[*conn]bool),
+		healed:      make(chan struct{}),
 	}
 }
 
@@ -58,13 +74,16 @@
 
 // Partition interrupts the link between two locations until Heal. Open connections are closed, and
 // dials fail after dialTimeout or when their context ends.
-func (n *Network) Partition(a, b string) {
+func (n *Network) Partition(a, b string) { n.Cut(a, b, CutReset) }
+
+// Cut is Partition in a mode.
+func (n *Network) Cut(a, b string, mode CutMode) {
 	n.mu.Lock()
-	n.partitioned[[2]string{a, b}] = true
-	n.partitioned[[2]string{b, a}] = true
+	n.partitioned[[2]string{a, b}] = mode
+	n.partitioned[[2]string{b, a}] = mode
 	var broken []*conn
 	for c := range n.conns {
-		if n.isPartitioned(c.local, c.remote) {
+		if n.cutBetween(c.local, c.remote) == CutReset {
 			broken = append(broken, c)
 		}
 	}
@@ -89,16 +108,34 @@
 	}
 }
 
-// isPartitioned reports whether any location of one end is cut off from any of the other end's.
-func (n *Network) isPartitioned(from, to []string) bool {
+// cutBetween returns the mode in which any location of one end is cut off from any of the other end's; 0
+// if none is. n.mu is held.
+func (n *Network) cutBetween(from, to []string) CutMode {
 	for _, a := range from {
 		for _, b := range to {
-			if n.partitioned[[2]string{a, b}] {
-				return true
+			if mode := n.partitioned[[2]string{a, b}]; mode != 0 {
+				return mode
 			}
 		}
 	}
-	return false
+	return 0
+}
+
+// waitPassing waits while the two ends of a connection are cut off silently, or until done is closed.
+func (n *Network) waitPassing(from, to []string, done <-chan struct{}) {
+	for {
+		n.mu.Lock()
+		silent, healed := n.cutBetween(from, to) == CutSilent, n.healed
+		n.mu.Unlock()
+		if !silent {
+			return
+		}
+		select {
+		case <-healed:
+		case <-done:
+			return
+		}
+	}
 }
 
 // Heal restores the link between two locations after Partition.
@@ -107,6 +144,8 @@
 	defer n.mu.Unlock()
 	delete(n.partitioned, [2]string{a, b})
 	delete(n.partitioned, [2]string{b, a})
+	close(n.healed)
+	n.healed = make(chan struct{})
 }
 
 // Listen opens a listener on an address.
@@ -131,14 +170,14 @@
 func (n *Network) dial(ctx context.Context, from []string, address string) (net.Conn, error) {
 	n.mu.Lock()
 	to := []string{n.locations[address], n.aliases[address]}
-	cut := n.isPartitioned(from, to)
+	cut := n.cutBetween(from, to)
 	l := n.listeners[address]
 	n.mu.Unlock()
-	if cut {
+	if cut == CutReset || cut == CutSilent {
 		sleep(ctx, dialTimeout)
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
 	}
-	if l == nil {
+	if l == nil || cut == CutRefuse {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
 	near, far := net.Pipe()
--- a/launcher/bench_test.go
+++ b/launcher/bench_test.go
@@ -27,6 +27,8 @@
 	callersAddress = "10.0.0.1:80"
 	readyAddress   = "10.0.0.1:81"
 	apiKey         = "key-of-mill"
+	// upstreamsLocation is the location of all upstreams.
+	upstreamsLocation = "upstreams"
 	// restartDelay is how long a fake upstream is down after a crash.
 	restartDelay = 2 * time.Second
 )
@@ -149,6 +151,7 @@
 func (b *testbed) startUpstreamIn(id, dataCentre string) (stop func()) {
 	s := &faker.Stage{ID: id, Events: 10, EventInterval: 20 * time.Millisecond, ResponseDelay: 10 * time.Millisecond}
 	address := "10.1.0." + id + ":80"
+	b.net.SetLocation(address, upstreamsLocation)
 	var kill atomic.Value
 	serve := func() {
 		k, err := faker.Serve(b.net.Listen, address, s)
