--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -74,6 +74,8 @@
 	ReasonUpstreamBackoff
 	// ReasonRepeated: the same request was asked to return later, and came before that.
 	ReasonRepeated
+	// ReasonCutOff: no upstream accepts connections from this host, and no other host takes the request.
+	ReasonCutOff
 )
 
 // Refusal is the error for a request that was not served; it holds the reason.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -213,7 +213,9 @@
 	// firstEvents holds the recent first events of each data centre.
 	firstEvents map[string]*firstEvents
 	peerReports reports
-	spread      spread
+	// cutOff is set while this host reaches no upstream.
+	cutOff bool
+	spread spread
 	// lateShares holds the share of late streams over each data centre.
 	lateShares map[string]*lateShare
 	services   map[string]*matcher.Service
--- a/balancer/peers.go
+++ b/balancer/peers.go
@@ -98,7 +98,9 @@
 type Report struct {
 	// Hosts counts the hosts that the report covers, by data centre.
 	Hosts map[string]int
-	Usage []Usage
+	// CutOffHosts is how many of them reach no upstream.
+	CutOffHosts int
+	Usage       []Usage
 }
 
 // maxReportAge is how long a report is used: some exchanges, and about as long as a stream
@@ -111,8 +113,10 @@
 type reports struct {
 	bySource map[string]*report
 	sum      map[string]*Usage
-	// hosts counts the hosts that the reports cover, by data centre.
-	hosts map[string]int
+	// hosts counts the hosts that the reports cover, by data centre, cutOffHosts those of them that reach no
+	// upstream.
+	hosts       map[string]int
+	cutOffHosts int
 	// oldest is when the oldest report arrived. interval is the time between the last report and
 	// the one before it of the same source; 0 before any source has reported twice.
 	oldest, interval time.Duration
@@ -120,9 +124,10 @@
 
 // report is the last report of one source, received at at.
 type report struct {
-	at    time.Duration
-	hosts map[string]int
-	usage map[string]Usage
+	at          time.Duration
+	hosts       map[string]int
+	cutOffHosts int
+	usage       map[string]Usage
 }
 
 // set replaces the report of a source.
@@ -136,7 +141,8 @@
 		r.interval = now - last.at
 	}
 	r.remove(source)
-	next := &report{at: now, hosts: from.Hosts, usage: make(map[string]Usage, len(from.Usage))}
+	r.cutOffHosts += from.CutOffHosts
+	next := &report{at: now, hosts: from.Hosts, cutOffHosts: from.CutOffHosts, usage: make(map[string]Usage, len(from.Usage))}
 	for _, u := range from.Usage {
 		if _, twice := next.usage[u.Upstream]; twice {
 			continue
@@ -165,6 +171,7 @@
 		return
 	}
 	delete(r.bySource, source)
+	r.cutOffHosts -= old.cutOffHosts
 	for dc, n := range old.hosts {
 		r.hosts[dc] -= n
 	}
@@ -212,16 +219,33 @@
 }
 
 func (b *Balancer) usage(now time.Duration) Report {
-	out := Report{Hosts: map[string]int{b.DataCentre: 1}}
+	out := Report{Hosts: map[string]int{b.DataCentre: 1}, CutOffHosts: b.ownCutOff()}
 	for _, u := range b.subset.used {
-		if own := u.usage(now); !own.empty() {
+		if own := b.ownUsage(now, u); !own.empty() {
 			out.Usage = append(out.Usage, own)
 		}
 	}
 	return out
 }
 
-// usage returns what this host has in flight over an upstream and observed of it.
+// ownCutOff returns 1 while this host reaches no upstream.
+func (b *Balancer) ownCutOff() int {
+	if b.cutOff {
+		return 1
+	}
+	return 0
+}
+
+// ownUsage returns what this host has in flight over an upstream and observed of it. A host that reaches no
+// upstream has observed its own loss, not theirs.
+func (b *Balancer) ownUsage(now time.Duration, u *upstream) Usage {
+	if b.cutOff {
+		return Usage{Upstream: u.ID, Requests: int64(u.requests), TokenLayers: int64(math.Round(u.reserved))}
+	}
+	return u.usage(now)
+}
+
+// usage is ownUsage of a host that reaches upstreams.
 func (u *upstream) usage(now time.Duration) Usage {
 	out := Usage{Upstream: u.ID, Requests: int64(u.requests), TokenLayers: int64(math.Round(u.reserved)), Pace: u.ownPace(now)}
 	if u.dead {
@@ -265,7 +289,11 @@
 		}
 		return err != nil
 	}
-	out := Report{Hosts: make(map[string]int, len(r.Hosts)), Usage: make([]Usage, 0, len(r.Usage))}
+	out := Report{Hosts: make(map[string]int, len(r.Hosts)), CutOffHosts: r.CutOffHosts, Usage: make([]Usage, 0, len(r.Usage))}
+	if r.CutOffHosts < 0 || r.CutOffHosts > maxHosts {
+		note(fmt.Errorf("balancer: number of hosts %d that are cut off out of range in report", r.CutOffHosts))
+		out.CutOffHosts = 0
+	}
 	for dc, n := range r.Hosts {
 		if n < 0 || n > maxHosts {
 			note(fmt.Errorf("balancer: number of hosts %d out of range in report of data centre %q", n, dc))
@@ -313,7 +341,7 @@
 	if from == nil {
 		return Report{}
 	}
-	out := Report{Hosts: from.hosts}
+	out := Report{Hosts: from.hosts, CutOffHosts: from.cutOffHosts}
 	for _, u := range from.usage {
 		out.Usage = append(out.Usage, u)
 	}
@@ -327,7 +355,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peerReports.expire(now)
-	out := Report{Hosts: map[string]int{b.DataCentre: 1}}
+	out := Report{Hosts: map[string]int{b.DataCentre: 1}, CutOffHosts: b.ownCutOff() + b.peerReports.cutOffHosts}
 	for dc, n := range b.peerReports.hosts {
 		out.Hosts[dc] += n
 	}
@@ -335,6 +363,7 @@
 	for source, from := range b.peerReports.bySource {
 		if without(source) {
 			excluded = append(excluded, from)
+			out.CutOffHosts -= from.cutOffHosts
 			for dc, n := range from.hosts {
 				out.Hosts[dc] -= n
 			}
@@ -377,7 +406,7 @@
 		out.Pace = 0
 	}
 	if u := b.upstreams[id]; u != nil {
-		own := u.usage(now)
+		own := b.ownUsage(now, u)
 		out.add(&own)
 	}
 	return out
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -87,7 +87,8 @@
 	RequestIDHeader string
 	// OnDial is called before each dial with its purpose; nil means no call.
 	OnDial func(purpose Purpose)
-	// OnDialed is called with the outcome of each dial whose caller did not give up on it; nil means no call.
+	// OnDialed is called with the outcome of each dial to an upstream whose caller did not give up on it; nil means no
+	// call.
 	OnDialed func(address string, purpose Purpose, err error)
 
 	mu sync.Mutex
--- a/connector/purpose.go
+++ b/connector/purpose.go
@@ -33,6 +33,8 @@
 	PurposeWitnessProbe
 	// PurposeControl: an order or a query to an engine.
 	PurposeControl
+	// PurposePeer: a request that another entry host is to serve.
+	PurposePeer
 )
 
 // minDialTimeout is how long a dial must have been waited for until its timeout says something about the
@@ -48,7 +50,7 @@
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
 	}
-	if p.OnDialed == nil {
+	if p.OnDialed == nil || purpose == PurposePeer {
 		return dial(ctx, "tcp", address)
 	}
 	began := p.Now()
--- a/connector/purpose_gen.go
+++ b/connector/purpose_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _PurposeName = "streamplainsilentProbeslowStartProbedeadProbeneighbourProbecrashProbewitnessProbecontrol"
+const _PurposeName = "streamplainsilentProbeslowStartProbedeadProbeneighbourProbecrashProbewitnessProbecontrolpeer"
 
-var _PurposeIndex = [...]uint8{0, 6, 11, 22, 36, 45, 59, 69, 81, 88}
+var _PurposeIndex = [...]uint8{0, 6, 11, 22, 36, 45, 59, 69, 81, 88, 92}
 
-const _PurposeLowerName = "streamplainsilentprobeslowstartprobedeadprobeneighbourprobecrashprobewitnessprobecontrol"
+const _PurposeLowerName = "streamplainsilentprobeslowstartprobedeadprobeneighbourprobecrashprobewitnessprobecontrolpeer"
 
 func (i Purpose) String() string {
 	if i < 0 || i >= Purpose(len(_PurposeIndex)-1) {
@@ -33,32 +33,32 @@
 	_ = x[PurposeCrashProbe-(6)]
 	_ = x[PurposeWitnessProbe-(7)]
 	_ = x[PurposeControl-(8)]
+	_ = x[PurposePeer-(9)]
 }
 
-var _PurposeValues = []Purpose{PurposeStream, PurposePlain, PurposeSilentProbe, PurposeSlowStartProbe, PurposeDeadProbe, PurposeNeighbourProbe, PurposeCrashProbe, PurposeWitnessProbe, PurposeControl}
+var _PurposeValues = []Purpose{PurposeStream, PurposePlain, PurposeSilentProbe, PurposeSlowStartProbe, PurposeDeadProbe, PurposeNeighbourProbe, PurposeCrashProbe, PurposeWitnessProbe, PurposeControl, PurposePeer}
 
 var _PurposeNameToValueMap = map[string]Purpose{
-	_PurposeName[0:6]:   PurposeStream,
-	_PurposeName[6:11]:  PurposePlain,
-	_PurposeName[11:22]: PurposeSilentProbe,
-	_PurposeName[22:36]: PurposeSlowStartProbe,
-	_PurposeName[36:45]: PurposeDeadProbe,
-	_PurposeName[45:59]: PurposeNeighbourProbe,
-	_PurposeName[59:69]: PurposeCrashProbe,
-	_PurposeName[69:81]: PurposeWitnessProbe,
-	_PurposeName[81:88]: PurposeControl,
-}
-
-var _PurposeLowerNameToValueMap = map[string]Purpose{
+	_PurposeName[0:6]:        PurposeStream,
 	_PurposeLowerName[0:6]:   PurposeStream,
+	_PurposeName[6:11]:       PurposePlain,
 	_PurposeLowerName[6:11]:  PurposePlain,
+	_PurposeName[11:22]:      PurposeSilentProbe,
 	_PurposeLowerName[11:22]: PurposeSilentProbe,
+	_PurposeName[22:36]:      PurposeSlowStartProbe,
 	_PurposeLowerName[22:36]: PurposeSlowStartProbe,
+	_PurposeName[36:45]:      PurposeDeadProbe,
 	_PurposeLowerName[36:45]: PurposeDeadProbe,
+	_PurposeName[45:59]:      PurposeNeighbourProbe,
 	_PurposeLowerName[45:59]: PurposeNeighbourProbe,
+	_PurposeName[59:69]:      PurposeCrashProbe,
 	_PurposeLowerName[59:69]: PurposeCrashProbe,
+	_PurposeName[69:81]:      PurposeWitnessProbe,
 	_PurposeLowerName[69:81]: PurposeWitnessProbe,
+	_PurposeName[81:88]:      PurposeControl,
 	_PurposeLowerName[81:88]: PurposeControl,
+	_PurposeName[88:92]:      PurposePeer,
+	_PurposeLowerName[88:92]: PurposePeer,
 }
 
 var _PurposeNames = []string{
@@ -71,6 +71,7 @@
 	_PurposeName[59:69],
 	_PurposeName[69:81],
 	_PurposeName[81:88],
+	_PurposeName[88:92],
 }
 
 // PurposeString retrieves an enum value from the enum constants string name.
@@ -80,7 +81,7 @@
 		return val, nil
 	}
 
-	if val, ok := _PurposeLowerNameToValueMap[strings.ToLower(s)]; ok {
+	if val, ok := _PurposeNameToValueMap[strings.ToLower(s)]; ok {
 		return val, nil
 	}
 	return 0, fmt.Errorf("%s does not belong to Purpose values", s)
--- /dev/null
+++ b/delegator/delegator.go
@@ -0,0 +1,134 @@
+// Package delegator chooses the hosts that serve requests for a host which reaches no upstream. It does no
+// I/O; package forwarder sends the requests and tells how they ended.
+package delegator
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// maxInFlight bounds the requests that one host delegates, and those that it serves for others, at a
+	// time. Each takes a connection and a request's body at both.
+	maxInFlight = 512
+	// remoteCost is how many more requests a host of this data centre has in flight for this one before
+	// one of another data centre is chosen: traffic between data centres is slower and paid for.
+	remoteCost = 16
+	// suspectCost is the same for the hosts of a data centre of which one has just not served: often all hosts of
+	// a data centre are cut off together.
+	suspectCost = 4 * remoteCost
+)
+
+// Host is an entry host that may serve requests for this one.
+type Host struct {
+	Name, Address, DataCentre string
+}
+
+// Delegator chooses hosts. Its exported fields are set before use; it is safe for concurrent use.
+type Delegator struct {
+	// DataCentre is that of this host.
+	DataCentre string
+	// Hosts returns the other hosts that are known and answer.
+	Hosts func() []Host
+
+	mu sync.Mutex
+	// inFlight counts the requests that each host serves for this one, all of them in total.
+	inFlight map[string]int
+	total    int
+	// excluded is until when a host is not chosen, as it did not answer or could not serve.
+	excluded map[string]time.Duration
+	// suspectUntil is until when the hosts of a data centre are chosen last.
+	suspectUntil map[string]time.Duration
+	// taken counts the requests that this host serves for others.
+	taken int
+}
+
+// Choose returns the host that is to serve a request, one of those that are not in tried, and reserves it until
+// Release. It returns false if there is none, or if too many requests are delegated.
+func (d *Delegator) Choose(now time.Duration, tried []string) (Host, bool) {
+	hosts := d.Hosts()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.total >= maxInFlight {
+		return Host{}, false
+	}
+	hosts = slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool {
+		return d.excluded[h.Name] > now || slices.Contains(tried, h.Name)
+	})
+	if len(hosts) == 0 {
+		return Host{}, false
+	}
+	// Hosts with equal costs are chosen at random, so that many hosts that are cut off together do not
+	// send all they have to the same one.
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	h := slices.MinFunc(hosts, func(a, b Host) int { return cmp.Compare(d.cost(now, a), d.cost(now, b)) })
+	if d.inFlight == nil {
+		d.inFlight = make(map[string]int)
+	}
+	d.inFlight[h.Name]++
+	d.total++
+	return h, true
+}
+
+// cost returns what one more request for h costs. d.mu is held.
+func (d *Delegator) cost(now time.Duration, h Host) int {
+	out := d.inFlight[h.Name]
+	if h.DataCentre != d.DataCentre {
+		out += remoteCost
+	}
+	if d.suspectUntil[h.DataCentre] > now {
+		out += suspectCost
+	}
+	return out
+}
+
+// Release ends the reservation of a host.
+func (d *Delegator) Release(h Host) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.total--
+	if d.inFlight[h.Name]--; d.inFlight[h.Name] == 0 {
+		delete(d.inFlight, h.Name)
+	}
+}
+
+// Exclude records that a host did not serve. It is not chosen until a time, and the others of its data centre
+// are chosen last until then.
+func (d *Delegator) Exclude(h Host, until time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.excluded == nil {
+		d.excluded, d.suspectUntil = make(map[string]time.Duration), make(map[string]time.Duration)
+	}
+	d.excluded[h.Name] = max(d.excluded[h.Name], until)
+	d.suspectUntil[h.DataCentre] = max(d.suspectUntil[h.DataCentre], until)
+}
+
+// Take reserves room for a request that this host serves for another one, until Done. It returns false if
+// there are too many.
+func (d *Delegator) Take() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.taken >= maxInFlight {
+		return false
+	}
+	d.taken++
+	return true
+}
+
+// Done ends a reservation of Take.
+func (d *Delegator) Done() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.taken--
+}
+
+// InFlight returns how many requests are delegated now, and how many this host serves for others.
+func (d *Delegator) InFlight() (delegated, taken int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.total, d.taken
+}
--- /dev/null
+++ b/forwarder/delegate.go
@@ -0,0 +1,378 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sardineward/sardineward/admitter"
+	"github.com/sardineward/sardineward/connector"
+	"github.com/sardineward/sardineward/delegator"
+	"github.com/sardineward/sardineward/matcher"
+)
+
+// Headers between hosts. A caller's values are removed; they are read only from the address for other hosts.
+const (
+	// delegatedByHeader is the name of the host that delegates the request.
+	delegatedByHeader = "Sardineward-Delegated-By"
+	// countedHeader is set where that host has counted the request, before it noticed that it is cut off.
+	countedHeader = "Sardineward-Counted"
+	// ranOnHeader lists the upstreams that may have run the request, separated by commas.
+	ranOnHeader = "Sardineward-Ran-On"
+	// delegationHeader is delegationServed or delegationRefused in each response to a delegated request.
+	delegationHeader = "Sardineward-Delegation"
+)
+
+const (
+	// delegationServed: the response is the one for the caller.
+	delegationServed = "served"
+	// delegationRefused: this host does not serve the request and has not run it.
+	delegationRefused = "refused"
+)
+
+const (
+	// maxDelegations is how many hosts a request is offered to.
+	maxDelegations = 4
+	// exclusion is how long a host is not asked again that did not answer, or that refused as it stops, is full, or
+	// is cut off as well.
+	exclusion = 2 * time.Second
+	// unsupportedExclusion is the same for a host of an earlier version.
+	unsupportedExclusion = 10 * time.Second
+)
+
+// isCutOff reports whether this host reaches no upstream while others do, so that they are to serve its
+// requests.
+func (f *Forwarder) isCutOff() bool {
+	now := f.Now()
+	return f.Delegator != nil && f.Detector.State(now).Lost && f.Balancer.ReachOfOthers(now).OthersReach()
+}
+
+// maxFailedDials is the number of failed dials after which a request is delegated although this host does not
+// know yet that it is cut off.
+const maxFailedDials = 2
+
+// shouldDelegate reports whether another host is to serve the request. One that was delegated already never is.
+func (k *call) shouldDelegate() bool {
+	if k.delegatedBy != "" || k.Delegator == nil {
+		return false
+	}
+	now := k.Now()
+	state := k.Detector.State(now)
+	if !state.Lost && (k.delegationFailed || !state.Suspicious() || (k.failedDials < maxFailedDials && !k.foundNoUpstream)) {
+		return false
+	}
+	return k.Balancer.ReachOfOthers(now).OthersReach()
+}
+
+// delegateInstead reports whether a request that finds no upstream is to be delegated. It returns true once at most.
+func (k *call) delegateInstead() bool {
+	if k.foundNoUpstream {
+		return false
+	}
+	k.foundNoUpstream = true
+	return k.shouldDelegate()
+}
+
+// isUnservable reports whether this host reaches no upstream and no other host is to serve the request, so that
+// it is refused at once. Connections that were open before a cut may live on; they are used while they do.
+func (k *call) isUnservable() bool {
+	state := k.Detector.State(k.Now())
+	return state.Lost && state.Silence > lostSilence && !k.shouldDelegate()
+}
+
+// ServeDelegated serves a request that another host delegates to this one. It is called only for requests that
+// arrive at the address for other hosts.
+func (f *Forwarder) ServeDelegated(w http.ResponseWriter, r *http.Request) {
+	if f.stopping.Load() || f.Delegator == nil || f.Detector.State(f.Now()).Lost || !f.Delegator.Take() {
+		w.Header().Set(delegationHeader, delegationRefused)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		f.countDelegation("taken", delegationRefused)
+		return
+	}
+	defer f.Delegator.Done()
+	w.Header().Set(delegationHeader, delegationServed)
+	f.countDelegation("taken", delegationServed)
+	f.serve(w, r, true)
+}
+
+// markForOthers marks the refusal of a delegated request that another host may serve: this one reaches too few
+// upstreams, or stops. For want of capacity the others would refuse it too.
+func (k *call) markForOthers(h http.Header, reason admitter.Reason) {
+	if k.delegatedBy == "" || k.runs > 0 {
+		return
+	}
+	switch reason {
+	case admitter.ReasonCutOff, admitter.ReasonNoRoute, admitter.ReasonNotReady, admitter.ReasonStopping:
+	case admitter.ReasonQueueFull:
+		if k.failedDials == 0 {
+			return
+		}
+	default:
+		return
+	}
+	h.Set(delegationHeader, delegationRefused)
+	if k.counted {
+		h.Set(countedHeader, "1")
+	}
+}
+
+// IsDelegated reports whether a request comes from a host that delegates it.
+func IsDelegated(r *http.Request) bool { return r.Header.Get(delegatedByHeader) != "" }
+
+func (f *Forwarder) countDelegation(direction, outcome string) {
+	f.Meter.Delegations.WithLabelValues(direction, outcome).Inc()
+}
+
+// readDelegation reads what the delegating host knows of the request.
+func (k *call) readDelegation() {
+	k.delegatedBy = k.r.Header.Get(delegatedByHeader)
+	k.counted = k.r.Header.Get(countedHeader) != ""
+	if list := k.r.Header.Get(ranOnHeader); list != "" {
+		k.ranOn = strings.Split(list, ",")
+		k.runs = len(k.ranOn)
+	}
+}
+
+// delegate has another host serve the request. It returns false after it has answered or refused the request,
+// and true where this host is to serve it after all.
+func (k *call) delegate(ctx context.Context) bool {
+	var tried []string
+	for range maxDelegations {
+		if !k.shouldDelegate() {
+			return true
+		}
+		h, ok := k.Delegator.Choose(k.Now(), tried)
+		if !ok {
+			break
+		}
+		tried = append(tried, h.Name)
+		v := k.delegateTo(ctx, h)
+		if v == verdictAnswered {
+			return false
+		}
+		if k.r.Context().Err() != nil {
+			return false
+		}
+		if v == verdictNotRun && ctx.Err() == nil {
+			continue // no upstream got the request, so this takes no retry
+		}
+		if !k.mayDelegateAgain(ctx, v) {
+			return false
+		}
+	}
+	if !k.Detector.State(k.Now()).Lost {
+		k.delegationFailed = true
+		return true
+	}
+	if k.headerSent {
+		k.abortStream(len(tried))
+	}
+	if k.runs > 0 {
+		return k.refuse(admitter.ReasonUpstream, "no other host took the request")
+	}
+	return k.refuse(admitter.ReasonCutOff, "no upstream accepts connections from this host, tried hosts "+strings.Join(tried, ","))
+}
+
+// mayDelegateAgain reports whether a request that a host may have run is delegated again, and takes a retry for it.
+// Otherwise it refuses the request.
+func (k *call) mayDelegateAgain(ctx context.Context, v verdict) bool {
+	if !k.headerSent {
+		return k.retryOrRefuse(ctx, v)
+	}
+	if ctx.Err() != nil || !k.awaitResumeRetry(ctx) {
+		k.abortStream(0)
+	}
+	k.Meter.Retries.WithLabelValues(v.String()).Inc()
+	return true
+}
+
+// delegateTo has one host serve the request and passes its response on.
+func (k *call) delegateTo(ctx context.Context, h delegator.Host) verdict {
+	defer k.Delegator.Release(h)
+	resp, err := k.Pool.Do(ctx, k.peerRequest(h))
+	if err != nil {
+		return k.noAnswerFrom(ctx, h, err)
+	}
+	defer resp.Done()
+	outcome := resp.Header.Get(delegationHeader)
+	switch outcome {
+	case delegationServed:
+		resp.Header.Del(delegationHeader)
+		k.logDelegation(h, "served with status "+strconv.Itoa(resp.StatusCode), nil)
+		k.countDelegation("sent", delegationServed)
+		return k.passOn(ctx, h, resp)
+	case delegationRefused:
+		k.counted = k.counted || resp.Header.Get(countedHeader) != ""
+		k.Delegator.Exclude(h, k.Now()+exclusion)
+	default:
+		k.Delegator.Exclude(h, k.Now()+unsupportedExclusion)
+		outcome = "unsupported"
+	}
+	k.logDelegation(h, outcome, nil)
+	k.countDelegation("sent", outcome)
+	return verdictNotRun
+}
+
+// noAnswerFrom returns the verdict on a host that gave no response.
+func (k *call) noAnswerFrom(ctx context.Context, h delegator.Host, err error) verdict {
+	k.logDelegation(h, "no answer", err)
+	k.countDelegation("sent", "noAnswer")
+	if ctx.Err() == nil {
+		k.Delegator.Exclude(h, k.Now()+exclusion)
+	}
+	var e *connector.Error
+	if errors.As(err, &e) && !e.Sent {
+		return verdictNotRun
+	}
+	return verdictMayHaveRun
+}
+
+// peerRequest builds the request to a host.
+func (k *call) peerRequest(h delegator.Host) *connector.Request {
+	header := k.r.Header.Clone()
+	dropHopByHop(header)
+	dropDelegation(header)
+	header.Set(delegatedByHeader, k.HostName)
+	if k.counted {
+		header.Set(countedHeader, "1")
+	}
+	if len(k.ranOn) > 0 {
+		header.Set(ranOnHeader, strings.Join(k.ranOn, ","))
+	}
+	if k.lastEventID.text != "" {
+		header.Set("Last-Event-Id", k.lastEventID.text)
+	}
+	header.Set(k.Headers.DeadlineMs, strconv.FormatInt(max(1, int64((k.deadline-k.Now())/time.Millisecond)), 10))
+	return &connector.Request{
+		Address: h.Address, Purpose: connector.PurposePeer, Method: k.r.Method, Target: k.r.RequestURI, Host: k.r.Host,
+		Header: header, Body: k.body, AtMostOnce: !k.route.Repeatable(),
+	}
+}
+
+// passOn passes a host's response on to the caller: events as they arrive, anything else once it is whole.
+func (k *call) passOn(ctx context.Context, h delegator.Host, resp *connector.Response) verdict {
+	if resp.StatusCode == http.StatusOK && k.route.Kind == matcher.KindStreaming {
+		return k.passOnEvents(h, resp)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes))
+	switch {
+	case err != nil || !resp.Complete():
+		return k.noAnswerFrom(ctx, h, &connector.Error{Address: h.Address, Sent: true, Err: errors.Join(err, io.ErrUnexpectedEOF)})
+	case k.headerSent:
+		// The stream has begun and was refused now. The status can't be sent any more.
+		return verdictFailed
+	}
+	k.headerSent = true
+	k.Headers.incoming(k.w.Header(), resp.Header)
+	k.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	k.w.WriteHeader(resp.StatusCode)
+	_, _ = k.w.Write(body)
+	return verdictAnswered
+}
+
+// passOnEvents passes complete events on as they arrive.
+func (k *call) passOnEvents(h delegator.Host, resp *connector.Response) verdict {
+	ctl := http.NewResponseController(k.w)
+	buf := make([]byte, readBufferSize)
+	var pending []byte
+	begun := false
+	for {
+		n, err := resp.Read(buf)
+		pending = append(pending, buf[:n]...)
+		events, rest, ids := splitEvents(pending)
+		if len(events) > 0 {
+			for _, id := range ids {
+				if !id.follows(k.lastEventID) {
+					k.logDelegation(h, "event "+id.text+" does not follow event "+k.lastEventID.text, nil)
+					return verdictBroken
+				}
+				k.lastEventID = id
+			}
+			k.writeHeader(resp)
+			begun = true
+			if _, err := k.w.Write(events); err != nil {
+				return k.abortForCaller()
+			}
+			if err := ctl.Flush(); err != nil {
+				return k.abortForCaller()
+			}
+		}
+		pending = append(pending[:0], rest...)
+		switch {
+		case errors.Is(err, io.EOF) && len(pending) == 0 && begun:
+			return verdictAnswered
+		case err != nil:
+			if k.r.Context().Err() == nil {
+				k.logDelegation(h, "broke off after event "+k.lastEventID.text, err)
+			}
+			return verdictBroken
+		}
+	}
+}
+
+// logDelegation logs what became of a request at another host.
+func (k *call) logDelegation(h delegator.Host, outcome string, err error) {
+	now := k.Now()
+	reach := k.Balancer.ReachOfOthers(now)
+	k.Log.Info().Str("requestId", k.id).Str("host", h.Name).Err(err).Dur("cutOff", now-k.Detector.State(now).Since).
+		Int("reachingHosts", reach.Hosts).Dur("left", k.deadline-now).Msg("forwarder: delegated: " + outcome)
+}
+
+// delegationHeaders lists the headers between hosts.
+var delegationHeaders = []string{delegatedByHeader, countedHeader, ranOnHeader, delegationHeader}
+
+// dropDelegation removes the headers between hosts.
+func dropDelegation(h http.Header) {
+	for _, name := range delegationHeaders {
+		h.Del(name)
+	}
+}
+
+// checkedInTurn is how many upstreams are checked at once while the upstreams may be lost.
+const checkedInTurn = 6
+
+// checkReach checks some upstreams while several connections in a row have failed, so that the host learns whether it
+// reaches any.
+func (f *Forwarder) checkReach(ctx context.Context) {
+	now := f.Now()
+	state := f.Detector.State(now)
+	if !state.Suspicious() {
+		return
+	}
+	interval := reachCheckInterval
+	if state.Lost {
+		interval = lostCheckInterval
+	}
+	if last := time.Duration(f.reachCheckedAt.Load()); now-last < interval {
+		return
+	}
+	f.reachCheckedAt.Store(int64(now))
+	addresses := f.Balancer.Addresses()
+	if state.Lost && len(addresses) > 0 {
+		// The same few would not tell that others are back.
+		n := f.reachRound % len(addresses)
+		f.reachRound += checkedInTurn
+		addresses = slices.Concat(addresses[n:], addresses[:n])[:min(checkedInTurn, len(addresses))]
+	} else {
+		addresses = f.Detector.Unchecked(addresses, checkedInTurn)
+	}
+	for _, address := range addresses {
+		go func() {
+			if err := f.Pool.Check(ctx, address, connector.PurposeWitnessProbe, probeTimeout); err != nil {
+				f.Log.Debug().Err(err).Str("address", address).Msg("forwarder: upstream does not accept a connection")
+			}
+		}()
+	}
+}
+
+const (
+	// reachCheckInterval is the time between two rounds of checks of whether any upstream is reached,
+	// lostCheckInterval that while none is: callers are served by other hosts meanwhile.
+	reachCheckInterval = 100 * time.Millisecond
+	lostCheckInterval  = 250 * time.Millisecond
+)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"github.com/sardineward/sardineward/admitter"
 	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/connector"
+	"github.com/sardineward/sardineward/delegator"
 	"github.com/sardineward/sardineward/detector"
 	"github.com/sardineward/sardineward/matcher"
 	"github.com/sardineward/sardineward/meter"
@@ -75,6 +76,11 @@
 	// RankReserve decides what requests leave to more urgent ones. It matters for services with several
 	// ranks; nil leaves nothing.
 	RankReserve *admitter.RankReserve
+	// HostName is the name of this host.
+	HostName string
+	// Delegator chooses the hosts that serve requests while this one reaches no upstream; nil means that none
+	// does.
+	Delegator *delegator.Delegator
 	// Detector finds out that this host has lost all upstreams.
 	Detector detector.Detector
 	// Suspects records which requests were in flight when upstreams crashed.
@@ -96,14 +102,21 @@
 	// nanoseconds of Now.
 	lastContact atomic.Int64
 	probes      probePacer
+	// reachCheckedAt is when upstreams were last checked because connections failed, reachRound counts these
+	// checks; it is used by Watch only.
+	reachCheckedAt atomic.Int64
+	reachRound     int
+	// strikes holds the recent strikes that this host has added.
+	strikes recentStrikes
 	// promises holds when refused callers are to return.
 	promises admitter.Promises
 	// repeats holds which refused requests are to return later.
 	repeats admitter.Repeats
 
 	mu sync.Mutex
-	// streams holds the attempts under way.
-	streams map[*attempt]struct{}
+	// streams holds the attempts under way, exchanges those of plain requests that may be repeated.
+	streams   map[*attempt]struct{}
+	exchanges map[*exchange]struct{}
 }
 
 // Stop starts draining: the host is no longer ready, and responses ask callers to close their
@@ -137,6 +150,18 @@
 	service     *matcher.Service
 	workspace   *matcher.Workspace
 	keyRequired bool
+	// delegatedBy is the host that delegates the request to this one; empty where the caller sent it.
+	delegatedBy string
+	// failedDials counts the dials to upstreams that failed for the request; dialFailed is set where the last
+	// attempt ended so.
+	failedDials int
+	dialFailed  bool
+	// delegationFailed is set once no other host took the request.
+	delegationFailed bool
+	// foundNoUpstream is set once the request found no upstream while connections to several had failed.
+	foundNoUpstream bool
+	// counted is set once a host has counted the request.
+	counted bool
 	// rank is the rank of the request, see matcher.Table.Rank; the lowest is the most urgent.
 	rank int
 	// keepFree is the share of the capacity that the request left to more urgent ones when it last
@@ -185,31 +210,34 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.serve(w, r, false) }
+
+// serve serves a request of a caller, or one that another host delegates.
+func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request, delegated bool) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	k := &call{Forwarder: f, w: w, r: r, id: r.Header.Get(f.Headers.RequestID), table: f.Tables.Table(), arrivedAt: f.Now()}
 	if f.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if delegated {
+		k.readDelegation()
+	}
 	if !k.resolve() || !k.readBody() {
 		return
 	}
 	k.fingerprint = fingerprintOf(k)
-	if k.refuseQuarantined() || k.refuseRepeat() {
-		return
-	}
-	k.recordArrival()
-	k.recordReturn()
-	if k.refuseShare() {
-		return
-	}
 	ctl := http.NewResponseController(w)
 	left := k.deadline - f.Now()
 	ctl.SetWriteDeadline(time.Now().Add(left + writeGrace))
 	ctx, cancel := context.WithTimeout(r.Context(), left)
 	defer cancel()
-	k.RetryBudget(k.service.Name).RecordRequest(f.Now())
+	if k.shouldDelegate() && !k.delegate(ctx) {
+		return
+	}
+	if k.refuseQuarantined() || !k.count() {
+		return
+	}
 	if k.route.Kind == matcher.KindStreaming {
 		k.serveStream(ctx)
 		return
@@ -217,6 +245,25 @@
 	k.servePlain(ctx)
 }
 
+// count counts the request, once over all hosts. It returns false after refusing the request for what was
+// counted before.
+func (k *call) count() bool {
+	if k.counted {
+		return true
+	}
+	if k.refuseRepeat() {
+		return false
+	}
+	k.counted = true
+	k.recordArrival()
+	k.recordReturn()
+	if k.refuseShare() {
+		return false
+	}
+	k.RetryBudget(k.service.Name).RecordRequest(k.Now())
+	return true
+}
+
 // resolve finds the route, the workspace and the service and sets the deadline. It returns false
 // after refusing the request.
 func (k *call) resolve() bool {
@@ -329,12 +376,16 @@
 	}
 }
 
-// acquire reserves upstreams. It returns nil after refusing the request.
+// acquire reserves upstreams. It returns nil after refusing the request, or where another host is to serve it.
 func (k *call) acquire(n balancer.Requirements) *balancer.Lease {
 	if k.keyRequired && !k.keysFresh() {
 		k.refuse(admitter.ReasonNotReady, "keys too old")
 		return nil
 	}
+	if k.isUnservable() {
+		k.refuse(admitter.ReasonCutOff, "no upstream accepts connections from this host, nor from others")
+		return nil
+	}
 	n.Service = k.service.Name
 	n.Avoid = k.avoid
 	k.updateKeepFree()
@@ -362,6 +413,9 @@
 		n.AvoidDataCentres = nil
 		l, reason = k.Balancer.Acquire(k.Now(), n)
 	}
+	if l == nil && reason == balancer.ReasonNoUpstream && k.delegateInstead() {
+		return nil
+	}
 	if l == nil {
 		if reason == balancer.ReasonNoRoom || reason == balancer.ReasonLimit {
 			k.recordShortage()
--- a/forwarder/headers.go
+++ b/forwarder/headers.go
@@ -78,6 +78,7 @@
 	for _, name := range []string{h.Workspace, h.Instance, h.Path, h.Urgency, h.Version, h.NotRun} {
 		out.Del(name)
 	}
+	dropDelegation(out)
 	if keyed {
 		out.Del("Authorization")
 	}
--- a/forwarder/lost.go
+++ b/forwarder/lost.go
@@ -1,15 +1,24 @@
 package forwarder
 
 import (
+	"context"
+	"sync"
+	"time"
+
 	"github.com/sardineward/sardineward/connector"
 )
 
+// lostSilence is how long a request waits for an upstream that is lost with all others until it is sent
+// elsewhere: longer than the usual time to a first event and between two.
+const lostSilence = 300 * time.Millisecond
+
 // RecordDial records the outcome of a dial to an upstream. connector.Pool calls it.
 func (f *Forwarder) RecordDial(address string, purpose connector.Purpose, err error) {
 	now := f.Now()
 	if err == nil {
 		before := f.Detector.State(now)
 		if f.Detector.RecordAccept(now) {
+			f.Balancer.SetCutOff(false)
 			f.Log.Warn().Dur("lasted", now-before.Since).Msg("forwarder: upstreams accept connections again")
 		}
 		return
@@ -17,7 +26,109 @@
 	if purpose == connector.PurposeDeadProbe && !f.Detector.State(now).Suspicious() {
 		return // an upstream that is known to be dead
 	}
-	if f.Detector.RecordFailure(now, address, !isTimeout(err)) {
-		f.Log.Warn().Err(err).Str("address", address).EmbedObject(f.Detector.State(now)).Msg("forwarder: no upstream accepts connections")
+	if !f.Detector.RecordFailure(now, address, !isTimeout(err)) {
+		return
+	}
+	f.Balancer.SetCutOff(true)
+	state, reach := f.Detector.State(now), f.Balancer.ReachOfOthers(now)
+	withdrawn := f.withdrawStrikes(now - state.StreakAge)
+	f.Log.Warn().Err(err).Str("address", address).EmbedObject(state).Int("reachingHosts", reach.Hosts).Int("reachedUpstreams", reach.Upstreams).
+		Int("strikesWithdrawn", withdrawn).Msg("forwarder: no upstream accepts connections")
+}
+
+// exchange is a plain request under way that may be repeated.
+type exchange struct {
+	sentAt time.Duration
+	cancel context.CancelCauseFunc
+}
+
+// trackExchange tracks a plain request under way, so that it is not waited for once this host is cut off. One
+// that may not be repeated is waited for: it may have run.
+func (k *call) trackExchange(ctx context.Context, sent time.Duration) (tracked context.Context, done func()) {
+	if !k.route.Repeatable() {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	e := &exchange{sentAt: sent, cancel: cancel}
+	k.mu.Lock()
+	if k.exchanges == nil {
+		k.exchanges = make(map[*exchange]struct{})
+	}
+	k.exchanges[e] = struct{}{}
+	k.mu.Unlock()
+	return ctx, func() {
+		k.mu.Lock()
+		delete(k.exchanges, e)
+		k.mu.Unlock()
+		cancel(nil)
+	}
+}
+
+// moveFromLost cancels requests that wait for a lost upstream, so that another host serves them. Connections that
+// were open before a cut may live on, and what comes over them is waited for.
+func (f *Forwarder) moveFromLost(now time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for a := range f.streams {
+		if now-time.Duration(a.lastEvent.Load()) > lostSilence && a.moving.CompareAndSwap(false, true) {
+			go f.resume(a)
+		}
+	}
+	if f.Detector.State(now).Silence < lostSilence {
+		return
+	}
+	for e := range f.exchanges {
+		if now-e.sentAt > lostSilence {
+			e.cancel(errUpstreamSilent)
+		}
+	}
+}
+
+// strikeMemory is how long a strike may be withdrawn: longer than it takes to notice that all upstreams are
+// lost.
+const strikeMemory = 2 * time.Second
+
+// recentStrikes holds the strikes that a host has added lately. The zero value is ready to use.
+type recentStrikes struct {
+	mu   sync.Mutex
+	list []recentStrike
+}
+
+type recentStrike struct {
+	at          time.Duration
+	fingerprint uint64
+}
+
+// add records a strike and forgets old ones.
+func (r *recentStrikes) add(now time.Duration, fingerprint uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for len(r.list) > 0 && now-r.list[0].at > strikeMemory {
+		r.list = r.list[1:]
+	}
+	r.list = append(r.list, recentStrike{now, fingerprint})
+}
+
+// takeSince removes and returns the fingerprints of the strikes since a time.
+func (r *recentStrikes) takeSince(since time.Duration) []uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []uint64
+	for _, s := range r.list {
+		if s.at >= since {
+			out = append(out, s.fingerprint)
+		}
+	}
+	r.list = nil
+	return out
+}
+
+// withdrawStrikes clears the requests that got a strike since a time, as the upstreams that refused connections
+// were not down, but this host was cut off. It returns their number.
+func (f *Forwarder) withdrawStrikes(since time.Duration) int {
+	list := f.strikes.takeSince(since)
+	for _, fingerprint := range list {
+		f.Suspects.Clear(time.Now(), fingerprint)
 	}
+	return len(list)
 }
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -47,7 +47,13 @@
 // servePlain serves a request whose response is not a stream.
 func (k *call) servePlain(ctx context.Context) {
 	for {
+		if k.shouldDelegate() && !k.delegate(ctx) {
+			return
+		}
 		l := k.acquire(balancer.Requirements{})
+		if l == nil && k.shouldDelegate() && !k.headerSent {
+			continue
+		}
 		if l == nil {
 			return
 		}
@@ -80,11 +86,14 @@
 func (k *call) exchange(ctx context.Context, l *balancer.Lease) (*answer, verdict) {
 	id := l.First.ID
 	sent := k.Now()
+	ctx, done := k.trackExchange(ctx, sent)
+	defer done()
 	resp, err := k.Pool.Do(ctx, k.upstreamRequest(l))
 	if err != nil {
 		return nil, k.classifyError(ctx, l, err)
 	}
 	k.wasSent = true
+	k.Detector.RecordEvent(k.Now())
 	k.observeLimit(l, resp.Response, sent)
 	k.observeAnnouncements(l, resp.Response)
 	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes))
@@ -104,6 +113,7 @@
 	if !errors.As(err, &e) {
 		e = &connector.Error{Sent: true}
 	}
+	k.dialFailed = e.DialFailed
 	if e.Withheld {
 		return verdictWithheld
 	}
@@ -112,6 +122,7 @@
 	}
 	if ctx.Err() == nil {
 		if e.DialFailed {
+			k.failedDials++
 			if k.Balancer.SetDead(k.Now(), l.First.ID, true) {
 				k.Log.Warn().Str("requestId", k.id).Str("upstream", l.First.ID).Str("address", l.First.Address).Err(err).Msg("forwarder: upstream out")
 			}
@@ -159,6 +170,7 @@
 // handleRejection reports whether the response rejects the request without running it, and records
 // which upstream of the path is the reason.
 func (k *call) handleRejection(l *balancer.Lease, resp *http.Response, sent time.Duration) (verdict, bool) {
+	k.dialFailed = false
 	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
 	if !misdirected && resp.Header.Get(k.Headers.NotRun) == "" {
 		return verdictAnswered, false
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -58,6 +58,7 @@
 // stream with events has already run at that upstream without crashing it.
 func (f *Forwarder) addStrike(requestID string, fingerprint uint64, h balancer.Hop) {
 	f.Suspects.Add(tracker.NewStrike(time.Now(), fingerprint, h.ID, f.Balancer.StartedAt(h.ID)))
+	f.strikes.add(f.Now(), fingerprint)
 	f.Log.Info().Str("requestId", requestID).Str("upstream", h.ID).Str("address", h.Address).Msg("forwarder: in flight at a crash")
 }
 
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -46,6 +46,7 @@
 	if k.id != "" {
 		h.Set(k.Headers.RequestID, k.id)
 	}
+	k.markForOthers(h, reason)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	k.Meter.Refusals.WithLabelValues(reason.String()).Inc()
 	event := k.Log.Info().Str("requestId", k.id).Str("path", k.r.URL.Path).Stringer("reason", reason).Int("status", code).
@@ -82,6 +83,8 @@
 		wait := k.Balancer.BackoffWait(k.Now(), k.service.Name)
 		k.retryAfter = wait + time.Duration(rand.Float64()*float64(max(wait, minRetryAfter)))
 		k.refuse(admitter.ReasonUpstreamBackoff, "upstreams with room have asked for a backoff")
+	case reason == balancer.ReasonNoUpstream && k.Detector.State(k.Now()).Lost:
+		k.refuse(admitter.ReasonCutOff, "no upstream accepts connections from this host")
 	case reason == balancer.ReasonNoRoom:
 		k.refuse(admitter.ReasonQueueFull, "no room")
 	default:
@@ -113,7 +116,9 @@
 	if k.refuseQuarantined() {
 		return false
 	}
-	k.lacksRetry = k.rejected <= maxRejections && !k.RetryBudget(k.service.Name).Spend(k.Now())
+	// A failed dial sent nothing, so that the next one is no retry.
+	needsRetry := v != verdictNotRun || !k.dialFailed
+	k.lacksRetry = needsRetry && k.rejected <= maxRejections && !k.RetryBudget(k.service.Name).Spend(k.Now())
 	if k.rejected > maxRejections || k.lacksRetry {
 		if k.runs > 0 {
 			return k.refuse(admitter.ReasonRetryBudget, "no retries left")
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -90,6 +90,10 @@
 			f.Detector.Forget()
 			continue
 		}
+		f.checkReach(ctx)
+		if f.isCutOff() {
+			f.moveFromLost(now)
+		}
 		for _, h := range f.Balancer.SilentUpstreams(now) {
 			f.probe(ctx, h, connector.PurposeSilentProbe)
 		}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -44,6 +44,8 @@
 	// repaths counts the changes of the path.
 	repaths atomic.Int32
 	changes pathChanges
+	// moving is set once the stream was taken from a lost upstream.
+	moving atomic.Bool
 	// sentAt is when the request was sent.
 	sentAt time.Duration
 	cancel context.CancelCauseFunc
@@ -84,9 +86,15 @@
 	k.updateKeepFree()
 	resumptions := 0
 	for {
+		if k.shouldDelegate() && !k.delegate(ctx) {
+			return
+		}
 		n := k.requirements()
 		n.AvoidDataCentres = limits.Full(k.keepFree)
 		l := k.acquireOrAbort(n)
+		if l == nil && k.shouldDelegate() && !k.headerSent {
+			continue
+		}
 		if l == nil {
 			return
 		}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -23,6 +23,7 @@
 	"github.com/sardineward/sardineward/admitter"
 	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/connector"
+	"github.com/sardineward/sardineward/delegator"
 	"github.com/sardineward/sardineward/detector"
 	"github.com/sardineward/sardineward/follower"
 	"github.com/sardineward/sardineward/forwarder"
@@ -52,6 +53,8 @@
 	// sweepInterval is the time between two sweeps of unusable connections and expired crash
 	// suspects.
 	sweepInterval = time.Second
+	// drainPollInterval is the time between two checks whether the last requests have ended.
+	drainPollInterval = 20 * time.Millisecond
 	// memoryLimitRatio is the fraction of Settings.MemoryMB that is set as the soft memory limit
 	// of the Go runtime, near which it collects garbage more often.
 	memoryLimitRatio = 0.7
@@ -165,6 +168,7 @@
 	case <-shutdownCtx.Done():
 	}
 	err := callers.Shutdown(shutdownCtx)
+	h.awaitDelegated(shutdownCtx)
 	inFlight := h.forwarder.InFlight()
 	h.Log.Info().Int64("cut", inFlight).Msg("launcher: stopped")
 	if err != nil && inFlight > 0 {
@@ -173,6 +177,16 @@
 	return nil
 }
 
+// awaitDelegated waits until the requests that this host serves for others have ended, or ctx has.
+func (h *Host) awaitDelegated(ctx context.Context) {
+	for ctx.Err() == nil {
+		if _, taken := h.forwarder.Delegator.InFlight(); taken == 0 {
+			return
+		}
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // build creates the parts of the host from its settings and connects them to each other.
 func (h *Host) build() {
 	cfg := h.Settings
@@ -206,6 +220,8 @@
 		Demands:        demands,
 		RankReserve:    &admitter.RankReserve{MoreUrgent: demands.MoreUrgent, Hosts: hostCount},
 		Suspects:       suspects,
+		HostName:       cfg.Host,
+		Delegator:      &delegator.Delegator{DataCentre: cfg.DataCentre, Hosts: h.respondingHosts},
 		Detector:       detector.Detector{Upstreams: func() int { return h.balancer.SubsetSize(h.Now()) }},
 		Now:            h.Now,
 		Meter:          h.meter,
@@ -220,12 +236,13 @@
 		h.forwarder.MaxKeyAge = millis(cfg.RevokeMs) - revocationMargin
 	}
 	h.registrar = &registrar.Registrar{
-		Store:      h.Store,
-		Entry:      registrar.Entry{Name: cfg.Host, Address: cfg.Peer, DataCentre: cfg.DataCentre},
-		Now:        h.Now,
-		FreeDuties: h.claimableDuties,
-		Hosts:      func() int { return len(h.follower.Hosts()) + 1 },
-		Log:        h.Log,
+		Store:          h.Store,
+		Entry:          registrar.Entry{Name: cfg.Host, Address: cfg.Peer, DataCentre: cfg.DataCentre},
+		Now:            h.Now,
+		FreeDuties:     h.claimableDuties,
+		DutiesDisabled: h.upstreamsLost,
+		Hosts:          func() int { return len(h.follower.Hosts()) + 1 },
+		Log:            h.Log,
 	}
 	if s, ok := h.Store.(storer.Restorable); ok {
 		h.registrar.Era = s.Era
@@ -249,8 +266,8 @@
 		Balancer: h.balancer,
 		Engines:  h.Engines,
 		Services: h.services,
-		Holds:    h.registrar.Holding,
-		HoldsAny: h.registrar.HoldingAny,
+		Holds:    func(dataCentre string) bool { return !h.upstreamsLost() && h.registrar.Holding(dataCentre) },
+		HoldsAny: func() bool { return !h.upstreamsLost() && h.registrar.HoldingAny() },
 		Now:      h.Now,
 		Log:      h.Log,
 	}
@@ -281,6 +298,20 @@
 	h.observeFleetSize()
 }
 
+// respondingHosts returns the other hosts, without those that did not answer their last call.
+func (h *Host) respondingHosts() []delegator.Host {
+	var out []delegator.Host
+	for _, other := range h.follower.Hosts() {
+		if !h.sharer.IsUnresponsive(other.Name) {
+			out = append(out, delegator.Host(other))
+		}
+	}
+	return out
+}
+
+// upstreamsLost reports whether this host reaches no upstream.
+func (h *Host) upstreamsLost() bool { return h.forwarder.Detector.State(h.Now()).Lost }
+
 // takeoverDelay is how long a data centre must have had no host before a host of another data
 // centre takes its duty, see claimableDuties. It is longer than a restart, and than a short period
 // in which the store rejects a host.
@@ -372,7 +403,7 @@
 	}{
 		{cfg.Ready, newServer(h.readyHandler())},
 		{cfg.Admin, newServer(h.adminHandler())},
-		{cfg.Peer, newServer(sharer.Compress(peer.NewShareServer(h.sharer)))},
+		{cfg.Peer, newServer(h.peerHandler())},
 		{cfg.Callers, callers},
 	} {
 		listener, err := h.Listen(endpoint.address)
@@ -395,6 +426,18 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
+// peerHandler serves the calls of other hosts, and requests of callers that they delegate.
+func (h *Host) peerHandler() http.Handler {
+	share := sharer.Compress(peer.NewShareServer(h.sharer))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if forwarder.IsDelegated(r) {
+			h.forwarder.ServeDelegated(w, r)
+			return
+		}
+		share.ServeHTTP(w, r)
+	})
+}
+
 func (h *Host) readyHandler() http.Handler {
 	e := echo.New()
 	e.GET(h.ReadyPath, func(c echo.Context) error {
--- a/launcher/lost_test.go
+++ b/launcher/lost_test.go
@@ -1,8 +1,11 @@
 package launcher_test
 
 import (
+	"bufio"
+	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -161,3 +164,117 @@
 		}
 	}
 }
+
+// runCutOff runs hosts of which the first is cut off and calls f once that is noticed.
+func runCutOff(t *testing.T, hosts int, f func(is *is.I, fl *fleet, cut follower.Host)) {
+	t.Helper()
+	runLargeFleet(t, hosts, 3, "/stream/1", 30, func(is *is.I, fl *fleet) {
+		time.Sleep(time.Second)
+		fl.cutOff(faker.CutSilent, fl.hosts[0])
+		time.Sleep(noticeTime)
+		f(is, fl, fl.hosts[0])
+	})
+}
+
+// TestDelegatedCallerDisconnects guards against upstreams that go on working for a caller who has left a host
+// that is cut off.
+func TestDelegatedCallerDisconnects(t *testing.T) {
+	runCutOff(t, 4, func(is *is.I, fl *fleet, cut follower.Host) {
+		abandoned := func() (n int) {
+			for _, s := range fl.stages {
+				n += s.Abandoned()
+			}
+			return n
+		}
+		before := abandoned()
+		ip, _, _ := strings.Cut(cut.Address, ":")
+		ctx, cancel := context.WithTimeout(context.Background(), 70*time.Millisecond)
+		defer cancel()
+		r := fl.requestAt(ip+":80", http.MethodPost, "/stream/1", "leaves", func(r *http.Request) { *r = *r.WithContext(ctx) })
+		is.True(r.err != nil)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(abandoned(), before+1)
+	})
+}
+
+// TestDelegatedDuringStop guards against streams that are cut since the host that serves them for another one
+// is stopped as planned.
+func TestDelegatedDuringStop(t *testing.T) {
+	runCutOff(t, 2, func(is *is.I, fl *fleet, cut follower.Host) {
+		near := follower.Host{Name: "host-900", DataCentre: cut.DataCentre, Address: "10.0.9.1:82"}
+		h := fl.newHost(near)
+		fl.connect(h, near)
+		h.Settings.BalancerMs, h.Settings.StopMs = 100, 3000
+		fl.source.AddHost(near)
+		ctx, stop := context.WithCancel(context.Background())
+		stopped := make(chan error, 1)
+		go func() { stopped <- h.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		go func() {
+			time.Sleep(550 * time.Millisecond)
+			stop()
+		}()
+		share, _ := fl.servedAt([]follower.Host{cut}, "/stream/1", 2*time.Second)
+		is.Equal(share, 1.0)
+		is.NoErr(<-stopped)
+		is.True(fl.ranFrom(near, time.Time{}) > 0)
+	})
+}
+
+// TestDelegationToEarlierVersion guards against requests that fail since the host they are delegated to is of
+// a version that serves none for others.
+func TestDelegationToEarlierVersion(t *testing.T) {
+	runCutOff(t, 4, func(is *is.I, fl *fleet, cut follower.Host) {
+		near := follower.Host{Name: "host-900", DataCentre: cut.DataCentre, Address: "10.0.9.1:82"}
+		asked := 0
+		kill, err := faker.Serve(fl.net.Listen, near.Address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasPrefix(r.URL.Path, "/stream/") {
+				asked++
+			}
+			http.NotFound(w, r)
+		}))
+		is.NoErr(err)
+		defer kill()
+		fl.source.AddHost(near)
+		time.Sleep(time.Second)
+		share, _ := fl.servedAt([]follower.Host{cut}, "/stream/1", 2*time.Second)
+		is.Equal(share, 1.0)
+		is.True(asked <= 1)
+		fl.source.DeleteHost(near.Name)
+	})
+}
+
+// TestDelegatedCountedOnce guards against requests that two hosts count, which would widen the retry budget and
+// the demand that other hosts make room for.
+func TestDelegatedCountedOnce(t *testing.T) {
+	runCutOff(t, 4, func(is *is.I, fl *fleet, cut follower.Host) {
+		answered := func() (n int) {
+			for _, h := range fl.hosts {
+				n += fl.metric(h, "sardineward_requests_total")
+			}
+			return n
+		}
+		before, background := answered(), fl.count(http.StatusOK)
+		fl.servedAt([]follower.Host{cut}, "/stream/1", time.Second)
+		time.Sleep(300 * time.Millisecond)
+		is.True(answered()-before <= 10+fl.count(http.StatusOK)-background+5) // 5 may be under way
+	})
+}
+
+// metric returns the sum of a metric of a host over its labels.
+func (fl *fleet) metric(h follower.Host, name string) int {
+	ip, _, _ := strings.Cut(h.Address, ":")
+	resp, err := fl.client.Get("http://" + ip + ":83/metrics")
+	is.New(fl.t).NoErr(err)
+	defer resp.Body.Close()
+	sum := 0.0
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if fields := strings.Fields(lines.Text()); len(fields) == 2 && strings.HasPrefix(fields[0], name) {
+			v, err := strconv.ParseFloat(fields[1], 64)
+			is.New(fl.t).NoErr(err)
+			sum += v
+		}
+	}
+	return int(sum)
+}
--- a/launcher/metrics.go
+++ b/launcher/metrics.go
@@ -33,6 +33,8 @@
 		}
 		return (h.Now() - s.Since).Seconds()
 	})
+	m.GaugeFunc("delegated_requests", "Requests that other hosts serve now for this one.", func() float64 { delegated, _ := h.forwarder.Delegator.InFlight(); return float64(delegated) })
+	m.GaugeFunc("delegated_requests_taken", "Requests that this host serves now for others.", func() float64 { _, taken := h.forwarder.Delegator.InFlight(); return float64(taken) })
 	m.GaugeFunc("ready", "1 while this host takes requests.", func() float64 { return boolGauge(h.forwarder.Ready()) })
 	m.GaugeFunc("duty_held", "1 while this host gives orders to engines.", func() float64 { return boolGauge(h.registrar.HoldingAny()) })
 	for _, state := range balancer.StateValues() {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -44,6 +44,9 @@
 	AnnouncementsUnreadable *prometheus.CounterVec
 	// ConnectionsOpened counts connections opened to upstreams, by purpose.
 	ConnectionsOpened *prometheus.CounterVec
+	// Delegations counts requests that were sent to other hosts, or taken from them, while a host reached no
+	// upstream, by direction and outcome.
+	Delegations *prometheus.CounterVec
 	// RetriesUsed is the number of retries of a service in the window of its budget, RetriesAvailable how
 	// many more this host may make now.
 	RetriesUsed, RetriesAvailable *prometheus.GaugeVec
@@ -73,6 +76,7 @@
 		}),
 		AnnouncementsUnreadable: counter("announcements_unreadable_total", "Responses of upstreams with a Retry-After or a leave that can't be read.", "header"),
 		ConnectionsOpened:       counter("upstream_connections_opened_total", "Connections opened to upstreams, by what they are opened for.", "purpose"),
+		Delegations:             counter("delegations_total", "Requests that another host serves for one which reaches no upstream: sent to it or taken, by outcome.", "direction", "outcome"),
 		RetriesUsed:             gauge("retries_in_window", "Retries of a service in the window of its budget.", "service"),
 		RetriesAvailable:        gauge("retries_available", "Retries of a service that this host may make now.", "service"),
 		ThroughputBound:         gauge("bound_tokens_per_second", "Most tokens a second that what is up can carry.", "pipeline"),
@@ -86,7 +90,7 @@
 	for _, step := range []string{"promised", "kept", "excess"} {
 		m.Returns.WithLabelValues(step)
 	}
-	m.Registry.MustRegister(m.Refusals, m.RankRefusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.PathRejections, m.Returns, m.ShareRefusals, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ConnectionsOpened, m.RetriesUsed, m.RetriesAvailable, m.ThroughputBound)
+	m.Registry.MustRegister(m.Refusals, m.RankRefusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.PathRejections, m.Returns, m.ShareRefusals, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ConnectionsOpened, m.Delegations, m.RetriesUsed, m.RetriesAvailable, m.ThroughputBound)
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -77,6 +77,9 @@
 	// FreeDuties lists the data centres whose duty this host should take, as no host is known to
 	// hold it.
 	FreeDuties func() []string
+	// DutiesDisabled reports whether this host can't fulfil duties now. It gives up those that it has and takes none;
+	// nil means never.
+	DutiesDisabled func() bool
 	// Hosts returns the number of known hosts; nil means one.
 	Hosts func() int
 	// Era counts how often the store was restored from a copy; nil means never. Leases and
@@ -198,6 +201,13 @@
 		r.dropLease()
 		lease = 0
 	}
+	if lease != 0 && r.dutiesDisabled() && r.HoldingAny() {
+		// Duties end with the lease. The entry is written again under the next one.
+		r.Log.Info().Int64("lease", lease).Msg("registrar: duties given up")
+		r.deregister(call)
+		r.dropLease()
+		return r.register(call)
+	}
 	if lease != 0 {
 		err := r.extend(call, lease)
 		if err == nil && leaseEra != r.currentEra() {
@@ -282,8 +292,13 @@
 	return r.Store.Get(ctx, key)
 }
 
+func (r *Registrar) dutiesDisabled() bool { return r.DutiesDisabled != nil && r.DutiesDisabled() }
+
 // claimDuties takes the free duties that no host holds, or that an earlier run of this host holds.
 func (r *Registrar) claimDuties(ctx context.Context, lease int64) error {
+	if r.dutiesDisabled() {
+		return nil
+	}
 	for _, dc := range r.FreeDuties() {
 		w := storer.Write{Key: DutyPrefix + dc, Value: []byte(r.Entry.Name), Lease: lease}
 		_, err := r.Store.Swap(ctx, w)
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -24,6 +24,8 @@
 	*registrar.Registrar
 	cancel context.CancelFunc
 	done   chan struct{}
+	// disabled is set while the host can't fulfil duties.
+	disabled atomic.Bool
 	// suspended is how long the host has been suspended in total, in nanoseconds.
 	suspended atomic.Int64
 }
@@ -45,6 +47,7 @@
 	h.Registrar = &registrar.Registrar{
 		Store: store, Entry: registrar.Entry{Name: name, Address: name + ":1", DataCentre: "a"},
 		Now: func() time.Duration { return time.Since(started) + time.Duration(h.suspended.Load()) }, FreeDuties: free, Era: era, Log: log,
+		DutiesDisabled: h.disabled.Load,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
@@ -259,3 +262,27 @@
 	started := time.Now()
 	return func() time.Duration { return time.Since(started) }
 }
+
+// TestDutiesGivenUp guards against a host that keeps a duty which it can't fulfil, so that nobody does.
+func TestDutiesGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := new(faker.Platform)
+		free := func() []string { return []string{"a"} }
+		a := start(store, "host-a", free)
+		defer a.stop()
+		time.Sleep(100 * time.Millisecond)
+		is.True(a.Holding("a"))
+		b := start(store, "host-b", free)
+		defer b.stop()
+		a.disabled.Store(true)
+		time.Sleep(2 * time.Second)
+		is.True(!a.Holding("a"))
+		is.True(b.Holding("a"))
+		_, err := store.Get(context.Background(), registrar.HostPrefix+"host-a")
+		is.NoErr(err) // still listed
+		a.disabled.Store(false)
+		time.Sleep(2 * time.Second)
+		is.True(!a.Holding("a") && b.Holding("a"))
+	})
+}
--- a/sharer/report.go
+++ b/sharer/report.go
@@ -101,7 +101,7 @@
 }
 
 func encodeReport(scope peer.Scope, r balancer.Report) *peer.Report {
-	out := &peer.Report{Scope: scope, Hosts: make(map[string]uint32, len(r.Hosts)), Usage: make([]*peer.Usage, len(r.Usage))}
+	out := &peer.Report{Scope: scope, CutOffHosts: uint32(max(0, r.CutOffHosts)), Hosts: make(map[string]uint32, len(r.Hosts)), Usage: make([]*peer.Usage, len(r.Usage))}
 	for dc, n := range r.Hosts {
 		if n > 0 {
 			out.Hosts[dc] = uint32(n)
@@ -119,7 +119,7 @@
 }
 
 func decodeReport(r *peer.Report) balancer.Report {
-	out := balancer.Report{Hosts: make(map[string]int, len(r.Hosts)), Usage: make([]balancer.Usage, len(r.Usage))}
+	out := balancer.Report{Hosts: make(map[string]int, len(r.Hosts)), CutOffHosts: int(r.CutOffHosts), Usage: make([]balancer.Usage, len(r.Usage))}
 	for dc, n := range r.Hosts {
 		out.Hosts[dc] = int(n)
 	}
--- a/sharer/roles.go
+++ b/sharer/roles.go
@@ -212,6 +212,9 @@
 // ReadsSource reports whether this host reads the source itself.
 func (s *Sharer) ReadsSource() bool { return s.roles.isReader(s.Now()) }
 
+// IsUnresponsive reports whether a host did not answer its last call.
+func (s *Sharer) IsUnresponsive(host string) bool { return s.roles.isUnresponsive(host) }
+
 // IsRelay reports whether this host is a relay of its data centre.
 func (s *Sharer) IsRelay() bool { return s.roles.isRelay() }
 
