dev-forward: two hosts, and a link to the upstreams that can be cut

/cutoff and /heal on the control address show with curl how the second host serves the requests of the first. Directory.Without takes the place of a wrapper in the launcher's tests.

--- a/cmd/sardineward/devforward.go
+++ b/cmd/sardineward/devforward.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -14,6 +17,7 @@
 
 	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/faker"
+	"github.com/sardineward/sardineward/follower"
 	"github.com/sardineward/sardineward/forwarder"
 	"github.com/sardineward/sardineward/launcher"
 	"github.com/sardineward/sardineward/loader"
@@ -21,19 +25,21 @@
 )
 
 func addDevForward(app *kingpin.Application) {
-	cmd := app.Command("dev-forward", "Run a host that forwards by a route table, with its source and upstreams on loopback.")
-	port := cmd.Flag("port", "First of the 12 consecutive ports that are used.").Default("8180").Int()
+	cmd := app.Command("dev-forward", "Run two hosts that forward by a route table, with their source and upstreams on loopback.")
+	port := cmd.Flag("port", "First of the 13 consecutive ports that are used.").Default("8180").Int()
 	cmd.Action(func(*kingpin.ParseContext) error { return runDevForward(*port) })
 }
 
-// runDevForward runs a forwarding host with a service desk and streams that can be cut and
-// resumed. Requests to the control address inject faults into the upstreams.
+// runDevForward runs two forwarding hosts with a service desk and streams that can be cut and
+// resumed. Requests to the control address inject faults into the upstreams, and cut the first host off
+// from them.
 func runDevForward(port int) error {
 	address := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", port+n) }
 	source := new(faker.Directory)
 	cfg := devTable(1, devKey)
 	source.Configure(cfg)
 	stages := make(map[string]*faker.Stage)
+	link := new(devLink)
 	for i, id := range []string{"desk-a", "desk-b", "model-a", "model-b"} {
 		stages[id] = &faker.Stage{ID: id, Events: 20, EventInterval: 200 * time.Millisecond, ResponseDelay: 20 * time.Millisecond}
 		kill, err := faker.Serve(listen, address(5+i), stages[id])
@@ -43,7 +49,7 @@
 		defer kill()
 		source.PutUpstream(balancer.Upstream{ID: id, Service: id[:len(id)-2], Address: address(5 + i), DataCentre: "here", Slots: 8})
 	}
-	kill, err := faker.Serve(listen, address(4), devControl(source, stages))
+	kill, err := faker.Serve(listen, address(4), devControl(source, stages, link))
 	if err != nil {
 		return err
 	}
@@ -53,15 +59,65 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	printDevForward(address)
-	h := &launcher.Host{
-		Settings: &loader.Forward{
-			Host: "dev", DataCentre: "here", Callers: address(0), Ready: address(1), Peer: address(2), Admin: address(3),
-			RetryRatio: 0.2, RetryFixed: 50, RetryWindowS: 10, RevokeMs: 5000, BalancerMs: 100, StopMs: 7500,
-		},
-		Store: new(faker.Platform), Source: source, Engines: faker.NoEngines{}, Headers: forwarder.DefaultHeaders,
-		ReadyPath: "/ready", Now: bootTime, DroppedLogLines: out.Dropped, Log: out.Start(),
+	log := out.Start()
+	store := new(faker.Platform)
+	newHost := func(name string, ports int) *launcher.Host {
+		source.AddHost(follower.Host{Name: name, DataCentre: "here", Address: address(ports + 2)})
+		return &launcher.Host{
+			Settings: &loader.Forward{
+				Host: name, DataCentre: "here", Callers: address(ports), Ready: address(ports + 1), Peer: address(ports + 2), Admin: address(ports + 3),
+				RetryRatio: 0.2, RetryFixed: 50, RetryWindowS: 10, FirstStart: true, RevokeMs: 5000, BalancerMs: 100, StopMs: 7500,
+			},
+			Store: store, Source: source.Without(name), Engines: faker.NoEngines{}, Headers: forwarder.DefaultHeaders,
+			ReadyPath: "/ready", Now: bootTime, DroppedLogLines: out.Dropped, Log: log.With().Str("by", name).Logger(),
+		}
+	}
+	first, second := newHost("dev", 0), newHost("dev-b", 9)
+	link.upstreams = []string{address(5), address(6), address(7), address(8)}
+	first.Dial = link.Dial
+	secondDone := make(chan error, 1)
+	go func() { secondDone <- second.Run(ctx) }()
+	err = first.Run(ctx)
+	stop()
+	return errors.Join(err, <-secondDone)
+}
+
+// devLink is the link of a host to the upstreams, which can be cut: open connections break and dials get no answer.
+type devLink struct {
+	upstreams []string
+
+	mu    sync.Mutex
+	isCut bool
+	conns []net.Conn
+}
+
+// Dial opens a connection, unless the link is cut.
+func (l *devLink) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	l.mu.Lock()
+	isCut := l.isCut && slices.Contains(l.upstreams, address)
+	l.mu.Unlock()
+	if isCut {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	c, err := new(net.Dialer).DialContext(ctx, network, address)
+	if err == nil && slices.Contains(l.upstreams, address) {
+		l.mu.Lock()
+		l.conns = append(l.conns, c)
+		l.mu.Unlock()
+	}
+	return c, err
+}
+
+// setCut cuts the link or heals it.
+func (l *devLink) setCut(isCut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.isCut = isCut
+	for _, c := range l.conns {
+		_ = c.Close()
 	}
-	return h.Run(ctx)
+	l.conns = nil
 }
 
 func devTable(version int64, keys ...string) *matcher.Configuration {
@@ -82,9 +138,9 @@
 	}
 }
 
-// devControl returns the handler that injects faults into the next requests of upstreams, and
-// revokes the key.
-func devControl(source *faker.Directory, stages map[string]*faker.Stage) http.Handler {
+// devControl returns the handler that injects faults into the next requests of upstreams and into the
+// link to them, and revokes the key.
+func devControl(source *faker.Directory, stages map[string]*faker.Stage, link *devLink) http.Handler {
 	// A request is refused once each upstream has rejected it, so four requests are.
 	full := slices.Repeat([]faker.StageFault{faker.StageFaultOverloaded}, 4)
 	faultsByPath := map[string][]faker.StageFault{"/cut": {faker.StageFaultBrokenStream}, "/reset": {faker.StageFaultReset}, "/full": full}
@@ -107,6 +163,8 @@
 			stages[id].SetLeaving("1")
 		}
 	})
+	mux.HandleFunc("/cutoff", func(http.ResponseWriter, *http.Request) { link.setCut(true) })
+	mux.HandleFunc("/heal", func(http.ResponseWriter, *http.Request) { link.setCut(false) })
 	mux.HandleFunc("/revoke", func(http.ResponseWriter, *http.Request) { source.Configure(devTable(2, "another-key")) })
 	return mux
 }
@@ -122,6 +180,8 @@
 curl http://%[4]s/full     # the next requests are turned away as not run: 503 with Retry-After
 curl http://%[4]s/backoff  # desk-a and model-a reject requests for 5 s and ask for 5 s: the others serve all
 curl http://%[4]s/leave    # desk-b and model-b say in their responses that they leave: no request goes there again
+curl http://%[4]s/cutoff   # the first host is cut off from all upstreams: the second one serves its requests
+curl http://%[4]s/heal     # it reaches them again
 curl http://%[4]s/revoke   # the key is revoked: 401 within a second
 curl http://%[3]s/metrics
 
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -14,7 +14,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/sardineward/sardineward/faker"
 	"github.com/sardineward/sardineward/follower"
 	"github.com/sardineward/sardineward/launcher"
 )
@@ -54,7 +53,7 @@
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	fl := &fleet{testbed: newTestbed(t), startedBefore: make(map[string]bool), killHost: make(map[string]func()), statuses: make(map[int]int)}
-	fl.connect = func(h *launcher.Host, f follower.Host) { h.Source = sourceWithoutSelf{fl.source, f.Name} }
+	fl.connect = func(h *launcher.Host, f follower.Host) { h.Source = fl.source.Without(f.Name) }
 	return fl
 }
 
@@ -104,34 +103,6 @@
 	}
 }
 
-// sourceWithoutSelf leaves out the entry of the host that reads the source.
-type sourceWithoutSelf struct {
-	*faker.Directory
-	self string
-}
-
-func (o sourceWithoutSelf) Load(ctx context.Context, delay follower.LoadDelay) (*follower.Changes, error) {
-	return o.without(o.Directory.Load(ctx, delay))
-}
-
-func (o sourceWithoutSelf) Changes(ctx context.Context, after follower.Position, wait time.Duration) (*follower.Changes, error) {
-	return o.without(o.Directory.Changes(ctx, after, wait))
-}
-
-func (o sourceWithoutSelf) without(ch *follower.Changes, err error) (*follower.Changes, error) {
-	if err != nil {
-		return nil, err
-	}
-	out := *ch
-	out.Hosts = nil
-	for _, h := range ch.Hosts {
-		if h.Name != o.self {
-			out.Hosts = append(out.Hosts, h)
-		}
-	}
-	return &out, nil
-}
-
 // load sends requests to random hosts, as a Poisson process with a fixed seed, until ctx ends.
 func (fl *fleet) load(ctx context.Context, path string, perSecond float64) {
 	rnd := rand.New(rand.NewPCG(cmp.Or(fl.seed, 31), 1))
