follower: don't take this host for another one

Cause, a fault of the product: a host reads the list without its own entry, but an update of a peer lists all hosts, so that it took itself for another host. Where it ranks first in its data centre it then saw both relays in itself, and not the reader; the host behind it and it itself took over from nobody in turn, 1.6 reads a second each, as long as they ran. Counts of hosts were one too high, too.

Change: a host's own entry in an update is not a host. TestOwnEntryOfPeer fails without it.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -496,7 +496,10 @@
 // removed them. f.mu is held.
 func (f *Follower) advance(u *Update, returned []balancer.Upstream, at time.Duration) {
 	for _, h := range u.Hosts {
-		f.hosts[h.Name] = h
+		// An update of a peer also lists this host.
+		if h.Name != f.Host {
+			f.hosts[h.Name] = h
+		}
 	}
 	for _, name := range u.RemovedHosts {
 		delete(f.hosts, name)
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -42,7 +42,7 @@
 		b := new(balancer.Balancer)
 		started := time.Now()
 		c := &countingSource{Source: src}
-		fol := &follower.Follower{Source: c, Balancer: b, Now: func() time.Duration { return time.Since(started) + time.Second }, ReadsSource: reads}
+		fol := &follower.Follower{Host: "self", Source: c, Balancer: b, Now: func() time.Duration { return time.Since(started) + time.Second }, ReadsSource: reads}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() {
--- a/follower/update_test.go
+++ b/follower/update_test.go
@@ -86,3 +86,17 @@
 		}
 	})
 }
+
+// TestOwnEntryOfPeer guards against a host that takes itself for another one, since a peer's update lists all
+// hosts: it then sees both relays of its data centre in itself and reads the source only now and then.
+func TestOwnEntryOfPeer(t *testing.T) {
+	run(t, func(_ *faker.Directory, fol *follower.Follower, _ *balancer.Balancer) {
+		is := is.New(t)
+		at := fol.Position()
+		list := []follower.Host{{Name: fol.Host, Address: "1", DataCentre: "a"}, {Name: "another", Address: "2", DataCentre: "a"}}
+		update := &follower.Update{After: at, Position: plus(at, 1), Hosts: list}
+		fol.ApplyPeerState(fol.Now(), &follower.State{Version: 3, Position: plus(at, 1), Update: update})
+		is.Equal(fol.Hosts(), list[1:])
+		is.Equal(len(fol.State(at).Update.Hosts), 2) // others are told of both
+	})
+}
