forwarder: notice that the host which serves delegated requests is silent

A host that freezes, or is cut off from the one that delegates to it, left that one's callers waiting until their deadline. After half a second without an event it is asked whether it lives; without an answer in 0.2 s what may be repeated goes to another host, streams after their last event.

Go sets no TCP_USER_TIMEOUT, on dials or listeners; its keep-alive probes (15 s, nine times) would give up a silent link after 150 s. So silence between hosts and to upstreams is noticed by checks of this kind alone, never by the kernel in time.

--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -33,6 +33,8 @@
 	delegationServed = "served"
 	// delegationRefused: this host does not serve the request and has not run it.
 	delegationRefused = "refused"
+	// delegationPing in a request asks only whether the host answers.
+	delegationPing = "ping"
 )
 
 const (
@@ -88,6 +90,10 @@
 // ServeDelegated serves a request that another host delegates to this one. It is called only for requests that
 // arrive at the address for other hosts.
 func (f *Forwarder) ServeDelegated(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(delegationHeader) == delegationPing {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	if f.stopping.Load() || f.Delegator == nil || f.Detector.State(f.Now()).Lost || !f.Delegator.Take() {
 		w.Header().Set(delegationHeader, delegationRefused)
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -194,6 +200,8 @@
 // delegateTo has one host serve the request and passes its response on.
 func (k *call) delegateTo(ctx context.Context, h delegator.Host) verdict {
 	defer k.Delegator.Release(h)
+	ctx, d, done := k.trackDelegation(ctx, h)
+	defer done()
 	resp, err := k.Pool.Do(ctx, k.peerRequest(h))
 	if err != nil {
 		return k.noAnswerFrom(ctx, h, err)
@@ -205,7 +213,7 @@
 		resp.Header.Del(delegationHeader)
 		k.logDelegation(h, "served with status "+strconv.Itoa(resp.StatusCode), nil)
 		k.countDelegation("sent", delegationServed)
-		return k.passOn(ctx, h, resp)
+		return k.passOn(ctx, d, resp)
 	case delegationRefused:
 		k.counted = k.counted || resp.Header.Get(countedHeader) != ""
 		k.Delegator.Exclude(h, k.Now()+exclusion)
@@ -255,14 +263,14 @@
 }
 
 // passOn passes a host's response on to the caller: events as they arrive, anything else once it is whole.
-func (k *call) passOn(ctx context.Context, h delegator.Host, resp *connector.Response) verdict {
+func (k *call) passOn(ctx context.Context, d *delegation, resp *connector.Response) verdict {
 	if resp.StatusCode == http.StatusOK && k.route.Kind == matcher.KindStreaming {
-		return k.passOnEvents(h, resp)
+		return k.passOnEvents(d, resp)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes))
 	switch {
 	case err != nil || !resp.Complete():
-		return k.noAnswerFrom(ctx, h, &connector.Error{Address: h.Address, Sent: true, Err: errors.Join(err, io.ErrUnexpectedEOF)})
+		return k.noAnswerFrom(ctx, d.host, &connector.Error{Address: d.host.Address, Sent: true, Err: errors.Join(err, io.ErrUnexpectedEOF)})
 	case k.headerSent:
 		// The stream has begun and was refused now. The status can't be sent any more.
 		return verdictFailed
@@ -276,7 +284,7 @@
 }
 
 // passOnEvents passes complete events on as they arrive.
-func (k *call) passOnEvents(h delegator.Host, resp *connector.Response) verdict {
+func (k *call) passOnEvents(d *delegation, resp *connector.Response) verdict {
 	ctl := http.NewResponseController(k.w)
 	buf := make([]byte, readBufferSize)
 	var pending []byte
@@ -286,9 +294,10 @@
 		pending = append(pending, buf[:n]...)
 		events, rest, ids := splitEvents(pending)
 		if len(events) > 0 {
+			d.lastEvent.Store(int64(k.Now()))
 			for _, id := range ids {
 				if !id.follows(k.lastEventID) {
-					k.logDelegation(h, "event "+id.text+" does not follow event "+k.lastEventID.text, nil)
+					k.logDelegation(d.host, "event "+id.text+" does not follow event "+k.lastEventID.text, nil)
 					return verdictBroken
 				}
 				k.lastEventID = id
@@ -308,7 +317,7 @@
 			return verdictAnswered
 		case err != nil:
 			if k.r.Context().Err() == nil {
-				k.logDelegation(h, "broke off after event "+k.lastEventID.text, err)
+				k.logDelegation(d.host, "broke off after event "+k.lastEventID.text, err)
 			}
 			return verdictBroken
 		}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -117,6 +117,8 @@
 	// streams holds the attempts under way, exchanges those of plain requests that may be repeated.
 	streams   map[*attempt]struct{}
 	exchanges map[*exchange]struct{}
+	// delegations holds the requests that other hosts serve for this one and that may be repeated.
+	delegations map[*delegation]struct{}
 }
 
 // Stop starts draining: the host is no longer ready, and responses ask callers to close their
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -91,6 +91,7 @@
 			continue
 		}
 		f.checkReach(ctx)
+		f.checkDelegations(ctx, now)
 		if f.isCutOff() {
 			f.moveFromLost(now)
 		}
--- a/launcher/lost_test.go
+++ b/launcher/lost_test.go
@@ -278,3 +278,22 @@
 	}
 	return int(sum)
 }
+
+// TestDelegatedToSilentHost guards against streams that hang since the host that serves them for another one
+// freezes, or is cut off from that one.
+func TestDelegatedToSilentHost(t *testing.T) {
+	runCutOff(t, 4, func(is *is.I, fl *fleet, cut follower.Host) {
+		near := fl.hosts[3]
+		is.Equal(near.DataCentre, cut.DataCentre)
+		go func() {
+			time.Sleep(550 * time.Millisecond)
+			is.True(fl.ranFrom(near, time.Now().Add(-500*time.Millisecond)) > 0)
+			fl.net.Cut(cut.Name, near.Name, faker.CutSilent)
+		}()
+		share, slowest := fl.servedAt([]follower.Host{cut}, "/stream/1", 2*time.Second)
+		t.Logf("served %.3f, slowest %v", share, slowest)
+		is.Equal(share, 1.0)
+		is.True(slowest < 1500*time.Millisecond)
+		fl.net.Heal(cut.Name, near.Name)
+	})
+}
