--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -341,47 +340,3 @@
 		h.Del(name)
 	}
 }
-
-// checkedInTurn is how many upstreams are checked at once while the upstreams may be lost.
-const checkedInTurn = 6
-
-// checkReach checks some upstreams while several connections in a row have failed, so that the host learns whether it
-// reaches any.
-func (f *Forwarder) checkReach(ctx context.Context) {
-	now := f.Now()
-	state := f.Detector.State(now)
-	if !state.Suspicious() {
-		return
-	}
-	interval := reachCheckInterval
-	if state.Lost {
-		interval = lostCheckInterval
-	}
-	if last := time.Duration(f.reachCheckedAt.Load()); now-last < interval {
-		return
-	}
-	f.reachCheckedAt.Store(int64(now))
-	addresses := f.Balancer.Addresses()
-	if state.Lost && len(addresses) > 0 {
-		// The same few would not tell that others are back.
-		n := f.reachRound % len(addresses)
-		f.reachRound += checkedInTurn
-		addresses = slices.Concat(addresses[n:], addresses[:n])[:min(checkedInTurn, len(addresses))]
-	} else {
-		addresses = f.Detector.Unchecked(addresses, checkedInTurn)
-	}
-	for _, address := range addresses {
-		go func() {
-			if err := f.Pool.Check(ctx, address, connector.PurposeWitnessProbe, probeTimeout); err != nil {
-				f.Log.Debug().Err(err).Str("address", address).Msg("forwarder: upstream does not accept a connection")
-			}
-		}()
-	}
-}
-
-const (
-	// reachCheckInterval is the time between two rounds of checks of whether any upstream is reached,
-	// lostCheckInterval that while none is: callers are served by other hosts meanwhile.
-	reachCheckInterval = 100 * time.Millisecond
-	lostCheckInterval  = 250 * time.Millisecond
-)
--- a/forwarder/lost.go
+++ b/forwarder/lost.go
@@ -2,15 +2,24 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sardineward/sardineward/connector"
 )
 
-// lostSilence is how long a request waits for an upstream that is lost with all others until it is sent
-// elsewhere: longer than the usual time to a first event and between two.
-const lostSilence = 300 * time.Millisecond
+const (
+	// lostSilence is how long a request waits for an upstream that is lost with all others until it is sent
+	// elsewhere: longer than the usual time to a first event and between two.
+	lostSilence = 300 * time.Millisecond
+	// reachCheckInterval is the time between two rounds of checks of whether any upstream is reached,
+	// lostCheckInterval that while none is: callers are served by other hosts meanwhile.
+	reachCheckInterval = 100 * time.Millisecond
+	lostCheckInterval  = 250 * time.Millisecond
+	// checkedInTurn is how many upstreams are checked in one round.
+	checkedInTurn = 6
+)
 
 // RecordDial records the outcome of a dial to an upstream. connector.Pool calls it.
 func (f *Forwarder) RecordDial(address string, purpose connector.Purpose, err error) {
@@ -36,6 +45,49 @@
 		Int("strikesWithdrawn", withdrawn).Msg("forwarder: no upstream accepts connections")
 }
 
+// watchReach checks, where there are signs of it, whether this host has lost all upstreams, and whether the
+// hosts that serve its requests live. Requests that wait for a lost upstream go elsewhere.
+func (f *Forwarder) watchReach(ctx context.Context, now time.Duration) {
+	f.checkReach(ctx, now)
+	f.checkDelegations(ctx, now)
+	if f.isCutOff() {
+		f.moveFromLost(now)
+	}
+}
+
+// checkReach checks some upstreams while several connections in a row have failed, so that the host learns whether it
+// reaches any.
+func (f *Forwarder) checkReach(ctx context.Context, now time.Duration) {
+	state := f.Detector.State(now)
+	if !state.Suspicious() {
+		return
+	}
+	interval := reachCheckInterval
+	if state.Lost {
+		interval = lostCheckInterval
+	}
+	if last := time.Duration(f.reachCheckedAt.Load()); now-last < interval {
+		return
+	}
+	f.reachCheckedAt.Store(int64(now))
+	addresses := f.Balancer.Addresses()
+	if state.Lost && len(addresses) > 0 {
+		// The same few would not tell that others are back.
+		n := f.reachRound % len(addresses)
+		f.reachRound += checkedInTurn
+		addresses = slices.Concat(addresses[n:], addresses[:n])[:min(checkedInTurn, len(addresses))]
+	} else {
+		addresses = f.Detector.Unchecked(addresses, checkedInTurn)
+	}
+	for _, address := range addresses {
+		go func() {
+			if err := f.Pool.Check(ctx, address, connector.PurposeWitnessProbe, probeTimeout); err != nil {
+				f.Log.Debug().Err(err).Str("address", address).Msg("forwarder: upstream does not accept a connection")
+			}
+		}()
+	}
+}
+
 // exchange is a plain request under way that may be repeated.
 type exchange struct {
 	sentAt time.Duration
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -90,11 +90,7 @@
 			f.Detector.Forget()
 			continue
 		}
-		f.checkReach(ctx)
-		f.checkDelegations(ctx, now)
-		if f.isCutOff() {
-			f.moveFromLost(now)
-		}
+		f.watchReach(ctx, now)
 		for _, h := range f.Balancer.SilentUpstreams(now) {
 			f.probe(ctx, h, connector.PurposeSilentProbe)
 		}
