forwarder: a delegated request that may have run is no longer refused as not run

A booking that another host had taken and not answered by the deadline was refused with 503, which promises that it has not run and never will; it is 504 now. Found in reading the change again, as were: two ends of dials that are recorded in the other order could leave reports without what the host sees, for as long as its upstreams were reached; and plain requests did not tell the next host on how many upstreams they had run.

--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -209,6 +209,7 @@
 	outcome := resp.Header.Get(delegationHeader)
 	switch outcome {
 	case delegationServed:
+		k.wasSent = true
 		resp.Header.Del(delegationHeader)
 		k.logDelegation(h, "served with status "+strconv.Itoa(resp.StatusCode), nil)
 		k.countDelegation("sent", delegationServed)
@@ -236,6 +237,7 @@
 	if errors.As(err, &e) && !e.Sent {
 		return verdictNotRun
 	}
+	k.wasSent = true
 	return verdictMayHaveRun
 }
 
@@ -326,9 +328,12 @@
 // logDelegation logs what became of a request at another host.
 func (k *call) logDelegation(h delegator.Host, outcome string, err error) {
 	now := k.Now()
-	reach := k.Balancer.ReachOfOthers(now)
-	k.Log.Info().Str("requestId", k.id).Str("host", h.Name).Err(err).Dur("cutOff", now-k.Detector.State(now).Since).
-		Int("reachingHosts", reach.Hosts).Dur("left", k.deadline-now).Msg("forwarder: delegated: " + outcome)
+	state, reach := k.Detector.State(now), k.Balancer.ReachOfOthers(now)
+	event := k.Log.Info().Str("requestId", k.id).Str("host", h.Name).Err(err).Int("reachingHosts", reach.Hosts).Dur("left", k.deadline-now)
+	if state.Lost {
+		event.Dur("cutOff", now-state.Since)
+	}
+	event.Msg("forwarder: delegated: " + outcome)
 }
 
 // delegationHeaders lists the headers between hosts.
--- a/forwarder/lost.go
+++ b/forwarder/lost.go
@@ -48,6 +48,8 @@
 // watchReach checks, where there are signs of it, whether this host has lost all upstreams, and whether the
 // hosts that serve its requests live. Requests that wait for a lost upstream go elsewhere.
 func (f *Forwarder) watchReach(ctx context.Context, now time.Duration) {
+	// Dials may end in another order than they are recorded in, so that the last word of RecordDial may be old.
+	f.Balancer.SetCutOff(f.Detector.State(now).Lost)
 	f.checkReach(ctx, now)
 	f.checkDelegations(ctx, now)
 	if f.isCutOff() {
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -71,6 +71,9 @@
 			return
 		}
 		k.avoidUpstream(l.First.ID)
+		if v != verdictNotRun {
+			k.ranOn = append(k.ranOn, l.First.ID)
+		}
 		if v == verdictFailed {
 			k.runs++
 			k.Meter.Retries.WithLabelValues(v.String()).Inc()
