--- a/detector/detector.go
+++ b/detector/detector.go
@@ -64,8 +64,8 @@
 	Silence time.Duration
 }
 
-// Suspicious reports whether connections to several upstreams failed in a row, or the only sign of any upstream is
-// older than its failure, so that other upstreams should be checked.
+// Suspicious reports whether other upstreams should be checked: connections to several failed in a row, or to one
+// and nothing has come from any upstream since.
 func (s State) Suspicious() bool {
 	return s.Lost || s.Upstreams > 1 || (s.Upstreams == 1 && s.Silence > s.StreakAge)
 }
@@ -161,13 +161,6 @@
 	return out
 }
 
-// HasFailed reports whether a connection to an address is among the failures in a row.
-func (d *Detector) HasFailed(address string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.failed[address] > 0
-}
-
 // Unchecked returns the addresses of which the fewest connections are among the failures in a row, at most n,
 // in the order given.
 func (d *Detector) Unchecked(addresses []string, n int) []string {
