forwarder: answer a request that finds no upstream and no other host

Cause, by reading: a request that found no upstream while several dials had failed was to be delegated; where the other hosts' reports lapsed in between it was neither delegated nor refused, and the handler returned without a response. Now it goes back to its choice, which refuses it. The cause is not shown by a test that fails before: the soak's faults don't repeat to the millisecond.

--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -51,8 +51,8 @@
 			return
 		}
 		l := k.acquire(balancer.Requirements{})
-		if l == nil && k.shouldDelegate() && !k.headerSent {
-			continue
+		if l == nil && !k.headerSent {
+			continue // not refused: another host is to serve it, or else the next choice refuses it
 		}
 		if l == nil {
 			return
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -92,8 +92,8 @@
 		n := k.requirements()
 		n.AvoidDataCentres = limits.Full(k.keepFree)
 		l := k.acquireOrAbort(n)
-		if l == nil && k.shouldDelegate() && !k.headerSent {
-			continue
+		if l == nil && !k.headerSent {
+			continue // not refused: another host is to serve it, or else the next choice refuses it
 		}
 		if l == nil {
 			return
