--- a/launcher/lost_test.go
+++ b/launcher/lost_test.go
@@ -52,7 +52,7 @@
 				mu.Lock()
 				defer mu.Unlock()
 				slowest = max(slowest, r.took)
-				if r.err == nil && r.status == http.StatusOK {
+				if r.err == nil && r.status == http.StatusOK && r.body != "" {
 					served++
 				}
 			})
