forwarder: a test of requests whose reports of other hosts lapse

Guards the fix of: the clock jumps past the age of reports after each of the first 40 times that a request reads it.

--- a/forwarder/delegate_test.go
+++ b/forwarder/delegate_test.go
@@ -1,12 +1,18 @@
 package forwarder
 
 import (
+	"bytes"
+	"context"
+	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/delegator"
 	"github.com/sardineward/sardineward/tracker"
 )
 
@@ -41,3 +47,30 @@
 	is.True(quarantined(1)) // before the connections failed
 	is.True(!quarantined(2))
 }
+
+// TestReportsLapseInRequest guards against an empty response with status 200: a request finds no upstream, is to be
+// delegated, and the reports of the other hosts lapse before it is.
+func TestReportsLapseInRequest(t *testing.T) {
+	for lapse := range 40 { // the number of times that the request reads the clock before
+		t.Run(fmt.Sprint(lapse), func(t *testing.T) {
+			is := is.New(t)
+			k := rankedCall(new(bytes.Buffer), 0, 0)()
+			k.Balancer.SetDead(time.Minute, "one", true)
+			is.NoErr(k.Balancer.SetReport(time.Minute, "host-b", balancer.Report{Hosts: map[string]int{"b": 1}}))
+			k.Delegator = &delegator.Delegator{Hosts: func() []delegator.Host { return nil }}
+			k.Detector.Upstreams = func() int { return 40 }
+			for _, address := range []string{"one:80", "two:80"} {
+				k.Detector.RecordFailure(time.Minute, address, true)
+			}
+			reads := 0
+			k.Now = func() time.Duration {
+				if reads++; reads > lapse {
+					return time.Minute + 2*time.Second
+				}
+				return time.Minute
+			}
+			k.servePlain(context.Background())
+			is.Equal(k.w.(*httptest.ResponseRecorder).Code, http.StatusServiceUnavailable)
+		})
+	}
+}
