--- a/launcher/bench_test.go
+++ b/launcher/bench_test.go
@@ -152,6 +152,7 @@
 	s := &faker.Stage{ID: id, Events: 10, EventInterval: 20 * time.Millisecond, ResponseDelay: 10 * time.Millisecond}
 	address := "10.1.0." + id + ":80"
 	b.net.SetLocation(address, upstreamsLocation)
+	b.net.SetAlias(address, id)
 	var kill atomic.Value
 	serve := func() {
 		k, err := faker.Serve(b.net.Listen, address, s)
--- /dev/null
+++ b/launcher/cutend_test.go
@@ -0,0 +1,136 @@
+package launcher_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/faker"
+	"github.com/sardineward/sardineward/follower"
+)
+
+// unserved sends a request to each host every 20 ms and describes the responses other than 200 to those sent
+// after a time.
+func (fl *fleet) unserved(hosts []follower.Host, path string, lasts, ignored time.Duration) (sent int, out []string) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	started := time.Now()
+	for n := range int(lasts / (20 * time.Millisecond)) {
+		at := time.Since(started)
+		for _, h := range hosts {
+			ip, _, _ := strings.Cut(h.Address, ":")
+			wg.Go(func() {
+				r := fl.requestAt(ip+":80", http.MethodPost, path, fmt.Sprint("heal-", n, "-", h.Name), nil)
+				mu.Lock()
+				defer mu.Unlock()
+				if at < ignored {
+					return
+				}
+				sent++
+				if r.err != nil || r.status != http.StatusOK {
+					out = append(out, fmt.Sprintf("%s at %v: status %d, %v, %s", h.Name, at, r.status, r.err, r.body))
+				}
+			})
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	wg.Wait()
+	return sent, out
+}
+
+// assertServed reports an error if any of the requests was not served.
+func assertServed(t *testing.T, sent int, unserved []string) {
+	t.Helper()
+	if len(unserved) > 0 {
+		t.Errorf("%d of %d requests not served, the first: %s", len(unserved), sent, unserved[0])
+	}
+}
+
+// TestCutEnds guards against a host that refuses requests as it reaches upstreams again, while other hosts
+// could serve them.
+func TestCutEnds(t *testing.T) {
+	for _, size := range cutSizes {
+		for _, m := range cutModes {
+			for _, path := range []string{"/look/1", "/book/1", "/stream/1"} {
+				t.Run(size.name+", "+m.name+", "+path, func(t *testing.T) {
+					t.Parallel()
+					runLargeFleet(t, size.hosts, 3, path, 60, func(_ *is.I, fl *fleet) {
+						time.Sleep(2 * time.Second)
+						cut := size.cut(fl.hosts)
+						fl.cutOff(m.mode, cut...)
+						time.AfterFunc(2*noticeTime, func() { fl.heal(cut...) })
+						sent, unserved := fl.unserved(cut[:min(4, len(cut))], path, 2*noticeTime+3*time.Second, noticeTime)
+						assertServed(t, sent, unserved)
+					})
+				})
+			}
+		}
+	}
+}
+
+// TestFlappingLink guards against a host that refuses requests each time its link to the upstreams comes or
+// goes, while other hosts could serve them.
+func TestFlappingLink(t *testing.T) {
+	const flaps, period = 20, time.Second
+	for _, size := range cutSizes[:2] {
+		for _, m := range cutModes {
+			for _, path := range []string{"/look/1", "/stream/1"} {
+				t.Run(size.name+", "+m.name+", "+path, func(t *testing.T) {
+					t.Parallel()
+					runLargeFleet(t, size.hosts, 3, path, 60, func(_ *is.I, fl *fleet) {
+						time.Sleep(2 * time.Second)
+						cut := size.cut(fl.hosts)
+						go func() {
+							for range flaps {
+								fl.cutOff(m.mode, cut...)
+								time.Sleep(period)
+								fl.heal(cut...)
+								time.Sleep(period)
+							}
+						}()
+						sent, unserved := fl.unserved(cut, path, 2*flaps*period, noticeTime)
+						assertServed(t, sent, unserved)
+					})
+				})
+			}
+		}
+	}
+}
+
+// TestServiceCutOff guards against a host that refuses requests for a service which it alone has lost.
+func TestServiceCutOff(t *testing.T) {
+	for _, m := range []faker.CutMode{faker.CutReset, faker.CutSilent, faker.CutRefuse} {
+		for path, service := range map[string]string{"/look/1": "desk", "/book/1": "desk", "/stream/1": "model"} {
+			t.Run(fmt.Sprint(path, ", mode ", m), func(t *testing.T) {
+				t.Parallel()
+				runLargeFleet(t, 4, 3, path, 60, func(_ *is.I, fl *fleet) {
+					time.Sleep(2 * time.Second)
+					fl.setServiceLink(fl.hosts[:2], service, m)
+					time.AfterFunc(2*noticeTime, func() { fl.setServiceLink(fl.hosts[:2], service, 0) })
+					sent, unserved := fl.unserved(fl.hosts[:2], path, 2*noticeTime+2*time.Second, noticeTime)
+					assertServed(t, sent, unserved)
+				})
+			})
+		}
+	}
+}
+
+// setServiceLink cuts hosts off from the upstreams of a service, or heals their links where mode is 0.
+func (fl *fleet) setServiceLink(hosts []follower.Host, service string, mode faker.CutMode) {
+	for _, h := range hosts {
+		for id := range fl.stages {
+			switch {
+			case !strings.HasPrefix(id, service):
+			case mode == 0:
+				fl.net.Heal(h.Name, id)
+			default:
+				fl.net.Cut(h.Name, id, mode)
+			}
+		}
+	}
+}
