--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -66,6 +66,15 @@
 	return false
 }
 
+// refuseUnservable refuses a request that neither this host nor another one can serve.
+func (k *call) refuseUnservable() {
+	if k.runs > 0 {
+		k.refuse(admitter.ReasonUpstream, "no upstream accepts connections any more")
+		return
+	}
+	k.refuse(admitter.ReasonCutOff, "no upstream accepts connections from this host, nor from others")
+}
+
 // refuseNoUpstream refuses a request for which the balancer found no upstream.
 func (k *call) refuseNoUpstream(reason balancer.Reason) {
 	switch {
