--- a/balancer/cutoff.go
+++ b/balancer/cutoff.go
@@ -4,6 +4,10 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sardineward/sardineward/matcher"
 )
 
 // SetCutOff records whether this host reaches no upstream. While it does not, its reports don't say what it
@@ -42,6 +46,67 @@
 	return out
 }
 
+// ServiceReach compares what this host reaches of a service with what reports say of other hosts.
+type ServiceReach struct {
+	// Own is set where the upstreams that this host has not found dead would do for a request, Others where
+	// those would that at least one of Hosts, which reported lately and reach some upstream, has not.
+	Own, Others bool
+	Hosts       int
+	// Upstreams counts those of the service that take new work, Dead those of them that this host has found dead,
+	// DeadElsewhere those that all of Hosts have.
+	Upstreams, Dead, DeadElsewhere int
+}
+
+// OnlyOthers reports whether other hosts reach the service and this one does not.
+func (r ServiceReach) OnlyOthers() bool { return r.Others && !r.Own }
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (r ServiceReach) MarshalZerologObject(e *zerolog.Event) {
+	e.Int("reachingHosts", r.Hosts).Int("upstreams", r.Upstreams).Int("dead", r.Dead).Int("deadElsewhere", r.DeadElsewhere)
+}
+
+// ReachOfService returns what this host and recent reports say of a service.
+func (b *Balancer) ReachOfService(now time.Duration, service string) ServiceReach {
+	hosts := b.ReachOfOthers(now).Hosts
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := ServiceReach{Hosts: hosts}
+	s := b.services[service]
+	if s == nil {
+		return out
+	}
+	own, others := make([]bool, layerCount(s)), make([]bool, layerCount(s))
+	for _, u := range b.subset.used {
+		if u.Service != service || u.Leaving {
+			continue
+		}
+		out.Upstreams++
+		if u.dead {
+			out.Dead++
+		} else {
+			u.markHeld(s, own)
+		}
+		if sum := b.peerReports.sum[u.ID]; sum != nil && sum.DeadHosts >= int64(hosts) {
+			out.DeadElsewhere++
+		} else if hosts > 0 {
+			u.markHeld(s, others)
+		}
+	}
+	out.Own, out.Others = !slices.Contains(own, false), !slices.Contains(others, false)
+	return out
+}
+
+// markHeld marks the layers of a service that an upstream holds, of a plain one its only element.
+func (u *upstream) markHeld(s *matcher.Service, held []bool) {
+	if s.Engine == nil || s.Engine.Layers == 0 {
+		held[0] = true
+		return
+	}
+	for l := max(0, u.Layers.From); l < min(u.Layers.To, len(held)); l++ {
+		held[l] = true
+	}
+}
+
 // Addresses returns the addresses of the upstreams that this host uses, those of different services and data
 // centres in turn, so that the first of them tell most about all.
 func (b *Balancer) Addresses() []string {
--- a/balancer/path.go
+++ b/balancer/path.go
@@ -344,40 +344,53 @@
 	return links
 }
 
-// DescribeUncovered describes for logs which layers of a service no usable upstream holds, and why
-// the other upstreams that hold layers aren't usable.
+// maxDescribed bounds the upstreams that DescribeUncovered describes.
+const maxDescribed = 16
+
+// DescribeUncovered describes for logs why a service has no usable upstream: which layers none holds,
+// and why the upstreams that hold some, or that are plain, aren't usable.
 func (b *Balancer) DescribeUncovered(now time.Duration, service string) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.services[service]
-	if s == nil || s.Engine == nil {
+	if s == nil {
 		return ""
 	}
-	held := make([]bool, s.Engine.Layers)
+	held := make([]bool, layerCount(s))
+	isPlain := s.Engine == nil || s.Engine.Layers == 0
 	var lacking []string
-	for _, u := range b.upstreams {
+	for _, u := range b.subset.used {
 		switch {
-		case u.Service != service || u.Layers.Len() == 0:
+		case u.Service != service || (!isPlain && u.Layers.Len() == 0):
 		case u.usable(now, nil):
-			for l := max(0, u.Layers.From); l < min(u.Layers.To, len(held)); l++ {
-				held[l] = true
-			}
+			u.markHeld(s, held)
 		default:
 			lacking = append(lacking, fmt.Sprintf("%s=%d-%d leaving=%t dead=%t out=%t backoff=%t", u.Address, u.Layers.From, u.Layers.To, u.Leaving, u.dead, u.ejectedUntil > now, u.announcement.withheld(now)))
 		}
 	}
-	var gaps []string
+	slices.Sort(lacking)
+	if len(lacking) > maxDescribed {
+		lacking = append(lacking[:maxDescribed], fmt.Sprintf("and %d more", len(lacking)-maxDescribed))
+	}
+	out := "unusable: " + strings.Join(lacking, " ")
+	if isPlain {
+		return out
+	}
+	return "layers " + strings.Join(gaps(held), ",") + " not held; " + out
+}
+
+// gaps lists the ranges of layers that are not held.
+func gaps(held []bool) (out []string) {
 	for l := 0; l < len(held); l++ {
 		from := l
 		for l < len(held) && !held[l] {
 			l++
 		}
 		if l > from {
-			gaps = append(gaps, fmt.Sprintf("%d-%d", from, l))
+			out = append(out, fmt.Sprintf("%d-%d", from, l))
 		}
 	}
-	slices.Sort(lacking)
-	return "layers " + strings.Join(gaps, ",") + " not held; unusable: " + strings.Join(lacking, " ")
+	return out
 }
 
 // shortageReason returns ReasonNoUpstream if some layer is held by no candidate, and otherwise
--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -20,6 +20,13 @@
 	// suspectCost is the same for the hosts of a data centre of which one has just not served: often all hosts of
 	// a data centre are cut off together.
 	suspectCost = 4 * remoteCost
+	// exclusionMemory is how long after its exclusion a host is chosen last.
+	exclusionMemory = 10 * time.Second
+	// unservedTime is how long no host is asked to serve a service that all who were asked refused. Hosts that use
+	// none of its upstreams never report them dead.
+	unservedTime = 500 * time.Millisecond
+	// maxExclusions bounds what is kept of hosts and services.
+	maxExclusions = 4096
 )
 
 // Host is an entry host that may serve requests for this one.
@@ -27,6 +34,9 @@
 	Name, Address, DataCentre string
 }
 
+// target is a host or a data centre with a service; an empty service stands for all.
+type target struct{ name, service string }
+
 // Delegator chooses hosts. Its exported fields are set before use; it is safe for concurrent use.
 type Delegator struct {
 	// DataCentre is that of this host.
@@ -39,16 +49,18 @@
 	inFlight map[string]int
 	total    int
 	// excluded is until when a host is not chosen, as it did not answer or could not serve.
-	excluded map[string]time.Duration
+	excluded map[target]time.Duration
 	// suspectUntil is until when the hosts of a data centre are chosen last.
-	suspectUntil map[string]time.Duration
+	suspectUntil map[target]time.Duration
+	// unservedUntil is until when no host is asked to serve a service, as all that were refused.
+	unservedUntil map[string]time.Duration
 	// taken counts the requests that this host serves for others.
 	taken int
 }
 
-// Choose returns the host that is to serve a request, one of those that are not in tried, and reserves it until
-// Release. It returns false if there is none, or if too many requests are delegated.
-func (d *Delegator) Choose(now time.Duration, tried []string) (Host, bool) {
+// Choose returns the host that is to serve a request of a service, one of those that are not in tried, and
+// reserves it until Release. It returns false if there is none, or if too many requests are delegated.
+func (d *Delegator) Choose(now time.Duration, service string, tried []string) (Host, bool) {
 	hosts := d.Hosts()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -56,7 +68,7 @@
 		return Host{}, false
 	}
 	hosts = slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool {
-		return d.excluded[h.Name] > now || slices.Contains(tried, h.Name)
+		return until(d.excluded, h.Name, service) > now || slices.Contains(tried, h.Name)
 	})
 	if len(hosts) == 0 {
 		return Host{}, false
@@ -64,7 +76,7 @@
 	// Hosts with equal costs are chosen at random, so that many hosts that are cut off together do not
 	// send all they have to the same one.
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	h := slices.MinFunc(hosts, func(a, b Host) int { return cmp.Compare(d.cost(now, a), d.cost(now, b)) })
+	h := slices.MinFunc(hosts, func(a, b Host) int { return cmp.Compare(d.cost(now, service, a), d.cost(now, service, b)) })
 	if d.inFlight == nil {
 		d.inFlight = make(map[string]int)
 	}
@@ -73,13 +85,20 @@
 	return h, true
 }
 
-// cost returns what one more request for h costs. d.mu is held.
-func (d *Delegator) cost(now time.Duration, h Host) int {
+// until returns when the entry of a host or data centre ends, for all services or for one; 0 if there is none.
+func until(entries map[target]time.Duration, name, service string) time.Duration {
+	return max(entries[target{name: name}], entries[target{name, service}])
+}
+
+// cost returns what one more request of a service costs at h. d.mu is held.
+func (d *Delegator) cost(now time.Duration, service string, h Host) int {
 	out := d.inFlight[h.Name]
 	if h.DataCentre != d.DataCentre {
 		out += remoteCost
 	}
-	if d.suspectUntil[h.DataCentre] > now {
+	// A host that did not serve goes on so more often than not.
+	excluded := until(d.excluded, h.Name, service)
+	if until(d.suspectUntil, h.DataCentre, service) > now || (excluded > 0 && now < excluded+exclusionMemory) {
 		out += suspectCost
 	}
 	return out
@@ -95,16 +114,34 @@
 	}
 }
 
-// Exclude records that a host did not serve. It is not chosen until a time, and the others of its data centre
-// are chosen last until then.
-func (d *Delegator) Exclude(h Host, until time.Duration) {
+// Exclude records that a host did not serve a request of a service, or any request where service is empty. It is
+// not chosen until a time, and the others of its data centre are chosen last until then.
+func (d *Delegator) Exclude(h Host, service string, until time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.excluded == nil || len(d.excluded) >= maxExclusions {
+		d.excluded, d.suspectUntil = make(map[target]time.Duration), make(map[target]time.Duration)
+	}
+	host, dataCentre := target{h.Name, service}, target{h.DataCentre, service}
+	d.excluded[host] = max(d.excluded[host], until)
+	d.suspectUntil[dataCentre] = max(d.suspectUntil[dataCentre], until)
+}
+
+// RecordUnserved records that all hosts that were asked refused a request of a service.
+func (d *Delegator) RecordUnserved(now time.Duration, service string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.excluded == nil {
-		d.excluded, d.suspectUntil = make(map[string]time.Duration), make(map[string]time.Duration)
+	if d.unservedUntil == nil || len(d.unservedUntil) >= maxExclusions {
+		d.unservedUntil = make(map[string]time.Duration)
 	}
-	d.excluded[h.Name] = max(d.excluded[h.Name], until)
-	d.suspectUntil[h.DataCentre] = max(d.suspectUntil[h.DataCentre], until)
+	d.unservedUntil[service] = now + unservedTime
+}
+
+// IsUnserved reports whether all hosts that were asked lately refused a request of a service.
+func (d *Delegator) IsUnserved(now time.Duration, service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.unservedUntil[service] > now
 }
 
 // Take reserves room for a request that this host serves for another one, until Done. It returns false if
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -27,7 +27,7 @@
 	t.Helper()
 	out := make(map[string]int)
 	for range n {
-		h, ok := d.Choose(now, nil)
+		h, ok := d.Choose(now, "desk", nil)
 		is.New(t).True(ok)
 		out[h.Name]++
 		out[h.DataCentre]++
@@ -54,7 +54,7 @@
 	t.Run("those that don't serve last", func(t *testing.T) {
 		is := is.New(t)
 		d, hosts := newDelegator(3)
-		d.Exclude(hosts[0], time.Second)
+		d.Exclude(hosts[0], "", time.Second)
 		n := chooseAll(t, d, 0, 30)
 		is.Equal(n["a"], 0) // the others of a are probably cut off too
 		is.Equal(chooseAll(t, d, 2*time.Second, 3)["a"], 3)
@@ -62,10 +62,10 @@
 	t.Run("not one that was tried", func(t *testing.T) {
 		is := is.New(t)
 		d, hosts := newDelegator(1)
-		h, ok := d.Choose(0, []string{"a0", "b0"})
+		h, ok := d.Choose(0, "desk", []string{"a0", "b0"})
 		is.True(ok)
 		is.Equal(h, hosts[2])
-		_, ok = d.Choose(0, []string{"a0", "b0", "c0"})
+		_, ok = d.Choose(0, "desk", []string{"a0", "b0", "c0"})
 		is.True(!ok)
 	})
 }
@@ -77,14 +77,14 @@
 	d, hosts := newDelegator(4)
 	n := 0
 	for {
-		if _, ok := d.Choose(0, nil); !ok {
+		if _, ok := d.Choose(0, "desk", nil); !ok {
 			break
 		}
 		n++
 	}
 	is.Equal(n, 512)
 	d.Release(hosts[0])
-	_, ok := d.Choose(0, nil)
+	_, ok := d.Choose(0, "desk", nil)
 	is.True(ok)
 	taken := 0
 	for d.Take() {
--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -50,24 +50,27 @@
 // requests.
 func (f *Forwarder) isCutOff() bool {
 	now := f.Now()
-	return f.Delegator != nil && f.Detector.State(now).Lost && f.Balancer.ReachOfOthers(now).OthersReach()
+	state := f.Detector.State(now)
+	return f.Delegator != nil && state.Lost && f.Balancer.ReachOfOthers(now).OthersReach()
 }
 
-// maxFailedDials is the number of failed dials after which a request is delegated although this host does not
-// know yet that it is cut off.
-const maxFailedDials = 2
-
-// shouldDelegate reports whether another host is to serve the request. One that was delegated already never is.
+// shouldDelegate reports whether another host is to serve the request.
 func (k *call) shouldDelegate() bool {
-	if k.delegatedBy != "" || k.Delegator == nil {
+	if k.Delegator == nil {
 		return false
 	}
 	now := k.Now()
 	state := k.Detector.State(now)
-	if !state.Lost && (k.delegationFailed || !state.Suspicious() || (k.failedDials < maxFailedDials && !k.foundNoUpstream)) {
-		return false
+	if !state.Lost && !state.Suspicious() && !k.foundNoUpstream {
+		return false // spares the look at all upstreams
 	}
-	return k.Balancer.ReachOfOthers(now).OthersReach()
+	reach := k.Balancer.ReachOfService(now, k.service.Name)
+	signs := delegator.Signs{
+		Delegated: k.delegatedBy != "", Lost: state.Lost, Suspicious: state.Suspicious(),
+		FailedDials: k.failedDials, FoundNoUpstream: k.foundNoUpstream, Refused: k.delegationFailed,
+		Unserved: k.Delegator.IsUnserved(now, k.service.Name), OthersReach: reach.Others, OwnReach: reach.Own,
+	}
+	return signs.ShouldDelegate()
 }
 
 // delegateInstead reports whether a request that finds no upstream is to be delegated. It returns true once at most.
@@ -151,7 +154,7 @@
 		if !k.shouldDelegate() {
 			return true
 		}
-		h, ok := k.Delegator.Choose(k.Now(), tried)
+		h, ok := k.Delegator.Choose(k.Now(), k.service.Name, tried)
 		if !ok {
 			break
 		}
@@ -170,7 +173,9 @@
 			return false
 		}
 	}
-	if !k.Detector.State(k.Now()).Lost {
+	now := k.Now()
+	if state := k.Detector.State(now); !state.Lost {
+		k.Delegator.RecordUnserved(now, k.service.Name)
 		k.delegationFailed = true
 		return true
 	}
@@ -216,9 +221,9 @@
 		return k.passOn(ctx, d, resp)
 	case delegationRefused:
 		k.counted = k.counted || resp.Header.Get(countedHeader) != ""
-		k.Delegator.Exclude(h, k.Now()+exclusion)
+		k.Delegator.Exclude(h, k.service.Name, k.Now()+exclusion)
 	default:
-		k.Delegator.Exclude(h, k.Now()+unsupportedExclusion)
+		k.Delegator.Exclude(h, "", k.Now()+unsupportedExclusion)
 		outcome = "unsupported"
 	}
 	k.logDelegation(h, outcome, nil)
@@ -231,7 +236,7 @@
 	k.logDelegation(h, "no answer", err)
 	k.countDelegation("sent", "noAnswer")
 	if ctx.Err() == nil {
-		k.Delegator.Exclude(h, k.Now()+exclusion)
+		k.Delegator.Exclude(h, "", k.Now()+exclusion)
 	}
 	var e *connector.Error
 	if errors.As(err, &e) && !e.Sent {
--- a/forwarder/delegation.go
+++ b/forwarder/delegation.go
@@ -84,7 +84,7 @@
 		resp.Done()
 		return
 	}
-	f.Delegator.Exclude(h, f.Now()+exclusion)
+	f.Delegator.Exclude(h, "", f.Now()+exclusion)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -58,6 +58,9 @@
 	if k.lacksRetry {
 		event.Object("retryBudget", k.RetryBudget(k.service.Name).Usage(k.Now()))
 	}
+	if k.service != nil && (reason == admitter.ReasonNoRoute || reason == admitter.ReasonCutOff) {
+		event.EmbedObject(k.Balancer.ReachOfService(k.Now(), k.service.Name)).Bool("noOtherHost", k.delegationFailed)
+	}
 	k.recordRankRefusal(event, reason)
 	event.Msg("forwarder: refused: " + detail)
 	k.headerSent = true
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -91,9 +91,9 @@
 		}
 		n := k.requirements()
 		n.AvoidDataCentres = limits.Full(k.keepFree)
-		l := k.acquireOrAbort(n)
-		if l == nil && !k.headerSent {
-			continue // not refused: another host is to serve it, or else the next choice refuses it
+		l, toDelegate := k.acquireOrAbort(n)
+		if toDelegate {
+			continue
 		}
 		if l == nil {
 			return
@@ -155,10 +155,12 @@
 }
 
 // acquireOrAbort is acquire for a stream that may have begun: a begun one waits for a path up to
-// resumeTimeout and is aborted when there is none.
-func (k *call) acquireOrAbort(n balancer.Requirements) *balancer.Lease {
+// resumeTimeout and is aborted when there is none. toDelegate is set where the caller is to choose again, as another
+// host may serve it.
+func (k *call) acquireOrAbort(n balancer.Requirements) (l *balancer.Lease, toDelegate bool) {
 	if !k.headerSent {
-		return k.acquire(n)
+		l = k.acquire(n)
+		return l, l == nil && !k.headerSent
 	}
 	n.Service = k.service.Name
 	n.InProgress = true
@@ -167,14 +169,17 @@
 	n.AllowedFirst = k.allowedFirsts()
 	for until := k.Now() + resumeTimeout; ; {
 		n.Avoid = k.avoid
-		l, _ := k.Balancer.Acquire(k.Now(), n)
+		l, reason := k.Balancer.Acquire(k.Now(), n)
 		if l == nil {
 			n.Avoid = nil
-			l, _ = k.Balancer.Acquire(k.Now(), n)
+			l, reason = k.Balancer.Acquire(k.Now(), n)
 		}
 		if l != nil {
 			k.recordAdmitted()
-			return l
+			return l, false
+		}
+		if reason == balancer.ReasonNoUpstream && k.delegateInstead() {
+			return nil, true
 		}
 		if k.Now() > until || k.r.Context().Err() != nil {
 			k.abortStream(0)
