--- a/detector/detector.go
+++ b/detector/detector.go
@@ -21,8 +21,10 @@
 	minFailuresPerUpstream = 3
 	// minDuration is how long the failures must have lasted: longer than a burst of lost packets.
 	minDuration = 150 * time.Millisecond
-	// minAccepted is how many connections in a row must succeed until the upstreams count as back.
+	// minAccepted is how many connections in a row must succeed until the upstreams count as back, and
+	// probation for how long: a link that comes and goes each second loses what is sent as it goes.
 	minAccepted = 3
+	probation   = 1500 * time.Millisecond
 	// streakMemory is how long failures count that no other connection followed.
 	streakMemory = 3 * time.Second
 )
@@ -45,15 +47,19 @@
 	lastEvent time.Duration
 	// lostAt is when the upstreams were lost; 0 while they are not.
 	lostAt time.Duration
-	// accepted counts the successful connections in a row since the last failure.
-	accepted int
+	// accepted counts the successful connections in a row since the last failure, the first at acceptedAt.
+	accepted   int
+	acceptedAt time.Duration
 }
 
 // State is what a Detector knows.
 type State struct {
-	// Lost is set while no upstream accepts connections from this host. Since is when that was found.
+	// Lost is set while no upstream accepts connections from this host, and for a probation after that.
+	// Since is when that was found.
 	Lost  bool
 	Since time.Duration
+	// Returning is set in the probation: upstreams accept connections again.
+	Returning bool
 	// Failures is the number of connections in a row that failed, Upstreams how many upstreams they were
 	// to. StreakAge is how long ago the first of them failed.
 	Failures, Upstreams int
@@ -80,8 +86,11 @@
 func (d *Detector) RecordAccept(now time.Duration) (back bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.accepted == 0 {
+		d.acceptedAt = now
+	}
 	d.accepted++
-	if d.lostAt > 0 && d.accepted < minAccepted && d.accepted < d.upstreams() {
+	if d.lostAt > 0 && (!d.isReturning() || now-d.acceptedAt < probation) {
 		return false
 	}
 	back = d.lostAt > 0
@@ -147,6 +156,11 @@
 	d.failed, d.failures, d.refused, d.accepted = nil, 0, false, 0
 }
 
+// isReturning reports whether enough upstreams in a row have accepted connections. d.mu is held.
+func (d *Detector) isReturning() bool {
+	return d.lostAt > 0 && d.accepted >= min(minAccepted, d.upstreams())
+}
+
 // State returns what is known now.
 func (d *Detector) State(now time.Duration) State {
 	d.mu.Lock()
@@ -154,7 +168,7 @@
 	if d.lostAt == 0 && d.failures > 0 && now-d.lastAt > streakMemory {
 		d.forget()
 	}
-	out := State{Lost: d.lostAt > 0, Since: d.lostAt, Failures: d.failures, Upstreams: len(d.failed), Refused: d.refused, Silence: now - d.lastEvent}
+	out := State{Lost: d.lostAt > 0, Since: d.lostAt, Returning: d.isReturning(), Failures: d.failures, Upstreams: len(d.failed), Refused: d.refused, Silence: now - d.lastEvent}
 	if d.failures > 0 {
 		out.StreakAge = now - d.firstAt
 	}
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -89,12 +89,37 @@
 	is.True(!d.RecordFailure(now, "upstream-1", false))
 	is.True(!d.RecordAccept(now))
 	is.True(!d.RecordAccept(now))
-	is.True(d.State(now).Lost)
+	is.True(!d.State(now).Returning)
+	is.True(!d.RecordAccept(now))
+	is.True(d.State(now).Lost && d.State(now).Returning)
+	is.True(!d.RecordAccept(now + 1400*time.Millisecond))
+	is.True(d.State(now + 1400*time.Millisecond).Lost)
+	now += 1500 * time.Millisecond
 	is.True(d.RecordAccept(now))
-	is.True(!d.State(now).Lost)
+	is.True(!d.State(now).Lost && !d.State(now).Returning)
 	is.Equal(d.State(now).Failures, 0)
 }
 
+// TestLostInProbation guards against a host that uses upstreams again each time that a link which comes and goes is
+// up.
+func TestLostInProbation(t *testing.T) {
+	is := is.New(t)
+	d := newDetector(40)
+	is.True(failAll(d, 40, 60, false, func(time.Duration) {}) > 0)
+	now := 2 * time.Minute
+	for range 20 { // up and down for a second each
+		for range 4 {
+			is.True(!d.RecordAccept(now))
+			now += 250 * time.Millisecond
+		}
+		is.True(d.State(now).Returning)
+		is.True(!d.RecordFailure(now, "upstream-1", false))
+		is.True(!d.State(now).Returning)
+		now += time.Second
+	}
+	is.True(d.State(now).Lost)
+}
+
 // TestPoorLink guards against a host that counts its upstreams as lost, again and again, on a link that loses
 // three packets in ten: half of its connections time out.
 func TestPoorLink(t *testing.T) {
--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -51,7 +51,7 @@
 func (f *Forwarder) isCutOff() bool {
 	now := f.Now()
 	state := f.Detector.State(now)
-	return f.Delegator != nil && state.Lost && f.Balancer.ReachOfOthers(now).OthersReach()
+	return f.Delegator != nil && state.Lost && !state.Returning && f.Balancer.ReachOfOthers(now).OthersReach()
 }
 
 // shouldDelegate reports whether another host is to serve the request.
@@ -86,7 +86,7 @@
 // it is refused at once. Connections that were open before a cut may live on; they are used while they do.
 func (k *call) isUnservable() bool {
 	state := k.Detector.State(k.Now())
-	return state.Lost && state.Silence > lostSilence && !k.shouldDelegate()
+	return state.Lost && !state.Returning && state.Silence > lostSilence && !k.shouldDelegate()
 }
 
 // ServeDelegated serves a request that another host delegates to this one. It is called only for requests that
@@ -174,7 +174,7 @@
 		}
 	}
 	now := k.Now()
-	if state := k.Detector.State(now); !state.Lost {
+	if state := k.Detector.State(now); !state.Lost || state.Returning {
 		k.Delegator.RecordUnserved(now, k.service.Name)
 		k.delegationFailed = true
 		return true
