--- a/admitter/promise.go
+++ b/admitter/promise.go
@@ -111,19 +111,51 @@
 	if full {
 		c.excess[rank]++
 	}
-	start := time.Duration(at) * promiseInterval
-	wait := max(minReturnWait, start+time.Duration(r.Draw*float64(promiseInterval))-now)
+	wait := waitUntil(now, at, r.Draw)
 	c.left[rank] = max(c.left[rank], r.Left-wait)
 	return wait
 }
 
+// Spread returns how long a caller waits whose request equals one that was asked to return at a time:
+// until a later interval, so that callers with equal requests do not return together. It counts no
+// return, as the request most often comes from the same caller.
+func (p *Promises) Spread(now time.Duration, r Refused, after time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.service(r.Service)
+	s.advance(now)
+	first, last := s.bounds(now, min(max(0, r.Rank), maxPromiseRanks-1), r.MaxWait)
+	next := max(first, int64(after/promiseInterval)+1)
+	if next > last {
+		next = first + int64(r.Draw*float64(last-first+1))
+	}
+	capacity := s.drain * promiseInterval.Seconds() * returnShare
+	for n := next; n <= last; n++ {
+		if s.interval(n).total < s.quota(n, capacity) {
+			next = n
+			break
+		}
+	}
+	return waitUntil(now, next, r.Draw)
+}
+
+// waitUntil returns the time until a moment of an interval that a draw decides.
+func waitUntil(now time.Duration, number int64, draw float64) time.Duration {
+	return max(minReturnWait, time.Duration(number)*promiseInterval+time.Duration(draw*float64(promiseInterval))-now)
+}
+
+// bounds returns the numbers of the first and the last interval that a refused caller may return in.
+func (s *servicePromises) bounds(now time.Duration, rank int, maxWait time.Duration) (first, last int64) {
+	maxWait = min(maxWait, promiseIntervals*promiseInterval/2)
+	first = int64((now+minReturnWait)/promiseInterval) + 1
+	last = max(first, int64((now+maxWait)/promiseInterval)-1)
+	return min(last, first+int64(time.Duration(rank)*rankDelay/promiseInterval)), last
+}
+
 // choose returns the number of the interval in which a refused caller may return, and whether all
 // intervals that it may return in are full.
 func (s *servicePromises) choose(now time.Duration, rank int, maxWait time.Duration, draw float64) (number int64, full bool) {
-	maxWait = min(maxWait, promiseIntervals*promiseInterval/2)
-	first := int64((now+minReturnWait)/promiseInterval) + 1
-	last := max(first, int64((now+maxWait)/promiseInterval)-1)
-	first = min(last, first+int64(time.Duration(rank)*rankDelay/promiseInterval))
+	first, last := s.bounds(now, rank, maxWait)
 	capacity := s.drain * promiseInterval.Seconds() * returnShare
 	for n := first; n <= last; n++ {
 		if s.interval(n).total < s.quota(n, capacity) {
--- a/admitter/promise_test.go
+++ b/admitter/promise_test.go
@@ -139,8 +139,9 @@
 			}
 		}
 		early := false
+		asked := admitter.Asked{Fingerprint: uint64(k.id), Deadline: k.arrivedAt + k.timeout}
 		if c.refuseRepeats {
-			_, early = r.Remaining(e.at, "hints", uint64(k.id))
+			_, early = r.Remaining(e.at, "hints", asked)
 		}
 		if !early && float64(inFlight) < replaySlots*(1-0.06*place) {
 			inFlight++
@@ -157,10 +158,11 @@
 		wait := time.Duration((0.8 + 0.8*rnd.Float64()) * float64(time.Second))
 		if promised && !early {
 			wait = p.Promise(e.at, admitter.Refused{Service: "hints", Rank: k.rank, MaxWait: left / 3, Left: left, Draw: rnd.Float64()})
-			r.RecordRefused(e.at, "hints", uint64(k.id), wait)
+			r.RecordRefused(e.at, "hints", asked, wait)
 		}
 		if early {
-			wait, _ = r.Remaining(e.at, "hints", uint64(k.id))
+			wait = p.Spread(e.at, admitter.Refused{Service: "hints", Rank: k.rank, MaxWait: left / 3, Left: left, Draw: rnd.Float64()}, r.Latest(asked))
+			r.RecordRepeat(asked, e.at+wait)
 		}
 		switch {
 		case k.repeats > 0:
--- a/forwarder/returns.go
+++ b/forwarder/returns.go
@@ -18,26 +18,37 @@
 	case reason == admitter.ReasonRepeated:
 		return k.retryAfter
 	case reason == admitter.ReasonQueueFull && k.ranks() != nil:
-		wait := k.promisedWait()
-		k.repeats.RecordRefused(k.Now(), k.service.Name, k.fingerprint, min(wait, k.maxWait()))
+		wait := k.promisedWait(func(now time.Duration, r admitter.Refused) time.Duration {
+			k.Meter.Returns.WithLabelValues("promised").Inc()
+			return k.promises.Promise(now, r)
+		})
+		k.repeats.RecordRefused(k.Now(), k.service.Name, k.asked(), min(wait, k.maxWait()))
 		return wait
 	}
 	return max(k.retryAfter, minRetryAfter+time.Duration(rand.Float64()*float64(minRetryAfter)))
 }
 
-// promisedWait returns when a request that found no capacity is to return, and counts its return.
-// Where its caller does not wait for as long as others do, the wait is random.
-func (k *call) promisedWait() time.Duration {
+// promisedWait returns when a request that found no capacity is to return, as choose decides. Where its
+// caller does not wait for as long as others do, the wait is random.
+func (k *call) promisedWait(choose func(now time.Duration, r admitter.Refused) time.Duration) time.Duration {
 	now, maxWait := k.Now(), k.maxWait()
 	if maxWait < 2*minRetryAfter {
 		return minRetryAfter + time.Duration(rand.Float64()*float64(minRetryAfter))
 	}
-	k.Meter.Returns.WithLabelValues("promised").Inc()
-	return k.promises.Promise(now, admitter.Refused{
+	return choose(now, admitter.Refused{
 		Service: k.service.Name, Rank: k.rankPlace(), MaxWait: maxWait, Left: k.deadline - now, Draw: rand.Float64(),
 	})
 }
 
+// asked identifies the request among those of this caller and others.
+func (k *call) asked() admitter.Asked {
+	out := admitter.Asked{Fingerprint: k.fingerprint}
+	if left := parseNumber(k.r.Header.Get(k.Headers.DeadlineMs)); left > 0 {
+		out.Deadline = k.arrivedAt + time.Duration(left*float64(time.Millisecond))
+	}
+	return out
+}
+
 // maxWait returns for how long the caller waits at most before it returns.
 func (k *call) maxWait() time.Duration {
 	return time.Duration(float64(k.deadline-k.Now()) * maxWaitFraction)
@@ -50,16 +61,20 @@
 }
 
 // refuseRepeat refuses a request that this host asked to return later and that comes before its time,
-// and reports whether it did. It takes no retry from the budget.
+// and reports whether it did. It takes no retry from the budget. Callers with equal requests are asked to
+// return one after the other.
 func (k *call) refuseRepeat() bool {
 	if k.ranks() == nil {
 		return false
 	}
-	wait, ok := k.repeats.Remaining(k.Now(), k.service.Name, k.fingerprint)
-	if !ok {
+	asked := k.asked()
+	if _, early := k.repeats.Remaining(k.Now(), k.service.Name, asked); !early {
 		return false
 	}
-	k.retryAfter = wait
+	k.retryAfter = k.promisedWait(func(now time.Duration, r admitter.Refused) time.Duration {
+		return k.promises.Spread(now, r, k.repeats.Latest(asked))
+	})
+	k.repeats.RecordRepeat(asked, k.Now()+k.retryAfter)
 	return !k.refuse(admitter.ReasonRepeated, "asked to return later")
 }
 
