--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -29,11 +29,12 @@
 	jobs := app.Flag("jobs", "Number of seeds that run at a time.").Default("2").Int()
 	length := app.Flag("length", "Duration of fault injection.").Default("15s").Duration()
 	hosts := app.Flag("hosts", "Number of processes of the program.").Default("4").Int()
+	shares := app.Flag("workspace-shares", "Divide capacity by workspace: the hosts' setting workspaceShares.").Bool()
 	callers := app.Flag("callers", "Number of concurrent requests.").Default("32").Int()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	failed := runSeeds(*seeds, *jobs, func(n int) bool {
-		return ctx.Err() != nil || playSeed(ctx, &soaker.Run{Seed: *first + uint64(n), Length: *length, Hosts: *hosts, Callers: *callers, Binary: *binary, Earlier: *earlier}, *dir)
+		return ctx.Err() != nil || playSeed(ctx, &soaker.Run{Seed: *first + uint64(n), Length: *length, Hosts: *hosts, Callers: *callers, WorkspaceShares: *shares, Binary: *binary, Earlier: *earlier}, *dir)
 	})
 	if ctx.Err() != nil {
 		fmt.Println("ended early")
--- a/faker/backoff.go
+++ b/faker/backoff.go
@@ -63,7 +63,7 @@
 		from := host(&one)
 		if at, ok := told[from]; ok {
 			out[from] = max(out[from], one.At.Sub(at))
-		} else if one.ToldLeaving && from != "" {
+		} else if one.ToldLeaving && from != "" && s.IsDelivered(&one) {
 			told[from] = one.At
 		}
 	}
@@ -78,10 +78,12 @@
 	At       time.Time
 	Wait     time.Duration
 	Received int
+	// Requests lists their ids.
+	Requests []string
 }
 
 // BackoffViolations returns the waits in which a host sent more than two requests between half a
-// second after a rejection with Retry-After and the end of the wait. host returns the name of the
+// second after a rejection with Retry-After that reached it and the end of the wait. host returns the name of the
 // host that sent a request, or empty for requests that don't count.
 func (s *Stage) BackoffViolations(host func(one *ReceivedRequest) string) []BackoffViolation {
 	byHost := make(map[string][]ReceivedRequest)
@@ -95,14 +97,17 @@
 		slices.SortStableFunc(list, func(a, b ReceivedRequest) int { return a.At.Compare(b.At) })
 		for i := range list {
 			asked := &list[i]
-			n := 0
+			if asked.Backoff == 0 || !s.IsDelivered(asked) {
+				continue
+			}
+			var ids []string
 			for _, later := range list[i+1:] {
 				if wait := later.At.Sub(asked.At); wait >= backoffGrace && wait < asked.Backoff {
-					n++
+					ids = append(ids, later.RequestID)
 				}
 			}
-			if n > maxDuringBackoff {
-				out = append(out, BackoffViolation{from, asked.At, asked.Backoff, n})
+			if len(ids) > maxDuringBackoff {
+				out = append(out, BackoffViolation{from, asked.At, asked.Backoff, len(ids), ids})
 			}
 		}
 	}
--- a/faker/limit.go
+++ b/faker/limit.go
@@ -12,8 +12,8 @@
 	// limitWindow is the length of the sliding window in which requests are counted.
 	limitWindow = 4 * time.Second
 	// limitGrace is the time after a limit is first announced in which no violation is reported.
-	// informedGrace is the time after a host's first request under a limit, whose response
-	// announces it, in which its requests are not counted.
+	// informedGrace is the time after a host's first request under a limit whose response
+	// reached it and announces it, in which its requests are not counted.
 	limitGrace    = 3 * time.Second
 	informedGrace = 500 * time.Millisecond
 	// A window may hold limitFactor times the requests of the limit, plus limitSlack.
@@ -87,6 +87,9 @@
 			continue
 		}
 		if informed[from].Before(since) {
+			if !s.IsDelivered(&seen[i]) {
+				continue
+			}
 			informed[from] = at
 		}
 		if at.Before(informed[from].Add(informedGrace)) {
--- a/faker/stage.go
+++ b/faker/stage.go
@@ -51,6 +51,8 @@
 	// Slots is how many requests it executes at once; it refuses further ones as not executed. 0
 	// means any number.
 	Slots int
+	// Delivered reports whether the response to a request reached its sender whole; nil means always.
+	Delivered func(one *ReceivedRequest) bool
 	// Crash is called in its own goroutine for a request whose body contains Poison; nil means
 	// that the request is answered normally.
 	Crash func()
@@ -113,6 +115,9 @@
 	s.received = append(s.received, one)
 }
 
+// IsDelivered reports whether the response to a request reached its sender.
+func (s *Stage) IsDelivered(one *ReceivedRequest) bool { return s.Delivered == nil || s.Delivered(one) }
+
 // Runs returns how often a request with an id was executed.
 func (s *Stage) Runs(id string) int {
 	n := 0
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -290,7 +290,7 @@
 		breaks := u.stage.BackoffViolations(h.connectedSender(cl, hosts))
 		if len(breaks) > 0 {
 			b := slices.MaxFunc(breaks, func(a, b faker.BackoffViolation) int { return cmp.Compare(a.Received, b.Received) })
-			report("upstream %s got %d requests from %s in the %v that it had asked for, want at most 2", u.ID, b.Received, b.Host, b.Wait)
+			report("upstream %s got %d requests from %s in the %v that it had asked for, want at most 2: %s", u.ID, b.Received, b.Host, b.Wait, strings.Join(b.Requests, " "))
 		}
 	}
 }
@@ -327,7 +327,7 @@
 			switch {
 			case told && c.sent.After(at.Add(leaveTimeout)):
 				report("upstream %s got request %s from host %d, sent %v after a response had told that it leaves", u.ID, c.id, c.host, c.sent.Sub(at))
-			case !told && s.ToldLeaving && c.ended.After(s.At):
+			case !told && s.ToldLeaving && c.ended.After(s.At) && u.stage.IsDelivered(&s):
 				// The host has the response at the latest when the caller has its own.
 				toldAt[c.host] = c.ended
 			}
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -41,6 +42,16 @@
 	mode     Mode
 	// conns holds the open connections, those of clients and those to Target.
 	conns map[net.Conn]bool
+	// passages holds what passed over the connections to Target, by their local address, the oldest first.
+	passages map[string][]*passage
+}
+
+// passage records what passed to a client over a connection to Target. Proxy.mu guards it.
+type passage struct {
+	openedAt time.Time
+	// passedAt is when data of the server last passed, before the first that was dropped.
+	passedAt time.Time
+	dropped  bool
 }
 
 // Start listens on an address, accepts connections until Close, and returns the address.
@@ -50,7 +61,7 @@
 		return "", err
 	}
 	p.listener = l
-	p.conns = make(map[net.Conn]bool)
+	p.conns, p.passages = make(map[net.Conn]bool), make(map[string][]*passage)
 	go p.accept()
 	return l.Addr().String(), nil
 }
@@ -111,17 +122,20 @@
 		reset(client)
 		return
 	}
+	opened := time.Now()
 	server, err := new(net.Dialer).DialContext(context.Background(), "tcp", p.Target)
 	if err != nil {
 		reset(client)
 		return
 	}
+	seen := &passage{openedAt: opened}
 	p.mu.Lock()
 	p.conns[client], p.conns[server] = true, true
+	p.passages[server.LocalAddr().String()] = append(p.passages[server.LocalAddr().String()], seen)
 	p.mu.Unlock()
 	done := make(chan struct{}, 2)
-	go p.forward(server, client, false, done)
-	go p.forward(client, server, true, done)
+	go p.forward(server, client, nil, done)
+	go p.forward(client, server, seen, done)
 	<-done
 	<-done
 	p.mu.Lock()
@@ -132,22 +146,51 @@
 	server.Close()
 }
 
-// forward forwards one direction, that of responses if fromServer is set, and signals done at its
+// Delivered reports whether the response to a request that the server received at a time, over the connection from an
+// address, passed to the client whole. It is meant for short responses, which are written at once.
+func (p *Proxy) Delivered(from string, at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, one := range slices.Backward(p.passages[from]) {
+		if !one.openedAt.After(at) {
+			return !one.passedAt.Before(at)
+		}
+	}
+	return false
+}
+
+// record records whether data of the server passed to the client.
+func (p *Proxy) record(seen *passage, passed bool) {
+	if seen == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if seen.dropped = seen.dropped || !passed; !seen.dropped {
+		seen.passedAt = time.Now()
+	}
+}
+
+// forward forwards one direction, that of responses if seen is set, and signals done at its
 // end. The end of one direction closes the other connection as a whole, as HTTP has no half-closed
 // connections.
-func (p *Proxy) forward(to, from net.Conn, fromServer bool, done chan<- struct{}) {
+func (p *Proxy) forward(to, from net.Conn, seen *passage, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		if n > 0 && !p.hasMode(ModeSilent) && (!fromServer || !p.hasMode(ModeOneWay)) {
-			if p.hasMode(ModeSlow) {
+		if n > 0 {
+			passes := !p.hasMode(ModeSilent) && (seen == nil || !p.hasMode(ModeOneWay))
+			if passes && p.hasMode(ModeSlow) {
 				time.Sleep(slowDelay)
 			}
-			if _, err := to.Write(buf[:n]); err != nil {
-				reset(from)
-				return
+			if passes {
+				if _, err := to.Write(buf[:n]); err != nil {
+					reset(from)
+					return
+				}
 			}
+			p.record(seen, passes)
 		}
 		if errors.Is(err, io.EOF) {
 			to.Close()
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -24,6 +24,8 @@
 	Length time.Duration
 	// Hosts is the number of processes of the program, Callers that of concurrent requests.
 	Hosts, Callers int
+	// WorkspaceShares is the hosts' setting of that name.
+	WorkspaceShares bool
 	// Binary is the path of the program, Dir the directory for settings and logs.
 	Binary, Dir string
 	// Earlier is the path of an earlier version of the program; empty if all hosts run Binary. Every
@@ -71,7 +73,7 @@
 // when it returns. An error means that the cluster could not be started.
 func (r *Run) Execute(ctx context.Context) (*Report, error) {
 	var err error
-	if r.cluster, err = newCluster(r.Dir, r.binaries(), r.Hosts, r.Seed); err != nil {
+	if r.cluster, err = newCluster(r.Dir, r.binaries(), r.Hosts, r.Seed, r.WorkspaceShares); err != nil {
 		return nil, err
 	}
 	defer r.cluster.close()
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -62,6 +62,8 @@
 	store     *platform.FakeServer
 	server    *http.Server
 
+	// workspaceShares is the hosts' setting of that name.
+	workspaceShares bool
 	// nextPort is the next port to try to listen on.
 	nextPort int
 
@@ -147,8 +149,8 @@
 }
 
 // newCluster starts the store and the upstreams, and prepares the hosts, which start starts.
-func newCluster(dir string, binaries []string, hosts int, seed uint64) (*cluster, error) {
-	c := &cluster{dir: dir, binaries: binaries, store: new(platform.FakeServer), nextPort: firstPort + int(seed%portBlocks)*portsPerRun}
+func newCluster(dir string, binaries []string, hosts int, seed uint64, workspaceShares bool) (*cluster, error) {
+	c := &cluster{dir: dir, binaries: binaries, workspaceShares: workspaceShares, store: new(platform.FakeServer), nextPort: firstPort + int(seed%portBlocks)*portsPerRun}
 	all := make([]string, keyCount)
 	for n := range all {
 		all[n] = keyName(n)
@@ -205,6 +207,7 @@
 		listenAddress: c.freeAddress(),
 	}
 	u.link = &Proxy{Target: u.listenAddress}
+	u.stage.Delivered = func(one *faker.ReceivedRequest) bool { return u.link.Delivered(one.From, one.At) }
 	address, err := u.link.Start(c.freeAddress())
 	if err != nil {
 		return err
@@ -251,9 +254,9 @@
 	}
 	h.settings = filepath.Join(c.dir, h.name+".jsonc")
 	text := fmt.Sprintf(`{"host": %q, "dataCentre": %q, "callers": %q, "ready": %q, "peer": %q, "admin": %q, "platform": %q,
-		"retryRatio": %g, "retryFixed": %g, "retryWindowS": %g, "revokeMs": %d}`,
+		"retryRatio": %g, "retryFixed": %g, "retryWindowS": %g, "revokeMs": %d, "workspaceShares": %t}`,
 		h.name, dataCentre, h.callersAddress, h.readyAddress, c.freeAddress(), c.freeAddress(), link,
-		retryRule.Ratio, retryRule.Fixed, retryRule.Length.Seconds(), revokeTimeout.Milliseconds())
+		retryRule.Ratio, retryRule.Fixed, retryRule.Length.Seconds(), revokeTimeout.Milliseconds(), c.workspaceShares)
 	c.hosts = append(c.hosts, h)
 	return os.WriteFile(h.settings, []byte(text), 0o600)
 }
