--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -182,9 +182,6 @@
 	if k.headerSent {
 		k.abortStream(len(tried))
 	}
-	if k.runs > 0 {
-		return k.refuse(admitter.ReasonUpstream, "no other host took the request")
-	}
 	return k.refuse(admitter.ReasonCutOff, "no upstream accepts connections from this host, tried hosts "+strings.Join(tried, ","))
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -385,7 +385,7 @@
 		return nil
 	}
 	if k.isUnservable() {
-		k.refuseUnservable()
+		k.refuse(admitter.ReasonCutOff, "no upstream accepts connections from this host, nor from others")
 		return nil
 	}
 	n.Service = k.service.Name
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -37,6 +37,10 @@
 func (k *call) refuse(reason admitter.Reason, detail string) bool {
 	code := httpStatus(reason)
 	k.recordLack(reason)
+	if code == http.StatusServiceUnavailable && k.runs > 0 {
+		// That status promises that the request has not run.
+		reason, code = admitter.ReasonUpstream, http.StatusBadGateway
+	}
 	h := k.w.Header()
 	var wait time.Duration
 	if code == http.StatusServiceUnavailable {
@@ -69,15 +73,6 @@
 	return false
 }
 
-// refuseUnservable refuses a request that neither this host nor another one can serve.
-func (k *call) refuseUnservable() {
-	if k.runs > 0 {
-		k.refuse(admitter.ReasonUpstream, "no upstream accepts connections any more")
-		return
-	}
-	k.refuse(admitter.ReasonCutOff, "no upstream accepts connections from this host, nor from others")
-}
-
 // refuseNoUpstream refuses a request for which the balancer found no upstream.
 func (k *call) refuseNoUpstream(reason balancer.Reason) {
 	switch {
