--- a/faker/backoff_test.go
+++ b/faker/backoff_test.go
@@ -12,7 +12,9 @@
 // TestBackoffViolations guards against a check that counts requests of a host which was never asked for a backoff,
 // or that misses those of one that was.
 func TestBackoffViolations(t *testing.T) {
-	at := func(ms int) time.Time { return time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC).Add(time.Duration(ms) * time.Millisecond) }
+	at := func(ms int) time.Time {
+		return time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC).Add(time.Duration(ms) * time.Millisecond)
+	}
 	for name, tc := range map[string]struct {
 		// lost counts the first rejections that are lost on the way.
 		lost, want int
--- a/gossiper/demand.go
+++ b/gossiper/demand.go
@@ -6,10 +6,15 @@
 	"github.com/sardineward/sardineward/peer"
 )
 
-// leakPerUpdate is the fraction by which each call of set moves an average back towards the
-// host's own demand. When a host dies, its share of the sum is lost, and a lost response changes
-// only one side of a pair; without the leak such errors would never decay.
-const leakPerUpdate = 0.02
+const (
+	// calmLeak is the fraction by which each call of set moves an average back towards the host's own
+	// demand. A lost response changes only one side of a pair; without the leak such errors would never
+	// decay. Between two exchanges it moves the estimates of hosts apart.
+	calmLeak = 0.01
+	// lossLeak takes its place for lossUpdates calls after a host is gone, whose share of the sum is lost.
+	lossLeak    = 0.02
+	lossUpdates = 150
+)
 
 // demandTable estimates the mean demand of each workspace over all hosts by pairwise averaging:
 // in an exchange both sides move to the mean of their estimates. A host adds changes of its own
@@ -20,6 +25,15 @@
 	list uint32
 	// own is this host's demand and average its estimate of the mean, in requests per second.
 	own, average []float32
+	// lossUpdatesLeft is the number of further calls of set in which lossLeak holds.
+	lossUpdatesLeft int
+}
+
+// recordLoss records that a host is gone.
+func (t *demandTable) recordLoss() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lossUpdatesLeft = lossUpdates
 }
 
 // set updates this host's demand. For another list than before the estimates start anew.
@@ -32,9 +46,14 @@
 		t.average = append([]float32(nil), own...)
 		return
 	}
+	leak := float32(calmLeak)
+	if t.lossUpdatesLeft > 0 {
+		t.lossUpdatesLeft--
+		leak = lossLeak
+	}
 	for i, d := range own {
 		t.average[i] += d - t.own[i]
-		t.average[i] += leakPerUpdate * (d - t.average[i])
+		t.average[i] += leak * (d - t.average[i])
 		t.own[i] = d
 	}
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -371,8 +371,12 @@
 		}
 		g.liveCache = nil
 		delete(g.suspectedAt, it.Key)
-		if StateOf(it) == HostSuspect {
+		switch StateOf(it) {
+		case HostSuspect:
 			g.suspectedAt[it.Key] = time.Now()
+		case HostDead, HostLeaving:
+			g.demand.recordLoss()
+		default:
 		}
 	}
 	g.mu.Unlock()
--- a/gossiper/scale_test.go
+++ b/gossiper/scale_test.go
@@ -292,6 +292,30 @@
 	})
 }
 
+// TestDemandOfLostHosts guards against estimates that keep the demand of hosts which are gone for long.
+func TestDemandOfLostHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n, lost = 16, 2
+		m := newMesh(n)
+		stop := m.start()
+		defer stop()
+		m.awaitAll(t, time.Minute, m.seesHosts(n))
+		for second := range 200 {
+			for i, g := range m.list {
+				g.SetDemand(7, []float32{float32(100 * max(0, 4-i))})
+			}
+			if second == 30 {
+				for _, g := range m.list[:lost] { // 700 of 1,000
+					m.takeDown(g.Self)
+				}
+			}
+			time.Sleep(period)
+		}
+		m.list = m.list[lost:]
+		assertMean(t, m, 300.0/(n-lost))
+	})
+}
+
 func assertMean(t *testing.T, m *mesh, want float32) {
 	t.Helper()
 	for _, g := range m.list {
