--- a/balancer/cutoff.go
+++ b/balancer/cutoff.go
@@ -57,9 +57,6 @@
 	Upstreams, Dead, DeadElsewhere int
 }
 
-// OnlyOthers reports whether other hosts reach the service and this one does not.
-func (r ServiceReach) OnlyOthers() bool { return r.Others && !r.Own }
-
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (r ServiceReach) MarshalZerologObject(e *zerolog.Event) {
 	e.Int("reachingHosts", r.Hosts).Int("upstreams", r.Upstreams).Int("dead", r.Dead).Int("deadElsewhere", r.DeadElsewhere)
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -21,10 +21,14 @@
 	minFailuresPerUpstream = 3
 	// minDuration is how long the failures must have lasted: longer than a burst of lost packets.
 	minDuration = 150 * time.Millisecond
-	// minAccepted is how many connections in a row must succeed until the upstreams count as back, and
-	// probation for how long: a link that comes and goes each second loses what is sent as it goes.
+	// minAccepted is how many connections in a row must succeed until the probation begins after which the
+	// upstreams count as back: a link that comes and goes each second loses what is sent as it goes.
 	minAccepted = 3
 	probation   = 1500 * time.Millisecond
+	// maxFailuresInProbation is how many connections in a row may fail in the probation, and
+	// maxFailuresPerUpstream takes its place where there are few upstreams. Some upstreams may be down.
+	maxFailuresInProbation = 5
+	maxFailuresPerUpstream = 1
 	// streakMemory is how long failures count that no other connection followed.
 	streakMemory = 3 * time.Second
 )
@@ -47,9 +51,11 @@
 	lastEvent time.Duration
 	// lostAt is when the upstreams were lost; 0 while they are not.
 	lostAt time.Duration
-	// accepted counts the successful connections in a row since the last failure, the first at acceptedAt.
-	accepted   int
-	acceptedAt time.Duration
+	// accepted counts the successful connections in a row, failedInRow those that failed since the last of
+	// them.
+	accepted, failedInRow int
+	// returningAt is when the probation began; 0 outside of it.
+	returningAt time.Duration
 }
 
 // State is what a Detector knows.
@@ -86,11 +92,12 @@
 func (d *Detector) RecordAccept(now time.Duration) (back bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.accepted == 0 {
-		d.acceptedAt = now
-	}
 	d.accepted++
-	if d.lostAt > 0 && (!d.isReturning() || now-d.acceptedAt < probation) {
+	d.failedInRow = 0
+	if d.lostAt > 0 && d.returningAt == 0 && d.accepted >= min(minAccepted, d.upstreams()) {
+		d.returningAt = now
+	}
+	if d.lostAt > 0 && (d.returningAt == 0 || now-d.returningAt < probation) {
 		return false
 	}
 	back = d.lostAt > 0
@@ -113,6 +120,10 @@
 		d.failed = make(map[string]int)
 	}
 	d.accepted = 0
+	d.failedInRow++
+	if d.failedInRow > min(maxFailuresInProbation, maxFailuresPerUpstream*d.upstreams()) {
+		d.returningAt = 0
+	}
 	d.failures++
 	d.failed[address]++
 	d.lastAt = now
@@ -153,12 +164,7 @@
 
 // forget drops the failures in a row. d.mu is held.
 func (d *Detector) forget() {
-	d.failed, d.failures, d.refused, d.accepted = nil, 0, false, 0
-}
-
-// isReturning reports whether enough upstreams in a row have accepted connections. d.mu is held.
-func (d *Detector) isReturning() bool {
-	return d.lostAt > 0 && d.accepted >= min(minAccepted, d.upstreams())
+	d.failed, d.failures, d.refused, d.accepted, d.failedInRow, d.returningAt = nil, 0, false, 0, 0, 0
 }
 
 // State returns what is known now.
@@ -168,7 +174,7 @@
 	if d.lostAt == 0 && d.failures > 0 && now-d.lastAt > streakMemory {
 		d.forget()
 	}
-	out := State{Lost: d.lostAt > 0, Since: d.lostAt, Returning: d.isReturning(), Failures: d.failures, Upstreams: len(d.failed), Refused: d.refused, Silence: now - d.lastEvent}
+	out := State{Lost: d.lostAt > 0, Since: d.lostAt, Returning: d.returningAt > 0, Failures: d.failures, Upstreams: len(d.failed), Refused: d.refused, Silence: now - d.lastEvent}
 	if d.failures > 0 {
 		out.StreakAge = now - d.firstAt
 	}
