--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -229,6 +229,9 @@
 		return
 	}
 	k.fingerprint = fingerprintOf(k)
+	if k.route.Kind == matcher.KindStreaming {
+		k.lastEventID = parseEventID(r.Header.Get("Last-Event-Id"))
+	}
 	ctl := http.NewResponseController(w)
 	left := k.deadline - f.Now()
 	ctl.SetWriteDeadline(time.Now().Add(left + writeGrace))
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -82,7 +82,6 @@
 // serveStream serves a streaming request, over further attempts where one is interrupted.
 func (k *call) serveStream(ctx context.Context) {
 	limits := k.StreamLimiters(k.service.Name)
-	k.lastEventID = parseEventID(k.r.Header.Get("Last-Event-Id"))
 	k.updateKeepFree()
 	resumptions := 0
 	for {
