--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -96,9 +96,11 @@
 	if h.DataCentre != d.DataCentre {
 		out += remoteCost
 	}
-	// A host that did not serve goes on so more often than not.
-	excluded := until(d.excluded, h.Name, service)
-	if until(d.suspectUntil, h.DataCentre, service) > now || (excluded > 0 && now < excluded+exclusionMemory) {
+	if until(d.suspectUntil, h.DataCentre, service) > now {
+		out += suspectCost
+	}
+	// A host that did not serve goes on so more often than not, also where others of all data centres did not.
+	if excluded := until(d.excluded, h.Name, service); excluded > 0 && now < excluded+exclusionMemory {
 		out += suspectCost
 	}
 	return out
--- a/delegator/signs_test.go
+++ b/delegator/signs_test.go
@@ -59,3 +59,20 @@
 	h, _ = d.Choose(3e9, "desk", nil) // it is chosen last for a while
 	is.True(h != hosts[0])
 }
+
+// TestExcludedLast guards against a host that is asked again before others which may serve, since hosts of all data
+// centres did not serve lately.
+func TestExcludedLast(t *testing.T) {
+	is := is.New(t)
+	d, hosts := newDelegator(3)
+	for n := 0; n < len(hosts); n += 3 { // in each data centre
+		d.Exclude(hosts[n], "desk", 2e9)
+		d.Exclude(hosts[n+1], "desk", 4e9)
+	}
+	for range 20 {
+		h, ok := d.Choose(3e9, "desk", nil)
+		is.True(ok)
+		is.True(h == hosts[2] || h == hosts[5] || h == hosts[8])
+		d.Release(h)
+	}
+}
