--- a/admitter/fleet_window_test.go
+++ b/admitter/fleet_window_test.go
@@ -23,7 +23,7 @@
 // budgetHost is one host of a simulated fleet.
 type budgetHost struct {
 	budget *admitter.WindowRetryBudget
-	// downUntil is when its process runs again, frozenUntil when it goes on.
+	// downUntil is when its process is restarted, frozenUntil when it is resumed.
 	downUntil, frozenUntil time.Duration
 	// lists is how many hosts it sees until listsUntil; 0 is all that run.
 	lists      int
--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -22,8 +22,8 @@
 	suspectCost = 4 * remoteCost
 	// exclusionMemory is how long after its exclusion a host is chosen last.
 	exclusionMemory = 10 * time.Second
-	// unservedTime is how long no host is asked to serve a service that all who were asked refused. Hosts that use
-	// none of its upstreams never report them dead.
+	// unservedTime is how long no host is asked to serve a service after all that were asked refused. Hosts that use
+	// none of its upstreams do not report them dead.
 	unservedTime = 500 * time.Millisecond
 	// maxExclusions bounds what is kept of hosts and services.
 	maxExclusions = 4096
@@ -48,11 +48,12 @@
 	// inFlight counts the requests that each host serves for this one, all of them in total.
 	inFlight map[string]int
 	total    int
-	// excluded is until when a host is not chosen, as it did not answer or could not serve.
+	// excluded is the end of the time in which a host is not chosen, since it did not answer or refused.
 	excluded map[target]time.Duration
-	// suspectUntil is until when the hosts of a data centre are chosen last.
+	// suspectUntil is the end of the time in which the hosts of a data centre are chosen last.
 	suspectUntil map[target]time.Duration
-	// unservedUntil is until when no host is asked to serve a service, as all that were refused.
+	// unservedUntil is the end of the time in which no host is asked to serve a service, since all that were asked
+	// refused.
 	unservedUntil map[string]time.Duration
 	// taken counts the requests that this host serves for others.
 	taken int
@@ -99,7 +100,8 @@
 	if until(d.suspectUntil, h.DataCentre, service) > now {
 		out += suspectCost
 	}
-	// A host that did not serve goes on so more often than not, also where others of all data centres did not.
+	// This adds to the cost of the data centre: otherwise hosts that refused cost the same as the others where
+	// every data centre has one of them.
 	if excluded := until(d.excluded, h.Name, service); excluded > 0 && now < excluded+exclusionMemory {
 		out += suspectCost
 	}
@@ -116,8 +118,8 @@
 	}
 }
 
-// Exclude records that a host did not serve a request of a service, or any request where service is empty. It is
-// not chosen until a time, and the others of its data centre are chosen last until then.
+// Exclude records that a host did not serve a request of a service, or any request where service is empty. Until
+// the given time it is not chosen, and the other hosts of its data centre are chosen last.
 func (d *Delegator) Exclude(h Host, service string, until time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/delegator/signs.go
+++ b/delegator/signs.go
@@ -1,7 +1,7 @@
 package delegator
 
-// minFailedDials is the number of failed dials after which a request is delegated although its host does not know yet
-// that it is cut off.
+// minFailedDials is the number of failed dials after which a request is delegated before its host has found that it is
+// cut off.
 const minFailedDials = 2
 
 // Signs is what a host knows as it decides whether another one is to serve a request.
--- a/gossiper/state.go
+++ b/gossiper/state.go
@@ -304,7 +304,7 @@
 	return int(xxhash.Sum64String(k.key)>>7) % digestBuckets
 }
 
-// hashItem hashes the fields by which items of a key are told apart.
+// hashItem hashes the fields in which items with the same key differ.
 func hashItem(it *peer.Item) uint32 {
 	var b []byte
 	b = strconv.AppendInt(b, int64(it.Kind), 10)
--- a/launcher/cutend_test.go
+++ b/launcher/cutend_test.go
@@ -136,8 +136,8 @@
 	}
 }
 
-// TestDelegatedStreamGoesOnHere guards against a stream that begins anew since the host which serves it for another one
-// is lost, and the other one goes on with it.
+// TestDelegatedStreamGoesOnHere guards against a stream that restarts at its first event when the host that serves it for
+// another one is lost and the other one resumes it.
 func TestDelegatedStreamGoesOnHere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/runner/random_test.go
+++ b/runner/random_test.go
@@ -20,10 +20,8 @@
 	from    = flag.Int("from", 1, "first seed")
 )
 
-// TestRandom injects random faults, also several at once, under a load of generations and
-// bookings, and checks every answer. Violated invariants of the hosts fail it too. Longer run:
-//
-//	go test ./runner -run TestRandom -seeds 100 -minutes 15 -timeout 60m
+// TestRandom injects random and overlapping faults under a load of generations and bookings, and checks every answer
+// and the hosts' invariants.
 func TestRandom(t *testing.T) {
 	for i := range *seeds {
 		seed := uint64(*from + i)
