--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -330,10 +330,11 @@
 // logDelegation logs what became of a request at another host.
 func (k *call) logDelegation(h delegator.Host, outcome string, err error) {
 	now := k.Now()
-	state, reach := k.Detector.State(now), k.Balancer.ReachOfOthers(now)
-	event := k.Log.Info().Str("requestId", k.id).Str("host", h.Name).Err(err).Int("reachingHosts", reach.Hosts).Dur("left", k.deadline-now)
+	state := k.Detector.State(now)
+	event := k.Log.Info().Str("requestId", k.id).Str("host", h.Name).Err(err).Str("service", k.service.Name).
+		EmbedObject(k.Balancer.ReachOfService(now, k.service.Name)).Dur("left", k.deadline-now)
 	if state.Lost {
-		event.Dur("cutOff", now-state.Since)
+		event.Dur("cutOff", now-state.Since).Bool("onProbation", state.Returning)
 	}
 	event.Msg("forwarder: delegated: " + outcome)
 }
--- a/forwarder/lost.go
+++ b/forwarder/lost.go
@@ -26,9 +26,13 @@
 	now := f.Now()
 	if err == nil {
 		before := f.Detector.State(now)
-		if f.Detector.RecordAccept(now) {
+		back := f.Detector.RecordAccept(now)
+		switch {
+		case back:
 			f.Balancer.SetCutOff(false)
 			f.Log.Warn().Dur("lasted", now-before.Since).Msg("forwarder: upstreams accept connections again")
+		case !before.Returning && f.Detector.State(now).Returning:
+			f.Log.Info().Str("address", address).Dur("lasted", now-before.Since).Msg("forwarder: upstreams accept connections again, on probation")
 		}
 		return
 	}
--- a/launcher/metrics.go
+++ b/launcher/metrics.go
@@ -28,7 +28,7 @@
 	m.GaugeFunc("requests_in_flight", "Requests being answered.", func() float64 { return float64(h.forwarder.InFlight()) })
 	m.GaugeFunc("upstreams_lost_seconds", "Time since no upstream accepts connections from this host; 0 while any does.", func() float64 {
 		s := h.forwarder.Detector.State(h.Now())
-		if !s.Lost {
+		if !s.Lost || s.Returning {
 			return 0
 		}
 		return (h.Now() - s.Since).Seconds()
