forwarder: log what requests in flight at a crash consist of, count strikes

The hypotheses on requests that share a crashing part of their prompts can't be told apart by the logs: a line on a request in flight at a crash named the request and the upstream, but neither its route, workspace, fingerprint and prompt parts nor the upstream's incarnation, nor how many strikes count against it. Now it does, cut at 256 bytes of parts, and strikes_total counts the lines.

--- a/forwarder/headers.go
+++ b/forwarder/headers.go
@@ -38,6 +38,9 @@
 	// Tokens holds the number of tokens in the prompt and the maximum in the answer, separated
 	// by a comma.
 	Tokens string
+	// Parts lists the parts of the prompt in order as ID:TOKENS, separated by commas. The last one is
+	// the request's own, or that of its session.
+	Parts string
 	// Length is the caller's estimate of the number of tokens in the answer.
 	Length string
 	// Urgency and Version are set by hosts only; a caller's values are removed.
@@ -58,6 +61,7 @@
 	Limit:      "Upstream-Limit",
 	Leaving:    "Upstream-Leaving",
 	Tokens:     "Token-Counts",
+	Parts:      "Prompt-Parts",
 	Length:     "Length-Hint",
 	Urgency:    "Urgency",
 	Version:    "Expect-Version",
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,15 +52,43 @@
 		k.Log.Warn().Str("requestId", k.id).Str("upstream", h.ID).Str("address", h.Address).Err(err).Msg("forwarder: upstream crashed")
 	}
 	k.Balancer.MarkStopped(h.ID)
-	k.addStrike(k.id, k.fingerprint, h)
+	k.addStrike(k.id, k.suspect(), h)
+}
+
+// maxLoggedParts bounds the bytes of a list of prompt parts in the log.
+const maxLoggedParts = 256
+
+// suspect is what the crash of an upstream is held against where a request was in flight.
+type suspect struct {
+	fingerprint uint64
+	// route and workspace are the names of the request's; workspace is empty where it needs no key.
+	route, workspace string
+	// parts is the value of the header Parts.
+	parts string
+}
+
+func (k *call) suspect() suspect {
+	s := suspect{fingerprint: k.fingerprint, parts: k.r.Header.Get(k.Headers.Parts)}
+	if k.route != nil {
+		s.route = k.route.Name
+	}
+	if k.workspace != nil {
+		s.workspace = k.workspace.Name
+	}
+	return s
 }
 
 // addStrike records the crash of an upstream against a request in flight that got no event yet. A
 // stream with events has already run at that upstream without crashing it.
-func (f *Forwarder) addStrike(requestID string, fingerprint uint64, h balancer.Hop) {
-	f.Suspects.Add(tracker.NewStrike(time.Now(), fingerprint, h.ID, f.Balancer.StartedAt(h.ID)))
-	f.strikes.add(f.Now(), fingerprint)
-	f.Log.Info().Str("requestId", requestID).Str("upstream", h.ID).Str("address", h.Address).Msg("forwarder: in flight at a crash")
+func (f *Forwarder) addStrike(requestID string, s suspect, h balancer.Hop) {
+	now, startedAt := time.Now(), f.Balancer.StartedAt(h.ID)
+	f.Suspects.Add(tracker.NewStrike(now, s.fingerprint, h.ID, startedAt))
+	f.strikes.add(f.Now(), s.fingerprint)
+	f.Meter.Strikes.Inc()
+	f.Log.Info().Str("requestId", requestID).Str("upstream", h.ID).Str("address", h.Address).Int64("startedAt", startedAt).
+		Str("route", s.route).Str("workspace", s.workspace).Str("fingerprint", strconv.FormatUint(s.fingerprint, 16)).
+		Str("parts", s.parts[:min(len(s.parts), maxLoggedParts)]).Int("strikes", len(f.Suspects.Active(now, s.fingerprint))).
+		Msg("forwarder: in flight at a crash")
 }
 
 // clearStrikes removes the strikes against a request that was served.
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -301,7 +301,7 @@
 	f.Log.Warn().Str("upstream", h.ID).Str("address", h.Address).Int("streams", len(streams)).Msg("forwarder: silent upstream out")
 	for _, a := range streams {
 		if !isTimeout(dialErr) && !a.begun.Load() {
-			f.addStrike(a.id, a.fingerprint, h)
+			f.addStrike(a.id, a.suspect, h)
 		}
 		go f.reroute(ctx, a, h)
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -32,10 +32,10 @@
 
 // attempt is one try to run a stream over a path.
 type attempt struct {
-	// id and fingerprint identify the request.
-	id          string
-	fingerprint uint64
-	lease       *balancer.Lease
+	// id is the id of the request, suspect what a crash is held against.
+	id      string
+	suspect suspect
+	lease   *balancer.Lease
 	// begun is set with the first event.
 	begun atomic.Bool
 	// lastEvent is when the last event arrived, or when the request was sent, as nanoseconds of
@@ -243,7 +243,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a := &attempt{
-		id: k.id, fingerprint: k.fingerprint, lease: l, sentAt: k.Now(), cancel: cancel,
+		id: k.id, suspect: k.suspect(), lease: l, sentAt: k.Now(), cancel: cancel,
 		takeRetry: k.takeResumeRetry, mayMove: k.allowedFirsts(l.First.ID) == nil,
 	}
 	a.lastEvent.Store(int64(a.sentAt))
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -25,6 +25,8 @@
 	// tokens, with one sample for each generation: the mean gap, or the longest gap on a host that
 	// forwards by a route table. Both are in seconds.
 	FirstToken, TokenGap prometheus.Histogram
+	// Strikes counts requests in flight at the crash of an upstream, once for each crash.
+	Strikes prometheus.Counter
 	// Rejections counts upstreams' responses that reject a request without running it, by status
 	// and by whether they name a Retry-After.
 	Rejections *prometheus.CounterVec
@@ -71,6 +73,9 @@
 		ShareRefusals: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "share_refusals_total", Help: "Requests refused since their workspace exceeded its share in a shortage.",
 		}),
+		Strikes: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "strikes_total", Help: "Requests in flight at the crash of an upstream, once for each crash.",
+		}),
 		LimitsUnreadable: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "limits_unreadable_total", Help: "Answers that named a limit which can't be read.",
 		}),
@@ -90,7 +95,7 @@
 	for _, step := range []string{"promised", "kept", "excess"} {
 		m.Returns.WithLabelValues(step)
 	}
-	m.Registry.MustRegister(m.Refusals, m.RankRefusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.PathRejections, m.Returns, m.ShareRefusals, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ConnectionsOpened, m.Delegations, m.RetriesUsed, m.RetriesAvailable, m.ThroughputBound)
+	m.Registry.MustRegister(m.Refusals, m.RankRefusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.PathRejections, m.Returns, m.ShareRefusals, m.Strikes, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ConnectionsOpened, m.Delegations, m.RetriesUsed, m.RetriesAvailable, m.ThroughputBound)
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
