--- a/faker/stage.go
+++ b/faker/stage.go
@@ -53,8 +53,8 @@
 	Slots int
 	// Delivered reports whether the response to a request reached its sender whole; nil means always.
 	Delivered func(one *ReceivedRequest) bool
-	// Crash is called in its own goroutine for a request whose body contains Poison; nil means
-	// that the request is answered normally.
+	// Crash is called in its own goroutine for a request whose body contains Poison, or as the answer to one
+	// whose prompt has the part CrashingPart begins; nil means that the request is answered normally.
 	Crash func()
 
 	mu      sync.Mutex
@@ -62,6 +62,7 @@
 	backoff backoff
 	// leaving is the value of the header Leaving; empty means no header.
 	leaving   string
+	crashes   []time.Time
 	faults    []StageFault
 	received  []ReceivedRequest
 	abandoned int
@@ -136,6 +137,37 @@
 	return s.abandoned
 }
 
+// CrashingPart is the id of a part of prompts that crashes each Stage that begins an answer to it.
+const CrashingPart = "dead"
+
+// Crashes returns the times of the crashes by requests.
+func (s *Stage) Crashes() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.crashes...)
+}
+
+// crash records a crash and ends the stage, and returns once the caller is disconnected.
+func (s *Stage) crash(r *http.Request) {
+	s.mu.Lock()
+	if r.Context().Err() == nil {
+		s.crashes = append(s.crashes, time.Now())
+	}
+	s.mu.Unlock()
+	go s.Crash()
+	<-r.Context().Done()
+}
+
+// hasCrashingPart reports whether the prompt of a request has the part CrashingPart.
+func (s *Stage) hasCrashingPart(r *http.Request) bool {
+	for part := range strings.SplitSeq(r.Header.Get(s.headers().Parts), ",") {
+		if id, _, _ := strings.Cut(part, ":"); id == CrashingPart {
+			return true
+		}
+	}
+	return false
+}
+
 // receive records a request. It returns the fault to apply to it, and the Retry-After of its
 // rejection or an empty text.
 func (s *Stage) receive(r *http.Request, body string) (t StageFault, retryAfter string) {
@@ -202,8 +234,7 @@
 		defer s.finish()
 	}
 	if s.Crash != nil && strings.Contains(body.String(), Poison) {
-		go s.Crash()
-		<-r.Context().Done()
+		s.crash(r)
 		return
 	}
 	w.Header().Set(h.RequestID, r.Header.Get(h.RequestID))
@@ -230,6 +261,10 @@
 	case StageFaultWrongResponse:
 		s.serveWrongResponse(w, r)
 	default:
+		if s.Crash != nil && s.hasCrashingPart(r) {
+			s.beginAndCrash(w, r)
+			return
+		}
 		if strings.HasPrefix(r.URL.Path, "/stream/") {
 			s.serveStream(w, r, t)
 			return
@@ -256,6 +291,16 @@
 	_, _ = fmt.Fprintf(w, "answer of %s to %s", s.ID, r.Header.Get(s.headers().RequestID))
 }
 
+// beginAndCrash sends the head of an answer and crashes as the first event is due.
+func (s *Stage) beginAndCrash(w http.ResponseWriter, r *http.Request) {
+	_ = http.NewResponseController(w).Flush()
+	select {
+	case <-r.Context().Done():
+	case <-time.After(s.EventInterval):
+		s.crash(r)
+	}
+}
+
 // serveWrongResponse writes a late response to another request before the response to this one.
 func (s *Stage) serveWrongResponse(w http.ResponseWriter, r *http.Request) {
 	id := s.headers().RequestID
--- a/launcher/bench_test.go
+++ b/launcher/bench_test.go
@@ -156,6 +156,11 @@
 	address := "10.1.0." + id + ":80"
 	b.net.SetLocation(address, upstreamsLocation)
 	b.net.SetAlias(address, id)
+	service, _, _ := strings.Cut(id, "-")
+	// An upstream that was restarted is another incarnation.
+	upstream := func(crashes int64) balancer.Upstream {
+		return balancer.Upstream{ID: id, Service: service, Address: address, DataCentre: dataCentre, Slots: 8, StartedAt: 1 + crashes}
+	}
 	var kill atomic.Value
 	serve := func() {
 		k, err := faker.Serve(b.net.Listen, address, s)
@@ -163,15 +168,20 @@
 		kill.Store(k)
 	}
 	serve()
+	var down atomic.Bool
 	s.Crash = func() {
+		if !down.CompareAndSwap(false, true) {
+			return // crashed by another request
+		}
 		b.crashes.Add(1)
 		kill.Load().(func())()
 		time.Sleep(restartDelay)
 		serve()
+		down.Store(false)
+		b.source.PutUpstream(upstream(b.crashes.Load()))
 	}
 	b.stages[id] = s
-	service, _, _ := strings.Cut(id, "-")
-	b.source.PutUpstream(balancer.Upstream{ID: id, Service: service, Address: address, DataCentre: dataCentre, Slots: 8, StartedAt: 1})
+	b.source.PutUpstream(upstream(0))
 	return func() { kill.Load().(func())() }
 }
 
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -26,6 +26,8 @@
 	startedBefore map[string]bool
 	// killHost maps the name of a running host to a function that kills it.
 	killHost map[string]func()
+	// startedAt maps the name of a host to the time of its last start.
+	startedAt map[string]time.Time
 	// connect sets a host's configuration source, and its store if that is not the default.
 	connect func(h *launcher.Host, f follower.Host)
 
@@ -52,7 +54,7 @@
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	fl := &fleet{testbed: newTestbed(t), startedBefore: make(map[string]bool), killHost: make(map[string]func()), statuses: make(map[int]int)}
+	fl := &fleet{testbed: newTestbed(t), startedBefore: make(map[string]bool), killHost: make(map[string]func()), startedAt: make(map[string]time.Time), statuses: make(map[int]int)}
 	fl.connect = func(h *launcher.Host, f follower.Host) { h.Source = fl.source.Without(f.Name) }
 	return fl
 }
@@ -89,6 +91,7 @@
 	h.Settings.BalancerMs, h.Settings.StopMs = 10, 20
 	h.Settings.FirstStart = !fl.startedBefore[f.Name]
 	fl.startedBefore[f.Name] = true
+	fl.startedAt[f.Name] = time.Now()
 	h.Settings.RetryFixed = max(h.Settings.RetryFixed, retriesPerHost*float64(len(fl.hosts)))
 	fl.net.SetLocation(f.Address, f.Name)
 	done := make(chan error, 1)
