isolator, forwarder, sharer: refuse requests with a part of prompts that crashes upstreams

What callers saw: nearly all streaming requests refused while requests that share one part of their prompts crash one first stage after the other.

Cause: a crash was held against a whole request (host, path, key, body). No two of these requests are alike, so each new one ran as if nothing had happened.

Package isolator decides by part, from what hosts record and tell each other: which requests were in flight at which crash, not begun or just begun, and which were answered. A part is isolated when it was in flight at crashes at three different moments that no other isolated part explains, without an answer since the first nor in the 30 s before. Crashes within 50 ms are one moment, as when a rack is lost. Of parts with as many crashes the one further back in prompts is isolated. If all requests are of one workspace, only that one's are refused. A request that was in flight at a crash is not sent again from the second moment on, and those under way that have not begun are withdrawn. One host lets a single request through after a minute, ten minutes and doubling after five crashes. A refusal is 503, not run, reason promptPart, with when that is.

Why it works: a sound part is answered somewhere within 30 s, or is in flight only at crashes that the isolated one explains.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -76,6 +76,8 @@
 	ReasonRepeated
 	// ReasonCutOff: no upstream accepts connections from this host, and no other host takes the request.
 	ReasonCutOff
+	// ReasonPromptPart: a part of the request's prompt crashes upstreams.
+	ReasonPromptPart
 )
 
 // Refusal is the error for a request that was not served; it holds the reason.
--- a/admitter/reason_gen.go
+++ b/admitter/reason_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "nonequeueFulldeadlinerateLimitnoRoutequarantinedstoppingnotReadyunauthorisedforbiddenmalformedtooLargeunknownnoKeykeyReusedrunningoutcomeUnknownplatformupstreamretryBudgetcanceledupstreamLimitupstreamBackoffrepeatedcutOff"
+const _ReasonName = "nonequeueFulldeadlinerateLimitnoRoutequarantinedstoppingnotReadyunauthorisedforbiddenmalformedtooLargeunknownnoKeykeyReusedrunningoutcomeUnknownplatformupstreamretryBudgetcanceledupstreamLimitupstreamBackoffrepeatedcutOffpromptPart"
 
-var _ReasonIndex = [...]uint8{0, 4, 13, 21, 30, 37, 48, 56, 64, 76, 85, 94, 102, 109, 114, 123, 130, 144, 152, 160, 171, 179, 192, 207, 215, 221}
+var _ReasonIndex = [...]uint8{0, 4, 13, 21, 30, 37, 48, 56, 64, 76, 85, 94, 102, 109, 114, 123, 130, 144, 152, 160, 171, 179, 192, 207, 215, 221, 231}
 
-const _ReasonLowerName = "nonequeuefulldeadlineratelimitnoroutequarantinedstoppingnotreadyunauthorisedforbiddenmalformedtoolargeunknownnokeykeyreusedrunningoutcomeunknownplatformupstreamretrybudgetcanceledupstreamlimitupstreambackoffrepeatedcutoff"
+const _ReasonLowerName = "nonequeuefulldeadlineratelimitnoroutequarantinedstoppingnotreadyunauthorisedforbiddenmalformedtoolargeunknownnokeykeyreusedrunningoutcomeunknownplatformupstreamretrybudgetcanceledupstreamlimitupstreambackoffrepeatedcutoffpromptpart"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -49,9 +49,10 @@
 	_ = x[ReasonUpstreamBackoff-(22)]
 	_ = x[ReasonRepeated-(23)]
 	_ = x[ReasonCutOff-(24)]
+	_ = x[ReasonPromptPart-(25)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonQueueFull, ReasonDeadline, ReasonRateLimit, ReasonNoRoute, ReasonQuarantined, ReasonStopping, ReasonNotReady, ReasonUnauthorised, ReasonForbidden, ReasonMalformed, ReasonTooLarge, ReasonUnknown, ReasonNoKey, ReasonKeyReused, ReasonRunning, ReasonOutcomeUnknown, ReasonPlatform, ReasonUpstream, ReasonRetryBudget, ReasonCanceled, ReasonUpstreamLimit, ReasonUpstreamBackoff, ReasonRepeated, ReasonCutOff}
+var _ReasonValues = []Reason{ReasonNone, ReasonQueueFull, ReasonDeadline, ReasonRateLimit, ReasonNoRoute, ReasonQuarantined, ReasonStopping, ReasonNotReady, ReasonUnauthorised, ReasonForbidden, ReasonMalformed, ReasonTooLarge, ReasonUnknown, ReasonNoKey, ReasonKeyReused, ReasonRunning, ReasonOutcomeUnknown, ReasonPlatform, ReasonUpstream, ReasonRetryBudget, ReasonCanceled, ReasonUpstreamLimit, ReasonUpstreamBackoff, ReasonRepeated, ReasonCutOff, ReasonPromptPart}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:          ReasonNone,
@@ -104,6 +105,8 @@
 	_ReasonLowerName[207:215]: ReasonRepeated,
 	_ReasonName[215:221]:      ReasonCutOff,
 	_ReasonLowerName[215:221]: ReasonCutOff,
+	_ReasonName[221:231]:      ReasonPromptPart,
+	_ReasonLowerName[221:231]: ReasonPromptPart,
 }
 
 var _ReasonNames = []string{
@@ -132,6 +135,7 @@
 	_ReasonName[192:207],
 	_ReasonName[207:215],
 	_ReasonName[215:221],
+	_ReasonName[221:231],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -26,6 +26,7 @@
 	"github.com/sardineward/sardineward/connector"
 	"github.com/sardineward/sardineward/delegator"
 	"github.com/sardineward/sardineward/detector"
+	"github.com/sardineward/sardineward/isolator"
 	"github.com/sardineward/sardineward/matcher"
 	"github.com/sardineward/sardineward/meter"
 	"github.com/sardineward/sardineward/tracker"
@@ -85,6 +86,8 @@
 	Detector detector.Detector
 	// Suspects records which requests were in flight when upstreams crashed.
 	Suspects *tracker.Suspects
+	// Isolator decides which parts of prompts crash upstreams.
+	Isolator isolator.Isolator
 	// LimitsKnown reports whether this host has learned which upstreams announce a request
 	// limit; until then the host is not ready. nil means always.
 	LimitsKnown func() bool
@@ -173,6 +176,8 @@
 	body     []byte
 	// fingerprint is the same when the caller repeats the request.
 	fingerprint uint64
+	// parts are those of the request's prompt that other requests may share.
+	parts []isolator.Part
 	// header is the header to forward, without the fields that differ by upstream; nil until
 	// it is first used.
 	header   http.Header
@@ -229,6 +234,7 @@
 		return
 	}
 	k.fingerprint = fingerprintOf(k)
+	k.parts = isolator.ParseParts(k.partsHeader())
 	if k.route.Kind == matcher.KindStreaming {
 		k.lastEventID = parseEventID(r.Header.Get("Last-Event-Id"))
 	}
@@ -237,7 +243,7 @@
 	ctl.SetWriteDeadline(time.Now().Add(left + writeGrace))
 	ctx, cancel := context.WithTimeout(r.Context(), left)
 	defer cancel()
-	if k.shouldDelegate() && !k.delegate(ctx) {
+	if k.refuseIsolated(false) || k.shouldDelegate() && !k.delegate(ctx) {
 		return
 	}
 	if k.refuseQuarantined() || !k.count() {
--- /dev/null
+++ b/forwarder/parts.go
@@ -0,0 +1,83 @@
+package forwarder
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sardineward/sardineward/admitter"
+	"github.com/sardineward/sardineward/isolator"
+)
+
+// errPartIsolated cancels an attempt because a part of its prompt was isolated.
+var errPartIsolated = errors.New("forwarder: a part of the prompt crashes upstreams")
+
+// soundAfter is how long events must go on until a request counts as one that crashes nothing: some
+// upstreams still send events while they crash.
+const soundAfter = time.Second
+
+// partsHeader returns the list of the prompt's parts.
+func (k *call) partsHeader() string { return strings.Join(k.r.Header.Values(k.Headers.Parts), ",") }
+
+// checkParts decides on the parts of the request's prompt. again is set if an upstream failed it.
+func (k *call) checkParts(again bool) isolator.Verdict {
+	if len(k.parts) == 0 {
+		return isolator.Verdict{}
+	}
+	return k.Isolator.Check(k.Now(), k.parts, isolator.Workspace(k.suspect().workspace), again)
+}
+
+// refuseIsolated refuses a request whose prompt has a part that crashes upstreams, and reports whether it
+// did.
+func (k *call) refuseIsolated(again bool) bool {
+	v := k.checkParts(again)
+	if !v.Refused {
+		return false
+	}
+	k.retryAfter = v.Wait
+	return !k.refuse(admitter.ReasonPromptPart, "part "+string(v.Part)+" of its prompt crashes upstreams")
+}
+
+// isSuspected reports whether the crash of an upstream may be due to an attempt: it has not begun, or just now
+// and with a part of which no answer is known.
+func (f *Forwarder) isSuspected(a *attempt) bool {
+	if !a.begun.Load() {
+		return true
+	}
+	now := f.Now()
+	return now-time.Duration(a.begunAt.Load()) < soundAfter && f.Isolator.HasUnproven(now, a.suspect.parts)
+}
+
+// WithdrawIsolated withdraws the requests with an isolated part that have not begun, so that they crash no
+// further upstream. isolator.Isolator calls it.
+func (f *Forwarder) WithdrawIsolated(s isolator.State) {
+	withdrawn := 0
+	f.mu.Lock()
+	for a := range f.streams {
+		if !a.begun.Load() && s.Refuses(isolator.Workspace(a.suspect.workspace)) && slices.Contains(a.suspect.parts, s.Part) {
+			a.cancel(errPartIsolated)
+			withdrawn++
+		}
+	}
+	f.mu.Unlock()
+	f.logPart(f.Log.Warn(), s).Int("withdrawn", withdrawn).Msg("forwarder: part of prompts isolated, it crashes upstreams")
+}
+
+// LogReleased logs that a part is no longer isolated. isolator.Isolator calls it.
+func (f *Forwarder) LogReleased(s isolator.State) {
+	f.logPart(f.Log.Warn(), s).Msg("forwarder: part of prompts released")
+}
+
+// logPart adds what is known of a part to a log line.
+func (f *Forwarder) logPart(event *zerolog.Event, s isolator.State) *zerolog.Event {
+	now := f.Now()
+	crashes := zerolog.Arr()
+	for _, c := range s.Crashes {
+		crashes.Dict(zerolog.Dict().Str("upstream", c.Upstream).Dur("ago", now-c.At))
+	}
+	return event.Str("part", string(s.Part)).Bool("allWorkspaces", s.Workspace == 0).Dur("isolatedFor", now-s.IsolatedAt).
+		Int("samples", s.Samples).Array("crashes", crashes)
+}
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -134,7 +134,7 @@
 		}
 		k.logAttempt(l, "no answer", err)
 		if e.Sent {
-			k.detectCrash(ctx, l.First)
+			k.detectCrash(ctx, l.First, false)
 		}
 	}
 	if e.Sent {
@@ -256,4 +256,5 @@
 	k.Meter.Requests.WithLabelValues(name, k.route.Kind.String()).Inc()
 	k.recordServed()
 	k.clearStrikes()
+	k.Isolator.RecordAnswer(k.Now(), k.parts)
 }
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -10,6 +10,7 @@
 	"github.com/sardineward/sardineward/admitter"
 	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/connector"
+	"github.com/sardineward/sardineward/isolator"
 	"github.com/sardineward/sardineward/tracker"
 )
 
@@ -43,7 +44,7 @@
 // refuses connections, one that only closed the connection accepts a new one. The check continues
 // after the caller disconnects, because a canceled dial would look like a refused one: a healthy
 // upstream would be marked dead and the request would get a strike.
-func (k *call) detectCrash(ctx context.Context, h balancer.Hop) {
+func (k *call) detectCrash(ctx context.Context, h balancer.Hop, begun bool) {
 	err := k.Pool.Check(context.WithoutCancel(ctx), h.Address, connector.PurposeCrashProbe, probeTimeout)
 	if err == nil || isTimeout(err) {
 		return
@@ -52,7 +53,7 @@
 		k.Log.Warn().Str("requestId", k.id).Str("upstream", h.ID).Str("address", h.Address).Err(err).Msg("forwarder: upstream crashed")
 	}
 	k.Balancer.MarkStopped(h.ID)
-	k.addStrike(k.id, k.suspect(), h)
+	k.addStrike(k.id, k.suspect(), h, begun)
 }
 
 // maxLoggedParts bounds the bytes of a list of prompt parts in the log.
@@ -63,12 +64,13 @@
 	fingerprint uint64
 	// route and workspace are the names of the request's; workspace is empty where it needs no key.
 	route, workspace string
-	// parts is the value of the header Parts.
-	parts string
+	// header is the value of the header Parts, parts what it lists.
+	header string
+	parts  []isolator.Part
 }
 
 func (k *call) suspect() suspect {
-	s := suspect{fingerprint: k.fingerprint, parts: k.r.Header.Get(k.Headers.Parts)}
+	s := suspect{fingerprint: k.fingerprint, header: k.partsHeader(), parts: k.parts}
 	if k.route != nil {
 		s.route = k.route.Name
 	}
@@ -78,16 +80,20 @@
 	return s
 }
 
-// addStrike records the crash of an upstream against a request in flight that got no event yet. A
-// stream with events has already run at that upstream without crashing it.
-func (f *Forwarder) addStrike(requestID string, s suspect, h balancer.Hop) {
+// addStrike records the crash of an upstream against a request in flight and the parts of its prompt. A
+// stream that had begun has run at that upstream without crashing it, unless it began just before: then
+// only its parts are suspected.
+func (f *Forwarder) addStrike(requestID string, s suspect, h balancer.Hop, begun bool) {
 	now, startedAt := time.Now(), f.Balancer.StartedAt(h.ID)
-	f.Suspects.Add(tracker.NewStrike(now, s.fingerprint, h.ID, startedAt))
-	f.strikes.add(f.Now(), s.fingerprint)
+	if !begun {
+		f.Suspects.Add(tracker.NewStrike(now, s.fingerprint, h.ID, startedAt))
+		f.strikes.add(f.Now(), s.fingerprint)
+	}
+	f.Isolator.RecordCrash(f.Now(), s.parts, isolator.Workspace(s.workspace), h.ID)
 	f.Meter.Strikes.Inc()
 	f.Log.Info().Str("requestId", requestID).Str("upstream", h.ID).Str("address", h.Address).Int64("startedAt", startedAt).
 		Str("route", s.route).Str("workspace", s.workspace).Str("fingerprint", strconv.FormatUint(s.fingerprint, 16)).
-		Str("parts", s.parts[:min(len(s.parts), maxLoggedParts)]).Int("strikes", len(f.Suspects.Active(now, s.fingerprint))).
+		Str("parts", s.header[:min(len(s.header), maxLoggedParts)]).Bool("begun", begun).Int("strikes", len(f.Suspects.Active(now, s.fingerprint))).
 		Msg("forwarder: in flight at a crash")
 }
 
--- a/forwarder/quarantine_test.go
+++ b/forwarder/quarantine_test.go
@@ -33,7 +33,7 @@
 		Now: func() time.Duration { return time.Second }, Log: zerolog.Nop(),
 	}
 	k := &call{Forwarder: f, r: new(http.Request), id: "r", fingerprint: 7}
-	k.detectCrash(ctx, balancer.Hop{ID: "one", Address: "10.0.0.1:1"})
+	k.detectCrash(ctx, balancer.Hop{ID: "one", Address: "10.0.0.1:1"}, false)
 	is.True(!b.HasStopped("one"))
 	is.Equal(len(b.DeadUpstreams(0, 1)), 0)
 	is.Equal(len(f.Suspects.Active(time.Now(), 7)), 0)
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -21,6 +21,8 @@
 	begun bool
 	// lastEvent is when the last event was written, longestGap the longest pause between two.
 	lastEvent, longestGap time.Duration
+	// sound is set once the events have gone on for so long that the request crashes nothing.
+	sound bool
 }
 
 // relay writes complete events to the caller as they arrive. It drops an event that was cut off, so
@@ -82,11 +84,16 @@
 			k.Balancer.RecordSlowEvent(now, a.lease)
 		}
 		k.Balancer.RecordStart(now, a.lease)
+		a.begunAt.Store(int64(now))
 		a.begun.Store(true)
 		delivered.begun, delivered.lastEvent = true, now
 		return
 	}
 	k.Balancer.RecordProgress(now, a.lease)
+	if !delivered.sound && now-time.Duration(a.begunAt.Load()) >= soundAfter {
+		delivered.sound = true
+		k.Isolator.RecordAnswer(now, k.parts)
+	}
 	pause := now - delivered.lastEvent
 	delivered.longestGap, delivered.lastEvent = max(delivered.longestGap, pause), now
 	if !repathed && k.route.MaxGap > 0 && pause > k.route.MaxGap {
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -300,8 +300,8 @@
 	streams := f.streamsThrough(h.ID)
 	f.Log.Warn().Str("upstream", h.ID).Str("address", h.Address).Int("streams", len(streams)).Msg("forwarder: silent upstream out")
 	for _, a := range streams {
-		if !isTimeout(dialErr) && !a.begun.Load() {
-			f.addStrike(a.id, a.suspect, h)
+		if !isTimeout(dialErr) && f.isSuspected(a) {
+			f.addStrike(a.id, a.suspect, h, a.begun.Load())
 		}
 		go f.reroute(ctx, a, h)
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -36,8 +36,9 @@
 	id      string
 	suspect suspect
 	lease   *balancer.Lease
-	// begun is set with the first event.
-	begun atomic.Bool
+	// begun is set with the first event, at begunAt in nanoseconds of Now.
+	begun   atomic.Bool
+	begunAt atomic.Int64
 	// lastEvent is when the last event arrived, or when the request was sent, as nanoseconds of
 	// Now.
 	lastEvent atomic.Int64
@@ -112,7 +113,7 @@
 			continue
 		}
 		resumptions++
-		if ctx.Err() != nil || resumptions > maxResumptions || (!retryTaken && !k.awaitResumeRetry(ctx)) {
+		if ctx.Err() != nil || resumptions > maxResumptions || k.checkParts(true).Refused || (!retryTaken && !k.awaitResumeRetry(ctx)) {
 			k.abortStream(resumptions)
 		}
 		k.Meter.Retries.WithLabelValues(verdictBroken.String()).Inc()
@@ -284,9 +285,9 @@
 	v := k.relay(ctx, a, resp)
 	if !a.begun.Load() {
 		k.recordNoFirstEvent(a)
-		if v == verdictBroken && ctx.Err() == nil {
-			k.detectCrash(ctx, l.First)
-		}
+	}
+	if v == verdictBroken && ctx.Err() == nil && k.isSuspected(a) {
+		k.detectCrash(ctx, l.First, a.begun.Load())
 	}
 	return v
 }
--- /dev/null
+++ b/isolator/isolator.go
@@ -0,0 +1,402 @@
+// Package isolator finds parts of prompts that crash upstreams, so that requests with such a part are
+// refused before they reach one. It only decides: hosts tell it which requests were in flight at a
+// crash and which were answered, and exchange what each knows, see States and Merge.
+//
+// A part is isolated when requests with it were in flight at several crashes, at different moments,
+// that no other isolated part explains, and none with it was answered meanwhile or shortly before.
+// Crashes of many upstreams at once, such as those of a rack, are one moment.
+package isolator
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// threshold is the number of moments with a crash at which a part is isolated. A request that was in
+	// flight at a crash is not sent again from retryThreshold on.
+	threshold      = 3
+	retryThreshold = 2
+	// confirmedThreshold is the number of moments from which isolation is certain.
+	confirmedThreshold = 5
+	// moment is the time within which crashes count once.
+	moment = 50 * time.Millisecond
+	// sameCrash is the time within which crashes of one upstream are the same one, as several hosts
+	// report it. A restart takes longer.
+	sameCrash = time.Second
+	// crashTTL is how long a crash counts.
+	crashTTL = 10 * time.Minute
+	// answerTTL is how long an answer shows that a part is sound: longer than an outage in which nothing is
+	// answered and than a prompt in use is away.
+	answerTTL = 30 * time.Second
+	// settleTime is how long after its start a host isolates nothing by itself: until then nothing may have
+	// been answered, and all parts in use look alike.
+	settleTime = 2 * time.Second
+	// sampleInterval is the time until one request with an isolated part is let through, confirmedInterval
+	// that for a part that has crashed confirmedThreshold upstreams; it doubles each time.
+	sampleInterval    = time.Minute
+	confirmedInterval = 10 * time.Minute
+	maxDoublings      = 8
+	// idleTTL is how long a part stays isolated without a request for it.
+	idleTTL = 30 * time.Minute
+	// maxCrashes bounds the crashes kept of a part, the newest, and sharedCrashes those that other hosts are
+	// told; maxRecords bounds the parts with crashes, and maxAnswered those whose last answer is known.
+	maxCrashes    = 32
+	sharedCrashes = 8
+	maxRecords    = 256
+	maxAnswered   = 4096
+)
+
+// Crash is the crash of an upstream at which requests with a part were in flight.
+type Crash struct {
+	Upstream string
+	At       time.Duration
+	// Workspaces holds the hashes of their workspaces, two at most.
+	Workspaces []uint64
+}
+
+// State is what is known of a part. Its times are those of the clock of the host; 0 is never.
+type State struct {
+	Part Part
+	// Depth is the highest place of the part in a prompt; the first has place 0.
+	Depth   int
+	Crashes []Crash
+	// AnsweredAt is when a request with the part was last answered.
+	AnsweredAt time.Duration
+	// IsolatedAt is when the part was isolated; it counts only if it is after AnsweredAt. Workspace is the hash of
+	// the only workspace whose requests are refused; 0 means all of them.
+	IsolatedAt time.Duration
+	Workspace  uint64
+	// SampledAt is when a request was last let through, Samples how often.
+	SampledAt time.Duration
+	Samples   int
+	// RequestedAt is when a request with the isolated part last came.
+	RequestedAt time.Duration
+}
+
+// IsIsolated reports whether requests with the part are refused.
+func (s *State) IsIsolated() bool { return s.IsolatedAt > s.AnsweredAt }
+
+// Refuses reports whether requests of a workspace with the part are refused.
+func (s *State) Refuses(workspace uint64) bool {
+	return s.IsIsolated() && (s.Workspace == 0 || s.Workspace == workspace)
+}
+
+// lastCrash returns the time of the last crash; 0 if there is none.
+func (s *State) lastCrash() time.Duration {
+	if len(s.Crashes) == 0 {
+		return 0
+	}
+	return s.Crashes[len(s.Crashes)-1].At
+}
+
+// sampleDue returns when the next request may be let through.
+func (s *State) sampleDue() time.Duration {
+	wait := sampleInterval
+	if len(moments(s.Crashes)) >= confirmedThreshold {
+		wait = confirmedInterval << min(s.Samples, maxDoublings)
+	}
+	return max(s.lastCrash(), s.SampledAt, s.IsolatedAt) + wait
+}
+
+// Isolator decides which parts of prompts are isolated. Exported fields are set before use. It is safe
+// for concurrent use.
+type Isolator struct {
+	// Started is when this host was started.
+	Started time.Duration
+	// Samples reports whether this host is the one that lets single requests through; nil means that it is.
+	Samples func() bool
+	// OnIsolate and OnRelease are called after a part was isolated or released, here or by another host;
+	// nil means no call.
+	OnIsolate, OnRelease func(State)
+
+	mu      sync.Mutex
+	records map[Part]*State
+	// answered holds the last answers of parts without crashes.
+	answered map[Part]time.Duration
+}
+
+// Verdict is the decision on a request.
+type Verdict struct {
+	// Refused is set if the request has an isolated part, or one that crashed upstreams while the request
+	// itself was in flight.
+	Refused bool
+	Part    Part
+	// Wait is the time after which a request with the part may be let through.
+	Wait time.Duration
+}
+
+// Check decides on a request of a workspace before it is sent. again is set if it was sent before and
+// an upstream failed it.
+func (i *Isolator) Check(now time.Duration, parts []Part, workspace uint64, again bool) Verdict {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, p := range parts {
+		s := i.records[p]
+		if s == nil {
+			continue
+		}
+		if s.Refuses(workspace) {
+			s.RequestedAt = now
+			if !again && now >= s.sampleDue() && (i.Samples == nil || i.Samples()) {
+				s.SampledAt = now
+				s.Samples++
+				continue
+			}
+			return Verdict{Refused: true, Part: p, Wait: max(0, s.sampleDue()-now)}
+		}
+		if again && len(i.evidence(now, s)) >= retryThreshold {
+			return Verdict{Refused: true, Part: p, Wait: sampleInterval}
+		}
+	}
+	return Verdict{}
+}
+
+// HasUnproven reports whether a request has a part of which no answer is known.
+func (i *Isolator) HasUnproven(now time.Duration, parts []Part) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return slices.ContainsFunc(parts, func(p Part) bool {
+		at := i.answered[p]
+		if s := i.records[p]; s != nil {
+			at = s.AnsweredAt
+		}
+		return at == 0 || now-at >= answerTTL
+	})
+}
+
+// RecordCrash records that an upstream crashed with a request in flight.
+func (i *Isolator) RecordCrash(now time.Duration, parts []Part, workspace uint64, upstream string) {
+	i.mu.Lock()
+	for depth, p := range parts {
+		s := i.record(p)
+		s.Depth = max(s.Depth, depth)
+		s.addCrash(Crash{Upstream: upstream, At: now, Workspaces: []uint64{workspace}})
+	}
+	changed := i.isolate(now)
+	i.mu.Unlock()
+	i.report(changed)
+}
+
+// RecordAnswer records that a request was answered, which shows that its parts crash nothing.
+func (i *Isolator) RecordAnswer(now time.Duration, parts []Part) {
+	i.mu.Lock()
+	var changed []State
+	for _, p := range parts {
+		if s := i.records[p]; s != nil {
+			changed = append(changed, s.answer(now)...)
+			continue
+		}
+		if i.answered == nil {
+			i.answered = make(map[Part]time.Duration)
+		}
+		if _, ok := i.answered[p]; !ok && len(i.answered) >= maxAnswered {
+			deleteOldest(i.answered, func(at time.Duration) time.Duration { return at })
+		}
+		i.answered[p] = now
+	}
+	i.mu.Unlock()
+	i.report(changed)
+}
+
+// Release ends the isolation of a part by hand. It returns false if it is not isolated.
+func (i *Isolator) Release(now time.Duration, p Part) bool {
+	i.mu.Lock()
+	var changed []State
+	if s := i.records[p]; s != nil {
+		changed = s.answer(now)
+	}
+	i.mu.Unlock()
+	i.report(changed)
+	return len(changed) > 0
+}
+
+// Isolated returns the isolated parts, those isolated first before the others.
+func (i *Isolator) Isolated() []State {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var out []State
+	for _, s := range i.records {
+		if s.IsIsolated() {
+			out = append(out, s.clone())
+		}
+	}
+	slices.SortFunc(out, func(a, b State) int {
+		return cmp.Or(cmp.Compare(a.IsolatedAt, b.IsolatedAt), cmp.Compare(a.Part, b.Part))
+	})
+	return out
+}
+
+// States returns what other hosts are to know, at most limit parts: those that are isolated or were
+// released, then those with the most crashes.
+func (i *Isolator) States(limit int) []State {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	out := make([]State, 0, len(i.records))
+	for _, s := range i.records {
+		one := s.clone()
+		one.Crashes = one.Crashes[max(0, len(one.Crashes)-sharedCrashes):]
+		out = append(out, one)
+	}
+	slices.SortFunc(out, func(a, b State) int {
+		return cmp.Or(compareTrue(a.IsIsolated(), b.IsIsolated()), compareTrue(a.IsolatedAt > 0, b.IsolatedAt > 0),
+			cmp.Compare(len(b.Crashes), len(a.Crashes)), cmp.Compare(b.lastCrash(), a.lastCrash()), cmp.Compare(a.Part, b.Part))
+	})
+	return out[:min(limit, len(out))]
+}
+
+// Merge adds what another host knows.
+func (i *Isolator) Merge(now time.Duration, list []State) {
+	i.mu.Lock()
+	var changed []State
+	for n := range list {
+		o := &list[n]
+		s := i.record(o.Part)
+		was := s.IsIsolated()
+		s.merge(o)
+		if s.IsIsolated() != was {
+			changed = append(changed, s.clone())
+		}
+	}
+	changed = append(changed, i.isolate(now)...)
+	i.mu.Unlock()
+	i.report(changed)
+}
+
+// Sweep forgets crashes, answers and isolated parts that no longer count.
+func (i *Isolator) Sweep(now time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for p, s := range i.records {
+		s.Crashes = slices.DeleteFunc(s.Crashes, func(c Crash) bool { return now-c.At > crashTTL })
+		inUse := s.IsIsolated() && now-max(s.RequestedAt, s.IsolatedAt, s.lastCrash()) <= idleTTL
+		// Hosts that have not heard of a release would isolate the part again.
+		released := !s.IsIsolated() && s.IsolatedAt > 0 && now-s.AnsweredAt <= answerTTL
+		if inUse || released || !s.IsIsolated() && s.lastCrash() > s.AnsweredAt {
+			continue
+		}
+		delete(i.records, p)
+	}
+	for p, at := range i.answered {
+		if now-at > answerTTL {
+			delete(i.answered, p)
+		}
+	}
+}
+
+// record returns the state of a part, which is added if it is missing.
+func (i *Isolator) record(p Part) *State {
+	if s := i.records[p]; s != nil {
+		return s
+	}
+	if i.records == nil {
+		i.records = make(map[Part]*State)
+	}
+	if len(i.records) >= maxRecords {
+		deleteOldest(i.records, func(s *State) time.Duration {
+			if s.IsIsolated() {
+				return math.MaxInt64
+			}
+			return s.lastCrash()
+		})
+	}
+	s := &State{Part: p, AnsweredAt: i.answered[p]}
+	delete(i.answered, p)
+	i.records[p] = s
+	return s
+}
+
+// evidence returns the moments of the crashes that speak against a part.
+func (i *Isolator) evidence(now time.Duration, s *State) []time.Duration {
+	if s.AnsweredAt > 0 && now-s.AnsweredAt < answerTTL {
+		return nil
+	}
+	return moments(i.unexplained(now, s))
+}
+
+// unexplained returns the crashes since the last answer that no other isolated part explains.
+func (i *Isolator) unexplained(now time.Duration, s *State) []Crash {
+	var out []Crash
+	for _, c := range s.Crashes {
+		if c.At > s.AnsweredAt && now-c.At <= crashTTL && !i.isExplained(s.Part, &c) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// isExplained reports whether a request with another isolated part was in flight at a crash.
+func (i *Isolator) isExplained(p Part, c *Crash) bool {
+	for _, o := range i.records {
+		if o.Part != p && o.IsIsolated() && slices.ContainsFunc(o.Crashes, c.isSame) {
+			return true
+		}
+	}
+	return false
+}
+
+// isolate isolates the parts that explain enough crashes, one after the other: those that explain most
+// first, of equal ones the one that is further back in prompts, as those before it are shared by more
+// requests. It returns what changed.
+func (i *Isolator) isolate(now time.Duration) []State {
+	var changed []State
+	if now-i.Started < settleTime {
+		return nil
+	}
+	for {
+		var best *State
+		most := 0
+		for _, s := range i.records {
+			if s.IsIsolated() || len(s.Crashes) < max(threshold, most) {
+				continue
+			}
+			n := len(i.evidence(now, s))
+			if n < threshold || n < most {
+				continue
+			}
+			if n > most || s.Depth > best.Depth || s.Depth == best.Depth && s.Part > best.Part {
+				best, most = s, n
+			}
+		}
+		if best == nil {
+			return append(changed, i.widen()...)
+		}
+		best.IsolatedAt, best.RequestedAt = now, now
+		best.Workspace = soleWorkspace(i.unexplained(now, best))
+		changed = append(changed, best.clone())
+	}
+}
+
+// widen refuses parts in requests of all workspaces that were isolated for one, once a request of
+// another one was in flight at a crash since. It returns what changed.
+func (i *Isolator) widen() []State {
+	var changed []State
+	for _, s := range i.records {
+		if !s.IsIsolated() || s.Workspace == 0 {
+			continue
+		}
+		if slices.ContainsFunc(s.Crashes, func(c Crash) bool {
+			return c.At > s.IsolatedAt && slices.ContainsFunc(c.Workspaces, func(w uint64) bool { return w != s.Workspace })
+		}) {
+			s.Workspace = 0
+			changed = append(changed, s.clone())
+		}
+	}
+	return changed
+}
+
+// report calls OnIsolate and OnRelease, without the lock.
+func (i *Isolator) report(changed []State) {
+	for _, s := range changed {
+		f := i.OnRelease
+		if s.IsIsolated() {
+			f = i.OnIsolate
+		}
+		if f != nil {
+			f(s)
+		}
+	}
+}
--- /dev/null
+++ b/isolator/state.go
@@ -0,0 +1,166 @@
+package isolator
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// maxParts bounds the parts of a prompt that are looked at, maxPartBytes the bytes of an id that is kept.
+	maxParts     = 64
+	maxPartBytes = 32
+)
+
+// Part is the id of a part of a prompt in lower case, or its hash if it is longer than maxPartBytes.
+type Part string
+
+// ParsePart returns the part with an id.
+func ParsePart(id string) Part {
+	id = strings.ToLower(strings.TrimSpace(id))
+	if len(id) > maxPartBytes {
+		return Part("#" + strconv.FormatUint(xxhash.Sum64String(id), 16))
+	}
+	return Part(id)
+}
+
+// ParseParts returns the parts in a list of ID:TOKENS, separated by commas, each once. The last one is
+// left out: it is the request's own, or that of its session.
+func ParseParts(list string) []Part {
+	var out []Part
+	for range maxParts {
+		entry, rest, more := strings.Cut(list, ",")
+		if !more {
+			break
+		}
+		list = rest
+		id, _, _ := strings.Cut(entry, ":")
+		if p := ParsePart(id); p != "" && !slices.Contains(out, p) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Workspace returns the hash of a workspace's name, which is never 0.
+func Workspace(name string) uint64 { return max(1, xxhash.Sum64String(name)) }
+
+// isSame reports whether another host's record is of the same crash.
+func (c *Crash) isSame(o Crash) bool {
+	return c.Upstream == o.Upstream && max(c.At-o.At, o.At-c.At) < sameCrash
+}
+
+// addCrash adds a crash, or its workspaces to the same crash. The newest crashes are kept, in order.
+func (s *State) addCrash(c Crash) {
+	at := slices.IndexFunc(s.Crashes, c.isSame)
+	if at < 0 {
+		c.Workspaces = slices.Clone(c.Workspaces)
+		s.Crashes = append(s.Crashes, c)
+		slices.SortFunc(s.Crashes, func(a, b Crash) int { return cmp.Compare(a.At, b.At) })
+		s.Crashes = s.Crashes[max(0, len(s.Crashes)-maxCrashes):]
+		return
+	}
+	known := &s.Crashes[at]
+	// Hosts that learn of a crash late, or through others, date it later.
+	known.At = min(known.At, c.At)
+	for _, w := range c.Workspaces {
+		if len(known.Workspaces) < 2 && !slices.Contains(known.Workspaces, w) {
+			known.Workspaces = append(known.Workspaces, w)
+		}
+	}
+}
+
+// answer records an answer, and returns the state if that released the part.
+func (s *State) answer(now time.Duration) []State {
+	was := s.IsIsolated()
+	s.AnsweredAt = max(s.AnsweredAt, now)
+	s.Crashes = slices.DeleteFunc(s.Crashes, func(c Crash) bool { return c.At <= s.AnsweredAt })
+	if was && !s.IsIsolated() {
+		return []State{s.clone()}
+	}
+	return nil
+}
+
+// merge adds what another host knows of the part.
+func (s *State) merge(o *State) {
+	for _, c := range o.Crashes {
+		if c.At > s.AnsweredAt {
+			s.addCrash(c)
+		}
+	}
+	s.Depth = max(s.Depth, o.Depth)
+	switch {
+	case !o.IsIsolated():
+	case !s.IsIsolated():
+		s.Workspace = o.Workspace
+	case s.Workspace != o.Workspace:
+		s.Workspace = 0
+	}
+	s.IsolatedAt = max(s.IsolatedAt, o.IsolatedAt)
+	s.SampledAt, s.Samples = max(s.SampledAt, o.SampledAt), max(s.Samples, o.Samples)
+	s.RequestedAt = max(s.RequestedAt, o.RequestedAt)
+	s.answer(o.AnsweredAt)
+}
+
+func (s *State) clone() State {
+	out := *s
+	out.Crashes = slices.Clone(s.Crashes)
+	for i := range out.Crashes {
+		out.Crashes[i].Workspaces = slices.Clone(out.Crashes[i].Workspaces)
+	}
+	return out
+}
+
+// moments returns the times of crashes, given in order, without those that follow another within moment.
+func moments(list []Crash) []time.Duration {
+	var out []time.Duration
+	for _, c := range list {
+		if len(out) == 0 || c.At-out[len(out)-1] >= moment {
+			out = append(out, c.At)
+		}
+	}
+	return out
+}
+
+// soleWorkspace returns the workspace of all requests at crashes; 0 if there are several.
+func soleWorkspace(list []Crash) uint64 {
+	var out uint64
+	for _, c := range list {
+		for _, w := range c.Workspaces {
+			if out != 0 && w != out {
+				return 0
+			}
+			out = w
+		}
+	}
+	return out
+}
+
+// compareTrue orders true before false.
+func compareTrue(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// deleteOldest deletes the entry with the lowest time.
+func deleteOldest[K comparable, V any](m map[K]V, at func(V) time.Duration) {
+	var oldest K
+	var lowest time.Duration
+	first := true
+	for k, v := range m {
+		if t := at(v); first || t < lowest {
+			oldest, lowest, first = k, t, false
+		}
+	}
+	delete(m, oldest)
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -224,6 +224,9 @@
 		Log:            h.Log,
 	}
 	h.pool.OnDialed = h.forwarder.RecordDial
+	i := &h.forwarder.Isolator
+	i.Started, i.Samples = h.startedAt, h.hasLowestName
+	i.OnIsolate, i.OnRelease = h.forwarder.WithdrawIsolated, h.forwarder.LogReleased
 	suspects.WentDown = h.forwarder.WentDown
 	if h.EngineTransport != nil {
 		h.EngineTransport.Forwarder = h.forwarder
@@ -250,6 +253,7 @@
 		Balancer:   h.balancer,
 		Demands:    demands,
 		Suspects:   suspects,
+		Isolator:   &h.forwarder.Isolator,
 		Now:        h.Now,
 		HTTP:       &http.Client{Transport: &http.Transport{DialContext: h.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
 		Log:        h.Log,
@@ -308,6 +312,11 @@
 // upstreamsLost reports whether this host reaches no upstream.
 func (h *Host) upstreamsLost() bool { return h.forwarder.Detector.State(h.Now()).Lost }
 
+// hasLowestName reports whether the name of no other host sorts before that of this one.
+func (h *Host) hasLowestName() bool {
+	return !slices.ContainsFunc(h.follower.Hosts(), func(other follower.Host) bool { return other.Name < h.Settings.Host })
+}
+
 // takeoverDelay is how long a data centre must have had no host before a host of another data
 // centre takes its duty, see claimableDuties. It is longer than a restart, and than a short period
 // in which the store rejects a host.
@@ -320,11 +329,10 @@
 func (h *Host) claimableDuties() []string {
 	own := h.Settings.DataCentre
 	hosted := map[string]bool{own: true}
-	lowestName := true
 	for _, other := range h.follower.Hosts() {
 		hosted[other.DataCentre] = true
-		lowestName = lowestName && h.Settings.Host < other.Name
 	}
+	lowestName := h.hasLowestName()
 	var out []string
 	for _, dc := range append(h.balancer.DataCentres(), own) {
 		holder, known := h.follower.Holder(dc)
@@ -383,6 +391,7 @@
 		case <-tick.C:
 			h.pool.CloseExpired()
 			h.forwarder.Suspects.Sweep(time.Now())
+			h.forwarder.Isolator.Sweep(h.Now())
 			h.observeFleetSize()
 			h.exportRetryBudgets()
 		}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -23,6 +23,7 @@
 	"github.com/sardineward/sardineward/admitter"
 	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/follower"
+	"github.com/sardineward/sardineward/isolator"
 	"github.com/sardineward/sardineward/matcher"
 	"github.com/sardineward/sardineward/peer"
 	"github.com/sardineward/sardineward/tracker"
@@ -73,6 +74,8 @@
 	Demands *admitter.Demands
 	// Suspects keeps the strikes against requests that were in flight when an upstream crashed.
 	Suspects *tracker.Suspects
+	// Isolator keeps the parts of prompts that crash upstreams; nil means that they are neither told nor taken.
+	Isolator *isolator.Isolator
 	// Now reads a clock that keeps running while the machine is suspended.
 	Now  func() time.Duration
 	HTTP *http.Client
@@ -233,7 +236,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	sent := s.Now()
-	req := &peer.ShareRequest{Host: s.Self, DataCentre: s.DataCentre, Report: s.report(c.scope, c.host.Name, nil), Behind: c.full, Strikes: s.strikes(), Limits: s.limits()}
+	req := &peer.ShareRequest{Host: s.Self, DataCentre: s.DataCentre, Report: s.report(c.scope, c.host.Name, nil), Behind: c.full, Strikes: s.strikes(), Limits: s.limits(), PromptParts: s.promptParts()}
 	if cfg := s.Follower.Configuration(); cfg != nil {
 		req.Version = cfg.Version
 	}
@@ -252,6 +255,7 @@
 	}
 	s.applyReport(c.host.Name, c.host.DataCentre, resp.Report)
 	s.applyStrikes(c.host.Name, resp.Strikes)
+	s.applyPromptParts(resp.PromptParts)
 	s.applyLimits(c.host.Name, resp.Limits)
 	if err := s.applyState(sent, c, resp); err != nil {
 		s.Log.Warn().Err(err).Str("peer", c.host.Name).Msg("sharer: invalid answer from peer")
@@ -296,6 +300,7 @@
 func (s *Sharer) Exchange(_ context.Context, req *peer.ShareRequest) (*peer.ShareResponse, error) {
 	s.applyReport(req.Host, req.DataCentre, req.Report)
 	s.applyStrikes(req.Host, req.Strikes)
+	s.applyPromptParts(req.PromptParts)
 	s.applyLimits(req.Host, req.Limits)
 	if req.GetReport().GetScope() == peer.Scope_SCOPE_HOST && s.roles.noteRelayCall(s.Now()) {
 		s.Follower.Wake()
@@ -304,7 +309,7 @@
 	s.noteAhead(req.Host, at)
 	state := s.Follower.State(at)
 	resp := &peer.ShareResponse{
-		Host: s.Self, Report: s.report(answerScope(req.GetReport().GetScope()), req.Host, req.Upstreams), Strikes: s.strikes(), Limits: s.limits(),
+		Host: s.Self, Report: s.report(answerScope(req.GetReport().GetScope()), req.Host, req.Upstreams), Strikes: s.strikes(), Limits: s.limits(), PromptParts: s.promptParts(),
 		Version: state.Version, Era: state.Era, Revision: state.Revision, AgeMs: state.Age.Milliseconds() + 1, ReadAgeMs: state.ReadAge.Milliseconds() + 1,
 	}
 	var err error
