archiver: keep isolated parts of prompts in the platform's store

What callers saw: after all hosts were killed at once, a part that was isolated crashed seven to ten more upstreams, each time, until it was isolated again.

Cause: what hosts tell each other is gone when all of them start anew.

The host that isolates or releases a part writes it to one key, by compare-and-swap, and each host reads that key as it starts. It is not ready, and refuses requests with parts as not run, until it has, or for 1.5 s where the store does not answer. The store is not asked to decide on a request. Whether a part has crashed five upstreams is kept with it, so that the next request let through is not sooner. Times are offset, as the clock of a machine that was started just now may be below the age of what others tell.

--- /dev/null
+++ b/archiver/archiver.go
@@ -0,0 +1,211 @@
+// Package archiver keeps the isolated parts of prompts in the platform's store, so that hosts which
+// all start anew know them. The store is not needed to decide on a request: while it is out of reach, hosts
+// go on with what they know and tell each other.
+package archiver
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sardineward/sardineward/isolator"
+	"github.com/sardineward/sardineward/storer"
+)
+
+// Key is the key in the store.
+const Key = "sardineward/parts"
+
+const (
+	// maxStored bounds the stored parts, those isolated last.
+	maxStored = 64
+	// maxLoadWait is how long a starting host waits for the stored parts.
+	maxLoadWait = 1500 * time.Millisecond
+	// retryDelay is the pause after a call that failed, callTimeout bounds each.
+	retryDelay  = 500 * time.Millisecond
+	callTimeout = time.Second
+)
+
+// record is the value of Key.
+type record struct {
+	Parts []storedPart `json:"parts"`
+}
+
+// storedPart is an isolated part.
+type storedPart struct {
+	Part isolator.Part `json:"part"`
+	// Workspace is the hash of the only workspace that is refused, in hexadecimal; empty for all.
+	Workspace string `json:"workspace,omitempty"`
+	// IsolatedAtMs is when it was isolated, in Unix milliseconds.
+	IsolatedAtMs int64 `json:"isolatedAtMs"`
+	Confirmed    bool  `json:"confirmed,omitempty"`
+	Samples      int   `json:"samples,omitempty"`
+}
+
+// UnmarshalJSON checks the parts.
+func (r *record) UnmarshalJSON(b []byte) error {
+	type plain record
+	if err := json.Unmarshal(b, (*plain)(r)); err != nil {
+		return err
+	}
+	for _, p := range r.Parts {
+		if p.Part == "" || p.IsolatedAtMs <= 0 || p.Samples < 0 {
+			return fmt.Errorf("stored part %q: want an id, a time above 0 and no negative count, found %d and %d", p.Part, p.IsolatedAtMs, p.Samples)
+		}
+		if _, err := p.workspace(); err != nil {
+			return fmt.Errorf("workspace of stored part %q: %w", p.Part, err)
+		}
+	}
+	return nil
+}
+
+func (p *storedPart) workspace() (uint64, error) {
+	if p.Workspace == "" {
+		return 0, nil
+	}
+	return strconv.ParseUint(p.Workspace, 16, 64)
+}
+
+// Archiver loads the isolated parts as a host starts, and stores those that it isolates or releases.
+// Exported fields are set before Run.
+type Archiver struct {
+	Store    storer.Store
+	Isolator *isolator.Isolator
+	// Now is the clock of the host, Clock the time of day; nil means time.Now.
+	Now   func() time.Duration
+	Clock func() time.Time
+	// Started is when the host was started, by Now.
+	Started time.Duration
+	Log     zerolog.Logger
+
+	loaded atomic.Bool
+	// changes holds the parts that were isolated or released here and are not stored yet.
+	changes chan isolator.State
+}
+
+// Init makes Changed usable.
+func (a *Archiver) Init() { a.changes = make(chan isolator.State, maxStored) }
+
+// Loaded reports whether the stored parts are known, or were not to be had within maxLoadWait.
+func (a *Archiver) Loaded() bool { return a.loaded.Load() || a.Now()-a.Started > maxLoadWait }
+
+// Changed stores a part that this host isolated or released, in Run. It does not block: if too many
+// wait, hosts only tell each other.
+func (a *Archiver) Changed(s isolator.State) {
+	select {
+	case a.changes <- s:
+	default:
+		a.Log.Warn().Str("part", string(s.Part)).Msg("archiver: too many parts to store, skipped")
+	}
+}
+
+// Run loads the stored parts and stores changes until ctx ends.
+func (a *Archiver) Run(ctx context.Context) {
+	for ctx.Err() == nil && !a.load(ctx) {
+		sleep(ctx, retryDelay)
+	}
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case s := <-a.changes:
+			for ctx.Err() == nil && !a.store(ctx, s) {
+				sleep(ctx, retryDelay)
+			}
+		}
+	}
+}
+
+// load reads the stored parts, and reports whether it could.
+func (a *Archiver) load(ctx context.Context) bool {
+	r, _, err := a.read(ctx)
+	if err != nil {
+		a.Log.Warn().Err(err).Msg("archiver: reading isolated parts failed")
+		return false
+	}
+	now := a.Isolator.Time(a.Now())
+	list := make([]isolator.State, 0, len(r.Parts))
+	for _, p := range r.Parts {
+		workspace, _ := p.workspace()
+		at := now - max(0, a.clock().Sub(time.UnixMilli(p.IsolatedAtMs)))
+		list = append(list, isolator.State{Part: p.Part, Workspace: workspace, Confirmed: p.Confirmed, IsolatedAt: at, SampledAt: now, Samples: p.Samples, RequestedAt: now})
+	}
+	a.Isolator.Merge(a.Now(), list)
+	a.loaded.Store(true)
+	a.Log.Info().Int("parts", len(list)).Msg("archiver: isolated parts read from the store")
+	return true
+}
+
+// read returns the stored parts with their entry. What can't be decoded is logged and replaced.
+func (a *Archiver) read(ctx context.Context) (record, storer.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var r record
+	e, err := a.Store.Get(ctx, Key)
+	if errors.Is(err, storer.ErrNotFound) {
+		return r, storer.Entry{}, nil
+	}
+	if err != nil {
+		return r, e, err
+	}
+	if err := json.Unmarshal(e.Value, &r); err != nil {
+		a.Log.Warn().Err(err).Str("key", Key).Int64("revision", e.Revision).Msg("archiver: stored parts are invalid, ignored")
+		return record{}, e, nil
+	}
+	return r, e, nil
+}
+
+// store writes one part, or removes it where it is released, and reports whether it could.
+func (a *Archiver) store(ctx context.Context, s isolator.State) bool {
+	r, e, err := a.read(ctx)
+	if err != nil {
+		a.Log.Warn().Err(err).Str("part", string(s.Part)).Msg("archiver: storing a part failed, trying again")
+		return false
+	}
+	at := slices.IndexFunc(r.Parts, func(p storedPart) bool { return p.Part == s.Part })
+	next := storedPart{Part: s.Part, IsolatedAtMs: a.clock().Add(s.IsolatedAt - a.Isolator.Time(a.Now())).UnixMilli(), Confirmed: s.Confirmed, Samples: s.Samples}
+	if s.Workspace != 0 {
+		next.Workspace = strconv.FormatUint(s.Workspace, 16)
+	}
+	switch {
+	case at < 0 && !s.IsIsolated():
+		return true
+	case at >= 0 && s.IsIsolated() && r.Parts[at].Workspace == next.Workspace && r.Parts[at].Confirmed == next.Confirmed:
+		return true // another host isolated it as well
+	case at >= 0:
+		r.Parts = slices.Delete(r.Parts, at, at+1)
+	}
+	if s.IsIsolated() {
+		r.Parts = append(r.Parts, next)
+		r.Parts = r.Parts[max(0, len(r.Parts)-maxStored):]
+	}
+	value, err := json.Marshal(r)
+	if err != nil {
+		a.Log.Error().Err(err).Msg("archiver: encoding isolated parts failed")
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err = a.Store.Swap(ctx, storer.Write{Key: Key, Value: value, Expect: e.Revision, Era: e.Era})
+	a.Log.Info().Err(err).Str("part", string(s.Part)).Bool("isolated", s.IsIsolated()).Int("parts", len(r.Parts)).Msg("archiver: isolated parts written to the store")
+	return err == nil
+}
+
+func (a *Archiver) clock() time.Time {
+	if a.Clock == nil {
+		return time.Now()
+	}
+	return a.Clock()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/archiver/archiver_test.go
@@ -0,0 +1,137 @@
+package archiver_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/sardineward/sardineward/archiver"
+	"github.com/sardineward/sardineward/faker"
+	"github.com/sardineward/sardineward/isolator"
+	"github.com/sardineward/sardineward/storer"
+)
+
+// host is what one host knows of crashing parts, and its clock, which starts anew with it.
+type host struct {
+	isolator.Isolator
+	archiver *archiver.Archiver
+	now      func() time.Duration
+}
+
+// startHost starts a host on a store; it runs until the returned function is called.
+func startHost(store storer.Store) (h *host, stop func()) {
+	started := time.Now()
+	h = &host{now: func() time.Duration { return time.Since(started) }}
+	h.archiver = &archiver.Archiver{Store: store, Isolator: &h.Isolator, Now: h.now, Log: zerolog.Nop()}
+	h.archiver.Init()
+	changed := func(s isolator.State, learned bool) {
+		if !learned {
+			h.archiver.Changed(s)
+		}
+	}
+	h.OnIsolate, h.OnRelease = changed, changed
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { h.archiver.Run(ctx); close(done) }()
+	return h, func() { cancel(); <-done }
+}
+
+// isolate has a part crash some upstreams.
+func (h *host) isolate(id string) {
+	time.Sleep(3 * time.Second)
+	for n := range 3 {
+		h.RecordCrash(h.now(), []isolator.Part{isolator.ParsePart(id)}, 1, fmt.Sprint("upstream-", n))
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// run calls f in virtual time with a store.
+func run(t *testing.T, f func(is *is.I, store *faker.Platform)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { f(is.New(t), new(faker.Platform)) })
+}
+
+// assertIsolated checks how many parts a host that starts now knows to be isolated.
+func assertIsolated(is *is.I, store storer.Store, want int) {
+	is.Helper()
+	h, stop := startHost(store)
+	defer stop()
+	is.True(!h.archiver.Loaded())
+	time.Sleep(time.Millisecond)
+	is.True(h.archiver.Loaded())
+	is.Equal(len(h.Isolated()), want)
+}
+
+// TestHostsStartAnew guards against hosts that all start anew and have each crashing part crash upstreams
+// again.
+func TestHostsStartAnew(t *testing.T) {
+	run(t, func(is *is.I, store *faker.Platform) {
+		h, stop := startHost(store)
+		h.isolate("bad")
+		h.isolate("worse")
+		stop()
+		assertIsolated(is, store, 2)
+		h, stop = startHost(store)
+		time.Sleep(time.Second)
+		is.True(h.Release(h.now(), "bad"))
+		time.Sleep(time.Second)
+		stop()
+		assertIsolated(is, store, 1)
+	})
+}
+
+// TestStoreAway guards against losing a part that is isolated while the store does not answer, and against
+// waiting for the store for ever.
+func TestStoreAway(t *testing.T) {
+	run(t, func(is *is.I, store *faker.Platform) {
+		store.SetFaults(faker.Faults{Unavailable: true})
+		h, stop := startHost(store)
+		defer stop()
+		time.Sleep(time.Second)
+		is.True(!h.archiver.Loaded())
+		time.Sleep(time.Second)
+		is.True(h.archiver.Loaded())
+		h.isolate("bad")
+		is.Equal(len(h.Isolated()), 1)
+		store.SetFaults(faker.Faults{})
+		time.Sleep(2 * time.Second)
+		assertIsolated(is, store, 1)
+	})
+}
+
+// TestConcurrentWrites guards against hosts that overwrite what others store.
+func TestConcurrentWrites(t *testing.T) {
+	run(t, func(is *is.I, store *faker.Platform) {
+		const hosts = 8
+		for n := range hosts {
+			h, stop := startHost(store)
+			defer stop()
+			go h.isolate(fmt.Sprint("bad-", n))
+		}
+		time.Sleep(20 * time.Second)
+		assertIsolated(is, store, hosts)
+	})
+}
+
+// TestInvalidValue guards against a host that does not start, or never stores a part, since the stored
+// value can't be read.
+func TestInvalidValue(t *testing.T) {
+	for _, value := range []string{"", "{", `{"parts":[{"part":"","isolatedAtMs":1}]}`, `{"parts":[{"part":"bad","isolatedAtMs":-1}]}`, `{"parts":[{"part":"bad","isolatedAtMs":1,"workspace":"x"}]}`} {
+		t.Run(value, func(t *testing.T) {
+			run(t, func(is *is.I, store *faker.Platform) {
+				_, err := store.Swap(context.Background(), storer.Write{Key: archiver.Key, Value: []byte(value)})
+				is.NoErr(err)
+				h, stop := startHost(store)
+				h.isolate("bad")
+				time.Sleep(time.Second)
+				stop()
+				assertIsolated(is, store, 1)
+			})
+		})
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -88,6 +88,9 @@
 	Suspects *tracker.Suspects
 	// Isolator decides which parts of prompts crash upstreams.
 	Isolator isolator.Isolator
+	// PartsKnown reports whether this host has learned which parts are isolated; until then it is not ready. nil
+	// means always.
+	PartsKnown func() bool
 	// LimitsKnown reports whether this host has learned which upstreams announce a request
 	// limit; until then the host is not ready. nil means always.
 	LimitsKnown func() bool
@@ -131,7 +134,8 @@
 // Ready reports whether this host can serve requests.
 func (f *Forwarder) Ready() bool {
 	limitsKnown := f.LimitsKnown == nil || f.LimitsKnown()
-	return !f.stopping.Load() && f.Tables.Table() != nil && limitsKnown && f.keysFresh()
+	partsKnown := f.PartsKnown == nil || f.PartsKnown()
+	return !f.stopping.Load() && f.Tables.Table() != nil && limitsKnown && partsKnown && f.keysFresh()
 }
 
 // InFlight returns the number of requests being served.
--- a/forwarder/parts.go
+++ b/forwarder/parts.go
@@ -30,9 +30,12 @@
 	return k.Isolator.Check(k.Now(), k.parts, isolator.Workspace(k.suspect().workspace), again)
 }
 
-// refuseIsolated refuses a request whose prompt has a part that crashes upstreams, and reports whether it
-// did.
+// refuseIsolated refuses a request whose prompt has a part that crashes upstreams, or any part before this
+// host knows which do, and reports whether it did.
 func (k *call) refuseIsolated(again bool) bool {
+	if len(k.parts) > 0 && k.PartsKnown != nil && !k.PartsKnown() {
+		return !k.refuse(admitter.ReasonNotReady, "isolated parts of prompts are not known yet")
+	}
 	v := k.checkParts(again)
 	if !v.Refused {
 		return false
@@ -53,7 +56,7 @@
 
 // WithdrawIsolated withdraws the requests with an isolated part that have not begun, so that they crash no
 // further upstream. isolator.Isolator calls it.
-func (f *Forwarder) WithdrawIsolated(s isolator.State) {
+func (f *Forwarder) WithdrawIsolated(s isolator.State, learned bool) {
 	withdrawn := 0
 	f.mu.Lock()
 	for a := range f.streams {
@@ -63,21 +66,21 @@
 		}
 	}
 	f.mu.Unlock()
-	f.logPart(f.Log.Warn(), s).Int("withdrawn", withdrawn).Msg("forwarder: part of prompts isolated, it crashes upstreams")
+	f.logPart(f.Log.Warn(), s, learned).Int("withdrawn", withdrawn).Msg("forwarder: part of prompts isolated, it crashes upstreams")
 }
 
 // LogReleased logs that a part is no longer isolated. isolator.Isolator calls it.
-func (f *Forwarder) LogReleased(s isolator.State) {
-	f.logPart(f.Log.Warn(), s).Msg("forwarder: part of prompts released")
+func (f *Forwarder) LogReleased(s isolator.State, learned bool) {
+	f.logPart(f.Log.Warn(), s, learned).Msg("forwarder: part of prompts released")
 }
 
 // logPart adds what is known of a part to a log line.
-func (f *Forwarder) logPart(event *zerolog.Event, s isolator.State) *zerolog.Event {
-	now := f.Now()
+func (f *Forwarder) logPart(event *zerolog.Event, s isolator.State, learned bool) *zerolog.Event {
+	now := f.Isolator.Time(f.Now())
 	crashes := zerolog.Arr()
 	for _, c := range s.Crashes {
 		crashes.Dict(zerolog.Dict().Str("upstream", c.Upstream).Dur("ago", now-c.At))
 	}
-	return event.Str("part", string(s.Part)).Bool("allWorkspaces", s.Workspace == 0).Dur("isolatedFor", now-s.IsolatedAt).
+	return event.Str("part", string(s.Part)).Bool("learned", learned).Bool("allWorkspaces", s.Workspace == 0).Dur("isolatedFor", now-s.IsolatedAt).
 		Int("samples", s.Samples).Array("crashes", crashes)
 }
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -48,6 +48,9 @@
 	sharedCrashes = 8
 	maxRecords    = 256
 	maxAnswered   = 4096
+	// clockOffset is added to the clock of the host, which may have started just now, so that times before
+	// that are above 0.
+	clockOffset = 10000 * time.Hour
 )
 
 // Crash is the crash of an upstream at which requests with a part were in flight.
@@ -58,7 +61,7 @@
 	Workspaces []uint64
 }
 
-// State is what is known of a part. Its times are those of the clock of the host; 0 is never.
+// State is what is known of a part. Its times are those of Isolator.Time; 0 is never.
 type State struct {
 	Part Part
 	// Depth is the highest place of the part in a prompt; the first has place 0.
@@ -70,6 +73,8 @@
 	// the only workspace whose requests are refused; 0 means all of them.
 	IsolatedAt time.Duration
 	Workspace  uint64
+	// Confirmed is set once an isolated part was in flight at confirmedThreshold moments.
+	Confirmed bool
 	// SampledAt is when a request was last let through, Samples how often.
 	SampledAt time.Duration
 	Samples   int
@@ -96,7 +101,7 @@
 // sampleDue returns when the next request may be let through.
 func (s *State) sampleDue() time.Duration {
 	wait := sampleInterval
-	if len(moments(s.Crashes)) >= confirmedThreshold {
+	if s.Confirmed {
 		wait = confirmedInterval << min(s.Samples, maxDoublings)
 	}
 	return max(s.lastCrash(), s.SampledAt, s.IsolatedAt) + wait
@@ -105,13 +110,13 @@
 // Isolator decides which parts of prompts are isolated. Exported fields are set before use. It is safe
 // for concurrent use.
 type Isolator struct {
-	// Started is when this host was started.
+	// Started is when this host was started, by its clock.
 	Started time.Duration
 	// Samples reports whether this host is the one that lets single requests through; nil means that it is.
 	Samples func() bool
-	// OnIsolate and OnRelease are called after a part was isolated or released, here or by another host;
-	// nil means no call.
-	OnIsolate, OnRelease func(State)
+	// OnIsolate and OnRelease are called after a part was isolated or released, here or, with learned set, as
+	// another host told; nil means no call.
+	OnIsolate, OnRelease func(s State, learned bool)
 
 	mu      sync.Mutex
 	records map[Part]*State
@@ -129,9 +134,13 @@
 	Wait time.Duration
 }
 
+// Time returns the time of the Isolator at a time of the host's clock, which all methods take.
+func (*Isolator) Time(now time.Duration) time.Duration { return now + clockOffset }
+
 // Check decides on a request of a workspace before it is sent. again is set if it was sent before and
 // an upstream failed it.
 func (i *Isolator) Check(now time.Duration, parts []Part, workspace uint64, again bool) Verdict {
+	now = i.Time(now)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for _, p := range parts {
@@ -157,6 +166,7 @@
 
 // HasUnproven reports whether a request has a part of which no answer is known.
 func (i *Isolator) HasUnproven(now time.Duration, parts []Part) bool {
+	now = i.Time(now)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	return slices.ContainsFunc(parts, func(p Part) bool {
@@ -170,6 +180,7 @@
 
 // RecordCrash records that an upstream crashed with a request in flight.
 func (i *Isolator) RecordCrash(now time.Duration, parts []Part, workspace uint64, upstream string) {
+	now = i.Time(now)
 	i.mu.Lock()
 	for depth, p := range parts {
 		s := i.record(p)
@@ -178,11 +189,12 @@
 	}
 	changed := i.isolate(now)
 	i.mu.Unlock()
-	i.report(changed)
+	i.report(changed, false)
 }
 
 // RecordAnswer records that a request was answered, which shows that its parts crash nothing.
 func (i *Isolator) RecordAnswer(now time.Duration, parts []Part) {
+	now = i.Time(now)
 	i.mu.Lock()
 	var changed []State
 	for _, p := range parts {
@@ -199,18 +211,19 @@
 		i.answered[p] = now
 	}
 	i.mu.Unlock()
-	i.report(changed)
+	i.report(changed, false)
 }
 
 // Release ends the isolation of a part by hand. It returns false if it is not isolated.
 func (i *Isolator) Release(now time.Duration, p Part) bool {
+	now = i.Time(now)
 	i.mu.Lock()
 	var changed []State
 	if s := i.records[p]; s != nil {
 		changed = s.answer(now)
 	}
 	i.mu.Unlock()
-	i.report(changed)
+	i.report(changed, false)
 	return len(changed) > 0
 }
 
@@ -250,6 +263,7 @@
 
 // Merge adds what another host knows.
 func (i *Isolator) Merge(now time.Duration, list []State) {
+	now = i.Time(now)
 	i.mu.Lock()
 	var changed []State
 	for n := range list {
@@ -261,13 +275,15 @@
 			changed = append(changed, s.clone())
 		}
 	}
-	changed = append(changed, i.isolate(now)...)
+	decided := i.isolate(now)
 	i.mu.Unlock()
-	i.report(changed)
+	i.report(changed, true)
+	i.report(decided, false)
 }
 
 // Sweep forgets crashes, answers and isolated parts that no longer count.
 func (i *Isolator) Sweep(now time.Duration) {
+	now = i.Time(now)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for p, s := range i.records {
@@ -343,7 +359,7 @@
 // requests. It returns what changed.
 func (i *Isolator) isolate(now time.Duration) []State {
 	var changed []State
-	if now-i.Started < settleTime {
+	if now-i.Time(i.Started) < settleTime {
 		return nil
 	}
 	for {
@@ -362,7 +378,7 @@
 			}
 		}
 		if best == nil {
-			return append(changed, i.widen()...)
+			return append(changed, i.update()...)
 		}
 		best.IsolatedAt, best.RequestedAt = now, now
 		best.Workspace = soleWorkspace(i.unexplained(now, best))
@@ -370,33 +386,39 @@
 	}
 }
 
-// widen refuses parts in requests of all workspaces that were isolated for one, once a request of
-// another one was in flight at a crash since. It returns what changed.
-func (i *Isolator) widen() []State {
+// update takes further crashes of isolated parts into account: one that was isolated for a workspace is
+// refused for all, once a request of another one was in flight at a crash since. It returns what changed.
+func (i *Isolator) update() []State {
 	var changed []State
 	for _, s := range i.records {
-		if !s.IsIsolated() || s.Workspace == 0 {
+		if !s.IsIsolated() {
 			continue
 		}
-		if slices.ContainsFunc(s.Crashes, func(c Crash) bool {
+		confirms := !s.Confirmed && len(moments(s.Crashes)) >= confirmedThreshold
+		widens := s.Workspace != 0 && slices.ContainsFunc(s.Crashes, func(c Crash) bool {
 			return c.At > s.IsolatedAt && slices.ContainsFunc(c.Workspaces, func(w uint64) bool { return w != s.Workspace })
-		}) {
+		})
+		if !confirms && !widens {
+			continue
+		}
+		s.Confirmed = s.Confirmed || confirms
+		if widens {
 			s.Workspace = 0
-			changed = append(changed, s.clone())
 		}
+		changed = append(changed, s.clone())
 	}
 	return changed
 }
 
 // report calls OnIsolate and OnRelease, without the lock.
-func (i *Isolator) report(changed []State) {
+func (i *Isolator) report(changed []State, learned bool) {
 	for _, s := range changed {
 		f := i.OnRelease
 		if s.IsIsolated() {
 			f = i.OnIsolate
 		}
 		if f != nil {
-			f(s)
+			f(s, learned)
 		}
 	}
 }
--- a/isolator/state.go
+++ b/isolator/state.go
@@ -80,6 +80,7 @@
 	s.AnsweredAt = max(s.AnsweredAt, now)
 	s.Crashes = slices.DeleteFunc(s.Crashes, func(c Crash) bool { return c.At <= s.AnsweredAt })
 	if was && !s.IsIsolated() {
+		s.Confirmed, s.Samples = false, 0
 		return []State{s.clone()}
 	}
 	return nil
@@ -101,6 +102,7 @@
 		s.Workspace = 0
 	}
 	s.IsolatedAt = max(s.IsolatedAt, o.IsolatedAt)
+	s.Confirmed = s.IsIsolated() && (s.Confirmed || o.Confirmed)
 	s.SampledAt, s.Samples = max(s.SampledAt, o.SampledAt), max(s.Samples, o.Samples)
 	s.RequestedAt = max(s.RequestedAt, o.RequestedAt)
 	s.answer(o.AnsweredAt)
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -198,6 +198,16 @@
 	fl.source.DeleteHost(name)
 }
 
+// restartAll kills all hosts and starts them again.
+func (fl *fleet) restartAll() {
+	for _, h := range fl.hosts {
+		fl.killHost[h.Name]()
+	}
+	for _, h := range fl.hosts {
+		fl.startHost(h)
+	}
+}
+
 // restartHost starts a host again after crashHost.
 func (fl *fleet) restartHost(name string) {
 	for _, h := range fl.hosts {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -18,12 +18,14 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sardineward/sardineward/admitter"
+	"github.com/sardineward/sardineward/archiver"
 	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/connector"
 	"github.com/sardineward/sardineward/delegator"
 	"github.com/sardineward/sardineward/detector"
 	"github.com/sardineward/sardineward/follower"
 	"github.com/sardineward/sardineward/forwarder"
+	"github.com/sardineward/sardineward/isolator"
 	"github.com/sardineward/sardineward/loader"
 	"github.com/sardineward/sardineward/matcher"
 	"github.com/sardineward/sardineward/meter"
@@ -91,6 +93,7 @@
 	registrar *registrar.Registrar
 	orderer   *orderer.Orderer
 	sharer    *sharer.Sharer
+	archiver  *archiver.Archiver
 	pacer     *pacer.Pacer
 	pool      *connector.Pool
 	meter     *meter.Meter
@@ -130,6 +133,7 @@
 	wg.Go(func() { h.registrar.Run(dutyCtx) })
 	wg.Go(func() { h.orderer.Run(dutyCtx) })
 	wg.Go(func() { h.sharer.Run(workCtx) })
+	wg.Go(func() { h.archiver.Run(workCtx) })
 	wg.Go(func() { h.pacer.Run(workCtx) })
 	wg.Go(func() { h.runSweeps(workCtx) })
 	h.Log.Info().Str("host", h.Settings.Host).Str("dataCentre", h.Settings.DataCentre).Bool("firstStart", h.Settings.FirstStart).Msg("launcher: started")
@@ -226,7 +230,10 @@
 	h.pool.OnDialed = h.forwarder.RecordDial
 	i := &h.forwarder.Isolator
 	i.Started, i.Samples = h.startedAt, h.hasLowestName
-	i.OnIsolate, i.OnRelease = h.forwarder.WithdrawIsolated, h.forwarder.LogReleased
+	i.OnIsolate, i.OnRelease = h.handleIsolated, h.handleReleased
+	h.archiver = &archiver.Archiver{Store: h.Store, Isolator: i, Now: h.Now, Started: h.startedAt, Log: h.Log}
+	h.archiver.Init()
+	h.forwarder.PartsKnown = func() bool { return cfg.FirstStart || h.archiver.Loaded() }
 	suspects.WentDown = h.forwarder.WentDown
 	if h.EngineTransport != nil {
 		h.EngineTransport.Forwarder = h.forwarder
@@ -312,6 +319,22 @@
 // upstreamsLost reports whether this host reaches no upstream.
 func (h *Host) upstreamsLost() bool { return h.forwarder.Detector.State(h.Now()).Lost }
 
+// handleIsolated withdraws requests with a part that was isolated, and stores what this host decided.
+func (h *Host) handleIsolated(s isolator.State, learned bool) {
+	h.forwarder.WithdrawIsolated(s, learned)
+	if !learned {
+		h.archiver.Changed(s)
+	}
+}
+
+// handleReleased is the same for a part that is no longer isolated.
+func (h *Host) handleReleased(s isolator.State, learned bool) {
+	h.forwarder.LogReleased(s, learned)
+	if !learned {
+		h.archiver.Changed(s)
+	}
+}
+
 // hasLowestName reports whether the name of no other host sorts before that of this one.
 func (h *Host) hasLowestName() bool {
 	return !slices.ContainsFunc(h.follower.Hosts(), func(other follower.Host) bool { return other.Name < h.Settings.Host })
--- a/launcher/parts_test.go
+++ b/launcher/parts_test.go
@@ -14,7 +14,9 @@
 	"github.com/matryer/is"
 
 	"github.com/sardineward/sardineward/faker"
+	"github.com/sardineward/sardineward/follower"
 	"github.com/sardineward/sardineward/forwarder"
+	"github.com/sardineward/sardineward/launcher"
 )
 
 const (
@@ -198,3 +200,30 @@
 		}
 	}
 }
+
+// TestAllHostsRestarted guards against hosts that are all killed at once and have a part that was isolated
+// crash upstreams again.
+func TestAllHostsRestarted(t *testing.T) {
+	for _, hosts := range []int{1, 4, 24} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			t.Parallel()
+			runLargeFleet(t, hosts, 3, "/look/1", 5, func(is *is.I, fl *fleet) {
+				store := new(faker.Platform)
+				fl.connect = func(h *launcher.Host, f follower.Host) { h.Source, h.Store = fl.source.Without(f.Name), store }
+				fl.restartAll()
+				time.Sleep(4 * time.Second)
+				l := &partLoad{fleet: fl, path: "/stream/1", crashing: 8, sound: 40, lead: "a1"}
+				l.run(func() {
+					time.Sleep(5 * time.Second)
+					crashes := fl.crashes.Load()
+					for range 3 {
+						fl.restartAll()
+						time.Sleep(5 * time.Second)
+					}
+					is.True(crashes >= 3)
+					is.Equal(fl.crashes.Load(), crashes)
+				})
+			})
+		})
+	}
+}
--- a/sharer/parts.go
+++ b/sharer/parts.go
@@ -20,14 +20,14 @@
 	if s.Isolator == nil {
 		return nil
 	}
-	now := s.Now()
+	now := s.Isolator.Time(s.Now())
 	list := s.Isolator.States(maxPromptParts)
 	out := make([]*peer.PromptPart, len(list))
 	for i := range list {
 		st := &list[i]
 		p := &peer.PromptPart{
 			Part: string(st.Part), Depth: uint32(st.Depth), AnsweredAge: encodeAge(now, st.AnsweredAt), IsolatedAge: encodeAge(now, st.IsolatedAt),
-			Workspace: st.Workspace, Samples: uint32(st.Samples), SampledAge: encodeAge(now, st.SampledAt), RequestedAge: encodeAge(now, st.RequestedAt),
+			Workspace: st.Workspace, Confirmed: st.Confirmed, Samples: uint32(st.Samples), SampledAge: encodeAge(now, st.SampledAt), RequestedAge: encodeAge(now, st.RequestedAt),
 		}
 		for _, c := range st.Crashes {
 			p.Crashes = append(p.Crashes, &peer.PartCrash{Upstream: c.Upstream, AgeMs: (now - c.At).Milliseconds(), Workspaces: c.Workspaces})
@@ -42,7 +42,7 @@
 	if s.Isolator == nil || len(list) == 0 {
 		return
 	}
-	now := s.Now()
+	now := s.Isolator.Time(s.Now())
 	var out []isolator.State
 	for _, p := range list[:min(len(list), maxPromptParts)] {
 		if p.Part == "" || len(p.Part) > maxPartBytes || len(p.Crashes) > maxPartCrashes {
@@ -50,14 +50,14 @@
 		}
 		st := isolator.State{
 			Part: isolator.Part(p.Part), Depth: int(p.Depth), AnsweredAt: decodeAge(now, p.AnsweredAge), IsolatedAt: decodeAge(now, p.IsolatedAge),
-			Workspace: p.Workspace, Samples: int(p.Samples), SampledAt: decodeAge(now, p.SampledAge), RequestedAt: decodeAge(now, p.RequestedAge),
+			Workspace: p.Workspace, Confirmed: p.Confirmed, Samples: int(p.Samples), SampledAt: decodeAge(now, p.SampledAge), RequestedAt: decodeAge(now, p.RequestedAge),
 		}
 		for _, c := range p.Crashes {
 			st.Crashes = append(st.Crashes, isolator.Crash{Upstream: c.Upstream, At: now - millis(c.AgeMs), Workspaces: c.Workspaces})
 		}
 		out = append(out, st)
 	}
-	s.Isolator.Merge(now, out)
+	s.Isolator.Merge(s.Now(), out)
 }
 
 // encodeAge returns the age of a time in milliseconds plus 1; 0 for the time 0, which is never.
