soaker, faker: draw parts of prompts that crash upstreams, count as the rule does

Streams of the soak carry the parts of their prompts.

An upstream that two faults restart is now served once.

--- a/faker/stage.go
+++ b/faker/stage.go
@@ -54,7 +54,7 @@
 	// Delivered reports whether the response to a request reached its sender whole; nil means always.
 	Delivered func(one *ReceivedRequest) bool
 	// Crash is called in its own goroutine for a request whose body contains Poison, or as the answer to one
-	// whose prompt has the part CrashingPart begins; nil means that the request is answered normally.
+	// whose prompt has a part that CrashingPart begins; nil means that the request is answered normally.
 	Crash func()
 
 	mu      sync.Mutex
@@ -62,7 +62,7 @@
 	backoff backoff
 	// leaving is the value of the header Leaving; empty means no header.
 	leaving   string
-	crashes   []time.Time
+	crashes   []StageCrash
 	faults    []StageFault
 	received  []ReceivedRequest
 	abandoned int
@@ -76,6 +76,8 @@
 	// Urgency is the value of the urgency header.
 	Urgency    string
 	DeadlineMs int
+	// CrashingPart is the id of the part of its prompt that crashes stages; empty if none does.
+	CrashingPart string
 	// Executed is false if the request was refused as not executed.
 	Executed bool
 	// Backoff is the wait that its rejection asked the host for; 0 if none.
@@ -137,37 +139,6 @@
 	return s.abandoned
 }
 
-// CrashingPart is the id of a part of prompts that crashes each Stage that begins an answer to it.
-const CrashingPart = "dead"
-
-// Crashes returns the times of the crashes by requests.
-func (s *Stage) Crashes() []time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]time.Time(nil), s.crashes...)
-}
-
-// crash records a crash and ends the stage, and returns once the caller is disconnected.
-func (s *Stage) crash(r *http.Request) {
-	s.mu.Lock()
-	if r.Context().Err() == nil {
-		s.crashes = append(s.crashes, time.Now())
-	}
-	s.mu.Unlock()
-	go s.Crash()
-	<-r.Context().Done()
-}
-
-// hasCrashingPart reports whether the prompt of a request has the part CrashingPart.
-func (s *Stage) hasCrashingPart(r *http.Request) bool {
-	for part := range strings.SplitSeq(r.Header.Get(s.headers().Parts), ",") {
-		if id, _, _ := strings.Cut(part, ":"); id == CrashingPart {
-			return true
-		}
-	}
-	return false
-}
-
 // receive records a request. It returns the fault to apply to it, and the Retry-After of its
 // rejection or an empty text.
 func (s *Stage) receive(r *http.Request, body string) (t StageFault, retryAfter string) {
@@ -187,20 +158,21 @@
 	h := s.headers()
 	left, _ := strconv.Atoi(r.Header.Get(h.DeadlineMs))
 	s.received = append(s.received, ReceivedRequest{
-		RequestID:   r.Header.Get(h.RequestID),
-		Workspace:   r.Header.Get(h.Workspace),
-		Path:        r.Header.Get(h.Path),
-		Key:         r.Header.Get("Authorization"),
-		Target:      r.RequestURI,
-		Body:        body,
-		LastEventID: r.Header.Get("Last-Event-Id"),
-		Urgency:     r.Header.Get(h.Urgency),
-		DeadlineMs:  left,
-		Executed:    executed,
-		Backoff:     s.backoff.wait,
-		ToldLeaving: s.leaving == "1",
-		From:        r.RemoteAddr,
-		At:          time.Now(),
+		RequestID:    r.Header.Get(h.RequestID),
+		Workspace:    r.Header.Get(h.Workspace),
+		Path:         r.Header.Get(h.Path),
+		Key:          r.Header.Get("Authorization"),
+		Target:       r.RequestURI,
+		Body:         body,
+		LastEventID:  r.Header.Get("Last-Event-Id"),
+		Urgency:      r.Header.Get(h.Urgency),
+		DeadlineMs:   left,
+		CrashingPart: s.crashingPart(r),
+		Executed:     executed,
+		Backoff:      s.backoff.wait,
+		ToldLeaving:  s.leaving == "1",
+		From:         r.RemoteAddr,
+		At:           time.Now(),
 	})
 	return t, s.backoff.retryAfter
 }
@@ -234,7 +206,7 @@
 		defer s.finish()
 	}
 	if s.Crash != nil && strings.Contains(body.String(), Poison) {
-		s.crash(r)
+		s.crash(r, "")
 		return
 	}
 	w.Header().Set(h.RequestID, r.Header.Get(h.RequestID))
@@ -261,8 +233,8 @@
 	case StageFaultWrongResponse:
 		s.serveWrongResponse(w, r)
 	default:
-		if s.Crash != nil && s.hasCrashingPart(r) {
-			s.beginAndCrash(w, r)
+		if part := s.crashingPart(r); part != "" && s.Crash != nil {
+			s.beginAndCrash(w, r, part)
 			return
 		}
 		if strings.HasPrefix(r.URL.Path, "/stream/") {
@@ -291,16 +263,6 @@
 	_, _ = fmt.Fprintf(w, "answer of %s to %s", s.ID, r.Header.Get(s.headers().RequestID))
 }
 
-// beginAndCrash sends the head of an answer and crashes as the first event is due.
-func (s *Stage) beginAndCrash(w http.ResponseWriter, r *http.Request) {
-	_ = http.NewResponseController(w).Flush()
-	select {
-	case <-r.Context().Done():
-	case <-time.After(s.EventInterval):
-		s.crash(r)
-	}
-}
-
 // serveWrongResponse writes a late response to another request before the response to this one.
 func (s *Stage) serveWrongResponse(w http.ResponseWriter, r *http.Request) {
 	id := s.headers().RequestID
--- a/launcher/parts_test.go
+++ b/launcher/parts_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -98,27 +99,13 @@
 // lateArrivals returns the requests with the crashing part that reached upstreams later than stableWindow
 // after the fifth crash from hosts that ran that long, and the time of that crash.
 func (l *partLoad) lateArrivals() (late []faker.ReceivedRequest, fifth time.Time) {
-	var crashes []time.Time
-	var arrivals []faker.ReceivedRequest
-	for _, s := range l.stages {
-		crashes = append(crashes, s.Crashes()...)
-		for _, one := range s.Received() {
-			if strings.HasPrefix(one.RequestID, "bad") {
-				arrivals = append(arrivals, one)
-			}
-		}
-	}
-	if len(crashes) < ruledCrashes {
-		return nil, slices.MaxFunc(append(crashes, time.Time{}), time.Time.Compare)
-	}
-	slices.SortFunc(crashes, time.Time.Compare)
-	fifth = crashes[ruledCrashes-1]
-	for i := range arrivals {
-		if one := &arrivals[i]; one.At.Sub(fifth) > stableWindow && one.At.Sub(l.startedAt[one.From]) > stableWindow {
-			late = append(late, *one)
+	all, counted := faker.PartRule{Crashes: ruledCrashes, Window: stableWindow}.Late(slices.Collect(maps.Values(l.stages)))
+	for _, one := range all[faker.CrashingPart] {
+		if one.At.Sub(l.startedAt[one.From]) > stableWindow {
+			late = append(late, one)
 		}
 	}
-	return late, fifth
+	return late, counted[faker.CrashingPart]
 }
 
 // soundServed returns the share of the sound requests sent since a time that were answered.
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -17,8 +17,11 @@
 // call is one request as its caller saw it.
 type call struct {
 	id, path, key string
-	host          int
-	sent, ended   time.Time
+	// parts lists the parts of its prompt, isCrashing is set if one of them crashes upstreams.
+	parts       string
+	isCrashing  bool
+	host        int
+	sent, ended time.Time
 	// earlier is set when the host ran the earlier version of the program.
 	earlier bool
 	// fallback is set when the load balancer also used hosts that were not ready.
@@ -124,6 +127,7 @@
 	h.checkUrgency(cl, report)
 	h.checkRetries(cl, report)
 	h.checkRanks(report)
+	h.checkParts(cl, report)
 	for _, text := range h.badExits {
 		report("%s", text)
 	}
@@ -136,7 +140,7 @@
 	for i := range h.calls {
 		c := &h.calls[i]
 		// The ranked service is overloaded on purpose; checkRanks covers it.
-		if _, gone := h.revokedAt[c.key]; gone || c.fallback || rankOf(c.path) >= 0 || !h.undisturbed(c.host, c.sent, c.ended) {
+		if _, gone := h.revokedAt[c.key]; gone || c.fallback || c.isCrashing || rankOf(c.path) >= 0 || !h.undisturbed(c.host, c.sent, c.ended) {
 			continue
 		}
 		sent++
--- a/soaker/doc.go
+++ b/soaker/doc.go
@@ -10,6 +10,7 @@
 //   - an upstream that leaves gets no new requests;
 //   - an upstream gets no more requests than the limit that it reports;
 //   - no upstream sees a caller's key;
+//   - requests with a part of prompts that crashes upstreams stop reaching them;
 //   - a planned stop breaks no request.
 //
 // Everything random in a run comes from its seed, so the same seed injects the same faults at the
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -24,7 +24,7 @@
 // time, the guarantees for undisturbed hosts would never be tested.
 func (r *Run) injectFaults(ctx context.Context, wg *sync.WaitGroup) {
 	rnd := rand.New(rand.NewPCG(r.Seed, 0))
-	faults := []faultFunc{killHost, pauseHost, stopHost, disruptStoreLink, crashUpstream, disruptUpstreamLink, leaveUpstream, revokeKeys, moveRoute, failUpstreamRequests, limitUpstream, restoreStore, backOffUpstream, leaveByHeader, surgeOfRanks, reverseRanks, failService}
+	faults := []faultFunc{killHost, pauseHost, stopHost, disruptStoreLink, crashUpstream, disruptUpstreamLink, leaveUpstream, revokeKeys, moveRoute, failUpstreamRequests, limitUpstream, restoreStore, backOffUpstream, leaveByHeader, surgeOfRanks, reverseRanks, failService, crashByPart}
 	rnd.Shuffle(len(faults), func(i, j int) { faults[i], faults[j] = faults[j], faults[i] })
 	faults = faults[:3+rnd.IntN(len(faults)-2)]
 	maxGapMs := 300 + rnd.IntN(1500)
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -38,6 +38,8 @@
 	mu      sync.Mutex
 	// outOfRotation holds the numbers of the hosts to which the load balancer sends nothing.
 	outOfRotation map[int]bool
+	// crashingPart is the part that some prompts have now; empty if none has.
+	crashingPart string
 	// restoring is held while the store is restored from a snapshot.
 	restoring sync.Mutex
 }
@@ -78,6 +80,7 @@
 	}
 	defer r.cluster.close()
 	r.history = newHistory()
+	r.restartCrashed()
 	r.outOfRotation = make(map[int]bool)
 	for _, h := range r.cluster.hosts {
 		if err := r.cluster.start(h); err != nil {
@@ -137,6 +140,7 @@
 	for k := 0; ctx.Err() == nil; k++ {
 		c := call{id: fmt.Sprintf("%d-%d-%d", r.Seed, n, k), path: paths[rnd.IntN(len(paths))], key: keyName(rnd.IntN(keyCount))}
 		c.host, c.fallback = r.pickHost(rnd)
+		r.drawParts(rnd, &c)
 		r.send(client, &c)
 		r.history.addCall(c)
 		time.Sleep(time.Duration(rnd.IntN(20)) * time.Millisecond)
@@ -227,6 +231,9 @@
 	req.Header.Set("Authorization", "Bearer "+c.key)
 	req.Header.Set(platform.Headers.RequestID, c.id)
 	req.Header.Set(platform.Headers.DeadlineMs, "5000")
+	if c.parts != "" {
+		req.Header.Set(platform.Headers.Parts, c.parts)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		c.err = err
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -226,10 +226,13 @@
 	return nil
 }
 
-// serve starts the upstream's server.
+// serve starts the upstream's server, unless another fault has started it again already.
 func (u *upstream) serve() error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.stopServer != nil {
+		return nil
+	}
 	stop, err := faker.Serve(listen, u.listenAddress, u.stage)
 	u.stopServer = stop
 	return err
