launcher, sardineward: list and release isolated parts, try them with dev-forward

GET /parts on the administration address lists the parts with which requests are refused: workspace or all, since when, the crashes, when the next request is let through. DELETE /parts/ID releases one on all hosts. isolated_parts is its gauge. The stand-in's upstreams crash by a part and are back after 2 s.

TestReleasePart.

--- a/cmd/sardineward/devforward.go
+++ b/cmd/sardineward/devforward.go
@@ -41,13 +41,15 @@
 	stages := make(map[string]*faker.Stage)
 	link := new(devLink)
 	for i, id := range []string{"desk-a", "desk-b", "model-a", "model-b"} {
-		stages[id] = &faker.Stage{ID: id, Events: 20, EventInterval: 200 * time.Millisecond, ResponseDelay: 20 * time.Millisecond}
-		kill, err := faker.Serve(listen, address(5+i), stages[id])
-		if err != nil {
+		u := &devUpstream{
+			Upstream: balancer.Upstream{ID: id, Service: id[:len(id)-2], Address: address(5 + i), DataCentre: "here", Slots: 8},
+			stage:    &faker.Stage{ID: id, Events: 20, EventInterval: 200 * time.Millisecond, ResponseDelay: 20 * time.Millisecond},
+		}
+		stages[id] = u.stage
+		if err := u.start(source); err != nil {
 			return err
 		}
-		defer kill()
-		source.PutUpstream(balancer.Upstream{ID: id, Service: id[:len(id)-2], Address: address(5 + i), DataCentre: "here", Slots: 8})
+		defer u.stop()
 	}
 	kill, err := faker.Serve(listen, address(4), devControl(source, stages, link))
 	if err != nil {
@@ -82,6 +84,53 @@
 	return errors.Join(err, <-secondDone)
 }
 
+// devUpstream is a fake upstream that is down for two seconds after a request has crashed it.
+type devUpstream struct {
+	balancer.Upstream
+	stage *faker.Stage
+
+	mu sync.Mutex
+	// kill ends the server; nil while it is down.
+	kill func()
+}
+
+// start starts the server and lists it as a new incarnation.
+func (u *devUpstream) start(source *faker.Directory) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.stage.Crash = func() { u.restart(source) }
+	kill, err := faker.Serve(listen, u.Address, u.stage)
+	if err != nil {
+		return err
+	}
+	u.kill, u.StartedAt = kill, time.Now().UnixMilli()
+	source.PutUpstream(u.Upstream)
+	return nil
+}
+
+// stop ends the server, and reports whether it was up.
+func (u *devUpstream) stop() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.kill == nil {
+		return false
+	}
+	u.kill()
+	u.kill = nil
+	return true
+}
+
+func (u *devUpstream) restart(source *faker.Directory) {
+	const downtime = 2 * time.Second
+	if !u.stop() {
+		return
+	}
+	time.Sleep(downtime)
+	if err := u.start(source); err != nil {
+		fmt.Fprintf(os.Stderr, "restarting %s: %v\n", u.ID, err)
+	}
+}
+
 // devLink is the link of a host to the upstreams, which can be cut: open connections break and dials get no answer.
 type devLink struct {
 	upstreams []string
@@ -182,6 +231,10 @@
 curl http://%[4]s/leave    # desk-b and model-b say in their responses that they leave: no request goes there again
 curl http://%[4]s/cutoff   # the first host is cut off from all upstreams: the second one serves its requests
 curl http://%[4]s/heal     # it reaches them again
+for n in 1 2 3 4 5 6 7 8 9 10; do  # no two alike, but a part of their prompts crashes model-a and model-b: after three crashes it is refused
+  curl -s -o /dev/null -w '%%{http_code}\n' -H "Attempt-Id: p$n" -H 'Authorization: Bearer %[5]s' -H "Prompt-Parts: a1:40,dead:200,$n:7" http://%[1]s/stream/ -d "$n"; sleep 1.5
+done
+curl http://%[3]s/parts    # the parts that are refused, and why; curl -X DELETE http://%[3]s/parts/dead ends that
 curl http://%[4]s/revoke   # the key is revoked: 401 within a second
 curl http://%[3]s/metrics
 
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -98,8 +98,8 @@
 	return s.Crashes[len(s.Crashes)-1].At
 }
 
-// sampleDue returns when the next request may be let through.
-func (s *State) sampleDue() time.Duration {
+// SampleDue returns when the next request may be let through.
+func (s *State) SampleDue() time.Duration {
 	wait := sampleInterval
 	if s.Confirmed {
 		wait = confirmedInterval << min(s.Samples, maxDoublings)
@@ -150,12 +150,12 @@
 		}
 		if s.Refuses(workspace) {
 			s.RequestedAt = now
-			if !again && now >= s.sampleDue() && (i.Samples == nil || i.Samples()) {
+			if !again && now >= s.SampleDue() && (i.Samples == nil || i.Samples()) {
 				s.SampledAt = now
 				s.Samples++
 				continue
 			}
-			return Verdict{Refused: true, Part: p, Wait: max(0, s.sampleDue()-now)}
+			return Verdict{Refused: true, Part: p, Wait: max(0, s.SampleDue()-now)}
 		}
 		if again && len(i.evidence(now, s)) >= retryThreshold {
 			return Verdict{Refused: true, Part: p, Wait: sampleInterval}
--- a/launcher/metrics.go
+++ b/launcher/metrics.go
@@ -40,6 +40,7 @@
 	for _, state := range balancer.StateValues() {
 		m.GaugeFunc("upstreams_"+state.String(), "Upstreams in this state.", func() float64 { return float64(h.balancer.Count(h.Now(), state)) })
 	}
+	m.GaugeFunc("isolated_parts", "Parts of prompts with which requests are refused, as they crash upstreams.", func() float64 { return float64(len(h.forwarder.Isolator.Isolated())) })
 	m.GaugeFunc("upstreams_in_use", "Upstreams that this host sends to or has requests at; a part of a large fleet.", func() float64 { return float64(h.balancer.SubsetSize(h.Now())) })
 	m.GaugeFunc("spread_degree", "How much requests are spread over engines by the rejections observed: 0 for the cheapest path, 1 in proportion to the capacity left.", func() float64 { return h.balancer.SpreadDegree(h.Now()) })
 	m.GaugeFunc("limits_in_force", "Upstreams that name a limit in their answers.", func() float64 { return float64(h.balancer.LimitCount()) })
--- a/launcher/parts_test.go
+++ b/launcher/parts_test.go
@@ -214,3 +214,29 @@
 		})
 	}
 }
+
+// TestReleasePart guards against an operator who can't see which part is refused, or can't end that for
+// a part that is sound.
+func TestReleasePart(t *testing.T) {
+	runHost(t, 0, func(b *testbed) {
+		is := is.New(t)
+		admin := func(method, path string) reply { return b.requestAt("10.0.0.1:83", method, path, "", nil) }
+		is.Equal(strings.TrimSpace(admin(http.MethodGet, "/parts").body), "[]")
+		for n := 0; !strings.Contains(admin(http.MethodGet, "/parts").body, faker.CrashingPart); n++ {
+			is.True(n < 10)
+			id := fmt.Sprint("bad", n)
+			b.request(http.MethodPost, "/stream/1", id, withParts(id, "a1", faker.CrashingPart))
+			time.Sleep(3 * time.Second)
+		}
+		r := b.request(http.MethodPost, "/stream/1", "refused", withParts("refused", "a1", faker.CrashingPart))
+		b.assertRetryLater(r)
+		is.Equal(b.runs("refused"), 0)
+		is.True(strings.HasPrefix(r.body, "promptPart"))
+		b.assertCompleteStream(b.request(http.MethodPost, "/stream/1", "sound", withParts("sound", "a1", "b2")))
+		is.Equal(admin(http.MethodDelete, "/parts/unknown").status, http.StatusNotFound)
+		is.Equal(admin(http.MethodDelete, "/parts/"+faker.CrashingPart).status, http.StatusNoContent)
+		is.Equal(strings.TrimSpace(admin(http.MethodGet, "/parts").body), "[]")
+		b.request(http.MethodPost, "/stream/1", "again", withParts("again", "a1", faker.CrashingPart))
+		is.True(b.runs("again") > 0) // it is sent to upstreams once more
+	})
+}
--- a/launcher/servers.go
+++ b/launcher/servers.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/sardineward/sardineward/forwarder"
+	"github.com/sardineward/sardineward/isolator"
 	"github.com/sardineward/sardineward/peer"
 	"github.com/sardineward/sardineward/sharer"
 )
@@ -72,5 +73,49 @@
 func (h *Host) adminHandler() http.Handler {
 	e := echo.New()
 	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(h.meter.Registry, promhttp.HandlerOpts{})))
+	e.GET("/parts", func(c echo.Context) error { return c.JSON(http.StatusOK, h.isolatedParts()) })
+	e.DELETE("/parts/:part", func(c echo.Context) error {
+		id := c.Param("part")
+		if !h.forwarder.Isolator.Release(h.Now(), isolator.ParsePart(id)) {
+			return c.String(http.StatusNotFound, fmt.Sprintf("part %q is not isolated\n", id))
+		}
+		return c.NoContent(http.StatusNoContent)
+	})
 	return e
 }
+
+// IsolatedPart is a part of prompts with which requests are refused. Times are in seconds.
+type IsolatedPart struct {
+	Part string `json:"part"`
+	// AllWorkspaces is false if only the requests of one workspace are refused.
+	AllWorkspaces bool    `json:"allWorkspaces"`
+	Confirmed     bool    `json:"confirmed"`
+	IsolatedFor   float64 `json:"isolatedFor"`
+	// Samples is how many requests were let through since; NextSampleIn is the time until the next one may be.
+	Samples      int         `json:"samples"`
+	NextSampleIn float64     `json:"nextSampleIn"`
+	Crashes      []PartCrash `json:"crashes"`
+}
+
+// PartCrash is the crash of an upstream at which requests with a part were in flight.
+type PartCrash struct {
+	Upstream string  `json:"upstream"`
+	Ago      float64 `json:"ago"`
+}
+
+// isolatedParts returns the isolated parts, those isolated first before the others.
+func (h *Host) isolatedParts() []IsolatedPart {
+	now := h.forwarder.Isolator.Time(h.Now())
+	out := []IsolatedPart{}
+	for _, s := range h.forwarder.Isolator.Isolated() {
+		p := IsolatedPart{
+			Part: string(s.Part), AllWorkspaces: s.Workspace == 0, Confirmed: s.Confirmed, IsolatedFor: (now - s.IsolatedAt).Seconds(),
+			Samples: s.Samples, NextSampleIn: max(0, s.SampleDue()-now).Seconds(), Crashes: []PartCrash{},
+		}
+		for _, c := range s.Crashes {
+			p.Crashes = append(p.Crashes, PartCrash{Upstream: c.Upstream, Ago: (now - c.At).Seconds()})
+		}
+		out = append(out, p)
+	}
+	return out
+}
