connector: bound the head of a response and stale responses

News: bytes that are no answer may come without end, in a head or a body, until the caller closes.

Cause: the standard library reads a status line and headers of any length into memory, and a response to another request was skipped to its end. A host would have taken as many bytes as its link carries until the request's deadline, in memory for heads.

A head has at most 64 KB, a skipped response 1 MB; beyond that the request fails as sent, and the connection is closed.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -48,6 +48,9 @@
 // errWrongRequest means that a connection delivered only responses to other requests.
 var errWrongRequest = errors.New("response belongs to another request")
 
+// errHeadTooLarge means that the status line and the headers of a response exceed maxHeadBytes.
+var errHeadTooLarge = fmt.Errorf("head of the response exceeds %d bytes", maxHeadBytes)
+
 // errWithheld means that Request.MaySend returned false.
 var errWithheld = errors.New("upstream wants no request now")
 
@@ -71,6 +74,10 @@
 	maxStaleResponses = 2
 	// bufferSize is the size of a connection's read buffer, in bytes.
 	bufferSize = 4 << 10
+	// maxHeadBytes bounds the status line and the headers of a response, maxStaleBytes the body of one to another
+	// request that is skipped.
+	maxHeadBytes  = 64 << 10
+	maxStaleBytes = 1 << 20
 	// maxInlineBody is the size in bytes of the largest body that is written before the
 	// response is read; it fits the smallest socket buffers.
 	maxInlineBody = 16 << 10
@@ -101,10 +108,39 @@
 	net.Conn
 	address string
 	br      *bufio.Reader
+	// head bounds what br reads of the connection while the head of a response is due.
+	head *headReader
 	// idleSince is when the connection became idle, usableUntil when it may last be reused.
 	idleSince, usableUntil time.Duration
 }
 
+// headReader reads from a connection, at most left bytes while isDue is set.
+type headReader struct {
+	conn  net.Conn
+	isDue bool
+	left  int
+}
+
+// Read implements io.Reader.
+func (r *headReader) Read(b []byte) (int, error) {
+	if !r.isDue {
+		return r.conn.Read(b)
+	}
+	if r.left == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := r.conn.Read(b[:min(len(b), r.left)])
+	r.left -= n
+	return n, err
+}
+
+// readHead reads the status line and the headers of the next response.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.head.isDue, c.head.left = true, maxHeadBytes
+	defer func() { c.head.isDue = false }()
+	return http.ReadResponse(c.br, &http.Request{Method: method})
+}
+
 // Request is a request to one upstream.
 type Request struct {
 	Address string
@@ -181,7 +217,7 @@
 	}
 	want := r.Header.Get(p.RequestIDHeader)
 	for range maxStaleResponses + 1 {
-		h, err := http.ReadResponse(c.br, &http.Request{Method: r.Method}) //nolint:bodyclose // Response.Done ends its use
+		h, err := c.readHead(r.Method) //nolint:bodyclose // Response.Done ends its use
 		if err != nil {
 			return nil, true, err
 		}
@@ -190,7 +226,7 @@
 		}
 		// A late response to an earlier request comes first on the connection; the one to this
 		// request follows it.
-		if _, err := io.Copy(io.Discard, h.Body); err != nil || h.Close {
+		if n, err := io.Copy(io.Discard, io.LimitReader(h.Body, maxStaleBytes)); err != nil || n == maxStaleBytes || h.Close {
 			break
 		}
 	}
@@ -280,7 +316,8 @@
 		return nil, err
 	}
 	now := p.Now()
-	return &conn{Conn: nc, address: r.Address, br: bufio.NewReaderSize(nc, bufferSize), idleSince: now, usableUntil: now + defaultKeepAlive}, nil
+	head := &headReader{conn: nc}
+	return &conn{Conn: nc, address: r.Address, br: bufio.NewReaderSize(head, bufferSize), head: head, idleSince: now, usableUntil: now + defaultKeepAlive}, nil
 }
 
 // keepAliveTimeout returns how long an idle connection may be kept: the timeout in the upstream's
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -262,3 +262,77 @@
 		is.True(!p.HasIdle(address, false))
 	})
 }
+
+// countedConn counts the bytes that were written.
+type countedConn struct {
+	net.Conn
+	written int
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written += n
+	return n, err
+}
+
+// TestEndlessResponse guards against reading bytes that are no response into memory for as long as an upstream
+// sends them.
+func TestEndlessResponse(t *testing.T) {
+	const sent, most = 8 << 20, 2 << 20
+	for name, text := range map[string][2]string{
+		"status line":               {"HTTP/1.1 200 ", "x"},
+		"no response":               {"", "\x00"},
+		"one header":                {"HTTP/1.1 200 OK\r\nId: a\r\nName: ", "x"},
+		"many headers":              {"HTTP/1.1 200 OK\r\nId: a\r\n", "Name: x\r\n"},
+		"response to another":       {"HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "x"},
+		"response to another, long": {"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1000000000\r\n\r\n", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			written := 0
+			runScript(t, func(_ int, c net.Conn, br *bufio.Reader) {
+				counted := &countedConn{Conn: c}
+				defer func() { written = counted.written }()
+				if _, err := http.ReadRequest(br); err != nil {
+					return
+				}
+				_, err := io.WriteString(counted, text[0])
+				for chunk := strings.Repeat(text[1], 1<<10); err == nil && counted.written < sent; {
+					_, err = io.WriteString(counted, chunk)
+				}
+			}, func(p *connector.Pool, _ *int) {
+				_, err := doRequest(p, "a", false)
+				assertSent(t, err, true)
+			})
+			if written > most {
+				t.Errorf("%d bytes were taken, want at most %d", written, most)
+			}
+		})
+	}
+}
+
+// TestBoundedTransport guards against reading the responses of other hosts and of the platform's store
+// into memory without end.
+func TestBoundedTransport(t *testing.T) {
+	for _, c := range []struct {
+		size  int
+		fails bool
+	}{{0, false}, {1 << 10, false}, {1 << 16, false}, {1<<16 + 1, true}, {8 << 20, true}} {
+		t.Run(fmt.Sprint(c.size), func(t *testing.T) {
+			runScript(t, func(_ int, c2 net.Conn, br *bufio.Reader) {
+				respond(c2, br, "", "", strings.Repeat("x", c.size))
+			}, func(p *connector.Pool, _ *int) {
+				is := is.New(t)
+				base := &http.Transport{DialContext: p.Dial}
+				client := &http.Client{Transport: &connector.BoundedTransport{Base: base, MaxBytes: 1 << 16}}
+				resp, err := client.Get("http://" + address)
+				is.NoErr(err)
+				body, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				client.CloseIdleConnections()
+				var large *connector.TooLargeError
+				is.Equal(errors.As(err, &large), c.fails)
+				is.True(len(body) <= 1<<16)
+			})
+		})
+	}
+}
