forwarder, launcher, runner: bound events, long responses and responses of hosts and store

Cause: an event of a stream was collected without a bound; a buffered response had 16 MB, but any number of them at once; exchanges between hosts and the store's responses to sardineward run had no bound.

An event has at most 1 MB, else the stream counts as broken off and is resumed or ends with 502. Long responses share 64 MB, beyond which they fail as may-have-run; the first 1 MB of each needs no reservation. Exchanges between hosts have 16 MB, the store's responses to run 2 MB; heads 64 KB. Orders, queries and the platform's store had bounds before.

TestEndlessAnswer did not end in 200 s before on streams (events of up to 32 MB are searched anew with each read); now 1.1 MB are taken. TestAnswerMemory: of 20 responses without end 4 are read, 16 fail, nothing stays reserved.

--- a/cmd/sardineward/forward.go
+++ b/cmd/sardineward/forward.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"golang.org/x/sys/unix"
 
+	"github.com/sardineward/sardineward/connector"
 	"github.com/sardineward/sardineward/forwarder"
 	"github.com/sardineward/sardineward/launcher"
 	"github.com/sardineward/sardineward/loader"
@@ -41,7 +42,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP)
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true}}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: connector.MaxHeaderBytes}}
 	store := &platform.Store{Address: cfg.Platform, HTTP: client, Timeout: storeTimeout, Log: log}
 	engineTransport := new(forwarder.EngineTransport)
 	h := &launcher.Host{
--- a/faker/stage.go
+++ b/faker/stage.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -35,6 +36,9 @@
 	StageFaultBrokenStream
 	// StageFaultSilent executes the request and never responds.
 	StageFaultSilent
+	// StageFaultEndless executes the request and sends the head of a response, then bytes without end, for a
+	// stream in its first event, at most maxEndlessBytes.
+	StageFaultEndless
 )
 
 // Stage is a fake upstream that implements http.Handler. It streams events for paths below
@@ -67,6 +71,8 @@
 	received  []ReceivedRequest
 	abandoned int
 	running   int
+	// endlessTaken is the most bytes that were taken of a response by StageFaultEndless.
+	endlessTaken int
 }
 
 // ReceivedRequest is a request as a Stage received it.
@@ -228,6 +234,8 @@
 		panic(http.ErrAbortHandler)
 	case StageFaultSilent:
 		s.waitForDisconnect(r)
+	case StageFaultEndless:
+		s.serveEndless(w, r)
 	case StageFaultStatus500:
 		http.Error(w, "failed", http.StatusInternalServerError)
 	case StageFaultWrongResponse:
@@ -263,6 +271,36 @@
 	_, _ = fmt.Fprintf(w, "answer of %s to %s", s.ID, r.Header.Get(s.headers().RequestID))
 }
 
+// maxEndlessBytes bounds a response without end, so that a caller that reads it whole fails its test.
+const maxEndlessBytes = 32 << 20
+
+// serveEndless writes a body without a length until the caller disconnects.
+func (s *Stage) serveEndless(w http.ResponseWriter, r *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	h := s.headers()
+	_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp\r\n\r\nid: 1\n", h.RequestID, r.Header.Get(h.RequestID), h.Stamp)
+	taken, chunk := 0, strings.Repeat("x", 1<<10)
+	for err == nil && taken < maxEndlessBytes {
+		var n int
+		n, err = io.WriteString(conn, chunk)
+		taken += n
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endlessTaken = max(s.endlessTaken, taken)
+}
+
+// EndlessTaken returns the most bytes of a response without end that a caller has taken.
+func (s *Stage) EndlessTaken() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endlessTaken
+}
+
 // serveWrongResponse writes a late response to another request before the response to this one.
 func (s *Stage) serveWrongResponse(w http.ResponseWriter, r *http.Request) {
 	id := s.headers().RequestID
--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -270,7 +270,8 @@
 	if resp.StatusCode == http.StatusOK && k.route.Kind == matcher.KindStreaming {
 		return k.passOnEvents(d, resp)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes))
+	body, release, err := k.answerMemory.read(resp)
+	k.releaseAnswer = append(k.releaseAnswer, release)
 	switch {
 	case err != nil || !resp.Complete():
 		return k.noAnswerFrom(ctx, d.host, &connector.Error{Address: d.host.Address, Sent: true, Err: errors.Join(err, io.ErrUnexpectedEOF)})
@@ -315,6 +316,9 @@
 			}
 		}
 		pending = append(pending[:0], rest...)
+		if err == nil && len(pending) > maxEventBytes {
+			err = errEventTooLarge
+		}
 		switch {
 		case errors.Is(err, io.EOF) && len(pending) == 0 && begun:
 			return verdictAnswered
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -113,7 +113,8 @@
 	reachCheckedAt atomic.Int64
 	reachRound     int
 	// strikes holds the recent strikes that this host has added.
-	strikes recentStrikes
+	strikes      recentStrikes
+	answerMemory answerMemory
 	// promises holds when refused callers are to return.
 	promises admitter.Promises
 	// repeats holds which refused requests are to return later.
@@ -216,6 +217,8 @@
 	headerSent bool
 	// retryAfter is the wait after which a retry can succeed; 0 when it is not known.
 	retryAfter time.Duration
+	// releaseAnswer holds the functions that free the memory of its responses.
+	releaseAnswer []func()
 	// latencySampled is set once this stream was counted as late or in time.
 	latencySampled atomic.Bool
 }
@@ -231,6 +234,11 @@
 	if f.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer func() {
+		for _, release := range k.releaseAnswer {
+			release()
+		}
+	}()
 	if delegated {
 		k.readDelegation()
 	}
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -35,9 +34,6 @@
 	verdictWithheld
 )
 
-// maxAnswerBytes bounds a response that is buffered whole before it is forwarded.
-const maxAnswerBytes = 16 << 20
-
 // answer is an upstream's complete response, with its body read.
 type answer struct {
 	*http.Response
@@ -99,7 +95,8 @@
 	k.Detector.RecordEvent(k.Now())
 	k.observeLimit(l, resp.Response, sent)
 	k.observeAnnouncements(l, resp.Response)
-	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes))
+	body, release, err := k.answerMemory.read(resp)
+	k.releaseAnswer = append(k.releaseAnswer, release)
 	whole := resp.Done()
 	if err != nil || !whole {
 		k.Balancer.RecordFailure(id)
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -50,6 +50,9 @@
 			k.recordEvents(a, &delivered)
 		}
 		pending = append(pending[:0], rest...)
+		if err == nil && len(pending) > maxEventBytes {
+			err = errEventTooLarge
+		}
 		switch {
 		case errors.Is(err, io.EOF) && len(pending) == 0 && delivered.begun:
 			k.recordCompletion(a, delivered.longestGap)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -328,7 +327,8 @@
 // handleNonStream handles a response with a status other than 200.
 func (k *call) handleNonStream(a *attempt, resp *connector.Response) verdict {
 	l := a.lease
-	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes))
+	body, release, err := k.answerMemory.read(resp)
+	k.releaseAnswer = append(k.releaseAnswer, release)
 	if v, ok := k.handleRejection(l, resp.Response, a.sentAt); ok {
 		return v
 	}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -262,7 +262,7 @@
 		Suspects:   suspects,
 		Isolator:   &h.forwarder.Isolator,
 		Now:        h.Now,
-		HTTP:       &http.Client{Transport: &http.Transport{DialContext: h.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
+		HTTP:       h.peerClient(),
 		Log:        h.Log,
 	}
 	h.follower.ReadsSource, h.follower.ReaderCount = h.sharer.ReadsSource, h.sharer.ReaderCount
@@ -335,6 +335,15 @@
 	}
 }
 
+// maxPeerResponseBytes bounds a response of another host, which may have the list of all upstreams.
+const maxPeerResponseBytes = 16 << 20
+
+// peerClient returns the client for exchanges with other hosts.
+func (h *Host) peerClient() *http.Client {
+	t := &http.Transport{DialContext: h.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: connector.MaxHeaderBytes}
+	return &http.Client{Transport: &connector.BoundedTransport{Base: t, MaxBytes: maxPeerResponseBytes}}
+}
+
 // hasLowestName reports whether the name of no other host sorts before that of this one.
 func (h *Host) hasLowestName() bool {
 	return !slices.ContainsFunc(h.follower.Hosts(), func(other follower.Host) bool { return other.Name < h.Settings.Host })
--- a/runner/build.go
+++ b/runner/build.go
@@ -11,6 +11,7 @@
 	"github.com/sardineward/sardineward/admitter"
 	"github.com/sardineward/sardineward/builder"
 	"github.com/sardineward/sardineward/checker"
+	"github.com/sardineward/sardineward/connector"
 	"github.com/sardineward/sardineward/deduplicator"
 	"github.com/sardineward/sardineward/gossiper"
 	"github.com/sardineward/sardineward/meter"
@@ -55,7 +56,7 @@
 	h.sharedTransport = h.newTransport()
 	h.meter = meter.New(meter.LabelValues(admitter.ReasonValues()), meter.LabelValues(streamer.CauseValues()))
 	cfg := h.Settings
-	h.store = &storer.Client{Address: cfg.Platform, HTTP: &http.Client{Transport: h.sharedTransport}, Timeout: ms(cfg.Timing.PlatformMs)}
+	h.store = &storer.Client{Address: cfg.Platform, HTTP: &http.Client{Transport: &connector.BoundedTransport{Base: h.sharedTransport, MaxBytes: maxStoreResponseBytes}}, Timeout: ms(cfg.Timing.PlatformMs)}
 	h.buildGossiper()
 	h.buildRequestPath()
 	h.buildWatcher()
@@ -85,6 +86,13 @@
 	h.clients = make(map[string]peer.Peer)
 }
 
+const (
+	// maxStoreResponseBytes bounds a response of the platform's store: an entry with its value in base64.
+	maxStoreResponseBytes = 2 * storer.MaxValueBytes
+	// maxPeerResponseBytes bounds a response of another host.
+	maxPeerResponseBytes = 16 << 20
+)
+
 func (h *Host) newTransport() *http.Transport {
 	const maxIdlePerHost = 256
 	return &http.Transport{
@@ -92,6 +100,8 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: connector.MaxHeaderBytes,
 	}
 }
 
@@ -104,7 +114,7 @@
 	// closed.
 	t.MaxIdleConnsPerHost, t.IdleConnTimeout = 1, 5*time.Second
 	h.peerTransport = t
-	client := &http.Client{Transport: t}
+	client := &http.Client{Transport: &connector.BoundedTransport{Base: t, MaxBytes: maxPeerResponseBytes}}
 	scheme := "http://"
 	if h.peerTLS != nil {
 		scheme = "https://"
