--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -336,3 +336,44 @@
 		})
 	}
 }
+
+// TestUndelimitedResponse guards against taking a response that ends with its connection for whole where the
+// connection is reset.
+func TestUndelimitedResponse(t *testing.T) {
+	for _, proto := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprint(proto, ", reset ", reset), func(t *testing.T) {
+				is := is.New(t)
+				l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+				is.NoErr(err)
+				defer l.Close()
+				var served sync.WaitGroup
+				served.Go(func() {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					defer c.Close()
+					if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, proto+" 200 OK\r\nId: a\r\n\r\nall")
+					if reset {
+						time.Sleep(50 * time.Millisecond) // the reset comes after the bytes
+						_ = c.(*net.TCPConn).SetLinger(0)
+					}
+				})
+				p := &connector.Pool{Now: func() time.Duration { return time.Second }, RequestIDHeader: "Id"}
+				defer p.Close()
+				resp, err := p.Do(context.Background(), &connector.Request{Address: l.Addr().String(), Method: http.MethodGet, Target: "/", Host: "x", Header: http.Header{"Id": {"a"}}})
+				is.NoErr(err)
+				body, err := io.ReadAll(resp)
+				is.Equal(string(body), "all")
+				is.Equal(err != nil, reset)
+				is.Equal(resp.Done(), !reset)
+				is.True(!p.HasIdle(l.Addr().String(), false))
+				served.Wait()
+			})
+		}
+	}
+}
--- a/faker/stage.go
+++ b/faker/stage.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -36,6 +37,10 @@
 	StageFaultBrokenStream
 	// StageFaultSilent executes the request and never responds.
 	StageFaultSilent
+	// StageFaultUndelimited sends a response of Proto with neither a length nor chunks, which ends with its
+	// connection; StageFaultUndelimitedBroken ends a stream inside its third event.
+	StageFaultUndelimited
+	StageFaultUndelimitedBroken
 	// StageFaultEndless executes the request and sends the head of a response, then bytes without end, for a
 	// stream in its first event, at most maxEndlessBytes.
 	StageFaultEndless
@@ -47,6 +52,8 @@
 	ID string
 	// Headers holds the header names that it uses; nil means forwarder.DefaultHeaders.
 	Headers *forwarder.Headers
+	// Proto is the protocol of responses by StageFaultUndelimited; empty means HTTP/1.1.
+	Proto string
 	// Events is the number of events in a stream, EventInterval the time before each of them.
 	Events        int
 	EventInterval time.Duration
@@ -234,6 +241,8 @@
 		panic(http.ErrAbortHandler)
 	case StageFaultSilent:
 		s.waitForDisconnect(r)
+	case StageFaultUndelimited, StageFaultUndelimitedBroken:
+		s.serveUndelimited(w, r, t)
 	case StageFaultEndless:
 		s.serveEndless(w, r)
 	case StageFaultStatus500:
@@ -271,6 +280,30 @@
 	_, _ = fmt.Fprintf(w, "answer of %s to %s", s.ID, r.Header.Get(s.headers().RequestID))
 }
 
+// serveUndelimited writes a response whose end is that of its connection.
+func (s *Stage) serveUndelimited(w http.ResponseWriter, r *http.Request, t StageFault) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	h, id := s.headers(), r.Header.Get(s.headers().RequestID)
+	_, _ = fmt.Fprintf(conn, "%s 200 OK\r\n%s: %s\r\n%s: stamp-%s\r\n\r\n", cmp.Or(s.Proto, "HTTP/1.1"), h.RequestID, id, h.Stamp, s.ID)
+	if !strings.HasPrefix(r.URL.Path, "/stream/") {
+		_, _ = fmt.Fprintf(conn, "answer of %s to %s", s.ID, id)
+		return
+	}
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := from + 1; n <= s.Events; n++ {
+		time.Sleep(s.EventInterval)
+		if t == StageFaultUndelimitedBroken && n == from+3 {
+			_, _ = fmt.Fprintf(conn, "id: %d\ndata: event", n)
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "id: %d\ndata: event %d\n\n", n, n)
+	}
+}
+
 // maxEndlessBytes bounds a response without end, so that a caller that reads it whole fails its test.
 const maxEndlessBytes = 32 << 20
 
