forwarder: delegate where this host has used its share of the upstreams' limits

What callers saw: with upstreams that announce limits, the loaded host refused them for its limits while others had theirs unused. Cause: each host has an equal share of an upstream's limit, whatever is asked of it. The class: a part of what all hosts have is divided by their number.

--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -37,11 +37,15 @@
 )
 
 const (
-	// maxDelegations is how many hosts a request is offered to.
-	maxDelegations = 4
+	// maxDelegations is how many hosts a request is offered to, maxLimitDelegations the same where this host has used
+	// its share of the upstreams' limits.
+	maxDelegations      = 4
+	maxLimitDelegations = 3
 	// exclusion is how long a host is not asked again that did not answer, or that refused as it stops, is full, or
 	// is cut off as well.
 	exclusion = 2 * time.Second
+	// limitExclusion is the same for a host that has used its share of the upstreams' limits too.
+	limitExclusion = 200 * time.Millisecond
 	// unsupportedExclusion is the same for a host of an earlier version.
 	unsupportedExclusion = 10 * time.Second
 )
@@ -60,6 +64,9 @@
 		return false
 	}
 	now := k.Now()
+	if k.shareUsed {
+		return k.delegatedBy == "" && !k.delegationFailed && !k.Delegator.IsUnserved(now, k.delegationScope())
+	}
 	state := k.Detector.State(now)
 	if !state.Lost && !state.Suspicious() && !k.foundNoUpstream {
 		return false // spares the look at all upstreams
@@ -82,6 +89,25 @@
 	return k.shouldDelegate()
 }
 
+// delegateForLimit reports whether a request is to be delegated since this host has used its share of the limits
+// that upstreams announce: shares are equal, and while most callers connect to one host the others do
+// not use theirs. It returns true once at most.
+func (k *call) delegateForLimit() bool {
+	if k.shareUsed || k.foundNoUpstream || k.headerSent {
+		return false
+	}
+	k.shareUsed = true
+	return k.shouldDelegate()
+}
+
+// delegationScope is what hosts are excluded for: the service, or its limits.
+func (k *call) delegationScope() string {
+	if k.shareUsed {
+		return k.service.Name + " at its limits"
+	}
+	return k.service.Name
+}
+
 // isUnservable reports whether this host reaches no upstream and no other host is to serve the request, so that
 // it is refused at once. Connections that were open before a cut may live on; they are used while they do.
 func (k *call) isUnservable() bool {
@@ -115,7 +141,7 @@
 		return
 	}
 	switch reason {
-	case admitter.ReasonCutOff, admitter.ReasonNoRoute, admitter.ReasonNotReady, admitter.ReasonStopping:
+	case admitter.ReasonCutOff, admitter.ReasonNoRoute, admitter.ReasonNotReady, admitter.ReasonStopping, admitter.ReasonUpstreamLimit:
 	case admitter.ReasonQueueFull:
 		if k.failedDials == 0 {
 			return
@@ -150,11 +176,15 @@
 // and true where this host is to serve it after all.
 func (k *call) delegate(ctx context.Context) bool {
 	var tried []string
-	for range maxDelegations {
+	most := maxDelegations
+	if k.shareUsed {
+		most = maxLimitDelegations
+	}
+	for range most {
 		if !k.shouldDelegate() {
 			return true
 		}
-		h, ok := k.Delegator.Choose(k.Now(), k.service.Name, tried)
+		h, ok := k.Delegator.Choose(k.Now(), k.delegationScope(), tried)
 		if !ok {
 			break
 		}
@@ -175,7 +205,7 @@
 	}
 	now := k.Now()
 	if state := k.Detector.State(now); !state.Lost || state.Returning {
-		k.Delegator.RecordUnserved(now, k.service.Name)
+		k.Delegator.RecordUnserved(now, k.delegationScope())
 		k.delegationFailed = true
 		return true
 	}
@@ -218,7 +248,11 @@
 		return k.passOn(ctx, d, resp)
 	case delegationRefused:
 		k.counted = k.counted || resp.Header.Get(countedHeader) != ""
-		k.Delegator.Exclude(h, k.service.Name, k.Now()+exclusion)
+		wait := exclusion
+		if k.shareUsed {
+			wait = limitExclusion
+		}
+		k.Delegator.Exclude(h, k.delegationScope(), k.Now()+wait)
 	default:
 		k.Delegator.Exclude(h, "", k.Now()+unsupportedExclusion)
 		outcome = "unsupported"
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -170,6 +170,8 @@
 	delegationFailed bool
 	// foundNoUpstream is set once the request found no upstream while connections to several had failed.
 	foundNoUpstream bool
+	// shareUsed is set once the request found only upstreams at whose limits this host has used its share.
+	shareUsed bool
 	// counted is set once a host has counted the request.
 	counted bool
 	// rank is the rank of the request, see matcher.Table.Rank; the lowest is the most urgent.
@@ -436,7 +438,7 @@
 		n.AvoidDataCentres = nil
 		l, reason = k.Balancer.Acquire(k.Now(), n)
 	}
-	if l == nil && reason == balancer.ReasonNoUpstream && k.delegateInstead() {
+	if l == nil && (reason == balancer.ReasonNoUpstream && k.delegateInstead() || reason == balancer.ReasonLimit && k.delegateForLimit()) {
 		return nil
 	}
 	if l == nil {
--- a/launcher/fleet_test.go
+++ b/launcher/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -35,6 +36,8 @@
 	seed uint64
 	// excused holds the hosts that may send in a backoff, since they were restarted.
 	excused map[string]bool
+	// focus is the name of the host that gets focusShare of the requests; empty means that hosts are drawn evenly.
+	focus string
 	// retryRefused makes callers that are refused come back once, after Retry-After.
 	retryRefused bool
 	// onReply is called with each response, if it is not nil.
@@ -50,6 +53,9 @@
 // few requests could never retry.
 const retriesPerHost = 6
 
+// focusShare is the share of the requests that go to the host that fleet.focus names.
+const focusShare = 0.75
+
 var dataCentres = []string{"a", "b", "c"}
 
 func newFleet(t *testing.T) *fleet {
@@ -113,7 +119,7 @@
 	defer wg.Wait()
 	for n := 0; ctx.Err() == nil; n++ {
 		time.Sleep(time.Duration(rnd.ExpFloat64() / perSecond * float64(time.Second)))
-		h := fl.hosts[rnd.IntN(len(fl.hosts))]
+		h := fl.focused(rnd, fl.hosts[rnd.IntN(len(fl.hosts))])
 		again := h
 		if fl.retryRefused {
 			again = fl.hosts[rnd.IntN(len(fl.hosts))]
@@ -135,6 +141,24 @@
 	}
 }
 
+// focused returns the host that a request goes to, another one than was drawn where fleet.focus is set.
+func (fl *fleet) focused(rnd *rand.Rand, drawn follower.Host) follower.Host {
+	fl.mu.Lock()
+	focus := fl.focus
+	fl.mu.Unlock()
+	if focus == "" || rnd.Float64() >= focusShare {
+		return drawn
+	}
+	return fl.hosts[slices.IndexFunc(fl.hosts, func(h follower.Host) bool { return h.Name == focus })]
+}
+
+// setFocus sends most requests to one host; an empty name ends that.
+func (fl *fleet) setFocus(name string) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.focus = name
+}
+
 // setOnReply sets a function that is called with each further response.
 func (fl *fleet) setOnReply(f func(r *reply)) {
 	fl.mu.Lock()
