tracker, forwarder: crashes that a part of other prompts explains don't count against a request

What callers saw: a sound request that was in flight at two or three crashes by a part of other prompts was refused for ten minutes as it returned.

Cause: strikes count against all that was in flight, though the crash has a known cause by now. They are left out where an isolated part explains the crash. TestRequestBesideCrashingPart: refused before the part is isolated, as it was until now in any case; not refused after.

--- a/forwarder/parts.go
+++ b/forwarder/parts.go
@@ -54,6 +54,12 @@
 	return now-time.Duration(a.begunAt.Load()) < soundAfter && f.Isolator.HasUnproven(now, a.suspect.parts)
 }
 
+// ExplainsCrash reports whether a request with an isolated part was in flight when an upstream crashed, so that the
+// crash does not count against the other requests. tracker.Suspects calls it.
+func (f *Forwarder) ExplainsCrash(upstream string, at time.Time) bool {
+	return f.Isolator.Explains(f.Now()-time.Since(at), upstream)
+}
+
 // WithdrawIsolated withdraws the requests with an isolated part that have not begun, so that they crash no
 // further upstream. isolator.Isolator calls it.
 func (f *Forwarder) WithdrawIsolated(s isolator.State, learned bool) {
--- a/forwarder/quarantine_test.go
+++ b/forwarder/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 
 	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/connector"
+	"github.com/sardineward/sardineward/isolator"
 	"github.com/sardineward/sardineward/tracker"
 )
 
@@ -38,3 +40,25 @@
 	is.Equal(len(b.DeadUpstreams(0, 1)), 0)
 	is.Equal(len(f.Suspects.Active(time.Now(), 7)), 0)
 }
+
+// TestRequestBesideCrashingPart guards against refusing a sound request, as it returns, for crashes that a part
+// of other prompts explains.
+func TestRequestBesideCrashingPart(t *testing.T) {
+	is := is.New(t)
+	now := time.Minute
+	f := &Forwarder{Suspects: new(tracker.Suspects), Now: func() time.Duration { return now }, Log: zerolog.Nop()}
+	f.Suspects.Explained = f.ExplainsCrash
+	quarantined := func() bool {
+		_, ok := f.Suspects.Quarantined(time.Now(), 7)
+		return ok
+	}
+	for n := range 3 {
+		f.Suspects.Add(tracker.NewStrike(time.Now(), 7, fmt.Sprint("upstream-", n), 1))
+	}
+	is.True(quarantined())
+	for n := range 3 {
+		f.Isolator.RecordCrash(now+time.Duration(n-3)*100*time.Millisecond, isolator.ParseParts("bad:1,own:2"), isolator.Workspace("mill"), fmt.Sprint("upstream-", n))
+	}
+	is.Equal(len(f.Isolator.Isolated()), 1)
+	is.True(!quarantined())
+}
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -178,6 +178,13 @@
 	})
 }
 
+// Explains reports whether a request with an isolated part was in flight when an upstream crashed.
+func (i *Isolator) Explains(now time.Duration, upstream string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.isExplained("", &Crash{Upstream: upstream, At: i.Time(now)})
+}
+
 // RecordCrash records that an upstream crashed with a request in flight.
 func (i *Isolator) RecordCrash(now time.Duration, parts []Part, workspace uint64, upstream string) {
 	now = i.Time(now)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -234,7 +234,7 @@
 	h.archiver = &archiver.Archiver{Store: h.Store, Isolator: i, Now: h.Now, Started: h.startedAt, Log: h.Log}
 	h.archiver.Init()
 	h.forwarder.PartsKnown = func() bool { return cfg.FirstStart || h.archiver.Loaded() }
-	suspects.WentDown = h.forwarder.WentDown
+	suspects.WentDown, suspects.Explained = h.forwarder.WentDown, h.forwarder.ExplainsCrash
 	if h.EngineTransport != nil {
 		h.EngineTransport.Forwarder = h.forwarder
 	}
--- a/tracker/suspects.go
+++ b/tracker/suspects.go
@@ -67,6 +67,10 @@
 	// use. If it is nil, all strikes count.
 	WentDown func(at time.Time, within time.Duration) []string
 
+	// Explained reports whether the crash of an upstream at a time has another known cause; set before use. nil
+	// means never.
+	Explained func(upstream string, at time.Time) bool
+
 	mu      sync.Mutex
 	strikes map[uint64]map[string]Strike
 }
@@ -161,6 +165,9 @@
 		window    = 2 * time.Second
 		minOthers = 2
 	)
+	if s.Explained != nil {
+		strikes = slices.DeleteFunc(strikes, func(st Strike) bool { return s.Explained(st.Upstream, st.Expires.Add(-strikeTTL)) })
+	}
 	if s.WentDown == nil {
 		return strikes
 	}
