--- a/sharer/fleet_test.go
+++ b/sharer/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -17,6 +18,7 @@
 	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/faker"
 	"github.com/sardineward/sardineward/follower"
+	"github.com/sardineward/sardineward/isolator"
 	"github.com/sardineward/sardineward/matcher"
 	"github.com/sardineward/sardineward/peer"
 	"github.com/sardineward/sardineward/sharer"
@@ -30,6 +32,7 @@
 	balancer         *balancer.Balancer
 	share            *sharer.Sharer
 	suspects         *tracker.Suspects
+	isolator         *isolator.Isolator
 	demands          *admitter.Demands
 	// refused makes the source refuse the calls of this host.
 	refused   atomic.Bool
@@ -135,7 +138,7 @@
 func (fl *fleet) listen(ctx context.Context, t *testing.T, m *member) {
 	t.Helper()
 	m.balancer = &balancer.Balancer{DataCentre: m.dataCentre}
-	m.suspects = new(tracker.Suspects)
+	m.suspects, m.isolator = new(tracker.Suspects), new(isolator.Isolator)
 	m.demands = &admitter.Demands{Hosts: func() int { return len(m.follow.Hosts()) + 1 }}
 	m.follow = &follower.Follower{Source: sourceView{m, fl}, Balancer: m.balancer, Now: fl.now, Log: zerolog.Nop()}
 	m.follow.OnChange = func() {
@@ -146,7 +149,7 @@
 		m.balancer.SetHosts(hosts)
 	}
 	tr := &http.Transport{DialContext: fl.net.Dialer(m.name), MaxIdleConnsPerHost: 1}
-	m.share = &sharer.Sharer{Self: m.name, DataCentre: m.dataCentre, Follower: m.follow, Balancer: m.balancer, Demands: m.demands, Suspects: m.suspects, Now: fl.now, HTTP: &http.Client{Transport: tr}, Log: zerolog.Nop()}
+	m.share = &sharer.Sharer{Self: m.name, DataCentre: m.dataCentre, Follower: m.follow, Balancer: m.balancer, Demands: m.demands, Suspects: m.suspects, Isolator: m.isolator, Now: fl.now, HTTP: &http.Client{Transport: tr}, Log: zerolog.Nop()}
 	m.follow.ReadsSource, m.follow.ReaderCount = m.share.ReadsSource, m.share.ReaderCount
 	fl.net.SetLocation(m.name+":1", m.name)
 	fl.net.SetAlias(m.name+":1", m.dataCentre)
@@ -341,6 +344,39 @@
 	}
 }
 
+// TestPartsReachFleet guards against distant hosts that send requests with a crashing part of prompts long after others
+// know of it, or go on refusing one that was released. Each of three hosts sees one crash.
+func TestPartsReachFleet(t *testing.T) {
+	for _, size := range []struct {
+		centres, each int
+		most          time.Duration
+	}{{1, 3, time.Second}, {5, 24, time.Second}, {5, 60, 2 * time.Second}} {
+		t.Run(fmt.Sprint(size.centres*size.each), func(t *testing.T) {
+			runFleet(t, size.centres, size.each, func(is *is.I, fl *fleet) {
+				bad := isolator.ParseParts("bad:1,own:2")
+				awaitAll := func(refused bool) {
+					took := await(5*time.Second, func() bool {
+						return !slices.ContainsFunc(fl.members, func(m *member) bool {
+							return m.isolator.Check(fl.now(), bad, isolator.Workspace("mill"), false).Refused != refused
+						})
+					})
+					t.Logf("refused %t: known to all hosts after %v", refused, took)
+					is.True(took <= size.most)
+				}
+				for n, m := range fl.members[len(fl.members)-3:] {
+					m.isolator.RecordCrash(fl.now(), bad, isolator.Workspace("mill"), fmt.Sprint("upstream-", n))
+					time.Sleep(100 * time.Millisecond)
+				}
+				awaitAll(true)
+				is.True(fl.members[0].isolator.Release(fl.now(), bad[0]))
+				awaitAll(false)
+				time.Sleep(2 * time.Second)
+				awaitAll(false)
+			})
+		})
+	}
+}
+
 // TestRelaysLost checks that a data centre keeps receiving changes when all its relays are killed
 // at the same moment.
 func TestRelaysLost(t *testing.T) {
