launcher: run large fleets of new tests one at a time

With the race detector, several fleets of 24 hosts at once took the launcher's test process to 7 GB, beside 6 GB of sharer's, on a machine of 19 GB.

--- a/launcher/focus_test.go
+++ b/launcher/focus_test.go
@@ -26,7 +26,7 @@
 		for _, hosts := range []int{4, 24} {
 			for _, limit := range []string{"", "40", "30"} { // of each of three upstreams, at 60 requests a second
 				t.Run(fmt.Sprintf("%s, %d hosts, limit %q", path, hosts, limit), func(t *testing.T) {
-					t.Parallel()
+					runSmallInParallel(t, hosts)
 					runFleet(t, hosts, path, 60, func(is *is.I, fl *fleet) {
 						for _, service := range []string{"desk", "model"} {
 							fl.setLimit(limit, service+"-a", service+"-b", service+"-c")
--- a/launcher/parts_test.go
+++ b/launcher/parts_test.go
@@ -135,6 +135,16 @@
 	is.True(served >= minSoundServed)     // sound requests are refused beside them
 }
 
+// runSmallInParallel runs the test of a small fleet beside others. Several large ones at once take gigabytes
+// with the race detector.
+func runSmallInParallel(t *testing.T, hosts int) {
+	t.Helper()
+	const maxHosts = 4
+	if hosts <= maxHosts {
+		t.Parallel()
+	}
+}
+
 // TestCrashingPart guards against requests that crash one upstream after the other, no two of them
 // alike, since they share one part of their prompts, and against refusing sound ones for it.
 func TestCrashingPart(t *testing.T) {
@@ -142,7 +152,7 @@
 		for _, hosts := range []int{1, 4, 24} {
 			for _, perSecond := range []float64{2, 8, 20} {
 				t.Run(fmt.Sprintf("%s, %d hosts, %g a second", path, hosts, perSecond), func(t *testing.T) {
-					t.Parallel()
+					runSmallInParallel(t, hosts)
 					runLargeFleet(t, hosts, 3, "/look/1", 5, func(is *is.I, fl *fleet) {
 						l := &partLoad{fleet: fl, path: path, crashing: perSecond, sound: 40, lead: "a1"}
 						l.run(func() { time.Sleep(20 * time.Second) })
@@ -163,7 +173,7 @@
 			of   int
 		}{{"half", 2}, {"all", 1}} {
 			t.Run(fmt.Sprintf("%d hosts, %s", hosts, c.name), func(t *testing.T) {
-				t.Parallel()
+				runSmallInParallel(t, hosts)
 				runLargeFleet(t, hosts, 3, "/look/1", 5, func(is *is.I, fl *fleet) {
 					l := &partLoad{fleet: fl, path: "/stream/1", crashing: 8, sound: 40, lead: "a1"}
 					l.run(func() {
@@ -193,7 +203,7 @@
 func TestAllHostsRestarted(t *testing.T) {
 	for _, hosts := range []int{1, 4, 24} {
 		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
-			t.Parallel()
+			runSmallInParallel(t, hosts)
 			runLargeFleet(t, hosts, 3, "/look/1", 5, func(is *is.I, fl *fleet) {
 				store := new(faker.Platform)
 				fl.connect = func(h *launcher.Host, f follower.Host) { h.Source, h.Store = fl.source.Without(f.Name), store }
