--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -42,8 +42,8 @@
 	maxDoublings      = 8
 	// idleTTL is how long a part stays isolated without a request for it.
 	idleTTL = 30 * time.Minute
-	// maxCrashes bounds the crashes kept of a part, the newest, and sharedCrashes those that other hosts are
-	// told; maxRecords bounds the parts with crashes, and maxAnswered those whose last answer is known.
+	// maxCrashes bounds the crashes kept of a part, the newest, and sharedCrashes those that are sent to other
+	// hosts; maxRecords bounds the parts with crashes, and maxAnswered those whose last answer is known.
 	maxCrashes    = 32
 	sharedCrashes = 8
 	maxRecords    = 256
@@ -114,8 +114,8 @@
 	Started time.Duration
 	// Samples reports whether this host is the one that lets single requests through; nil means that it is.
 	Samples func() bool
-	// OnIsolate and OnRelease are called after a part was isolated or released, here or, with learned set, as
-	// another host told; nil means no call.
+	// OnIsolate and OnRelease are called after a part was isolated or released, here or, with learned set, by
+	// another host; nil means no call.
 	OnIsolate, OnRelease func(s State, learned bool)
 
 	mu      sync.Mutex
