archiver, follower: take the isolated parts from the first list of all keys

Cause: since each starting host reads the key of isolated parts with a call of its own, though the list of all keys, which it reads in any case, has that key too.

The stores and sources of archiver's and launcher's tests hand out the key with everything a host reads; their checks are the same. TestAllHostsRestarted: 1, 4 and 24 hosts, no crash after a restart.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -25,7 +25,7 @@
 const (
 	// maxStored bounds the stored parts, those isolated last.
 	maxStored = 64
-	// maxLoadWait is how long a starting host waits for the stored parts.
+	// maxLoadWait is how long a starting host waits for Load.
 	maxLoadWait = 1500 * time.Millisecond
 	// retryDelay is the pause after a call that failed, callTimeout bounds each.
 	retryDelay  = 500 * time.Millisecond
@@ -72,7 +72,7 @@
 	return strconv.ParseUint(p.Workspace, 16, 64)
 }
 
-// Archiver loads the isolated parts as a host starts, and stores those that it isolates or releases.
+// Archiver takes over the stored parts as a host starts, and stores those that it isolates or releases.
 // Exported fields are set before Run.
 type Archiver struct {
 	Store    storer.Store
@@ -84,6 +84,7 @@
 	Started time.Duration
 	Log     zerolog.Logger
 
+	// loaded is set by the first Load.
 	loaded atomic.Bool
 	// changes holds the parts that were isolated or released here and are not stored yet.
 	changes chan isolator.State
@@ -105,11 +106,27 @@
 	}
 }
 
-// Run loads the stored parts and stores changes until ctx ends.
-func (a *Archiver) Run(ctx context.Context) {
-	for ctx.Err() == nil && !a.load(ctx) {
-		sleep(ctx, retryDelay)
+// Load takes over the stored parts, of which value is the record in the store; nil if there is none. It is
+// called with everything that a starting host reads from the store, as a call of its own by each host
+// would cost the store of a large fleet too much. Later calls have no effect.
+func (a *Archiver) Load(value []byte) {
+	if !a.loaded.CompareAndSwap(false, true) {
+		return
 	}
+	r := a.decode(value)
+	now := a.Isolator.Time(a.Now())
+	list := make([]isolator.State, 0, len(r.Parts))
+	for _, p := range r.Parts {
+		workspace, _ := p.workspace()
+		at := now - max(0, a.clock().Sub(time.UnixMilli(p.IsolatedAtMs)))
+		list = append(list, isolator.State{Part: p.Part, Workspace: workspace, Confirmed: p.Confirmed, IsolatedAt: at, SampledAt: now, Samples: p.Samples, RequestedAt: now})
+	}
+	a.Isolator.Merge(a.Now(), list)
+	a.Log.Info().Int("parts", len(list)).Msg("archiver: isolated parts read from the store")
+}
+
+// Run stores changes until ctx ends.
+func (a *Archiver) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -121,43 +138,31 @@
 	}
 }
 
-// load reads the stored parts, and reports whether it could.
-func (a *Archiver) load(ctx context.Context) bool {
-	r, _, err := a.read(ctx)
-	if err != nil {
-		a.Log.Warn().Err(err).Msg("archiver: reading isolated parts failed")
-		return false
+// decode returns the parts in a record. What can't be decoded is logged and taken as empty.
+func (a *Archiver) decode(value []byte) record {
+	var r record
+	if value == nil {
+		return r
 	}
-	now := a.Isolator.Time(a.Now())
-	list := make([]isolator.State, 0, len(r.Parts))
-	for _, p := range r.Parts {
-		workspace, _ := p.workspace()
-		at := now - max(0, a.clock().Sub(time.UnixMilli(p.IsolatedAtMs)))
-		list = append(list, isolator.State{Part: p.Part, Workspace: workspace, Confirmed: p.Confirmed, IsolatedAt: at, SampledAt: now, Samples: p.Samples, RequestedAt: now})
+	if err := json.Unmarshal(value, &r); err != nil {
+		a.Log.Warn().Err(err).Str("key", Key).Msg("archiver: stored parts are invalid, ignored")
+		return record{}
 	}
-	a.Isolator.Merge(a.Now(), list)
-	a.loaded.Store(true)
-	a.Log.Info().Int("parts", len(list)).Msg("archiver: isolated parts read from the store")
-	return true
+	return r
 }
 
-// read returns the stored parts with their entry. What can't be decoded is logged and replaced.
+// read returns the stored parts with their entry.
 func (a *Archiver) read(ctx context.Context) (record, storer.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var r record
 	e, err := a.Store.Get(ctx, Key)
 	if errors.Is(err, storer.ErrNotFound) {
-		return r, storer.Entry{}, nil
+		return record{}, storer.Entry{}, nil
 	}
 	if err != nil {
-		return r, e, err
-	}
-	if err := json.Unmarshal(e.Value, &r); err != nil {
-		a.Log.Warn().Err(err).Str("key", Key).Int64("revision", e.Revision).Msg("archiver: stored parts are invalid, ignored")
-		return record{}, e, nil
+		return record{}, e, err
 	}
-	return r, e, nil
+	return a.decode(e.Value), e, nil
 }
 
 // store writes one part, or removes it where it is released, and reports whether it could.
--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -38,9 +39,22 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { h.archiver.Run(ctx); close(done) }()
+	go h.load(ctx, store)
 	return h, func() { cancel(); <-done }
 }
 
+// load reads the record from the store until that succeeds, as a starting host reads everything.
+func (h *host) load(ctx context.Context, store storer.Store) {
+	for ctx.Err() == nil {
+		e, err := store.Get(ctx, archiver.Key)
+		if err == nil || errors.Is(err, storer.ErrNotFound) {
+			h.archiver.Load(e.Value)
+			return
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+}
+
 // isolate has a part crash some upstreams.
 func (h *host) isolate(id string) {
 	time.Sleep(3 * time.Second)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -40,6 +40,8 @@
 	RemovedHosts []string
 	// Duties holds the data centres whose duty changed hands.
 	Duties []Duty
+	// Parts is the stored record of isolated parts of prompts; nil if there is none, or no new one.
+	Parts []byte
 }
 
 // Duty is the leadership of a data centre: the one host that holds it gives orders to the engines
@@ -126,6 +128,8 @@
 	Now func() time.Duration
 	// OnChange is called after each change that was applied; nil means no call.
 	OnChange func()
+	// OnLoad is called after everything was read, before it is applied; nil means no call.
+	OnLoad func(ch *Changes)
 	// ReadsSource reports whether this host reads the source itself. Other hosts get changes from
 	// their peers, and read the source only while these do not answer or are out of date; nil means
 	// always.
@@ -318,6 +322,9 @@
 		return err
 	}
 	f.noteRecovery()
+	if f.OnLoad != nil {
+		f.OnLoad(ch)
+	}
 	// An upstream that is not listed is removed, unless its entry expired in an outage.
 	listed := make(map[string]bool, len(ch.Listed))
 	for i := range ch.Listed {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -233,6 +233,7 @@
 	i.OnIsolate, i.OnRelease = h.handleIsolated, h.handleReleased
 	h.archiver = &archiver.Archiver{Store: h.Store, Isolator: i, Now: h.Now, Started: h.startedAt, Log: h.Log}
 	h.archiver.Init()
+	h.follower.OnLoad = func(ch *follower.Changes) { h.archiver.Load(ch.Parts) }
 	h.forwarder.PartsKnown = func() bool { return cfg.FirstStart || h.archiver.Loaded() }
 	suspects.WentDown, suspects.Explained = h.forwarder.WentDown, h.forwarder.ExplainsCrash
 	if h.EngineTransport != nil {
--- a/launcher/parts_test.go
+++ b/launcher/parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -14,10 +15,12 @@
 
 	"github.com/matryer/is"
 
+	"github.com/sardineward/sardineward/archiver"
 	"github.com/sardineward/sardineward/faker"
 	"github.com/sardineward/sardineward/follower"
 	"github.com/sardineward/sardineward/forwarder"
 	"github.com/sardineward/sardineward/launcher"
+	"github.com/sardineward/sardineward/storer"
 )
 
 const (
@@ -198,6 +201,25 @@
 	}
 }
 
+// partSource adds the record of isolated parts in a store to all that is read from a source.
+type partSource struct {
+	follower.Source
+	store *faker.Platform
+}
+
+func (s *partSource) Load(ctx context.Context, delay follower.LoadDelay) (*follower.Changes, error) {
+	ch, err := s.Source.Load(ctx, delay)
+	if err != nil {
+		return nil, err
+	}
+	e, err := s.store.Get(ctx, archiver.Key)
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		return nil, err
+	}
+	ch.Parts = e.Value
+	return ch, nil
+}
+
 // TestAllHostsRestarted guards against hosts that are all killed at once and have a part that was isolated
 // crash upstreams again.
 func TestAllHostsRestarted(t *testing.T) {
@@ -206,7 +228,9 @@
 			runSmallInParallel(t, hosts)
 			runLargeFleet(t, hosts, 3, "/look/1", 5, func(is *is.I, fl *fleet) {
 				store := new(faker.Platform)
-				fl.connect = func(h *launcher.Host, f follower.Host) { h.Source, h.Store = fl.source.Without(f.Name), store }
+				fl.connect = func(h *launcher.Host, f follower.Host) {
+					h.Source, h.Store = &partSource{fl.source.Without(f.Name), store}, store
+				}
 				fl.restartAll()
 				time.Sleep(4 * time.Second)
 				l := &partLoad{fleet: fl, path: "/stream/1", crashing: 8, sound: 40, lead: "a1"}
