isolator: keep when a part was answered as its state is swept

Callers could have sound requests refused: a part that all prompts begin with was taken for one that was never answered, and isolated at its third crash.

Both now move that time to the answers of parts without state.

Requests in flight are kept in order of arrival, so that each run of the replay is the same.

--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -209,13 +209,7 @@
 			changed = append(changed, s.answer(now)...)
 			continue
 		}
-		if i.answered == nil {
-			i.answered = make(map[Part]time.Duration)
-		}
-		if _, ok := i.answered[p]; !ok && len(i.answered) >= maxAnswered {
-			deleteOldest(i.answered, func(at time.Duration) time.Duration { return at })
-		}
-		i.answered[p] = now
+		i.keepAnswer(p, now)
 	}
 	i.mu.Unlock()
 	i.report(changed, false)
@@ -301,7 +295,7 @@
 		if inUse || released || !s.IsIsolated() && s.lastCrash() > s.AnsweredAt {
 			continue
 		}
-		delete(i.records, p)
+		i.forget(p)
 	}
 	for p, at := range i.answered {
 		if now-at > answerTTL {
@@ -319,12 +313,12 @@
 		i.records = make(map[Part]*State)
 	}
 	if len(i.records) >= maxRecords {
-		deleteOldest(i.records, func(s *State) time.Duration {
+		i.forget(oldest(i.records, func(s *State) time.Duration {
 			if s.IsIsolated() {
 				return math.MaxInt64
 			}
 			return s.lastCrash()
-		})
+		}))
 	}
 	s := &State{Part: p, AnsweredAt: i.answered[p]}
 	delete(i.answered, p)
@@ -332,6 +326,25 @@
 	return s
 }
 
+// forget deletes the state of a part, but not when it was last answered.
+func (i *Isolator) forget(p Part) {
+	if at := i.records[p].AnsweredAt; at > 0 {
+		i.keepAnswer(p, at)
+	}
+	delete(i.records, p)
+}
+
+// keepAnswer records when a part without state was last answered.
+func (i *Isolator) keepAnswer(p Part, at time.Duration) {
+	if i.answered == nil {
+		i.answered = make(map[Part]time.Duration)
+	}
+	if _, ok := i.answered[p]; !ok && len(i.answered) >= maxAnswered {
+		delete(i.answered, oldest(i.answered, func(at time.Duration) time.Duration { return at }))
+	}
+	i.answered[p] = at
+}
+
 // evidence returns the moments of the crashes that speak against a part.
 func (i *Isolator) evidence(now time.Duration, s *State) []time.Duration {
 	if s.AnsweredAt > 0 && now-s.AnsweredAt < answerTTL {
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -173,6 +173,29 @@
 	is.Equal(len(i.States(100)), 0)
 }
 
+// TestAnswerAfterSweep guards against isolating a part that was answered just now, since what is known of it
+// was swept or had to make room.
+func TestAnswerAfterSweep(t *testing.T) {
+	for name, forget := range map[string]func(i *isolator.Isolator, at time.Duration){
+		"sweep": func(i *isolator.Isolator, at time.Duration) { i.Sweep(at) },
+		"room": func(i *isolator.Isolator, at time.Duration) {
+			for n := range 256 {
+				i.RecordCrash(at, parts(fmt.Sprint("invented-", n)), mill, "upstream")
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			i := new(isolator.Isolator)
+			at := crashes(i, start, 1, mill, "lead")
+			i.RecordAnswer(at, parts("lead"))
+			forget(i, at)
+			crashes(i, at, 3, mill, "lead")
+			is.Equal(isolated(i), "")
+		})
+	}
+}
+
 // TestMerge guards against hosts that disagree on what is isolated, in whatever order they learn of it.
 func TestMerge(t *testing.T) {
 	t.Run("crashes", func(t *testing.T) {
@@ -258,6 +281,7 @@
 type request struct {
 	ids       []string
 	workspace uint64
+	host      *isolator.Isolator
 	upstream  int
 	bad       bool
 	// begins and ends are when its answer begins and ends.
@@ -266,10 +290,13 @@
 
 // replay is a load on hosts that share what they know every 200 ms.
 type replay struct {
-	rnd       *rand.Rand
-	hosts     []*isolator.Isolator
-	upAgain   [10]time.Duration
-	inFlight  map[*request]*isolator.Isolator
+	rnd *rand.Rand
+	// leads is the number of parts with which prompts begin.
+	leads   int
+	hosts   []*isolator.Isolator
+	upAgain [10]time.Duration
+	// inFlight holds the requests in flight, in order of arrival.
+	inFlight  []*request
 	crashes   int
 	lastCrash time.Duration
 	// soundRefused counts sound requests that were refused for a part.
@@ -290,7 +317,8 @@
 		if now >= r.upAgain[q.upstream] {
 			q.begins = now + time.Duration(20+r.rnd.IntN(60))*time.Millisecond
 			q.ends = q.begins + time.Duration(500+r.rnd.IntN(1000))*time.Millisecond
-			r.inFlight[q] = h
+			q.host = h
+			r.inFlight = append(r.inFlight, q)
 			return
 		}
 	}
@@ -298,63 +326,76 @@
 
 // step lets begun requests crash their upstreams, with all that are in flight there, and answers the others.
 func (r *replay) step(now time.Duration) {
-	for q := range r.inFlight {
+	for _, q := range r.inFlight {
 		if q.bad && now >= q.begins && now >= r.upAgain[q.upstream] {
 			r.upAgain[q.upstream] = now + 3*time.Second
 			r.crashes++
 			r.lastCrash = now
 		}
 	}
-	for q, h := range r.inFlight {
+	r.inFlight = slices.DeleteFunc(r.inFlight, func(q *request) bool {
+		lost := now < r.upAgain[q.upstream]
 		switch {
-		case now < r.upAgain[q.upstream]:
-			if now < q.begins+time.Second {
-				h.RecordCrash(now, parts(q.ids...), q.workspace, fmt.Sprint(q.upstream))
+		case lost && now < q.begins+time.Second:
+			q.host.RecordCrash(now, parts(q.ids...), q.workspace, fmt.Sprint(q.upstream))
+		case !lost && now >= q.ends:
+			q.host.RecordAnswer(now, parts(q.ids...))
+		}
+		return lost || now >= q.ends
+	})
+}
+
+// share lets each host exchange what it knows with the next one.
+func (r *replay) share(now time.Duration) {
+	for n, h := range r.hosts {
+		other := r.hosts[(n+1)%len(r.hosts)]
+		other.Merge(now, h.States(16))
+		h.Merge(now, other.States(16))
+	}
+}
+
+// run replays a load of 40 s, in which requests with a crashing part come from a time on.
+func (r *replay) run(seed uint64, exchangeInterval, badFrom time.Duration) {
+	badPerSecond := []float64{1, 2, 8, 20}[r.rnd.IntN(4)]
+	const tick = 5 * time.Millisecond
+	chance := func(perSecond float64) bool { return r.rnd.Float64() < perSecond*tick.Seconds() }
+	for now := start; now < start+40*time.Second; now += tick {
+		ids := []string{fmt.Sprint("lead", r.rnd.IntN(r.leads)), fmt.Sprint("middle", r.rnd.IntN(8))}
+		workspace := uint64(1 + r.rnd.IntN(5))
+		if chance(40) {
+			r.arrive(now, &request{ids: ids, workspace: workspace})
+		}
+		bad := "bad0"
+		if now > start+20*time.Second {
+			bad = fmt.Sprint("bad", 1+r.rnd.IntN(2))
+		}
+		if now > badFrom && chance(badPerSecond) {
+			r.arrive(now, &request{ids: slices.Replace(slices.Clone(ids), badPlace(seed), badPlace(seed)+1, bad), workspace: workspace, bad: true})
+		}
+		r.step(now)
+		if now%exchangeInterval == 0 {
+			r.share(now)
+		}
+		if now%time.Second == 0 {
+			for _, h := range r.hosts {
+				h.Sweep(now)
 			}
-			delete(r.inFlight, q)
-		case now >= q.ends:
-			h.RecordAnswer(now, parts(q.ids...))
-			delete(r.inFlight, q)
 		}
 	}
 }
 
-// TestReplay guards, over many loads, against crashes that go on and sound requests that are refused: three
-// crashing parts, one after the other and two at once, among requests that share all but that part with them.
-func TestReplay(t *testing.T) {
+// assertReplays replays loads of many seeds and checks that exactly the crashing parts are isolated.
+func assertReplays(t *testing.T, leads int, exchangeInterval, started, badFrom time.Duration) {
+	t.Helper()
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			is := is.New(t)
-			r := &replay{rnd: rand.New(rand.NewPCG(seed, 1)), inFlight: make(map[*request]*isolator.Isolator)}
+			r := &replay{rnd: rand.New(rand.NewPCG(seed, 1)), leads: leads}
 			for range 1 + r.rnd.IntN(5) {
-				r.hosts = append(r.hosts, &isolator.Isolator{Started: start})
-			}
-			badPerSecond := []float64{1, 2, 8, 20}[r.rnd.IntN(4)]
-			const tick = 5 * time.Millisecond
-			chance := func(perSecond float64) bool { return r.rnd.Float64() < perSecond*tick.Seconds() }
-			for now := start; now < start+40*time.Second; now += tick {
-				ids := []string{fmt.Sprint("lead", r.rnd.IntN(3)), fmt.Sprint("middle", r.rnd.IntN(8))}
-				workspace := uint64(1 + r.rnd.IntN(5))
-				if chance(40) {
-					r.arrive(now, &request{ids: ids, workspace: workspace})
-				}
-				bad := "bad0"
-				if now > start+20*time.Second {
-					bad = fmt.Sprint("bad", 1+r.rnd.IntN(2))
-				}
-				if now > start+3*time.Second && chance(badPerSecond) {
-					r.arrive(now, &request{ids: slices.Replace(slices.Clone(ids), badPlace(seed), badPlace(seed)+1, bad), workspace: workspace, bad: true})
-				}
-				r.step(now)
-				if now%(200*time.Millisecond) == 0 {
-					for n, h := range r.hosts {
-						other := r.hosts[(n+1)%len(r.hosts)]
-						other.Merge(now, h.States(16))
-						h.Merge(now, other.States(16))
-					}
-				}
+				r.hosts = append(r.hosts, &isolator.Isolator{Started: started})
 			}
-			t.Logf("%d hosts, %g bad requests a second: %d crashes, the last at %v, %d sound requests refused", len(r.hosts), badPerSecond, r.crashes, r.lastCrash-start, r.soundRefused)
+			r.run(seed, exchangeInterval, badFrom)
+			t.Logf("%d hosts: %d crashes, the last at %v, %d sound requests refused", len(r.hosts), r.crashes, r.lastCrash-start, r.soundRefused)
 			is.Equal(r.soundRefused, 0)
 			for _, h := range r.hosts {
 				is.Equal(len(h.Isolated()), 3)
@@ -363,5 +404,11 @@
 	}
 }
 
+// TestReplay guards, over many loads, against crashes that go on and sound requests that are refused: three
+// crashing parts, one after the other and two at once, among requests that share all but that part with them.
+func TestReplay(t *testing.T) {
+	assertReplays(t, 3, 200*time.Millisecond, start, start+3*time.Second)
+}
+
 // badPlace returns the place of the crashing part in prompts, which differs by seed.
 func badPlace(seed uint64) int { return int(seed % 2) }
--- a/isolator/state.go
+++ b/isolator/state.go
@@ -154,15 +154,15 @@
 	}
 }
 
-// deleteOldest deletes the entry with the lowest time.
-func deleteOldest[K comparable, V any](m map[K]V, at func(V) time.Duration) {
-	var oldest K
+// oldest returns the key of the entry with the lowest time.
+func oldest[K comparable, V any](m map[K]V, at func(V) time.Duration) K {
+	var out K
 	var lowest time.Duration
 	first := true
 	for k, v := range m {
 		if t := at(v); first || t < lowest {
-			oldest, lowest, first = k, t, false
+			out, lowest, first = k, t, false
 		}
 	}
-	delete(m, oldest)
+	return out
 }
