isolator: correct a part that was isolated before all crashes were heard of

Callers could have all requests refused, with Retry-After of a minute: where upstreams crash before anything was answered, a host counted three moments for the part that all prompts begin with, before it heard that a request with the crashing part was at the same crashes. The crashing part was then explained by the wrong one and never isolated.

Now, while another part without an answer was at two of a part's crashes, crashes of the last 0.5 s, the time of an exchange, do not decide; an isolated part is released as soon as another one accounts for all its crashes; of parts with as many crashes and as far back in prompts the one that fewer requests have goes first. Isolation is certain, and samples ten minutes apart, only once a request let through crashed an upstream too.

The decisions moved to decide.go.

--- /dev/null
+++ b/isolator/decide.go
@@ -0,0 +1,160 @@
+package isolator
+
+import (
+	"slices"
+	"time"
+)
+
+// decisive returns the moments by which a part is isolated. While another part without an answer was in flight at
+// several of its crashes, the latest do not count, as other hosts may not have told all about them.
+func (i *Isolator) decisive(now time.Duration, s *State) []time.Duration {
+	list := i.evidence(now, s)
+	if len(list) < threshold || !i.hasRival(now, s) {
+		return list
+	}
+	return slices.DeleteFunc(list, func(at time.Duration) bool { return now-at < exchangeTime })
+}
+
+// hasRival reports whether another part could account for crashes of a part.
+func (i *Isolator) hasRival(now time.Duration, s *State) bool {
+	for _, o := range i.records {
+		if o != s && !o.IsIsolated() && len(o.Crashes)-len(o.crashesWithout(s)) >= retryThreshold && len(i.evidence(now, o)) >= retryThreshold {
+			return true
+		}
+	}
+	return false
+}
+
+// evidence returns the moments of the crashes that speak against a part.
+func (i *Isolator) evidence(now time.Duration, s *State) []time.Duration {
+	if s.AnsweredAt > 0 && now-s.AnsweredAt < answerTTL {
+		return nil
+	}
+	return moments(i.unexplained(now, s))
+}
+
+// unexplained returns the crashes since the last answer that no other isolated part explains.
+func (i *Isolator) unexplained(now time.Duration, s *State) []Crash {
+	var out []Crash
+	for _, c := range s.Crashes {
+		if c.At > s.AnsweredAt && now-c.At <= crashTTL && !i.isExplained(s.Part, &c) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// isExplained reports whether a request with another isolated part was in flight at a crash.
+func (i *Isolator) isExplained(p Part, c *Crash) bool {
+	for _, o := range i.records {
+		if o.Part != p && o.IsIsolated() && slices.ContainsFunc(o.Crashes, c.isSame) {
+			return true
+		}
+	}
+	return false
+}
+
+// isolate isolates the parts that explain enough crashes, one after the other: those that explain most first.
+func (i *Isolator) isolate(now time.Duration) {
+	if now-i.Time(i.Started) < settleTime {
+		return
+	}
+	i.supersede(now)
+	for {
+		var best *State
+		most := 0
+		for _, s := range i.records {
+			if s.IsIsolated() || len(s.Crashes) < max(threshold, most) {
+				continue
+			}
+			n := len(i.decisive(now, s))
+			if n >= threshold && (n > most || n == most && s.isBefore(best)) {
+				best, most = s, n
+			}
+		}
+		if best == nil {
+			i.update()
+			return
+		}
+		i.isolatePart(now, best)
+	}
+}
+
+// supersede ends the isolation of parts for which another part accounts, as hosts may isolate a part before they
+// have heard of all crashes, and isolates that one.
+func (i *Isolator) supersede(now time.Duration) {
+	for _, s := range i.records {
+		if !s.IsIsolated() || len(s.Crashes) == 0 {
+			continue
+		}
+		at := s.IsolatedAt
+		s.IsolatedAt = 0
+		switch o := i.accounting(now, s); {
+		case o == nil:
+			s.IsolatedAt = at
+		case !o.IsIsolated():
+			i.isolatePart(now, o)
+		}
+	}
+}
+
+// accounting returns another part that is isolated, or due to be, and accounts for a part: it was in flight at all
+// crashes of that part, and goes before it or crashed enough upstreams without it. It returns nil if there is none.
+func (i *Isolator) accounting(now time.Duration, s *State) *State {
+	for _, o := range i.records {
+		others := o.crashesWithout(s)
+		if o == s || len(o.Crashes)-len(others) < len(s.Crashes) || !o.isBefore(s) && len(moments(others)) < threshold {
+			continue
+		}
+		if o.IsIsolated() || len(i.decisive(now, o)) >= threshold {
+			return o
+		}
+	}
+	return nil
+}
+
+func (i *Isolator) isolatePart(now time.Duration, s *State) {
+	s.IsolatedAt, s.RequestedAt = now, now
+	s.Workspace = soleWorkspace(i.unexplained(now, s))
+	s.Confirmed, s.Samples = false, 0
+}
+
+// update takes further crashes of isolated parts into account. One that was isolated for a workspace is refused for
+// all, once a request of another one was in flight at a crash since.
+func (i *Isolator) update() {
+	for _, s := range i.records {
+		if !s.IsIsolated() {
+			continue
+		}
+		if !s.Confirmed && s.SampledAt > s.IsolatedAt && s.lastCrash() > s.SampledAt && len(moments(s.Crashes)) >= confirmedThreshold {
+			s.Confirmed = true
+		}
+		if s.Workspace != 0 && slices.ContainsFunc(s.Crashes, func(c Crash) bool {
+			return c.At > s.IsolatedAt && slices.ContainsFunc(c.Workspaces, func(w uint64) bool { return w != s.Workspace })
+		}) {
+			s.Workspace = 0
+		}
+	}
+}
+
+// verdicts returns the verdicts on isolated parts.
+func (i *Isolator) verdicts() map[Part]verdict {
+	out := make(map[Part]verdict)
+	for p, s := range i.records {
+		if s.IsIsolated() {
+			out[p] = s.verdict()
+		}
+	}
+	return out
+}
+
+// changes returns the parts on which the verdict is another one than before.
+func (i *Isolator) changes(before map[Part]verdict) []State {
+	var out []State
+	for p, s := range i.records {
+		if s.verdict() != before[p] {
+			out = append(out, s.clone())
+		}
+	}
+	return out
+}
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -20,13 +20,16 @@
 	// flight at a crash is not sent again from retryThreshold on.
 	threshold      = 3
 	retryThreshold = 2
-	// confirmedThreshold is the number of moments from which isolation is certain.
+	// confirmedThreshold is the number of moments from which isolation is certain, the last one due to a request that
+	// was let through.
 	confirmedThreshold = 5
 	// moment is the time within which crashes count once.
 	moment = 50 * time.Millisecond
 	// sameCrash is the time within which crashes of one upstream are the same one, as several hosts
 	// report it. A restart takes longer.
 	sameCrash = time.Second
+	// exchangeTime is the time in which hosts tell each other of a crash.
+	exchangeTime = 500 * time.Millisecond
 	// crashTTL is how long a crash counts.
 	crashTTL = 10 * time.Minute
 	// answerTTL is how long an answer shows that a part is sound: longer than an outage in which nothing is
@@ -36,7 +39,7 @@
 	// been answered, and all parts in use look alike.
 	settleTime = 2 * time.Second
 	// sampleInterval is the time until one request with an isolated part is let through, confirmedInterval
-	// that for a part that has crashed confirmedThreshold upstreams; it doubles each time.
+	// that for a confirmed part; it doubles each time.
 	sampleInterval    = time.Minute
 	confirmedInterval = 10 * time.Minute
 	maxDoublings      = 8
@@ -73,13 +76,17 @@
 	// the only workspace whose requests are refused; 0 means all of them.
 	IsolatedAt time.Duration
 	Workspace  uint64
-	// Confirmed is set once an isolated part was in flight at confirmedThreshold moments.
+	// Confirmed is set once an isolated part was in flight at confirmedThreshold moments, one of them after a
+	// request was let through.
 	Confirmed bool
 	// SampledAt is when a request was last let through, Samples how often.
 	SampledAt time.Duration
 	Samples   int
 	// RequestedAt is when a request with the isolated part last came.
 	RequestedAt time.Duration
+
+	// requests counts requests with the part that came to this host since its first crash.
+	requests int
 }
 
 // IsIsolated reports whether requests with the part are refused.
@@ -148,6 +155,7 @@
 		if s == nil {
 			continue
 		}
+		s.requests++
 		if s.Refuses(workspace) {
 			s.RequestedAt = now
 			if !again && now >= s.SampleDue() && (i.Samples == nil || i.Samples()) {
@@ -194,7 +202,9 @@
 		s.Depth = max(s.Depth, depth)
 		s.addCrash(Crash{Upstream: upstream, At: now, Workspaces: []uint64{workspace}})
 	}
-	changed := i.isolate(now)
+	was := i.verdicts()
+	i.isolate(now)
+	changed := i.changes(was)
 	i.mu.Unlock()
 	i.report(changed, false)
 }
@@ -266,27 +276,38 @@
 func (i *Isolator) Merge(now time.Duration, list []State) {
 	now = i.Time(now)
 	i.mu.Lock()
-	var changed []State
+	was := i.verdicts()
 	for n := range list {
-		o := &list[n]
-		s := i.record(o.Part)
-		was := s.IsIsolated()
-		s.merge(o)
-		if s.IsIsolated() != was {
-			changed = append(changed, s.clone())
+		i.record(list[n].Part).merge(&list[n])
+	}
+	merged := i.verdicts()
+	i.isolate(now)
+	var learned, decided []State
+	for _, s := range i.changes(was) {
+		if s.verdict() == merged[s.Part] {
+			learned = append(learned, s)
+		} else {
+			decided = append(decided, s)
 		}
 	}
-	decided := i.isolate(now)
 	i.mu.Unlock()
-	i.report(changed, true)
+	i.report(learned, true)
 	i.report(decided, false)
 }
 
-// Sweep forgets crashes, answers and isolated parts that no longer count.
+// Sweep isolates the parts that are due, and forgets crashes, answers and isolated parts that no longer count.
 func (i *Isolator) Sweep(now time.Duration) {
 	now = i.Time(now)
 	i.mu.Lock()
-	defer i.mu.Unlock()
+	was := i.verdicts()
+	i.isolate(now)
+	changed := i.changes(was)
+	i.sweep(now)
+	i.mu.Unlock()
+	i.report(changed, false)
+}
+
+func (i *Isolator) sweep(now time.Duration) {
 	for p, s := range i.records {
 		s.Crashes = slices.DeleteFunc(s.Crashes, func(c Crash) bool { return now-c.At > crashTTL })
 		inUse := s.IsIsolated() && now-max(s.RequestedAt, s.IsolatedAt, s.lastCrash()) <= idleTTL
@@ -345,91 +366,6 @@
 	i.answered[p] = at
 }
 
-// evidence returns the moments of the crashes that speak against a part.
-func (i *Isolator) evidence(now time.Duration, s *State) []time.Duration {
-	if s.AnsweredAt > 0 && now-s.AnsweredAt < answerTTL {
-		return nil
-	}
-	return moments(i.unexplained(now, s))
-}
-
-// unexplained returns the crashes since the last answer that no other isolated part explains.
-func (i *Isolator) unexplained(now time.Duration, s *State) []Crash {
-	var out []Crash
-	for _, c := range s.Crashes {
-		if c.At > s.AnsweredAt && now-c.At <= crashTTL && !i.isExplained(s.Part, &c) {
-			out = append(out, c)
-		}
-	}
-	return out
-}
-
-// isExplained reports whether a request with another isolated part was in flight at a crash.
-func (i *Isolator) isExplained(p Part, c *Crash) bool {
-	for _, o := range i.records {
-		if o.Part != p && o.IsIsolated() && slices.ContainsFunc(o.Crashes, c.isSame) {
-			return true
-		}
-	}
-	return false
-}
-
-// isolate isolates the parts that explain enough crashes, one after the other: those that explain most
-// first, of equal ones the one that is further back in prompts, as those before it are shared by more
-// requests. It returns what changed.
-func (i *Isolator) isolate(now time.Duration) []State {
-	var changed []State
-	if now-i.Time(i.Started) < settleTime {
-		return nil
-	}
-	for {
-		var best *State
-		most := 0
-		for _, s := range i.records {
-			if s.IsIsolated() || len(s.Crashes) < max(threshold, most) {
-				continue
-			}
-			n := len(i.evidence(now, s))
-			if n < threshold || n < most {
-				continue
-			}
-			if n > most || s.Depth > best.Depth || s.Depth == best.Depth && s.Part > best.Part {
-				best, most = s, n
-			}
-		}
-		if best == nil {
-			return append(changed, i.update()...)
-		}
-		best.IsolatedAt, best.RequestedAt = now, now
-		best.Workspace = soleWorkspace(i.unexplained(now, best))
-		changed = append(changed, best.clone())
-	}
-}
-
-// update takes further crashes of isolated parts into account: one that was isolated for a workspace is
-// refused for all, once a request of another one was in flight at a crash since. It returns what changed.
-func (i *Isolator) update() []State {
-	var changed []State
-	for _, s := range i.records {
-		if !s.IsIsolated() {
-			continue
-		}
-		confirms := !s.Confirmed && len(moments(s.Crashes)) >= confirmedThreshold
-		widens := s.Workspace != 0 && slices.ContainsFunc(s.Crashes, func(c Crash) bool {
-			return c.At > s.IsolatedAt && slices.ContainsFunc(c.Workspaces, func(w uint64) bool { return w != s.Workspace })
-		})
-		if !confirms && !widens {
-			continue
-		}
-		s.Confirmed = s.Confirmed || confirms
-		if widens {
-			s.Workspace = 0
-		}
-		changed = append(changed, s.clone())
-	}
-	return changed
-}
-
 // report calls OnIsolate and OnRelease, without the lock.
 func (i *Isolator) report(changed []State, learned bool) {
 	for _, s := range changed {
--- a/isolator/state.go
+++ b/isolator/state.go
@@ -16,6 +16,12 @@
 	maxPartBytes = 32
 )
 
+// verdict is what hosts do with requests that have a part.
+type verdict struct {
+	isolated, confirmed bool
+	workspace           uint64
+}
+
 // Part is the id of a part of a prompt in lower case, or its hash if it is longer than maxPartBytes.
 type Part string
 
@@ -74,6 +80,31 @@
 	}
 }
 
+// crashesWithout returns the crashes at which another part was not in flight.
+func (s *State) crashesWithout(o *State) []Crash {
+	var out []Crash
+	for _, c := range s.Crashes {
+		if !slices.ContainsFunc(o.Crashes, c.isSame) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// verdict returns the verdict on the part; zero unless it is isolated.
+func (s *State) verdict() verdict {
+	if !s.IsIsolated() {
+		return verdict{}
+	}
+	return verdict{isolated: true, confirmed: s.Confirmed, workspace: s.Workspace}
+}
+
+// isBefore reports whether the part is isolated rather than another one with as many crashes: the one that is
+// further back in prompts, as parts before it are shared by more requests, else the one that fewer have.
+func (s *State) isBefore(o *State) bool {
+	return cmp.Or(cmp.Compare(o.Depth, s.Depth), cmp.Compare(s.requests, o.requests), cmp.Compare(o.Part, s.Part)) < 0
+}
+
 // answer records an answer, and returns the state if that released the part.
 func (s *State) answer(now time.Duration) []State {
 	was := s.IsIsolated()
