forwarder: don't take a reset dial for the crash of an upstream

Callers could have their requests refused as crashing upstreams where a link or a proxy reset their connections: the check after a lost exchange took every failed dial but a timeout for a crash, and counted the requests that were just sent, which were never in flight at one.

TestResetDial: a strike and a crash of the part before, none now; a refused dial counts as before.

A crashed process refuses connections; a reset one is answered by somebody.

--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -53,6 +53,9 @@
 		k.Log.Warn().Str("requestId", k.id).Str("upstream", h.ID).Str("address", h.Address).Err(err).Msg("forwarder: upstream crashed")
 	}
 	k.Balancer.MarkStopped(h.ID)
+	if isReset(err) {
+		return
+	}
 	k.addStrike(k.id, k.suspect(), h, begun)
 }
 
--- a/forwarder/quarantine_test.go
+++ b/forwarder/quarantine_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/connector"
 	"github.com/sardineward/sardineward/isolator"
+	"github.com/sardineward/sardineward/meter"
 	"github.com/sardineward/sardineward/tracker"
 )
 
@@ -41,6 +43,32 @@
 	is.Equal(len(f.Suspects.Active(time.Now(), 7)), 0)
 }
 
+// TestResetDial guards against taking a link that resets connections for crashes, and requests over it for their
+// cause.
+func TestResetDial(t *testing.T) {
+	for _, c := range []struct {
+		err     error
+		strikes int
+	}{{syscall.ECONNRESET, 0}, {syscall.ECONNREFUSED, 1}} {
+		t.Run(c.err.Error(), func(t *testing.T) {
+			is := is.New(t)
+			b := &balancer.Balancer{Rand: rand.New(rand.NewPCG(1, 1))}
+			b.UpdateUpstreams([]balancer.Upstream{{ID: "one", Service: "desk", Address: "10.0.0.1:1", StartedAt: 1}}, nil)
+			dial := func(context.Context, string, string) (net.Conn, error) {
+				return nil, &net.OpError{Op: "dial", Net: "tcp", Err: c.err}
+			}
+			f := &Forwarder{
+				Balancer: b, Pool: &connector.Pool{Dial: dial}, Suspects: new(tracker.Suspects), Meter: meter.New(nil, nil),
+				Now: func() time.Duration { return time.Minute }, Log: zerolog.Nop(),
+			}
+			k := &call{Forwarder: f, r: new(http.Request), id: "r", fingerprint: 7, parts: isolator.ParseParts("lead:1,own:2")}
+			k.detectCrash(context.Background(), balancer.Hop{ID: "one", Address: "10.0.0.1:1"}, false)
+			is.Equal(len(f.Suspects.Active(time.Now(), 7)), c.strikes)
+			is.Equal(len(f.Isolator.States(1)), c.strikes)
+		})
+	}
+}
+
 // TestRequestBesideCrashingPart guards against refusing a sound request, as it returns, for crashes that a part
 // of other prompts explains.
 func TestRequestBesideCrashingPart(t *testing.T) {
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/sardineward/sardineward/balancer"
@@ -277,6 +278,9 @@
 	return errors.Is(err, context.DeadlineExceeded) || (errors.As(err, &t) && t.Timeout())
 }
 
+// isReset reports whether a dial was reset, as by a link or a proxy in between; the upstream may be well.
+func isReset(err error) bool { return errors.Is(err, syscall.ECONNRESET) }
+
 // recordProbe records whether an upstream accepts connections, and reroutes the streams over one
 // that does not. dialErr is why it does not, or nil.
 func (f *Forwarder) recordProbe(ctx context.Context, h balancer.Hop, dialErr error) {
@@ -300,7 +304,7 @@
 	streams := f.streamsThrough(h.ID)
 	f.Log.Warn().Str("upstream", h.ID).Str("address", h.Address).Int("streams", len(streams)).Msg("forwarder: silent upstream out")
 	for _, a := range streams {
-		if !isTimeout(dialErr) && f.isSuspected(a) {
+		if !isTimeout(dialErr) && !isReset(dialErr) && f.isSuspected(a) {
 			f.addStrike(a.id, a.suspect, h, a.begun.Load())
 		}
 		go f.reroute(ctx, a, h)
