soaker: let crashed upstreams refuse connections, as the end of a process does

The soak said that a crash looks like the end of a process, but the link before each upstream went on accepting connections and reset them. So hosts saw a crash only where a dial happened to be reset, and neither isolation nor quarantine was tried as it happens at users. Links that reset connections remain a fault of their own.

--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -62,10 +62,21 @@
 	}
 	p.listener = l
 	p.conns, p.passages = make(map[net.Conn]bool), make(map[string][]*passage)
-	go p.accept()
+	go p.accept(l)
 	return l.Addr().String(), nil
 }
 
+// Reopen listens on the address of Start again, after Close.
+func (p *Proxy) Reopen() error {
+	l, err := listen(p.listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	p.listener = l
+	go p.accept(l)
+	return nil
+}
+
 // Close stops listening and resets the open connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -106,9 +117,9 @@
 	_ = c.Close()
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/soaker/proxy_test.go
+++ b/soaker/proxy_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -52,3 +54,28 @@
 		})
 	}
 }
+
+// TestReopen guards against an upstream whose crash looks like a link that resets connections.
+func TestReopen(t *testing.T) {
+	is := is.New(t)
+	server, err := listen("127.0.0.1:0")
+	is.NoErr(err)
+	defer server.Close()
+	p := &Proxy{Target: server.Addr().String()}
+	address, err := p.Start("127.0.0.1:0")
+	is.NoErr(err)
+	connect := func() error {
+		client, err := net.Dial("tcp", address)
+		if err == nil {
+			defer client.Close()
+			_, err = server.Accept()
+		}
+		return err
+	}
+	is.NoErr(connect())
+	p.Close()
+	is.True(errors.Is(connect(), syscall.ECONNREFUSED))
+	is.NoErr(p.Reopen())
+	defer p.Close()
+	is.NoErr(connect())
+}
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -51,6 +51,8 @@
 	mu sync.Mutex
 	// stopServer ends the server; nil while it is down.
 	stopServer func()
+	// crashed is set while the link refuses connections too.
+	crashed bool
 }
 
 // cluster is everything that a run starts: the hosts, the upstreams and the store.
@@ -234,17 +236,25 @@
 		return nil
 	}
 	stop, err := faker.Serve(listen, u.listenAddress, u.stage)
+	if err != nil {
+		return err
+	}
 	u.stopServer = stop
-	return err
+	if u.crashed {
+		u.crashed = false
+		return u.link.Reopen()
+	}
+	return nil
 }
 
-// crash stops the server at once, which looks to its clients like the end of its process.
+// crash stops the server and its link at once, so that connections are refused as after the end of a process.
 func (u *upstream) crash() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.stopServer != nil {
+		u.link.Close()
 		u.stopServer()
-		u.stopServer = nil
+		u.stopServer, u.crashed = nil, true
 	}
 }
 
