isolator: keep releases as long as crashes count

Callers could be refused again for a part that an operator, or an answer, had released: a host that was cut off for more than 30 s brought its isolation back, as the others had forgotten the release.

Evidence: TestMerge, release heard late after 9 minutes, is red before and green now. Releases are kept for the 10 minutes that crashes count; the bound of 256 parts drops them first.

--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -312,7 +312,7 @@
 		s.Crashes = slices.DeleteFunc(s.Crashes, func(c Crash) bool { return now-c.At > crashTTL })
 		inUse := s.IsIsolated() && now-max(s.RequestedAt, s.IsolatedAt, s.lastCrash()) <= idleTTL
 		// Hosts that have not heard of a release would isolate the part again.
-		released := !s.IsIsolated() && s.IsolatedAt > 0 && now-s.AnsweredAt <= answerTTL
+		released := !s.IsIsolated() && s.IsolatedAt > 0 && now-s.AnsweredAt <= crashTTL
 		if inUse || released || !s.IsIsolated() && s.lastCrash() > s.AnsweredAt {
 			continue
 		}
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -241,6 +241,20 @@
 		b.Merge(at, a.States(16))
 		is.Equal(isolated(&b), "")
 	})
+	t.Run("release heard late", func(t *testing.T) {
+		is := is.New(t)
+		var a, b isolator.Isolator
+		at := crashes(&a, start, 3, mill, "bad")
+		b.Merge(at, a.States(16))
+		is.True(a.Release(at, parts("bad")[0]))
+		at += 9 * time.Minute // b is cut off
+		a.Sweep(at)
+		b.Sweep(at)
+		a.Merge(at, b.States(16))
+		b.Merge(at, a.States(16))
+		is.Equal(isolated(&a), "")
+		is.Equal(isolated(&b), "")
+	})
 	t.Run("restarted host", func(t *testing.T) {
 		is := is.New(t)
 		var a isolator.Isolator
