isolator: make room among parts with the fewest crashes

Callers who invent parts, 256 of them in flight at a crash, had hosts forget the crashes of a part that crashes upstreams, which then went on: room was made at the oldest crash.

Evidence: TestFloodOfParts is red before (nothing isolated at the third crash) and green now; TestBounds as before.

--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -9,7 +9,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -46,7 +45,7 @@
 	// idleTTL is how long a part stays isolated without a request for it.
 	idleTTL = 30 * time.Minute
 	// maxCrashes bounds the crashes kept of a part, the newest, and sharedCrashes those that are sent to other
-	// hosts; maxRecords bounds the parts with crashes, and maxAnswered those whose last answer is known.
+	// hosts; maxRecords bounds the parts with crashes, those with most are kept, and maxAnswered those whose last answer is known.
 	maxCrashes    = 32
 	sharedCrashes = 8
 	maxRecords    = 256
@@ -334,11 +333,8 @@
 		i.records = make(map[Part]*State)
 	}
 	if len(i.records) >= maxRecords {
-		i.forget(oldest(i.records, func(s *State) time.Duration {
-			if s.IsIsolated() {
-				return math.MaxInt64
-			}
-			return s.lastCrash()
+		i.forget(least(i.records, func(a, b *State) int {
+			return cmp.Or(-compareTrue(a.IsIsolated(), b.IsIsolated()), cmp.Compare(len(a.Crashes), len(b.Crashes)), cmp.Compare(a.lastCrash(), b.lastCrash()))
 		}))
 	}
 	s := &State{Part: p, AnsweredAt: i.answered[p]}
@@ -361,7 +357,7 @@
 		i.answered = make(map[Part]time.Duration)
 	}
 	if _, ok := i.answered[p]; !ok && len(i.answered) >= maxAnswered {
-		delete(i.answered, oldest(i.answered, func(at time.Duration) time.Duration { return at }))
+		delete(i.answered, least(i.answered, cmp.Compare[time.Duration]))
 	}
 	i.answered[p] = at
 }
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -278,6 +278,18 @@
 	is.True(len(i.States(10000)) <= 256)
 }
 
+// TestFloodOfParts guards against a caller whose invented parts push what is known of a crashing part out of memory.
+func TestFloodOfParts(t *testing.T) {
+	is := is.New(t)
+	i := new(isolator.Isolator)
+	at := crashes(i, start, 2, mill, "bad")
+	for n := range 1000 {
+		i.RecordCrash(at, parts(fmt.Sprint("invented-", n)), kiln, "upstream")
+	}
+	crashes(i, at, 1, mill, "bad")
+	is.Equal(isolated(i), "bad")
+}
+
 func TestParseParts(t *testing.T) {
 	for list, want := range map[string]string{
 		"":                               "",
--- a/isolator/state.go
+++ b/isolator/state.go
@@ -185,14 +185,13 @@
 	}
 }
 
-// oldest returns the key of the entry with the lowest time.
-func oldest[K comparable, V any](m map[K]V, at func(V) time.Duration) K {
+// least returns the key of the least entry.
+func least[K comparable, V any](m map[K]V, compare func(a, b V) int) K {
 	var out K
-	var lowest time.Duration
 	first := true
 	for k, v := range m {
-		if t := at(v); first || t < lowest {
-			out, lowest, first = k, t, false
+		if first || compare(v, m[out]) < 0 {
+			out, first = k, false
 		}
 	}
 	return out
