--- a/forwarder/parts.go
+++ b/forwarder/parts.go
@@ -87,6 +87,8 @@
 	for _, c := range s.Crashes {
 		crashes.Dict(zerolog.Dict().Str("upstream", c.Upstream).Dur("ago", now-c.At))
 	}
-	return event.Str("part", string(s.Part)).Bool("learned", learned).Bool("allWorkspaces", s.Workspace == 0).Dur("isolatedFor", now-s.IsolatedAt).
-		Int("samples", s.Samples).Array("crashes", crashes)
+	if s.IsolatedAt > 0 {
+		event.Dur("isolatedFor", now-s.IsolatedAt)
+	}
+	return event.Str("part", string(s.Part)).Bool("learned", learned).Bool("allWorkspaces", s.Workspace == 0).Int("samples", s.Samples).Array("crashes", crashes)
 }
