--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -180,6 +180,20 @@
 	is.True(!refused(i, at, mill, "bad"))
 }
 
+// TestCertainAfterSample guards against refusing a part for longer than a minute before a request let through has
+// crashed an upstream.
+func TestCertainAfterSample(t *testing.T) {
+	is := is.New(t)
+	i := new(isolator.Isolator)
+	at := crashes(i, start, 6, mill, "bad")
+	is.True(refused(i, at+59*time.Second, mill, "bad"))
+	at += 61 * time.Second
+	is.True(!refused(i, at, mill, "bad"))
+	at = crashes(i, at+time.Second, 1, mill, "bad")
+	is.True(refused(i, at+19*time.Minute, mill, "bad"))
+	is.True(!refused(i, at+21*time.Minute, mill, "bad"))
+}
+
 // TestForgotten guards against parts that stay in memory or refused for ever.
 func TestForgotten(t *testing.T) {
 	is := is.New(t)
