isolator: wait where a part at nearly as many crashes may be the cause

Callers could have all requests refused: beside crashes for other causes the part that all prompts begin with is at one crash more than the crashing part, and was isolated in its place where nothing had been answered yet.

While another part without an answer is at one crash fewer at most, and not at exactly the same ones, nothing is isolated before eight moments.

--- a/isolator/decide.go
+++ b/isolator/decide.go
@@ -72,7 +72,7 @@
 				best, most = s, n
 			}
 		}
-		if best == nil {
+		if best == nil || i.isUnclear(now, best, most) {
 			i.update()
 			return
 		}
@@ -80,6 +80,25 @@
 	}
 }
 
+// isUnclear reports whether another part, at nearly as many crashes as the one that is due, may be the cause: a part
+// that most prompts have is also at crashes for other causes. Parts at the same crashes are decided by isBefore.
+func (i *Isolator) isUnclear(now time.Duration, s *State, n int) bool {
+	if n >= unclearThreshold {
+		return false
+	}
+	for _, o := range i.records {
+		if o == s || o.IsIsolated() || len(i.evidence(now, o)) < n-1 {
+			continue
+		}
+		own := len(o.crashesWithout(s))
+		same := own == 0 && len(s.crashesWithout(o)) == 0
+		if own < len(o.Crashes) && (o.isBefore(s) || !same) {
+			return true
+		}
+	}
+	return false
+}
+
 // supersede ends the isolation of parts for which another part accounts, as hosts may isolate a part before they
 // have heard of all crashes, and isolates that one.
 func (i *Isolator) supersede(now time.Duration) {
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -19,6 +19,8 @@
 	// flight at a crash is not sent again from retryThreshold on.
 	threshold      = 3
 	retryThreshold = 2
+	// unclearThreshold is the same as threshold where another part is at nearly as many crashes.
+	unclearThreshold = 8
 	// confirmedThreshold is the number of moments from which isolation is certain, the last one due to a request that
 	// was let through.
 	confirmedThreshold = 5
