forwarder: offer a request to six hosts where limits are used up

Callers were refused with upstreamLimit, 5 to 11 in 100, while most connections went to one of 24 hosts and the others had room left: shares are 3.75 requests a second there, two in five hosts have just used theirs, and a request was offered to three.

All responses not served were refusals with that reason.

--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -40,7 +40,7 @@
 	// maxDelegations is how many hosts a request is offered to, maxLimitDelegations the same where this host has used
 	// its share of the upstreams' limits.
 	maxDelegations      = 4
-	maxLimitDelegations = 3
+	maxLimitDelegations = 6
 	// exclusion is how long a host is not asked again that did not answer, or that refused as it stops, is full, or
 	// is cut off as well.
 	exclusion = 2 * time.Second
