--- a/soaker/proxy_test.go
+++ b/soaker/proxy_test.go
@@ -11,6 +11,20 @@
 	"github.com/matryer/is"
 )
 
+// startProxy starts a proxy to a server that accepts nothing by itself, until the test ends.
+func startProxy(t *testing.T) (p *Proxy, server net.Listener, address string) {
+	t.Helper()
+	is := is.New(t)
+	server, err := listen("127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { server.Close() })
+	p = &Proxy{Target: server.Addr().String()}
+	address, err = p.Start("127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(p.Close)
+	return p, server, address
+}
+
 // TestDelivered guards against checks that take a response for received which the link has dropped, or the other way
 // round.
 func TestDelivered(t *testing.T) {
@@ -20,13 +34,7 @@
 	}{{ModePass, true}, {ModeSlow, true}, {ModeOneWay, false}} {
 		t.Run(tc.mode.String(), func(t *testing.T) {
 			is := is.New(t)
-			server, err := listen("127.0.0.1:0")
-			is.NoErr(err)
-			defer server.Close()
-			p := &Proxy{Target: server.Addr().String()}
-			address, err := p.Start("127.0.0.1:0")
-			is.NoErr(err)
-			defer p.Close()
+			p, server, address := startProxy(t)
 			client, err := net.Dial("tcp", address)
 			is.NoErr(err)
 			defer client.Close()
@@ -58,12 +66,7 @@
 // TestReopen guards against an upstream whose crash looks like a link that resets connections.
 func TestReopen(t *testing.T) {
 	is := is.New(t)
-	server, err := listen("127.0.0.1:0")
-	is.NoErr(err)
-	defer server.Close()
-	p := &Proxy{Target: server.Addr().String()}
-	address, err := p.Start("127.0.0.1:0")
-	is.NoErr(err)
+	p, server, address := startProxy(t)
 	connect := func() error {
 		client, err := net.Dial("tcp", address)
 		if err == nil {
@@ -76,6 +79,5 @@
 	p.Close()
 	is.True(errors.Is(connect(), syscall.ECONNREFUSED))
 	is.NoErr(p.Reopen())
-	defer p.Close()
 	is.NoErr(connect())
 }
