--- a/isolator/decide.go
+++ b/isolator/decide.go
@@ -6,7 +6,7 @@
 )
 
 // decisive returns the moments by which a part is isolated. While another part without an answer was in flight at
-// several of its crashes, the latest do not count, as other hosts may not have told all about them.
+// several of its crashes, the latest do not count, as reports of other hosts on them may be missing.
 func (i *Isolator) decisive(now time.Duration, s *State) []time.Duration {
 	list := i.evidence(now, s)
 	if len(list) < threshold || !i.hasRival(now, s) {
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -79,7 +79,7 @@
 	is.Equal(isolated(i), "bad")
 }
 
-// TestLateCrash guards against refusing requests with a part that all prompts begin with, since the host hears of
+// TestLateCrash guards against refusing requests with a part that all prompts begin with, since the host learns of
 // a crash of the crashing part later than of its own.
 func TestLateCrash(t *testing.T) {
 	is := is.New(t)
