review: cases 2 to 5, foreign answers, memory and orders to the wrong runner

Cause: the connector takes an interim head, and a late second answer to an order, for the response to a request; bodies that wait for slow runners have no bound; orders name no runner. No code is mended.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -97,6 +97,11 @@
 	}
 	out.sentAt = time.Now()
 	resp, err := http.ReadResponse(c.br, &http.Request{Method: q.method})
+	for err == nil && resp.StatusCode/100 == 1 {
+		// An interim response is none.
+		resp.Body.Close()
+		resp, err = http.ReadResponse(c.br, &http.Request{Method: q.method})
+	}
 	if err != nil {
 		out.err, out.endedAt = err, time.Now()
 		return out
--- a/review/standin/hosts.go
+++ b/review/standin/hosts.go
@@ -140,3 +140,26 @@
 	_, _ = fmt.Sscan(port, &n)
 	return n
 }
+
+// signal sends a signal to the process of the host.
+func (h *host) signal(s syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.d.record("host %s gets signal %v", h.name, s)
+	_ = h.cmd.Process.Signal(s)
+}
+
+// pid returns the id of the host's process, and false once it has ended.
+func (h *host) pid() (int, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cmd == nil {
+		return 0, false
+	}
+	select {
+	case <-h.exited:
+		return 0, false
+	default:
+		return h.cmd.Process.Pid, true
+	}
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -49,7 +49,11 @@
 }
 
 var cases = map[string]func(d *driver){
-	"crash": playCrash,
+	"crash":   playCrash,
+	"reuse":   playReuse,
+	"extra":   playExtra,
+	"interim": playInterim,
+	"memory":  playSlowReaders,
 }
 
 func main() {
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,8 +47,13 @@
 	handle func(x *exchange)
 	// readRate is how many bytes a second it reads of a body; 0 means as fast as it can.
 	readRate int
-	// onOrder is called with each order that it gets, before it answers; it returns false to answer nothing more.
-	onOrder func(c *runnerConn, o *order) bool
+	// loadTime is how long it takes to load layers.
+	loadTime time.Duration
+	// extraOrders is set where it sends its answer to an order a second time, before the next response.
+	extraOrders bool
+	// garbles is set where some of its answers are wrong; answers counts its answers.
+	garbles bool
+	answers atomic.Int64
 
 	mu       sync.Mutex
 	id       string
@@ -214,7 +220,7 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(&slowReader{req.Body, r.readRate})
+		body, err := io.ReadAll(&slowReader{req.Body, r})
 		if err != nil {
 			return
 		}
@@ -226,21 +232,30 @@
 	}
 }
 
-// slowReader reads at most rate bytes a second.
+// slowReader reads at most as many bytes a second as its runner does.
 type slowReader struct {
 	io.Reader
-	rate int
+	r *runner
 }
 
 func (s *slowReader) Read(b []byte) (int, error) {
-	if s.rate == 0 {
+	s.r.mu.Lock()
+	rate := s.r.readRate
+	s.r.mu.Unlock()
+	if rate == 0 {
 		return s.Reader.Read(b)
 	}
-	n, err := s.Reader.Read(b[:min(len(b), max(1, s.rate/20))])
-	time.Sleep(time.Duration(float64(n) / float64(s.rate) * float64(time.Second)))
+	n, err := s.Reader.Read(b[:min(len(b), max(1, rate/20))])
+	time.Sleep(time.Duration(float64(n) / float64(rate) * float64(time.Second)))
 	return n, err
 }
 
+func (r *runner) setReadRate(rate int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readRate = rate
+}
+
 func (c *runnerConn) write(b []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -330,9 +345,6 @@
 	stale := o.Expected != nil && *o.Expected != seq
 	r.mu.Unlock()
 	r.d.record("runner %s of %s, kind %s, gets the order %s", id, r.service, r.kind, body)
-	if r.onOrder != nil && !r.onOrder(c, &o) {
-		return
-	}
 	if stale {
 		c.write(message(http.StatusConflict, `{"error":"seq differs"}`, "Content-Type", "application/json"))
 		return
@@ -344,9 +356,21 @@
 	}
 	r.mu.Lock()
 	r.seq++
-	r.layers = &span{o.From, o.To, 1}
+	r.layers = nil
 	r.mu.Unlock()
-	c.write(message(http.StatusAccepted, ""))
+	time.AfterFunc(r.loadTime, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.up && r.id == id {
+			r.layers = &span{o.From, o.To, 1}
+		}
+	})
+	answer := message(http.StatusAccepted, "")
+	c.write(answer)
+	if r.extraOrders {
+		c.extra = answer
+		r.d.record("runner %s of %s: its answer to the order comes a second time, later", id, r.service)
+	}
 }
 
 // streamHead returns the head of a stream.
@@ -388,3 +412,14 @@
 		x.c.write([]byte("0\r\n\r\n"))
 	}
 }
+
+// answerPlain answers a plain request after some work.
+func answerPlain(work time.Duration) func(x *exchange) {
+	return func(x *exchange) {
+		if !x.begin() {
+			return
+		}
+		time.Sleep(work)
+		x.c.write(message(http.StatusOK, "answer to "+x.id, idHeader, x.id, stampHeader, "s."+x.id, "X-Sardineward-Runner-Load", fmt.Sprintf("%d,0,%d", 1, x.r.slots)))
+	}
+}
