--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -18,6 +18,8 @@
 const (
 	heartbeat = 1200 * time.Millisecond
 	layerMB   = 1750.0
+	// maxKept is how many bytes of a request's body a runner keeps.
+	maxKept = 64 << 10
 	// stamp is the header that shows that a response is a runner's.
 	stampHeader   = "X-Sardineward-Response-Stamp"
 	idHeader      = "X-Sardineward-Attempt-Id"
@@ -216,7 +218,11 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(&slowReader{req.Body, r})
+		slow := &slowReader{req.Body, r}
+		body, err := io.ReadAll(io.LimitReader(slow, maxKept))
+		if err == nil {
+			_, err = io.Copy(io.Discard, slow)
+		}
 		if err != nil {
 			return
 		}
