--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -49,11 +49,15 @@
 }
 
 var cases = map[string]func(d *driver){
-	"crash":   playCrash,
-	"reuse":   playReuse,
-	"extra":   playExtra,
-	"foreign": playForeign,
-	"memory":  playSlowReaders,
+	"crash": playCrash,
+	"reuse": playReuse,
+	// These are trials, not cases.
+	"interim":    playInterim,
+	"lasttenant": playLastTenant,
+	"halfclose":  playHalfClose,
+	"extra":      playExtra,
+	"foreign":    playForeign,
+	"memory":     playSlowReaders,
 }
 
 func main() {
