connector: a response without the request's id belongs to no request

Cause: the connector took a response without an id for the one to the request. The protocol says that upstreams repeat the id, that a second response may come late in place of the next one, and that the id tells them apart. Orders have no id, so neither has a second response to one.

Now such a response ends the connection, and the request counts as one that may have run: a repeatable one takes a retry, another gets 502. Requests without an id (orders, queries) and responses of other hosts are as before: hosts of earlier versions refuse without an id, and hosts never respond twice.

Tests: TestSecondResponseToOrder and the rows "without an id" of TestRunsOnce (503, 429, 421, 500, a stream) were red before. Two rows of TestRunsOnce said that a 503 with Not-Run and a 421 are believed, and had no id: they have one now, with the same outcome, and stand without one beside it, sent once. All other rows and the upstreams of other tests in this package repeat the id as the protocol asks; no other figure in them changed.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -51,6 +51,9 @@
 // errWrongRequest means that a connection delivered only responses to other requests.
 var errWrongRequest = errors.New("response belongs to another request")
 
+// errNoID means that a response to a request with an id has none.
+var errNoID = errors.New("response has no request id")
+
 // errInterim means that interim responses came in place of a response.
 var errInterim = errors.New("only interim responses, or a switch of protocols, in place of a response")
 
@@ -98,7 +101,8 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Now returns a monotonic time that advances while the machine is suspended.
 	Now func() time.Duration
-	// RequestIDHeader is the name of the header that identifies a request; the response repeats it.
+	// RequestIDHeader is the name of the header that identifies a request; the response repeats it. Only responses of
+	// other hosts may lack it.
 	RequestIDHeader string
 	// OnDial is called before each dial with its purpose; nil means no call.
 	OnDial func(purpose Purpose)
@@ -245,9 +249,14 @@
 		if err != nil {
 			return nil, true, err
 		}
-		if got := h.Header.Get(p.RequestIDHeader); got == want || got == "" {
+		got := h.Header.Get(p.RequestIDHeader)
+		if got == want || got == "" && r.Purpose == PurposePeer {
 			return &Response{Response: h, pool: p, conn: c, writeErr: writeErr}, true, nil
 		}
+		if got == "" {
+			// It may be a second response to an order, which has no id.
+			return nil, true, errNoID
+		}
 		// A late response to an earlier request comes first on the connection; the one to this
 		// request follows it.
 		if n, err := io.Copy(io.Discard, io.LimitReader(h.Body, maxStaleBytes)); err != nil || n == maxStaleBytes || h.Close {
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -186,6 +186,32 @@
 	})
 }
 
+// TestSecondResponseToOrder guards against returning a second response to an order, which has no id, for the request
+// that is sent next on its connection.
+func TestSecondResponseToOrder(t *testing.T) {
+	runScript(t, func(n int, c net.Conn, br *bufio.Reader) {
+		if n == 0 {
+			respond(c, br, "", contentLength("taken"), "taken")
+			if r, err := http.ReadRequest(br); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 202 Accepted\r\n%s\r\ntaken", contentLength("taken"))
+			}
+			return
+		}
+		respond(c, br, "", contentLength("mine"), "mine")
+	}, func(p *connector.Pool, opened *int) {
+		is := is.New(t)
+		_, err := doRequest(p, "", true)
+		is.NoErr(err)
+		_, err = doRequest(p, "this", true)
+		assertSent(t, err, true)
+		is.Equal(*opened, 1)
+		body, err := doRequest(p, "next", true)
+		is.NoErr(err)
+		is.Equal(body, "mine")
+	})
+}
+
 func TestIncompleteResponse(t *testing.T) {
 	for name, header := range map[string]string{
 		"shorter than its length": "Content-Length: 100\r\n",
--- a/forwarder/cut_test.go
+++ b/forwarder/cut_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -51,7 +52,7 @@
 
 // writeEvents writes the head of a response and some events, 50 ms apart. It ends the response after the last one.
 func writeEvents(far net.Conn, from, to int) {
-	_, err := fmt.Fprintf(far, "HTTP/1.1 200 OK\r\n%s: stamp\r\nTransfer-Encoding: chunked\r\n\r\n", DefaultHeaders.Stamp)
+	_, err := io.WriteString(far, streamHead+"Transfer-Encoding: chunked\r\n\r\n")
 	for n := from; err == nil && n <= min(to, resumableEvents); n++ {
 		time.Sleep(50 * time.Millisecond)
 		event := wholeEvents(n, n)
@@ -98,7 +99,7 @@
 					case n == 1:
 						writeEvents(far, from, 3)
 					case n <= 1+rejections:
-						_, _ = fmt.Fprintf(far, "HTTP/1.1 503 Busy\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", DefaultHeaders.NotRun)
+						_, _ = io.WriteString(far, rejectionHead+"Content-Length: 0\r\n\r\n")
 					default:
 						writeEvents(far, from, resumableEvents)
 					}
@@ -205,7 +206,7 @@
 				writeEvents(far, from, 3)
 				return
 			}
-			_, _ = fmt.Fprintf(far, "HTTP/1.1 503 Busy\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", DefaultHeaders.NotRun)
+			_, _ = io.WriteString(far, rejectionHead+"Content-Length: 0\r\n\r\n")
 		})
 		ctx, leave := context.WithTimeout(t.Context(), callerWaits)
 		defer leave()
--- a/forwarder/repeat_test.go
+++ b/forwarder/repeat_test.go
@@ -48,7 +48,10 @@
 
 func upstreamTexts() []upstreamText {
 	h := DefaultHeaders
-	stamp := h.Stamp + ": stamp\r\n"
+	id := h.RequestID + ": r\r\n"
+	stamp := id + h.Stamp + ": stamp\r\n"
+	const empty = "Content-Length: 0\r\n\r\n"
+	notRun := h.NotRun + ": 1\r\n"
 	const ok, chunked = "HTTP/1.1 200 OK\r\n", "Transfer-Encoding: chunked\r\n\r\n"
 	unsaid := func(status int) string {
 		return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: 4\r\n\r\nbusy", status, http.StatusText(status), stamp)
@@ -68,15 +71,22 @@
 		{"chunk without a size", ok + stamp + chunked + "size\r\nid: 1\n", 1, 502},
 		{"event too large", ok + stamp + "\r\nid: 1\ndata: " + strings.Repeat("x", maxEventBytes), 1, 502},
 		{"interim response, part of an event", "HTTP/1.1 100 Continue\r\n\r\n" + ok + stamp + "\r\nid: 1\nda", 1, 502},
-		{"no signature", ok + "\r\nid: 1\ndata: x\n\n", 1, 502},
-		{"another request's id", ok + stamp + h.RequestID + ": another\r\nContent-Length: 0\r\n\r\n", 1, 502},
+		{"no signature", ok + id + "\r\nid: 1\ndata: x\n\n", 1, 502},
+		{"no id", ok + h.Stamp + ": stamp\r\n\r\nid: 1\ndata: x\n\n", 1, 502},
+		{"another request's id", ok + h.Stamp + ": stamp\r\n" + h.RequestID + ": another\r\n" + empty, 1, 502},
 		{"status 500", unsaid(500), 1, 500},
+		{"status 500 without an id", "HTTP/1.1 500 Failed\r\n" + empty, 1, 502},
 		{"status 500, broken", "HTTP/1.1 500 Failed\r\n" + stamp + "Content-Length: 9\r\n\r\nfai", 1, 502},
 		{"status 503 without " + h.NotRun, unsaid(503), 1, 502},
 		{"status 429 without " + h.NotRun, unsaid(429), 1, 502},
 		{"status 408 without " + h.NotRun, unsaid(408), 1, 502},
-		{"status 503 with " + h.NotRun, "HTTP/1.1 503 Busy\r\n" + h.NotRun + ": 1\r\nContent-Length: 0\r\n\r\n", 3, 503},
-		{"status 421", "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n", 3, 503},
+		{"status 503 with " + h.NotRun, "HTTP/1.1 503 Busy\r\n" + id + notRun + empty, 3, 503},
+		{"status 503 with " + h.NotRun + ", another's first", "HTTP/1.1 503 Busy\r\n" + h.RequestID + ": another\r\n" + notRun + empty, 1, 502},
+		{"status 503 with " + h.NotRun + ", interim response first", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\n" + id + notRun + empty, 3, 503},
+		{"status 503 with " + h.NotRun + " without an id", "HTTP/1.1 503 Busy\r\n" + notRun + empty, 1, 502},
+		{"status 429 with " + h.NotRun + " without an id", "HTTP/1.1 429 Limit\r\n" + notRun + empty, 1, 502},
+		{"status 421", "HTTP/1.1 421 Misdirected\r\n" + id + empty, 3, 503},
+		{"status 421 without an id", "HTTP/1.1 421 Misdirected\r\n" + empty, 1, 502},
 	}
 }
 
--- a/forwarder/stream_test.go
+++ b/forwarder/stream_test.go
@@ -27,6 +27,12 @@
 	"github.com/sardineward/sardineward/tracker"
 )
 
+// The beginnings of responses of upstreams to the request of newStream.
+const (
+	streamHead    = "HTTP/1.1 200 OK\r\nAttempt-Id: r\r\nStamp: stamp\r\n"
+	rejectionHead = "HTTP/1.1 503 Busy\r\nAttempt-Id: r\r\nNot-Run: 1\r\n"
+)
+
 // goneCaller is a response writer whose caller disconnects after some events.
 type goneCaller struct {
 	*httptest.ResponseRecorder
@@ -48,7 +54,7 @@
 		if _, err := http.ReadRequest(bufio.NewReader(far)); err != nil {
 			return
 		}
-		_, err := fmt.Fprintf(far, "HTTP/1.1 200 OK\r\n%s: stamp\r\nContent-Type: text/event-stream\r\n\r\n", DefaultHeaders.Stamp)
+		_, err := io.WriteString(far, streamHead+"Content-Type: text/event-stream\r\n\r\n")
 		for n := 1; err == nil; n++ {
 			time.Sleep(20 * time.Millisecond)
 			_, err = fmt.Fprintf(far, "id: %d\ndata: x\n\n", n)
@@ -137,7 +143,7 @@
 		if _, err := http.ReadRequest(bufio.NewReader(far)); err != nil {
 			return
 		}
-		_, _ = fmt.Fprintf(far, "HTTP/1.1 200 OK\r\n%s: stamp\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n", DefaultHeaders.Stamp)
+		_, _ = io.WriteString(far, streamHead+"Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n")
 	}()
 	return near, nil
 }
@@ -188,7 +194,7 @@
 					return
 				}
 				resumedAfter = append(resumedAfter, r.Header.Get("Last-Event-Id"))
-				_, _ = fmt.Fprintf(far, "HTTP/1.1 200 OK\r\n%s: stamp\r\nTransfer-Encoding: chunked\r\n\r\n", DefaultHeaders.Stamp)
+				_, _ = io.WriteString(far, streamHead+"Transfer-Encoding: chunked\r\n\r\n")
 				if len(resumedAfter) > 1 {
 					_, _ = fmt.Fprintf(far, "f\r\nid: %d\ndata: x\n\n\r\n0\r\n\r\n", parseEventID(resumedAfter[1]).number+1)
 					return
@@ -267,7 +273,7 @@
 		if _, err := http.ReadRequest(br); err != nil {
 			return
 		}
-		_, _ = fmt.Fprintf(far, "HTTP/1.1 200 OK\r\n%s: stamp\r\n\r\nid: 0\ndata: x\n\n", DefaultHeaders.Stamp)
+		_, _ = io.WriteString(far, streamHead+"\r\nid: 0\ndata: x\n\n")
 		_, _ = br.ReadByte()
 	}()
 	return near, nil
@@ -288,7 +294,7 @@
 					return
 				}
 				sentAt = append(sentAt, k.Now())
-				_, _ = fmt.Fprintf(far, "HTTP/1.1 200 OK\r\n%s: stamp\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: %d\ndata: x\n\n\r\n", DefaultHeaders.Stamp, len(sentAt))
+				_, _ = fmt.Fprintf(far, streamHead+"Transfer-Encoding: chunked\r\n\r\nf\r\nid: %d\ndata: x\n\n\r\n", len(sentAt))
 				time.Sleep(20 * time.Millisecond) // the upstream is gone from the list before the stream breaks
 			}()
 			return near, nil
@@ -387,7 +393,7 @@
 							return
 						}
 						resumedAfter = append(resumedAfter, r.Header.Get("Last-Event-Id"))
-						_, _ = fmt.Fprintf(far, "HTTP/1.1 200 OK\r\n%s: stamp\r\n", DefaultHeaders.Stamp)
+						_, _ = io.WriteString(far, streamHead)
 						if len(resumedAfter) == 1 {
 							_, _ = fmt.Fprint(far, chunked, "f\r\nid: 1\ndata: x\n\n\r\n")
 							return
@@ -451,7 +457,7 @@
 						if _, err := http.ReadRequest(bufio.NewReader(far)); err != nil {
 							return
 						}
-						_, _ = fmt.Fprintf(far, "HTTP/1.1 200 OK\r\n%s: stamp\r\n\r\nid: 1\nda", DefaultHeaders.Stamp)
+						_, _ = io.WriteString(far, streamHead+"\r\nid: 1\nda")
 						if first {
 							_, _ = far.Read(make([]byte, 1)) // until the connection is closed
 							return
--- a/forwarder/stuckstream_test.go
+++ b/forwarder/stuckstream_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -45,10 +46,10 @@
 				}
 				if address == "10.0.0.2:82" {
 					offeredAt = append(offeredAt, k.Now())
-					_, _ = fmt.Fprintf(far, "HTTP/1.1 200 OK\r\n%s: stamp\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 2\ndata: x\n\n\r\n0\r\n\r\n", DefaultHeaders.Stamp, delegationHeader, delegationServed)
+					_, _ = fmt.Fprintf(far, streamHead+"%s: %s\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 2\ndata: x\n\n\r\n0\r\n\r\n", delegationHeader, delegationServed)
 					return
 				}
-				_, _ = fmt.Fprintf(far, "HTTP/1.1 200 OK\r\n%s: stamp\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n", DefaultHeaders.Stamp)
+				_, _ = io.WriteString(far, streamHead+"Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n")
 				time.Sleep(20 * ms) // the upstream is dead before the stream breaks
 			}()
 			return near, nil
@@ -139,7 +140,7 @@
 					if _, err := http.ReadRequest(br); err != nil {
 						return
 					}
-					_, _ = fmt.Fprintf(far, "HTTP/1.1 200 OK\r\n%s: stamp\r\n\r\nid: 0\ndata: x\n\n", DefaultHeaders.Stamp)
+					_, _ = io.WriteString(far, streamHead+"\r\nid: 0\ndata: x\n\n")
 					time.Sleep(1030 * ms)
 					if late {
 						_, _ = fmt.Fprint(far, "id: 1\ndata: x\n\n")
@@ -212,7 +213,7 @@
 							return
 						}
 						offeredAt = k.Now()
-						_, _ = fmt.Fprintf(far, "HTTP/1.1 200 OK\r\n%s: stamp\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 2\ndata: x\n\n\r\n0\r\n\r\n", DefaultHeaders.Stamp, delegationHeader, delegationServed)
+						_, _ = fmt.Fprintf(far, streamHead+"%s: %s\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 2\ndata: x\n\n\r\n0\r\n\r\n", delegationHeader, delegationServed)
 					}()
 					return near, nil
 				}
