forwarder: believe that a request has not run only of a whole, unsigned response

Cause: handleRejection looked at the status and one header. For streams it was asked before anyone looked whether the response was whole; for other requests only after that.

Now saysNotRun decides for both, on whole responses, and a signature outweighs Not-Run: such a response is what its status says, and promises nothing where the request must not run twice.

--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -171,12 +171,12 @@
 // once.
 const minHopFailureDelay = time.Second
 
-// handleRejection reports whether the response rejects the request without running it, and records
-// which upstream of the path is the reason.
+// handleRejection reports whether a complete response rejects the request without running it, and
+// records which upstream of the path is the reason.
 func (k *call) handleRejection(l *balancer.Lease, resp *http.Response, sent time.Duration) (verdict, bool) {
 	k.dialFailed, k.unsent = false, false
 	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
-	if !misdirected && resp.Header.Get(k.Headers.NotRun) == "" {
+	if !k.saysNotRun(resp) {
 		return verdictAnswered, false
 	}
 	faultAddress := resp.Header.Get(k.Headers.Fault)
--- a/forwarder/repeat.go
+++ b/forwarder/repeat.go
@@ -21,6 +21,15 @@
 	}
 }
 
+// saysNotRun reports whether a complete response says that its upstream has not run the request. A signature says that
+// it has.
+func (k *call) saysNotRun(resp *http.Response) bool {
+	if resp.Header.Get(k.Headers.Stamp) != "" {
+		return false
+	}
+	return resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(k.Headers.NotRun) != ""
+}
+
 // isPromise reports whether a status tells callers that the request has not run and never will.
 func isPromise(status int) bool {
 	switch status {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -341,12 +341,15 @@
 	l := a.lease
 	body, release, err := k.answerMemory.read(resp)
 	k.releaseAnswer = append(k.releaseAnswer, release)
-	if v, ok := k.handleRejection(l, resp.Response, a.sentAt); ok {
-		return v
+	whole := err == nil && resp.Complete()
+	if whole {
+		if v, ok := k.handleRejection(l, resp.Response, a.sentAt); ok {
+			return v
+		}
 	}
 	k.Balancer.RecordFailure(l.First.ID)
 	k.logAttempt(l, "stream failed with status "+strconv.Itoa(resp.StatusCode), err)
-	if err != nil || !resp.Complete() || k.breaksPromise(resp.StatusCode) {
+	if !whole || k.breaksPromise(resp.StatusCode) {
 		return verdictMayHaveRun
 	}
 	if !k.headerSent && (resp.StatusCode < http.StatusInternalServerError || !mayRepeat(k.route, verdictFailed) || k.runs+1 >= k.route.MaxAttempts) {
