forwarder: a host's response without an outcome is no refusal

Cause: every response without the header counted as one of an earlier version that has no such path, and so as not run.

Only 404, which is what such a version answers, counts so now. Anything else is like no answer: 502 where the request must not run twice.

--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -280,8 +280,11 @@
 		}
 		k.Delegator.Exclude(h, k.delegationScope(), k.Now()+wait)
 	default:
+		if resp.StatusCode != http.StatusNotFound {
+			return k.noAnswerFrom(ctx, h, &connector.Error{Address: h.Address, Sent: true, Err: errNoOutcome})
+		}
 		k.Delegator.Exclude(h, "", k.Now()+unsupportedExclusion)
-		outcome = "unsupported"
+		outcome = "unsupported" // a host of an earlier version has no such path
 	}
 	k.logDelegation(h, outcome, nil)
 	k.countDelegation("sent", outcome)
--- a/forwarder/delegation.go
+++ b/forwarder/delegation.go
@@ -12,6 +12,9 @@
 // errNoStamp means that a host sent a success without an upstream's signature.
 var errNoStamp = errors.New("forwarder: success without the signature of an upstream")
 
+// errNoOutcome means that a host responded without saying whether it has served the request.
+var errNoOutcome = errors.New("forwarder: response of a host does not say what became of the request")
+
 // errHostSilent cancels a delegated request because the host that serves it does not answer.
 var errHostSilent = errors.New("forwarder: the host that serves the request is silent")
 
--- a/launcher/runonce_test.go
+++ b/launcher/runonce_test.go
@@ -111,6 +111,41 @@
 	})
 }
 
+// TestDelegatedOnceWithoutOutcome guards against a request that must not run twice and is sent to a second host, since the
+// first one responded without saying whether it has served it.
+func TestDelegatedOnceWithoutOutcome(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusInternalServerError, http.StatusServiceUnavailable} {
+		for _, path := range []string{"/book/1", "/stream/once/1"} {
+			t.Run(fmt.Sprint(status, " ", path), func(t *testing.T) {
+				runCutOff(t, 4, func(is *is.I, fl *fleet, cut follower.Host) {
+					var asked atomic.Int64
+					defer fl.addFakeHost(cut, func(w http.ResponseWriter, r *http.Request) {
+						if r.URL.Path == path {
+							asked.Add(1)
+							w.WriteHeader(status)
+							return
+						}
+						w.Header().Set("Sardineward-Delegation", "served")
+						w.Header().Set(forwarder.DefaultHeaders.Stamp, "stamp")
+						_, _ = io.WriteString(w, events(1, 10))
+					})()
+					ip, _, _ := strings.Cut(cut.Address, ":")
+					for n := range 20 {
+						before, id := asked.Load(), fmt.Sprint("once-", n)
+						r := fl.requestAt(ip+":80", http.MethodPost, path, id, nil)
+						is.NoErr(r.err)
+						if asked.Load() > before {
+							is.Equal(r.status, http.StatusBadGateway)
+							is.Equal(fl.runs(id), 0)
+						}
+					}
+					is.True(asked.Load() > 0)
+				})
+			})
+		}
+	}
+}
+
 // TestRunsOnceOnKeptConnection guards against a request that must not run twice and is sent again, since its method usually
 // may be, or since the upstream closed a kept connection as it came.
 func TestRunsOnceOnKeptConnection(t *testing.T) {
