sardineward, launcher: name the program that runs

--version, the line "launcher: started" and sardineward_build_info now end with the content part of the Go build id, which `go tool buildid FILE` prints of any program. It is read from the executable's section, which costs no hash of 24 MB at each start.

--- a/cmd/sardineward/forward.go
+++ b/cmd/sardineward/forward.go
@@ -55,6 +55,7 @@
 		ReadyPath:       platform.ReadyPath,
 		Now:             bootTime,
 		DroppedLogLines: out.Dropped,
+		Version:         version(executable()),
 		Log:             log,
 	}
 	return h.Run(ctx)
--- a/cmd/sardineward/main.go
+++ b/cmd/sardineward/main.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"runtime/debug"
 
 	"github.com/alecthomas/kingpin/v2"
 )
@@ -31,7 +30,7 @@
 
 func main() {
 	app := kingpin.New("sardineward", "A router for model pipelines and plain services over mixed accelerators.")
-	app.Version(version())
+	app.Version(version(executable()))
 	addRun(app)
 	addForward(app)
 	addExplain(app)
@@ -52,17 +51,3 @@
 	}
 	return exitFailed
 }
-
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	out := info.Main.Version
-	for _, s := range info.Settings {
-		if s.Key == "vcs.revision" {
-			out += " " + s.Value
-		}
-	}
-	return out + " " + info.GoVersion
-}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -86,7 +86,9 @@
 	Seed uint64
 	// DroppedLogLines returns the number of log lines that were not written; nil if none are ever dropped.
 	DroppedLogLines func() float64
-	Log             zerolog.Logger
+	// Version identifies the program in the log and the metrics; it may be empty.
+	Version string
+	Log     zerolog.Logger
 
 	balancer  *balancer.Balancer
 	follower  *follower.Follower
@@ -137,7 +139,7 @@
 	wg.Go(func() { h.archiver.Run(workCtx) })
 	wg.Go(func() { h.pacer.Run(workCtx) })
 	wg.Go(func() { h.runSweeps(workCtx) })
-	h.Log.Info().Str("host", h.Settings.Host).Str("dataCentre", h.Settings.DataCentre).Bool("firstStart", h.Settings.FirstStart).Msg("launcher: started")
+	h.Log.Info().Str("host", h.Settings.Host).Str("dataCentre", h.Settings.DataCentre).Bool("firstStart", h.Settings.FirstStart).Str("version", h.Version).Msg("launcher: started")
 	<-ctx.Done()
 	err = h.stop(callers)
 	cancelWork()
--- a/launcher/metrics.go
+++ b/launcher/metrics.go
@@ -13,6 +13,7 @@
 // exportMetrics registers the metrics whose values are computed on each scrape.
 func (h *Host) exportMetrics() {
 	m := h.meter
+	m.Info("build_info", "1; the label identifies the program.", "version", h.Version)
 	m.GaugeFunc("knowledge_age_seconds", "Age of configuration, keys and list, also by what peers answered.", func() float64 { return h.follower.Age().Seconds() })
 	m.GaugeFunc("source_age_seconds", "Age of what this host read from the store itself.", func() float64 { return h.follower.OwnAge().Seconds() })
 	m.GaugeFunc("read_age_seconds", "Age of what this host read from the store or was told by a relay.", func() float64 { return h.follower.ReadAge().Seconds() })
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -122,6 +122,12 @@
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, f))
 }
 
+// Info registers a gauge that is always 1, for the value of its label.
+func (m *Meter) Info(name, help, label, value string) {
+	opts := prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help, ConstLabels: prometheus.Labels{label: value}}
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(opts, func() float64 { return 1 }))
+}
+
 // CounterFunc is like GaugeFunc, but registers a counter; the value that f returns must never decrease.
 func (m *Meter) CounterFunc(name, help string, f func() float64) {
 	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, f))
