forwarder: Not-Run holds beside a signature, of failures only

The protocol has no such sentence: "A response that has [Not-Run] states that the runner did not run the request", and nothing says that rejections are unsigned.

--- a/forwarder/repeat.go
+++ b/forwarder/repeat.go
@@ -21,10 +21,9 @@
 	}
 }
 
-// saysNotRun reports whether a complete response says that its upstream has not run the request. A signature says that
-// it has.
+// saysNotRun reports whether a complete response says that its upstream has not run the request.
 func (k *call) saysNotRun(resp *http.Response) bool {
-	if resp.Header.Get(k.Headers.Stamp) != "" {
+	if resp.StatusCode < http.StatusBadRequest {
 		return false
 	}
 	return resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(k.Headers.NotRun) != ""
