--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -143,8 +143,8 @@
 func (h *history) countUndisturbed(unanswered func(c *call)) (sent, answered int) {
 	for i := range h.calls {
 		c := &h.calls[i]
-		// The ranked service is overloaded on purpose; checkRanks covers it.
-		if _, gone := h.revokedAt[c.key]; gone || c.fallback || c.isCrashing || rankOf(c.path) >= 0 || !h.undisturbed(c.host, c.sent, c.ended) {
+		// The ranked service is overloaded on purpose; checkRanks covers it. Streams that must not run twice break on purpose.
+		if _, gone := h.revokedAt[c.key]; gone || strings.HasPrefix(c.path, oncePrefix) || c.fallback || c.isCrashing || rankOf(c.path) >= 0 || !h.undisturbed(c.host, c.sent, c.ended) {
 			continue
 		}
 		sent++
@@ -159,7 +159,7 @@
 
 // checkCall reports violations by a single request; runs is how often upstreams ran it.
 func (h *history) checkCall(c *call, runs int, report func(string, ...any)) {
-	if (strings.HasPrefix(c.path, "/book/") || rankOf(c.path) >= 0) && runs > 1 {
+	if mustRunOnce(c.path) && runs > 1 {
 		report("%s %s ran %d times, want at most once", c.path, c.id, runs)
 	}
 	switch c.status {
--- a/soaker/checks_test.go
+++ b/soaker/checks_test.go
@@ -38,6 +38,7 @@
 		{"short stream without an error", call{path: "/stream/", status: 200, body: wholeStream[:len("id: 1\ndata: event 1\n\n")]}, nil, "ended without an error, but incomplete"},
 		{"short stream with an error", call{path: "/stream/", status: 200, body: wholeStream[:40], err: errors.New("EOF")}, nil, ""},
 		{"refused and ran", call{path: "/book/", status: 503}, nil, "refused with 503 as not run, but ran"},
+		{"stream that must not run twice, refused and ran", call{path: oncePrefix, status: 503}, nil, "refused with 503 as not run, but ran"},
 		{"revoked in time", call{path: "/book/", key: "old", status: 200, body: "answer of desk-a to r", sent: atSecond(24)}, nil, ""},
 		{"revoked too late", call{path: "/book/", key: "old", status: 200, body: "answer of desk-a to r", sent: atSecond(26)}, nil, "after the key was revoked"},
 		{"cut by a planned stop", call{path: "/look/", err: errors.New("EOF"), sent: atSecond(11), ended: atSecond(12)}, []incident{stop}, "was cut off by stop"},
@@ -159,3 +160,14 @@
 		})
 	}
 }
+
+// TestMustRunOnce checks that a second run is reported of requests that must not run twice.
+func TestMustRunOnce(t *testing.T) {
+	for path, found := range map[string]bool{"/look/": false, "/stream/": false, "/book/": true, oncePrefix: true} {
+		t.Run(path, func(t *testing.T) {
+			var got []string
+			newHistory().checkCall(&call{id: "r", path: path, status: 502}, 2, func(format string, args ...any) { got = append(got, fmt.Sprintf(format, args...)) })
+			is.New(t).Equal(len(got) > 0, found)
+		})
+	}
+}
--- a/soaker/series.go
+++ b/soaker/series.go
@@ -25,7 +25,7 @@
 )
 
 // isSeries reports whether upstreams and hosts end in series in the run of a seed.
-func isSeries(seed uint64) bool { return seed >= firstSeriesSeed }
+func isSeries(seed uint64) bool { return seed >= firstSeriesSeed && !hasOnce(seed) }
 
 // injectSeries ends all upstreams of service model, all hosts, or both, one process after the other, and starts them
 // again, until Length is over or ctx ends.
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -157,6 +157,9 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}, Timeout: callTimeout}
 	defer client.CloseIdleConnections()
 	paths := []string{"/look/", "/book/", "/moving/", "/stream/"}
+	if hasOnce(r.Seed) {
+		paths = append(paths, oncePrefix, oncePrefix)
+	}
 	if r.strain.drawn {
 		paths = append(paths, "/stream/", "/stream/")
 	}
--- a/soaker/strain.go
+++ b/soaker/strain.go
@@ -49,7 +49,7 @@
 // drawStrain returns the strain of a seed, and the source of randomness for injecting it.
 func drawStrain(seed uint64) (strain, *rand.Rand) {
 	rnd := rand.New(rand.NewPCG(seed, strainStream))
-	if seed < firstStrainedSeed || isSeries(seed) {
+	if seed < firstStrainedSeed || isSeries(seed) || hasOnce(seed) {
 		return strain{retries: retryRule}, rnd
 	}
 	out := strain{drawn: true, alone: rnd.IntN(2) == 0, isNarrow: rnd.IntN(4) == 0, retries: retryRule, maxGapMs: 400 + rnd.IntN(1400)}
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -173,6 +173,9 @@
 		Services:   []matcher.Service{{Name: "desk"}, {Name: "model"}, {Name: "other"}, {Name: rankedService}},
 		Workspaces: workspaces(all),
 	}
+	if hasOnce(seed) {
+		c.cfg.Routes = append(c.cfg.Routes, onceRoute())
+	}
 	c.updateConfiguration(func(*matcher.Configuration) {})
 	storeAddress := c.freeAddress()
 	l, err := listen(storeAddress)
@@ -214,6 +217,7 @@
 		stage:         &faker.Stage{ID: id, Headers: &platform.Headers, Events: 20, EventInterval: 50 * time.Millisecond, ResponseDelay: 100 * time.Millisecond},
 		listenAddress: c.freeAddress(),
 	}
+	u.stage.SetFaultOf(onceFault)
 	u.link = &Proxy{Target: u.listenAddress}
 	if c.strain.drawn {
 		u.link.QueueOf = c.queueOf
