--- a/cmd/sardineward/version.go
+++ b/cmd/sardineward/version.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return "unknown"
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }()
 	s := f.Section(buildIDSection)
 	if s == nil {
 		return "unknown"
