--- a/faker/stage.go
+++ b/faker/stage.go
@@ -393,16 +393,18 @@
 type NoEngines struct{}
 
 // Place implements orderer.Engines.
-func (NoEngines) Place(context.Context, string, balancer.Span, int64) error { return nil }
+func (NoEngines) Place(context.Context, balancer.Hop, balancer.Span, int64) error { return nil }
 
 // OrderCount implements orderer.Engines.
-func (NoEngines) OrderCount(context.Context, string) (int64, error) { return 0, nil }
+func (NoEngines) OrderCount(context.Context, balancer.Hop) (int64, error) { return 0, nil }
 
 // Repath implements forwarder.Engines.
 func (NoEngines) Repath(context.Context, string, []balancer.Hop) error { return errUnavailable }
 
 // Pace implements pacer.Engines.
-func (NoEngines) Pace(context.Context, string) (float64, error) { return 1, nil }
+func (NoEngines) Pace(context.Context, balancer.Hop) (float64, error) { return 1, nil }
 
 // QueryStalls implements forwarder.Engines.
-func (NoEngines) QueryStalls(context.Context, string) ([]forwarder.Stall, error) { return nil, nil }
+func (NoEngines) QueryStalls(context.Context, balancer.Hop) ([]forwarder.Stall, error) {
+	return nil, nil
+}
--- a/forwarder/moves_test.go
+++ b/forwarder/moves_test.go
@@ -44,7 +44,7 @@
 	return nil
 }
 
-func (e *repathEngines) QueryStalls(context.Context, string) ([]Stall, error) { return nil, nil }
+func (e *repathEngines) QueryStalls(context.Context, balancer.Hop) ([]Stall, error) { return nil, nil }
 
 // acceptAnyDial is a dial function that always succeeds.
 func acceptAnyDial(context.Context, string, string) (net.Conn, error) {
--- a/forwarder/probefleet_test.go
+++ b/forwarder/probefleet_test.go
@@ -280,11 +280,11 @@
 	return err
 }
 
-func (h *probeHost) QueryStalls(ctx context.Context, address string) ([]Stall, error) {
-	return h.fl.QueryStalls(ctx, address)
+func (h *probeHost) QueryStalls(ctx context.Context, u balancer.Hop) ([]Stall, error) {
+	return h.fl.QueryStalls(ctx, u)
 }
 
-func (fl *probeFleet) QueryStalls(context.Context, string) ([]Stall, error) { return nil, nil }
+func (fl *probeFleet) QueryStalls(context.Context, balancer.Hop) ([]Stall, error) { return nil, nil }
 
 func (fl *probeFleet) count(p connector.Purpose) {
 	fl.mu.Lock()
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -52,9 +52,9 @@
 	// Repath orders the first upstream of a path to continue a request over other hops. After an
 	// error the path may or may not have changed.
 	Repath(ctx context.Context, requestID string, hops []balancer.Hop) error
-	// QueryStalls returns the requests for which the upstream at address is the first hop and which
+	// QueryStalls returns the requests for which the upstream u is the first hop and which
 	// wait for another upstream.
-	QueryStalls(ctx context.Context, address string) ([]Stall, error)
+	QueryStalls(ctx context.Context, u balancer.Hop) ([]Stall, error)
 }
 
 // Stall is a request that waits for an upstream of its path.
@@ -169,7 +169,7 @@
 		defer func() { f.probes.end(f.Now(), name, false) }()
 		ctx, cancel := context.WithTimeout(ctx, stallQueryTimeout)
 		defer cancel()
-		stalls, err := f.Engines.QueryStalls(ctx, h.Address)
+		stalls, err := f.Engines.QueryStalls(ctx, h)
 		if err != nil {
 			f.Log.Debug().Err(err).Str("upstream", h.ID).Msg("forwarder: query for stalled requests failed")
 			return
--- a/forwarder/stuckstream_test.go
+++ b/forwarder/stuckstream_test.go
@@ -286,8 +286,8 @@
 	e.stalls = stalls
 }
 
-func (e *stallEngines) QueryStalls(_ context.Context, address string) ([]Stall, error) {
-	if address != e.first {
+func (e *stallEngines) QueryStalls(_ context.Context, u balancer.Hop) ([]Stall, error) {
+	if u.Address != e.first {
 		return nil, nil
 	}
 	e.mu.Lock()
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -29,13 +29,14 @@
 	ErrUncertain = errors.New("orderer: no answer from the upstream")
 )
 
-// Engines sends orders to upstreams.
+// Engines sends orders to upstreams. Each call is for the upstream with the id of u: another one that has its address
+// now refuses it.
 type Engines interface {
 	// Place orders an upstream to hold a span of layers. expected is the number of orders
 	// that it must have taken before; otherwise the error wraps ErrRefused.
-	Place(ctx context.Context, address string, span balancer.Span, expected int64) error
+	Place(ctx context.Context, u balancer.Hop, span balancer.Span, expected int64) error
 	// OrderCount returns the number of orders that an upstream has taken since its start.
-	OrderCount(ctx context.Context, address string) (int64, error)
+	OrderCount(ctx context.Context, u balancer.Hop) (int64, error)
 }
 
 const (
@@ -314,7 +315,7 @@
 		return ErrRefused
 	}
 	n := o.expectedCount(u)
-	err := o.Engines.Place(ctx, u.Address, balancer.Span(span), n)
+	err := o.Engines.Place(ctx, hopOf(u), balancer.Span(span), n)
 	if err == nil {
 		o.mu.Lock()
 		o.orderCount[u.ID] = orderCount{orders: n + 1, startedAt: u.StartedAt}
@@ -323,6 +324,9 @@
 	return err
 }
 
+// hopOf returns how Engines names an upstream.
+func hopOf(u *balancer.Member) balancer.Hop { return balancer.Hop{ID: u.ID, Address: u.Address} }
+
 // expectedCount returns the number of orders that an upstream should have taken: the last known
 // number, or 0 if none is known since its start.
 func (o *Orderer) expectedCount(u *balancer.Member) int64 {
@@ -336,7 +340,7 @@
 
 // fetchCount asks an upstream for the number of orders that it has taken.
 func (o *Orderer) fetchCount(ctx context.Context, u *balancer.Member) {
-	n, err := o.Engines.OrderCount(ctx, u.Address)
+	n, err := o.Engines.OrderCount(ctx, hopOf(u))
 	if err != nil {
 		o.Log.Debug().Err(err).Str("upstream", u.ID).Msg("orderer: reading the order count failed")
 		return
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -32,29 +32,29 @@
 	upstreams map[string]balancer.Upstream
 }
 
-func (e *fakeEngines) Place(_ context.Context, address string, s balancer.Span, expected int64) error {
+func (e *fakeEngines) Place(_ context.Context, to balancer.Hop, s balancer.Span, expected int64) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders++
-	if e.refusals[address] > 0 {
-		e.refusals[address]--
+	if e.refusals[to.Address] > 0 {
+		e.refusals[to.Address]--
 		return orderer.ErrRefused
 	}
-	if e.orderCounts[address] != expected {
+	if e.orderCounts[to.Address] != expected {
 		return orderer.ErrRefused
 	}
-	e.orderCounts[address]++
-	u := e.upstreams[address]
+	e.orderCounts[to.Address]++
+	u := e.upstreams[to.Address]
 	u.Layers = s
-	e.upstreams[address] = u
+	e.upstreams[to.Address] = u
 	time.AfterFunc(e.drainTime, func() { e.b.UpdateUpstreams([]balancer.Upstream{u}, nil) })
 	return nil
 }
 
-func (e *fakeEngines) OrderCount(_ context.Context, address string) (int64, error) {
+func (e *fakeEngines) OrderCount(_ context.Context, u balancer.Hop) (int64, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.orderCounts[address], nil
+	return e.orderCounts[u.Address], nil
 }
 
 // runOrderer runs an orderer for twelve engines in virtual time.
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -27,7 +27,7 @@
 // Engines queries engines for their pace.
 type Engines interface {
 	// Pace returns by what factor an engine is slower than usual; 1 is the declared speed.
-	Pace(ctx context.Context, address string) (float64, error)
+	Pace(ctx context.Context, u balancer.Hop) (float64, error)
 }
 
 // Pacer queries engines. Set the fields before Run.
@@ -58,7 +58,7 @@
 func (p *Pacer) queryPace(ctx context.Context, u balancer.Hop) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	pace, err := p.Engines.Pace(ctx, u.Address)
+	pace, err := p.Engines.Pace(ctx, u)
 	if err != nil {
 		p.Log.Debug().Err(err).Str("upstream", u.ID).Msg("pacer: pace query failed")
 		return
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -39,11 +39,11 @@
 	return e
 }
 
-func (e *fakeEngines) Pace(_ context.Context, address string) (float64, error) {
+func (e *fakeEngines) Pace(_ context.Context, u balancer.Hop) (float64, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.queries[address]++
-	p := e.paces[address]
+	e.queries[u.Address]++
+	p := e.paces[u.Address]
 	if p == 0 {
 		return 0, errors.New("no answer")
 	}
