balancer, orderer: an upstream whose kind is not listed has no memory

Cause: CardOf took an upstream of an unknown kind for one with memory for twice the model, also where the service lists its kinds. That is meant for services that list none.

Where kinds are listed, an unknown one now has no memory: no request begins there ("It names no runner to use"), and it is ordered to hold no more than it holds, so that an entry that is odd for a second moves no layers. Its own next entry makes it usable again.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -286,15 +286,20 @@
 	u.capacity = max(0, free*1e6/(e.TokenBytes/float64(e.Layers)))
 }
 
-// CardOf returns the kind of accelerator of that name. Where the service doesn't name it, the
-// result has memory for twice the whole model and runs at the declared speed.
+// CardOf returns the kind of accelerator of that name. Where the service names no kinds, the result has memory for twice
+// the whole model and runs at the declared speed. Where it names others only, the result has no memory: what the
+// upstream can hold is not known.
 func CardOf(e *matcher.Engine, name string) matcher.Card {
 	for _, c := range e.Cards {
 		if c.Name == name {
 			return c
 		}
 	}
-	return matcher.Card{Name: name, MB: e.LayerMB * float64(e.Layers) * 2, StepTimeFactor: 1, ReadTimeFactor: 1}
+	out := matcher.Card{Name: name, StepTimeFactor: 1, ReadTimeFactor: 1}
+	if len(e.Cards) == 0 {
+		out.MB = e.LayerMB * float64(e.Layers) * 2
+	}
+	return out
 }
 
 // Acquire reserves capacity on the cheapest upstreams. The lease is nil unless the reason is
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -252,6 +252,10 @@
 // holding the ordered span: it takes no new requests for its old layers.
 func (o *Orderer) memberOf(e *matcher.Engine, u *balancer.Member) placer.Member {
 	card := balancer.CardOf(e, u.Card)
+	if card.MB == 0 {
+		// An upstream of unknown size is ordered to hold no more than it holds.
+		card.MB = float64(u.Layers.Len()) * e.LayerMB
+	}
 	m := placer.Member{ID: u.ID, DataCentre: u.DataCentre, MB: card.MB, Pace: card.StepTimeFactor, Held: placer.Span(u.Layers), Unreachable: u.Unavailable, Streams: u.InFlight}
 	if o.orderPending(u) {
 		m.Pending = true
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -30,12 +30,15 @@
 	// drainTime is the time until an engine holds what it was ordered to hold.
 	drainTime time.Duration
 	upstreams map[string]balancer.Upstream
+	// largest holds the most layers that each engine was ordered to hold, by address.
+	largest map[string]int
 }
 
 func (e *fakeEngines) Place(_ context.Context, to balancer.Hop, s balancer.Span, expected int64) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders++
+	e.largest[to.Address] = max(e.largest[to.Address], s.Len())
 	if e.refusals[to.Address] > 0 {
 		e.refusals[to.Address]--
 		return orderer.ErrRefused
@@ -68,7 +71,7 @@
 		services := map[string]*matcher.Service{"model": service}
 		b := &balancer.Balancer{Policy: picker.Cheapest{}, Rand: rand.New(rand.NewPCG(1, 1))}
 		b.Configure(services)
-		e := &fakeEngines{b: b, orderCounts: make(map[string]int64), refusals: make(map[string]int), drainTime: time.Second, upstreams: make(map[string]balancer.Upstream)}
+		e := &fakeEngines{b: b, orderCounts: make(map[string]int64), refusals: make(map[string]int), largest: make(map[string]int), drainTime: time.Second, upstreams: make(map[string]balancer.Upstream)}
 		for n := range 12 {
 			u := balancer.Upstream{ID: fmt.Sprint("e", n), Service: "model", Address: fmt.Sprint("10.0.0.", n), DataCentre: "a", Card: "x", StartedAt: 1}
 			e.upstreams[u.Address] = u
@@ -128,6 +131,26 @@
 	})
 }
 
+// TestUnknownCard guards against orders that do not fit, to an upstream whose entry another writer replaced with one that
+// names no kind of accelerator, or one that the service does not have.
+func TestUnknownCard(t *testing.T) {
+	for _, card := range []string{"", "y"} {
+		for _, holds := range []int{0, 8} {
+			t.Run(fmt.Sprintf("kind %q, holds %d layers", card, holds), func(t *testing.T) {
+				runOrderer(t, func(e *fakeEngines, _ *atomic.Bool) {
+					u := balancer.Upstream{ID: "odd", Service: "model", Address: "10.0.1.1", DataCentre: "a", Card: card, StartedAt: 1, Layers: balancer.Span{To: holds}}
+					e.b.UpdateUpstreams([]balancer.Upstream{u}, nil)
+					time.Sleep(5 * time.Second)
+					e.assertCovered(t)
+					e.mu.Lock()
+					defer e.mu.Unlock()
+					is.New(t).True(e.largest[u.Address] <= holds)
+				})
+			})
+		}
+	}
+}
+
 // TestNoOrdersWithoutDuty checks that a host without the duty gives no orders.
 func TestNoOrdersWithoutDuty(t *testing.T) {
 	runOrderer(t, func(e *fakeEngines, holds *atomic.Bool) {
