--- a/soaker/once.go
+++ b/soaker/once.go
@@ -7,6 +7,7 @@
 
 	"github.com/sardineward/sardineward/faker"
 	"github.com/sardineward/sardineward/matcher"
+	"github.com/sardineward/sardineward/platform"
 )
 
 const (
@@ -33,9 +34,11 @@
 	return r
 }
 
-// onceFault draws the fault of a run at an upstream.
+// onceFault draws the fault of a run at an upstream. A part that crashes upstreams crashes each of them: a failure in its
+// place would be an answer that clears the part.
 func onceFault(r *http.Request) faker.StageFault {
-	if !strings.HasPrefix(r.URL.Path, oncePrefix) || rand.IntN(onceFaultOdds) > 0 {
+	crashes := strings.Contains(r.Header.Get(platform.Headers.Parts), faker.CrashingPart)
+	if crashes || !strings.HasPrefix(r.URL.Path, oncePrefix) || rand.IntN(onceFaultOdds) > 0 {
 		return faker.StageFaultNone
 	}
 	return onceFaults[rand.IntN(len(onceFaults))]
