forwarder, connector: bound the memory of long request bodies

Cause: long responses had a bound over all requests of a host, request bodies had none, and each was held twice until it was written. Ruled out: a late collector (what is held is in use).

Change: long bodies take a quarter of the setting memoryMB, long responses an eighth, at most 64 MB as before. What does not fit is refused with 503 as not run, reason memory, before it is read where its length is announced; bodies of up to 64 KB take none of it. The rest of a refused body is read for a second at most, so that its caller sees the response. Long bodies are written without a copy.

TestLongBodies: 7 of 10 bodies of 4 MB refused with room for three, with a length and in chunks, a short one served beside them, nothing held afterwards. It does not build before; before, readBody took all. TestAnswerMemory reads by the shared function, all checks as they were.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -78,6 +78,8 @@
 	ReasonCutOff
 	// ReasonPromptPart: a part of the request's prompt crashes upstreams.
 	ReasonPromptPart
+	// ReasonMemory: no memory is left for the body of the request.
+	ReasonMemory
 )
 
 // Refusal is the error for a request that was not served; it holds the reason.
--- a/admitter/reason_gen.go
+++ b/admitter/reason_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "nonequeueFulldeadlinerateLimitnoRoutequarantinedstoppingnotReadyunauthorisedforbiddenmalformedtooLargeunknownnoKeykeyReusedrunningoutcomeUnknownplatformupstreamretryBudgetcanceledupstreamLimitupstreamBackoffrepeatedcutOffpromptPart"
+const _ReasonName = "nonequeueFulldeadlinerateLimitnoRoutequarantinedstoppingnotReadyunauthorisedforbiddenmalformedtooLargeunknownnoKeykeyReusedrunningoutcomeUnknownplatformupstreamretryBudgetcanceledupstreamLimitupstreamBackoffrepeatedcutOffpromptPartmemory"
 
-var _ReasonIndex = [...]uint8{0, 4, 13, 21, 30, 37, 48, 56, 64, 76, 85, 94, 102, 109, 114, 123, 130, 144, 152, 160, 171, 179, 192, 207, 215, 221, 231}
+var _ReasonIndex = [...]uint8{0, 4, 13, 21, 30, 37, 48, 56, 64, 76, 85, 94, 102, 109, 114, 123, 130, 144, 152, 160, 171, 179, 192, 207, 215, 221, 231, 237}
 
-const _ReasonLowerName = "nonequeuefulldeadlineratelimitnoroutequarantinedstoppingnotreadyunauthorisedforbiddenmalformedtoolargeunknownnokeykeyreusedrunningoutcomeunknownplatformupstreamretrybudgetcanceledupstreamlimitupstreambackoffrepeatedcutoffpromptpart"
+const _ReasonLowerName = "nonequeuefulldeadlineratelimitnoroutequarantinedstoppingnotreadyunauthorisedforbiddenmalformedtoolargeunknownnokeykeyreusedrunningoutcomeunknownplatformupstreamretrybudgetcanceledupstreamlimitupstreambackoffrepeatedcutoffpromptpartmemory"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -50,63 +50,69 @@
 	_ = x[ReasonRepeated-(23)]
 	_ = x[ReasonCutOff-(24)]
 	_ = x[ReasonPromptPart-(25)]
+	_ = x[ReasonMemory-(26)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonQueueFull, ReasonDeadline, ReasonRateLimit, ReasonNoRoute, ReasonQuarantined, ReasonStopping, ReasonNotReady, ReasonUnauthorised, ReasonForbidden, ReasonMalformed, ReasonTooLarge, ReasonUnknown, ReasonNoKey, ReasonKeyReused, ReasonRunning, ReasonOutcomeUnknown, ReasonPlatform, ReasonUpstream, ReasonRetryBudget, ReasonCanceled, ReasonUpstreamLimit, ReasonUpstreamBackoff, ReasonRepeated, ReasonCutOff, ReasonPromptPart}
+var _ReasonValues = []Reason{ReasonNone, ReasonQueueFull, ReasonDeadline, ReasonRateLimit, ReasonNoRoute, ReasonQuarantined, ReasonStopping, ReasonNotReady, ReasonUnauthorised, ReasonForbidden, ReasonMalformed, ReasonTooLarge, ReasonUnknown, ReasonNoKey, ReasonKeyReused, ReasonRunning, ReasonOutcomeUnknown, ReasonPlatform, ReasonUpstream, ReasonRetryBudget, ReasonCanceled, ReasonUpstreamLimit, ReasonUpstreamBackoff, ReasonRepeated, ReasonCutOff, ReasonPromptPart, ReasonMemory}
 
 var _ReasonNameToValueMap = map[string]Reason{
-	_ReasonName[0:4]:          ReasonNone,
+	_ReasonName[0:4]:     ReasonNone,
+	_ReasonName[4:13]:    ReasonQueueFull,
+	_ReasonName[13:21]:   ReasonDeadline,
+	_ReasonName[21:30]:   ReasonRateLimit,
+	_ReasonName[30:37]:   ReasonNoRoute,
+	_ReasonName[37:48]:   ReasonQuarantined,
+	_ReasonName[48:56]:   ReasonStopping,
+	_ReasonName[56:64]:   ReasonNotReady,
+	_ReasonName[64:76]:   ReasonUnauthorised,
+	_ReasonName[76:85]:   ReasonForbidden,
+	_ReasonName[85:94]:   ReasonMalformed,
+	_ReasonName[94:102]:  ReasonTooLarge,
+	_ReasonName[102:109]: ReasonUnknown,
+	_ReasonName[109:114]: ReasonNoKey,
+	_ReasonName[114:123]: ReasonKeyReused,
+	_ReasonName[123:130]: ReasonRunning,
+	_ReasonName[130:144]: ReasonOutcomeUnknown,
+	_ReasonName[144:152]: ReasonPlatform,
+	_ReasonName[152:160]: ReasonUpstream,
+	_ReasonName[160:171]: ReasonRetryBudget,
+	_ReasonName[171:179]: ReasonCanceled,
+	_ReasonName[179:192]: ReasonUpstreamLimit,
+	_ReasonName[192:207]: ReasonUpstreamBackoff,
+	_ReasonName[207:215]: ReasonRepeated,
+	_ReasonName[215:221]: ReasonCutOff,
+	_ReasonName[221:231]: ReasonPromptPart,
+	_ReasonName[231:237]: ReasonMemory,
+}
+
+var _ReasonLowerNameToValueMap = map[string]Reason{
 	_ReasonLowerName[0:4]:     ReasonNone,
-	_ReasonName[4:13]:         ReasonQueueFull,
 	_ReasonLowerName[4:13]:    ReasonQueueFull,
-	_ReasonName[13:21]:        ReasonDeadline,
 	_ReasonLowerName[13:21]:   ReasonDeadline,
-	_ReasonName[21:30]:        ReasonRateLimit,
 	_ReasonLowerName[21:30]:   ReasonRateLimit,
-	_ReasonName[30:37]:        ReasonNoRoute,
 	_ReasonLowerName[30:37]:   ReasonNoRoute,
-	_ReasonName[37:48]:        ReasonQuarantined,
 	_ReasonLowerName[37:48]:   ReasonQuarantined,
-	_ReasonName[48:56]:        ReasonStopping,
 	_ReasonLowerName[48:56]:   ReasonStopping,
-	_ReasonName[56:64]:        ReasonNotReady,
 	_ReasonLowerName[56:64]:   ReasonNotReady,
-	_ReasonName[64:76]:        ReasonUnauthorised,
 	_ReasonLowerName[64:76]:   ReasonUnauthorised,
-	_ReasonName[76:85]:        ReasonForbidden,
 	_ReasonLowerName[76:85]:   ReasonForbidden,
-	_ReasonName[85:94]:        ReasonMalformed,
 	_ReasonLowerName[85:94]:   ReasonMalformed,
-	_ReasonName[94:102]:       ReasonTooLarge,
 	_ReasonLowerName[94:102]:  ReasonTooLarge,
-	_ReasonName[102:109]:      ReasonUnknown,
 	_ReasonLowerName[102:109]: ReasonUnknown,
-	_ReasonName[109:114]:      ReasonNoKey,
 	_ReasonLowerName[109:114]: ReasonNoKey,
-	_ReasonName[114:123]:      ReasonKeyReused,
 	_ReasonLowerName[114:123]: ReasonKeyReused,
-	_ReasonName[123:130]:      ReasonRunning,
 	_ReasonLowerName[123:130]: ReasonRunning,
-	_ReasonName[130:144]:      ReasonOutcomeUnknown,
 	_ReasonLowerName[130:144]: ReasonOutcomeUnknown,
-	_ReasonName[144:152]:      ReasonPlatform,
 	_ReasonLowerName[144:152]: ReasonPlatform,
-	_ReasonName[152:160]:      ReasonUpstream,
 	_ReasonLowerName[152:160]: ReasonUpstream,
-	_ReasonName[160:171]:      ReasonRetryBudget,
 	_ReasonLowerName[160:171]: ReasonRetryBudget,
-	_ReasonName[171:179]:      ReasonCanceled,
 	_ReasonLowerName[171:179]: ReasonCanceled,
-	_ReasonName[179:192]:      ReasonUpstreamLimit,
 	_ReasonLowerName[179:192]: ReasonUpstreamLimit,
-	_ReasonName[192:207]:      ReasonUpstreamBackoff,
 	_ReasonLowerName[192:207]: ReasonUpstreamBackoff,
-	_ReasonName[207:215]:      ReasonRepeated,
 	_ReasonLowerName[207:215]: ReasonRepeated,
-	_ReasonName[215:221]:      ReasonCutOff,
 	_ReasonLowerName[215:221]: ReasonCutOff,
-	_ReasonName[221:231]:      ReasonPromptPart,
 	_ReasonLowerName[221:231]: ReasonPromptPart,
+	_ReasonLowerName[231:237]: ReasonMemory,
 }
 
 var _ReasonNames = []string{
@@ -136,6 +142,7 @@
 	_ReasonName[207:215],
 	_ReasonName[215:221],
 	_ReasonName[221:231],
+	_ReasonName[231:237],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
@@ -145,7 +152,7 @@
 		return val, nil
 	}
 
-	if val, ok := _ReasonNameToValueMap[strings.ToLower(s)]; ok {
+	if val, ok := _ReasonLowerNameToValueMap[strings.ToLower(s)]; ok {
 		return val, nil
 	}
 	return 0, fmt.Errorf("%s does not belong to Reason values", s)
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -239,7 +239,7 @@
 		writeErr <- nil
 	} else {
 		go func() {
-			_, err := c.Write(append(head, r.Body...))
+			_, err := (&net.Buffers{head, r.Body}).WriteTo(c.Conn)
 			writeErr <- err
 		}()
 	}
@@ -269,7 +269,7 @@
 // head returns the request line and the headers as they are sent.
 func (r *Request) head() []byte {
 	var b strings.Builder
-	b.Grow(512 + len(r.Body))
+	b.Grow(512)
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	for name, values := range r.Header {
 		for _, v := range values {
--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -333,8 +333,7 @@
 	if resp.StatusCode == http.StatusOK && k.route.Kind == matcher.KindStreaming {
 		return k.passOnEvents(d, resp)
 	}
-	body, release, err := k.answerMemory.read(resp)
-	k.releaseAnswer = append(k.releaseAnswer, release)
+	body, err := k.readAnswer(resp)
 	switch {
 	case err != nil || !resp.Complete():
 		return k.noAnswerFrom(ctx, d.host, &connector.Error{Address: d.host.Address, Sent: true, Err: errors.Join(err, io.ErrUnexpectedEOF)})
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -38,6 +38,8 @@
 	defaultTimeout = 30 * time.Second
 	// bodyReadTimeout bounds the time for reading a request's body.
 	bodyReadTimeout = 10 * time.Second
+	// discardTimeout bounds the time for reading the rest of a body that is refused.
+	discardTimeout = time.Second
 	// defaultMaxBodyBytes bounds request bodies when the configuration sets no limit.
 	defaultMaxBodyBytes = 4 << 20
 	// maxRejections is how many times upstreams may reject a request without running it before
@@ -100,6 +102,9 @@
 	// MaxKeyAge is the age of the configuration from which keys are no longer accepted; 0 means
 	// that they never expire.
 	MaxKeyAge time.Duration
+	// MemoryBytes is the memory of the process, of which long request bodies and responses may take a part; 0 means no
+	// bound.
+	MemoryBytes int64
 	// Now returns a monotonic time that advances while the machine is suspended.
 	Now   func() time.Duration
 	Meter *meter.Meter
@@ -118,8 +123,9 @@
 	reachCheckedAt atomic.Int64
 	reachRound     int
 	// strikes holds the recent strikes that this host has added.
-	strikes      recentStrikes
-	answerMemory answerMemory
+	strikes recentStrikes
+	// answerMemory and bodyMemory are what long responses and request bodies hold.
+	answerMemory, bodyMemory bufferMemory
 	// promises holds when refused callers are to return.
 	promises admitter.Promises
 	// repeats holds which refused requests are to return later.
@@ -239,8 +245,8 @@
 	headerSent bool
 	// retryAfter is the wait after which a retry can succeed; 0 when it is not known.
 	retryAfter time.Duration
-	// releaseAnswer holds the functions that free the memory of its responses.
-	releaseAnswer []func()
+	// releaseMemory holds the functions that free the memory of its body and its responses.
+	releaseMemory []func()
 	// latencySampled is set once this stream was counted as late or in time.
 	latencySampled atomic.Bool
 }
@@ -266,11 +272,7 @@
 	if k.stopping.Load() {
 		k.w.Header().Set("Connection", "close")
 	}
-	defer func() {
-		for _, release := range k.releaseAnswer {
-			release()
-		}
-	}()
+	defer k.releaseAll()
 	if delegated {
 		k.readDelegation()
 	}
@@ -383,10 +385,15 @@
 	}
 	ctl := http.NewResponseController(k.w)
 	ctl.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(k.w, k.r.Body, limit))
+	body, err := k.readRequestBody(http.MaxBytesReader(k.w, k.r.Body, limit), k.r.ContentLength)
+	if errors.Is(err, errNoMemory) {
+		k.discardBody(ctl)
+	}
 	ctl.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoMemory):
+		return k.refuse(admitter.ReasonMemory, "no memory for its body")
 	case errors.As(err, &large):
 		return k.refuse(admitter.ReasonTooLarge, "body too large")
 	case err != nil:
@@ -396,6 +403,13 @@
 	return true
 }
 
+// discardBody reads what is left of a body that is refused, for discardTimeout at most: a caller that still sends it would see
+// a reset connection in place of the response.
+func (k *call) discardBody(ctl *http.ResponseController) {
+	ctl.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.Copy(io.Discard, k.r.Body)
+}
+
 // upstreamRequest builds the request to the first upstream of a lease.
 func (k *call) upstreamRequest(l *balancer.Lease) *connector.Request {
 	if k.header == nil {
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -96,8 +96,7 @@
 	k.Detector.RecordEvent(k.Now())
 	k.observeLimit(l, resp.Response, sent)
 	k.observeAnnouncements(l, resp.Response)
-	body, release, err := k.answerMemory.read(resp)
-	k.releaseAnswer = append(k.releaseAnswer, release)
+	body, err := k.readAnswer(resp)
 	whole := resp.Done()
 	if err != nil || !whole {
 		k.Balancer.RecordFailure(id)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -339,8 +339,7 @@
 // handleNonStream handles a response with a status other than 200.
 func (k *call) handleNonStream(a *attempt, resp *connector.Response) verdict {
 	l := a.lease
-	body, release, err := k.answerMemory.read(resp)
-	k.releaseAnswer = append(k.releaseAnswer, release)
+	body, err := k.readAnswer(resp)
 	whole := err == nil && resp.Complete()
 	if whole {
 		if v, ok := k.handleRejection(l, resp.Response, a.sentAt); ok {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -232,6 +232,7 @@
 		HostName:       cfg.Host,
 		Delegator:      &delegator.Delegator{DataCentre: cfg.DataCentre, Hosts: h.respondingHosts},
 		Detector:       detector.Detector{Upstreams: func() int { return h.balancer.SubsetSize(h.Now()) }},
+		MemoryBytes:    int64(cfg.MemoryMB) * 1e6,
 		Now:            h.Now,
 		Meter:          h.meter,
 		Log:            h.Log,
--- a/launcher/metrics.go
+++ b/launcher/metrics.go
@@ -30,6 +30,8 @@
 	m.GaugeFunc("hosts", "Other entry hosts that are listed.", func() float64 { return float64(len(h.follower.Hosts())) })
 	m.GaugeFunc("retry_budget_hosts", "Hosts by which the fixed part of the retry budgets is divided: the most that were known in the last ten minutes.", func() float64 { return float64(h.fleetSize.Max(h.Now())) })
 	m.GaugeFunc("requests_in_flight", "Requests being answered.", func() float64 { return float64(h.forwarder.InFlight()) })
+	m.GaugeFunc("held_body_bytes", "Bytes reserved for long request bodies.", func() float64 { bodies, _ := h.forwarder.HeldBytes(); return float64(bodies) })
+	m.GaugeFunc("held_answer_bytes", "Bytes reserved for long responses.", func() float64 { _, answers := h.forwarder.HeldBytes(); return float64(answers) })
 	m.GaugeFunc("upstreams_lost_seconds", "Time since no upstream accepts connections from this host; 0 while any does.", func() float64 {
 		s := h.forwarder.Detector.State(h.Now())
 		if !s.Lost || s.Returning {
