Revert "forwarder: a request that no upstream has run is no suspect"

A part that crashes upstreams costs more than a request that is asked to return, so that the refusal stays: it is true, as the request has not run.

--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -127,7 +127,7 @@
 	if k.runs >= k.route.MaxAttempts {
 		return k.refuse(admitter.ReasonUpstream, "no attempts left")
 	}
-	if k.refuseIsolated(k.runs > 0) || k.refuseQuarantined() {
+	if k.refuseIsolated(true) || k.refuseQuarantined() {
 		return false
 	}
 	// A failed dial sent nothing, so that the next one is no retry.
--- a/forwarder/refuse_test.go
+++ b/forwarder/refuse_test.go
@@ -5,14 +5,12 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/sardineward/sardineward/balancer"
-	"github.com/sardineward/sardineward/isolator"
 	"github.com/sardineward/sardineward/matcher"
 )
 
@@ -48,25 +46,3 @@
 		}
 	}
 }
-
-// TestNotRunBesideSuspect guards against refusing a request that no upstream has run since a part of its prompt was in flight
-// at two crashes.
-func TestNotRunBesideSuspect(t *testing.T) {
-	for v, want := range map[verdict]bool{verdictNotRun: true, verdictMayHaveRun: false} {
-		t.Run(v.String(), func(t *testing.T) {
-			is := is.New(t)
-			k, budget := newStream(0)
-			w := httptest.NewRecorder()
-			k.w, k.Tables, k.parts = w, ageless{k.table}, isolator.ParseParts("a:1,b:1")
-			for range 10 {
-				budget.RecordRequest(k.Now())
-			}
-			for n := range 2 {
-				at := k.Now() - time.Duration(2-n)*time.Second
-				k.Isolator.RecordCrash(at, k.parts, isolator.Workspace(""), fmt.Sprint("upstream-", n))
-			}
-			is.Equal(k.retryOrRefuse(t.Context(), v), want)
-			is.Equal(strings.Contains(w.Body.String(), "crashes upstreams"), !want)
-		})
-	}
-}
