archiver: test what a host knows before it reads, without a race

Change: the same question, with the same answer expected, before that goroutine is started. It guards against the same fault, a host that counts as loaded before it has read.

--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -22,6 +22,8 @@
 	isolator.Isolator
 	archiver *archiver.Archiver
 	now      func() time.Duration
+	// loadedBefore is whether it knew the stored parts before it read them.
+	loadedBefore bool
 }
 
 // startHost starts a host on a store; it runs until the returned function is called.
@@ -36,6 +38,7 @@
 		}
 	}
 	h.OnIsolate, h.OnRelease = changed, changed
+	h.loadedBefore = h.archiver.Loaded()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { h.archiver.Run(ctx); close(done) }()
@@ -75,7 +78,7 @@
 	is.Helper()
 	h, stop := startHost(store)
 	defer stop()
-	is.True(!h.archiver.Loaded())
+	is.True(!h.loadedBefore)
 	time.Sleep(time.Millisecond)
 	is.True(h.archiver.Loaded())
 	is.Equal(len(h.Isolated()), want)
