connector, forwarder, meter: log which connection carried an attempt

Hypotheses 1 and 2 of docs/incidents/copied-refusal.md differ in whether a rejected request went over a connection that had carried it before, and in what came first on it. No line told. The lines of an attempt now have connRequests, connRepeated and skipped, and upstream_responses_skipped_total counts responses to other requests; logic is as it was.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -33,6 +33,7 @@
 	BegunAt time.Duration
 	// Withheld is set when Request.MaySend returned false.
 	Withheld bool
+	Use      ConnUse
 	Err      error
 }
 
@@ -109,6 +110,8 @@
 	// OnDialed is called with the outcome of each dial to an upstream whose caller did not give up on it; begunAt is
 	// when the dial began, in the time of Now. nil means no call.
 	OnDialed func(address string, purpose Purpose, begunAt time.Duration, err error)
+	// OnSkipped is called for each response that is skipped, as it belongs to another request; nil means no call.
+	OnSkipped func()
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the most recently used last.
@@ -124,6 +127,9 @@
 	head *headReader
 	// idleSince is when the connection became idle, usableUntil when it may last be reused.
 	idleSince, usableUntil time.Duration
+	// requests counts the requests that were sent over it.
+	requests int
+	refused  refusedIDs
 }
 
 // headReader reads from a connection, at most left bytes while isDue is set.
@@ -190,8 +196,11 @@
 // Response is a response whose body is still to be read. Done must be called on each one.
 type Response struct {
 	*http.Response
+	Use  ConnUse
 	pool *Pool
 	conn *conn
+	// id is that of the request; empty if it has none.
+	id string
 	// stop detaches the connection from the request's context; it returns false when the context
 	// has ended.
 	stop func() bool
@@ -213,22 +222,24 @@
 		return nil, &Error{Address: r.Address, Withheld: true, Err: errWithheld}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	resp, sent, err := p.exchange(c, r)
+	use := ConnUse{Earlier: c.requests, Repeated: c.refused.contains(r.Header.Get(p.RequestIDHeader))}
+	resp, sent, err := p.exchange(c, r, &use)
 	if err != nil {
 		stop()
 		c.Close()
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, &Error{Address: r.Address, Sent: sent, Err: err}
+		return nil, &Error{Address: r.Address, Sent: sent, Use: use, Err: err}
 	}
-	resp.stop = stop
+	resp.stop, resp.Use = stop, use
 	return resp, nil
 }
 
 // exchange writes a request and reads the head of its response. sent reports whether any byte was
-// written.
-func (p *Pool) exchange(c *conn, r *Request) (resp *Response, sent bool, err error) {
+// written. It counts in use what is skipped.
+func (p *Pool) exchange(c *conn, r *Request, use *ConnUse) (resp *Response, sent bool, err error) {
+	c.requests++
 	writeErr := make(chan error, 1)
 	head := r.head()
 	if len(r.Body) <= maxInlineBody {
@@ -251,7 +262,7 @@
 		}
 		got := h.Header.Get(p.RequestIDHeader)
 		if got == want || got == "" && r.Purpose == PurposePeer {
-			return &Response{Response: h, pool: p, conn: c, writeErr: writeErr}, true, nil
+			return &Response{Response: h, pool: p, conn: c, id: want, writeErr: writeErr}, true, nil
 		}
 		if got == "" {
 			// It may be a second response to an order, which has no id.
@@ -259,6 +270,10 @@
 		}
 		// A late response to an earlier request comes first on the connection; the one to this
 		// request follows it.
+		use.Skipped++
+		if p.OnSkipped != nil {
+			p.OnSkipped()
+		}
 		if n, err := io.Copy(io.Discard, io.LimitReader(h.Body, maxStaleBytes)); err != nil || n == maxStaleBytes || h.Close {
 			break
 		}
@@ -298,6 +313,9 @@
 func (r *Response) Done() bool {
 	ctxActive := r.stop()
 	if r.complete && ctxActive && !r.closesConn() && r.BodyDelimited() && r.requestSent() {
+		if r.StatusCode >= http.StatusBadRequest {
+			r.conn.refused.add(r.id)
+		}
 		r.pool.putIdle(r.conn, r.Header)
 		return true
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -226,8 +226,9 @@
 	retryTakenAt time.Duration
 	// wasSent is set once the request was sent to an upstream.
 	wasSent bool
-	// received is how far the response of the last attempt had come when it ended.
+	// received is how far the response of the last attempt had come when it ended, connUse the connection of that attempt.
 	received responseProgress
+	connUse  connector.ConnUse
 	// lastEventID is the id of the last event that the caller has; at first the one that the
 	// caller names in Last-Event-Id.
 	lastEventID eventID
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return nil, k.classifyError(ctx, l, err)
 	}
-	k.wasSent, k.received.head = true, true
+	k.wasSent, k.received.head, k.connUse = true, true, resp.Use
 	k.Detector.RecordEvent(k.Now())
 	k.observeLimit(l, resp.Response, sent)
 	k.observeAnnouncements(l, resp.Response)
@@ -113,7 +113,7 @@
 	if !errors.As(err, &e) {
 		e = &connector.Error{Sent: true}
 	}
-	k.dialFailed, k.unsent = e.DialFailed, !e.Sent
+	k.dialFailed, k.unsent, k.connUse = e.DialFailed, !e.Sent, e.Use
 	if e.Withheld {
 		return verdictWithheld
 	}
@@ -220,7 +220,7 @@
 	retryAfter := strings.Join(resp.Header.Values("Retry-After"), ", ")
 	k.Meter.Rejections.WithLabelValues(strconv.Itoa(resp.StatusCode), strconv.FormatBool(retryAfter != "")).Inc()
 	event := k.Log.Info().Str("requestId", k.id).Str("upstream", l.First.ID).Str("hops", FormatPath(k.Balancer.Path(l))).Dur("left", k.deadline-k.Now()).
-		Int("inFlight", k.Balancer.InFlight(l.First.ID)).Str("load", resp.Header.Get(k.Headers.Load))
+		Int("inFlight", k.Balancer.InFlight(l.First.ID)).Str("load", resp.Header.Get(k.Headers.Load)).EmbedObject(k.connUse)
 	if known != nil {
 		k.Meter.PathRejections.WithLabelValues(known.Cause.String()).Inc()
 		event.EmbedObject(known)
@@ -231,10 +231,10 @@
 	event.Msg("forwarder: turned away with status " + strconv.Itoa(resp.StatusCode) + " by " + reason)
 }
 
-// logAttempt logs what happened to an attempt, with its path and the time left.
+// logAttempt logs what happened to an attempt, with its path, its connection and the time left.
 func (k *call) logAttempt(l *balancer.Lease, what string, err error) {
 	k.Log.Info().Str("requestId", k.id).Str("upstream", l.First.ID).Str("hops", FormatPath(k.Balancer.Path(l))).Err(err).
-		Dur("left", k.deadline-k.Now()).Msg("forwarder: " + what)
+		Dur("left", k.deadline-k.Now()).EmbedObject(k.connUse).Msg("forwarder: " + what)
 }
 
 // writeAnswer writes an upstream's response to the caller unchanged.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -282,7 +282,7 @@
 		return k.classifyError(ctx, l, err)
 	}
 	defer resp.Done()
-	k.wasSent, k.received.head = true, true
+	k.wasSent, k.received.head, k.connUse = true, true, resp.Use
 	k.observeLimit(l, resp.Response, a.sentAt)
 	k.observeAnnouncements(l, resp.Response)
 	if resp.StatusCode != http.StatusOK {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -213,7 +213,7 @@
 		Rand:       rand.New(rand.NewPCG(h.Seed, 1)),
 	}
 	h.follower = &follower.Follower{Host: cfg.Host, Source: h.Source, Balancer: h.balancer, Now: h.Now, OnChange: h.updateHosts, Log: h.Log}
-	h.pool = &connector.Pool{Dial: h.Dial, Now: h.Now, RequestIDHeader: h.Headers.RequestID, OnDial: h.countConnection}
+	h.pool = &connector.Pool{Dial: h.Dial, Now: h.Now, RequestIDHeader: h.Headers.RequestID, OnDial: h.countConnection, OnSkipped: h.meter.ResponsesSkipped.Inc}
 	suspects := new(tracker.Suspects)
 	hostCount := func() int { return len(h.follower.Hosts()) + 1 }
 	demands := &admitter.Demands{Hosts: hostCount}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -56,6 +56,8 @@
 	// AnnouncementsUnreadable counts upstreams' responses with an announcement that can't be
 	// parsed, by header.
 	AnnouncementsUnreadable *prometheus.CounterVec
+	// ResponsesSkipped counts responses of upstreams that were skipped, as they belong to another request.
+	ResponsesSkipped prometheus.Counter
 	// ConnectionsOpened counts connections opened to upstreams, by purpose.
 	ConnectionsOpened *prometheus.CounterVec
 	// Delegations counts requests that were sent to other hosts, or taken from them, while a host reached no
@@ -89,6 +91,9 @@
 		ShareRefusals: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "share_refusals_total", Help: "Requests refused since their workspace exceeded its share in a shortage.",
 		}),
+		ResponsesSkipped: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "upstream_responses_skipped_total", Help: "Responses of upstreams to other requests than the one that waited.",
+		}),
 		Strikes: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "strikes_total", Help: "Requests in flight at the crash of an upstream, once for each crash.",
 		}),
@@ -111,7 +116,7 @@
 	for _, step := range []string{"promised", "kept", "excess"} {
 		m.Returns.WithLabelValues(step)
 	}
-	m.Registry.MustRegister(m.TickDelay, m.NotRepeated, m.StreamsCut, m.UnansweredChecks, m.Refusals, m.RankRefusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.PathRejections, m.Returns, m.ShareRefusals, m.Strikes, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ConnectionsOpened, m.Delegations, m.RetriesUsed, m.RetriesAvailable, m.ThroughputBound)
+	m.Registry.MustRegister(m.TickDelay, m.NotRepeated, m.StreamsCut, m.UnansweredChecks, m.Refusals, m.RankRefusals, m.Retries, m.Requests, m.FirstToken, m.TokenGap, m.Rejections, m.PathRejections, m.Returns, m.ShareRefusals, m.Strikes, m.LimitsUnreadable, m.AnnouncementsUnreadable, m.ResponsesSkipped, m.ConnectionsOpened, m.Delegations, m.RetriesUsed, m.RetriesAvailable, m.ThroughputBound)
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
