connector, forwarder: send no request again where it was refused before

Callers of today's code get 503 as a promise for requests that run, and a request runs at up to n upstreams and once more. Cause: a connection stays open after a refusal and is used again first; an upstream may write the refusal once more, with the id of the request, while that request is under way again over the same connection. The id then tells nothing. Class: what identifies a request was taken to identify one attempt of it. Change: a connection remembers the requests that were refused over it (any status from 400 on), as 64-bit hashes, and carries none of these again, whoever sends it: a second attempt, a caller that returns with its id, a host that delegates again. No time is involved. After 32 refusals it is closed. A success that is no response to its request (no signature, a stream without a whole event) closes its connection, as its request may be sent again too. Connections are kept in the order of their last use when one is put back unused.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -193,13 +193,13 @@
 	MaySend func() bool
 }
 
-// Response is a response whose body is still to be read. Done must be called on each one.
+// Response is a response whose body is still to be read. Done or Discard must be called on each one.
 type Response struct {
 	*http.Response
 	Use  ConnUse
 	pool *Pool
 	conn *conn
-	// id is that of the request; empty if it has none.
+	// id is that of the request; empty if it has none, or if another host responds, which does so once.
 	id string
 	// stop detaches the connection from the request's context; it returns false when the context
 	// has ended.
@@ -222,7 +222,7 @@
 		return nil, &Error{Address: r.Address, Withheld: true, Err: errWithheld}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	use := ConnUse{Earlier: c.requests, Repeated: c.refused.contains(r.Header.Get(p.RequestIDHeader))}
+	use := ConnUse{Earlier: c.requests}
 	resp, sent, err := p.exchange(c, r, &use)
 	if err != nil {
 		stop()
@@ -262,7 +262,11 @@
 		}
 		got := h.Header.Get(p.RequestIDHeader)
 		if got == want || got == "" && r.Purpose == PurposePeer {
-			return &Response{Response: h, pool: p, conn: c, id: want, writeErr: writeErr}, true, nil
+			resp := &Response{Response: h, pool: p, conn: c, writeErr: writeErr}
+			if r.Purpose != PurposePeer {
+				resp.id = want
+			}
+			return resp, true, nil
 		}
 		if got == "" {
 			// It may be a second response to an order, which has no id.
@@ -323,6 +327,12 @@
 	return r.complete
 }
 
+// Discard ends the use of the response and closes its connection.
+func (r *Response) Discard() {
+	r.stop()
+	r.conn.Close()
+}
+
 // closesConn reports whether the upstream closes the connection after the response.
 func (r *Response) closesConn() bool { return r.Response.Close } //nolint:staticcheck // Close alone is the method
 
@@ -347,7 +357,7 @@
 // began; 0 for an idle one.
 func (p *Pool) getConn(ctx context.Context, r *Request) (c *conn, begunAt time.Duration, err error) {
 	for {
-		c = p.popIdle(r.Address)
+		c = p.popIdle(r.Address, r.Header.Get(p.RequestIDHeader))
 		if c == nil {
 			break
 		}
--- a/connector/idle.go
+++ b/connector/idle.go
@@ -2,36 +2,50 @@
 
 import (
 	"net/http"
+	"slices"
 )
 
-// HasIdle reports whether a request to an upstream needs no new connection, as far as is known
+// HasIdle reports whether a request with an id needs no new connection to an upstream, as far as is known
 // without reading from the idle ones.
-func (p *Pool) HasIdle(address string, atMostOnce bool) bool {
+func (p *Pool) HasIdle(address, id string, atMostOnce bool) bool {
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
+	i := lastFor(list, id)
+	if i < 0 {
 		return false
 	}
-	c := list[len(list)-1]
+	c := list[i]
 	return c.usableUntil > now && (!atMostOnce || now-c.idleSince < maxIdleForOnce)
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil.
-func (p *Pool) popIdle(address string) *conn {
+// lastFor returns the index of the most recently used connection over which no request with an id was refused, or -1.
+func lastFor(list []*conn, id string) int {
+	for i, c := range slices.Backward(list) {
+		if !c.refused.contains(id) {
+			return i
+		}
+	}
+	return -1
+}
+
+// popIdle removes and returns the connection that lastFor chooses, or nil.
+func (p *Pool) popIdle(address, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
+	i := lastFor(list, id)
+	if i < 0 {
 		return nil
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
+	c := list[i]
+	p.idle[address] = slices.Delete(list, i, i+1)
 	return c
 }
 
-// putIdle keeps a connection for reuse, or closes it when there are enough or it has unread data.
+// putIdle keeps a connection for reuse, or closes it when there are enough, it has unread data, or too many requests were
+// refused over it.
 func (p *Pool) putIdle(c *conn, h http.Header) {
 	now := p.Now()
 	c.idleSince = now
@@ -46,11 +60,16 @@
 	if p.idle == nil {
 		p.idle = make(map[string][]*conn)
 	}
-	if len(p.idle[c.address]) >= maxIdlePerAddress || c.br.Buffered() > 0 {
+	if len(p.idle[c.address]) >= maxIdlePerAddress || c.br.Buffered() > 0 || c.refused.isFull() {
 		c.Close()
 		return
 	}
-	p.idle[c.address] = append(p.idle[c.address], c)
+	list := p.idle[c.address]
+	i := len(list)
+	for i > 0 && list[i-1].idleSince > c.idleSince {
+		i--
+	}
+	p.idle[c.address] = slices.Insert(list, i, c)
 }
 
 // CloseExpired closes the idle connections that may no longer be reused.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -508,7 +508,7 @@
 
 // hasConnection reports whether the request needs no new connection to an address.
 func (k *call) hasConnection(address string) bool {
-	return k.Pool.HasIdle(address, !k.route.Repeatable())
+	return k.Pool.HasIdle(address, k.id, !k.route.Repeatable())
 }
 
 // avoidUpstream excludes an upstream that failed the request from later attempts.
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -97,13 +97,25 @@
 	k.observeLimit(l, resp.Response, sent)
 	k.observeAnnouncements(l, resp.Response)
 	body, err := k.readAnswer(resp)
-	whole := resp.Done()
-	if err != nil || !whole {
+	if err != nil || !resp.Complete() {
+		resp.Discard()
 		k.Balancer.RecordFailure(id)
 		k.logAttempt(l, "response ended early", err)
 		return nil, verdictMayHaveRun
 	}
-	return k.classifyAnswer(l, &answer{resp.Response, body}, sent)
+	a, v := k.classifyAnswer(l, &answer{resp.Response, body}, sent)
+	endResponse(resp, v)
+	return a, v
+}
+
+// endResponse ends the use of a response. A connection is not kept after a success that is no response to the request, as
+// the request may be sent again.
+func endResponse(resp *connector.Response, v verdict) {
+	if v == verdictMayHaveRun || v == verdictBroken {
+		resp.Discard()
+		return
+	}
+	resp.Done()
 }
 
 // classifyError returns the verdict on a request that got no response, and records the failure of
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -269,7 +269,7 @@
 }
 
 // sendStream sends the request of an attempt and relays the response.
-func (k *call) sendStream(ctx context.Context, a *attempt) verdict {
+func (k *call) sendStream(ctx context.Context, a *attempt) (v verdict) {
 	l := a.lease
 	req := k.upstreamRequest(l)
 	if k.lastEventID.text != "" {
@@ -281,7 +281,7 @@
 		k.recordNoFirstEvent(a)
 		return k.classifyError(ctx, l, err)
 	}
-	defer resp.Done()
+	defer func() { endResponse(resp, v) }()
 	k.wasSent, k.received.head, k.connUse = true, true, resp.Use
 	k.observeLimit(l, resp.Response, a.sentAt)
 	k.observeAnnouncements(l, resp.Response)
@@ -293,7 +293,7 @@
 		k.logAttempt(l, "stream has no signature", nil)
 		return verdictMayHaveRun
 	}
-	v := k.relay(ctx, a, resp)
+	v = k.relay(ctx, a, resp)
 	if !a.begun.Load() {
 		k.recordNoFirstEvent(a)
 	}
