forwarder, launcher: answer the requests that a planned stop can't finish

What callers saw, by a report of another operator: in a planned stop requests that came late in the grace were passed on and cut at its end without an answer, bookings among them. Cause: a host took requests for balancerMs after SIGTERM whatever they need, and closed the connections of those that were left after stopMs. Class: work is begun without asking whether the time that is left is enough for it. Change: half a second before the end of a stop (a quarter of a short one) the requests under way are ended with a whole response: 503 and a Retry-After if they were not sent, else 502, which promises nothing; begun streams are closed with cause stop. During a stop a request is refused at once, as not run, if its deadline is after the end and the requests of its service usually take longer than what is left (a maximum that each shorter request lowers by 1/32 of the difference). Its Retry-After is at most 0.1 s, as other hosts can serve it. Evidence: TestStopAnswersLongRequests 16 of 16 requests cut without an answer before (four kinds of routes, sent 0 to 2.4 s after SIGTERM, upstreams need 12 s), TestStopRefusesSlowRoutes red before. TestStopRefusesLateRequests was green before: what comes after the listener has closed is not taken.

--- a/forwarder/cut.go
+++ b/forwarder/cut.go
@@ -24,6 +24,8 @@
 	cutCausePath
 	// cutCauseHost: this host reaches no upstream, and no other host took it.
 	cutCauseHost
+	// cutCauseStop: it was under way when a planned stop of the host ended.
+	cutCauseStop
 )
 
 // CutCauses returns the values of the label cause of streams_cut_total.
@@ -32,6 +34,9 @@
 // abortStream ends a stream early. It closes the connection without ending the body, so that the
 // caller can't take the response for complete. It does not return: it panics with http.ErrAbortHandler.
 func (k *call) abortStream(cause cutCause, resumptions int) {
+	if k.stop.hasEnded() && k.Now() < k.deadline {
+		cause = cutCauseStop
+	}
 	if k.r.Context().Err() == nil {
 		k.Meter.Refusals.WithLabelValues(admitter.ReasonUpstream.String()).Inc()
 		k.Meter.StreamsCut.WithLabelValues(cause.String()).Inc()
--- a/forwarder/cutcause_gen.go
+++ b/forwarder/cutcause_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _cutCauseName = "deadlineresumptionsisolatedretrypathhost"
+const _cutCauseName = "deadlineresumptionsisolatedretrypathhoststop"
 
-var _cutCauseIndex = [...]uint8{0, 8, 19, 27, 32, 36, 40}
+var _cutCauseIndex = [...]uint8{0, 8, 19, 27, 32, 36, 40, 44}
 
-const _cutCauseLowerName = "deadlineresumptionsisolatedretrypathhost"
+const _cutCauseLowerName = "deadlineresumptionsisolatedretrypathhoststop"
 
 func (i cutCause) String() string {
 	if i < 0 || i >= cutCause(len(_cutCauseIndex)-1) {
@@ -30,9 +30,10 @@
 	_ = x[cutCauseRetry-(3)]
 	_ = x[cutCausePath-(4)]
 	_ = x[cutCauseHost-(5)]
+	_ = x[cutCauseStop-(6)]
 }
 
-var _cutCauseValues = []cutCause{cutCauseDeadline, cutCauseResumptions, cutCauseIsolated, cutCauseRetry, cutCausePath, cutCauseHost}
+var _cutCauseValues = []cutCause{cutCauseDeadline, cutCauseResumptions, cutCauseIsolated, cutCauseRetry, cutCausePath, cutCauseHost, cutCauseStop}
 
 var _cutCauseNameToValueMap = map[string]cutCause{
 	_cutCauseName[0:8]:   cutCauseDeadline,
@@ -41,6 +42,7 @@
 	_cutCauseName[27:32]: cutCauseRetry,
 	_cutCauseName[32:36]: cutCausePath,
 	_cutCauseName[36:40]: cutCauseHost,
+	_cutCauseName[40:44]: cutCauseStop,
 }
 
 var _cutCauseLowerNameToValueMap = map[string]cutCause{
@@ -50,6 +52,7 @@
 	_cutCauseLowerName[27:32]: cutCauseRetry,
 	_cutCauseLowerName[32:36]: cutCausePath,
 	_cutCauseLowerName[36:40]: cutCauseHost,
+	_cutCauseLowerName[40:44]: cutCauseStop,
 }
 
 var _cutCauseNames = []string{
@@ -59,6 +62,7 @@
 	_cutCauseName[27:32],
 	_cutCauseName[32:36],
 	_cutCauseName[36:40],
+	_cutCauseName[40:44],
 }
 
 // cutCauseString retrieves an enum value from the enum constants string name.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -110,8 +110,10 @@
 	Meter *meter.Meter
 	Log   zerolog.Logger
 
-	stopping atomic.Bool
-	inFlight atomic.Int64
+	stopping  atomic.Bool
+	stop      plannedStop
+	durations serviceDurations
+	inFlight  atomic.Int64
 	// lastContact is when any upstream last sent an event or accepted a connection, as
 	// nanoseconds of Now.
 	lastContact atomic.Int64
@@ -139,10 +141,6 @@
 	delegations map[*delegation]struct{}
 }
 
-// Stop starts draining: the host is no longer ready, and responses ask callers to close their
-// connections.
-func (f *Forwarder) Stop() { f.stopping.Store(true) }
-
 // Ready reports whether this host can serve requests.
 func (f *Forwarder) Ready() bool {
 	limitsKnown := f.LimitsKnown == nil || f.LimitsKnown()
@@ -277,7 +275,7 @@
 	if delegated {
 		k.readDelegation()
 	}
-	if !k.resolve() || !k.readBody() {
+	if !k.resolve() || !k.readBody() || k.refuseStopping() {
 		return
 	}
 	k.fingerprint = fingerprintOf(k)
@@ -290,6 +288,8 @@
 	ctl.SetWriteDeadline(time.Now().Add(left + writeGrace))
 	ctx, cancel := context.WithTimeout(k.r.Context(), left)
 	defer cancel()
+	ctx, done := k.endWithStop(ctx)
+	defer done()
 	if k.refuseIsolated(false) || k.shouldDelegate() && !k.delegate(ctx) {
 		return
 	}
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -143,9 +143,18 @@
 	return true
 }
 
-// refuseExpired refuses a request whose deadline has passed.
+// refuseExpired refuses a request whose deadline has passed, or that a planned stop ends.
 func (k *call) refuseExpired() {
-	if k.runs == 0 && !k.wasSent {
+	isSent := k.runs > 0 || k.wasSent
+	if k.stop.hasEnded() && k.Now() < k.deadline {
+		if isSent {
+			k.refuse(admitter.ReasonOutcomeUnknown, "the host stops, may have run")
+			return
+		}
+		k.refuse(admitter.ReasonStopping, "the host stops before it was sent")
+		return
+	}
+	if !isSent {
 		k.refuse(admitter.ReasonQueueFull, "time is over before it was sent")
 		return
 	}
--- a/forwarder/returns.go
+++ b/forwarder/returns.go
@@ -17,6 +17,8 @@
 	switch {
 	case reason == admitter.ReasonRepeated:
 		return k.retryAfter
+	case reason == admitter.ReasonStopping:
+		return stopWait()
 	case reason == admitter.ReasonQueueFull && k.ranks() != nil:
 		wait := k.promisedWait(func(now time.Duration, r admitter.Refused) time.Duration {
 			k.Meter.Returns.WithLabelValues("promised").Inc()
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -160,10 +160,10 @@
 
 // stop fails the readiness check and keeps serving for Settings.BalancerMs, so that the external
 // load balancer notices. It then closes the listener for callers and waits for the requests in
-// flight. Settings.StopMs bounds both steps together.
+// flight. Settings.StopMs bounds both steps together; shortly before, requests still in flight get their final response.
 func (h *Host) stop(callers *http.Server) error {
 	h.Log.Info().Int64("inFlight", h.forwarder.InFlight()).Msg("launcher: stopping")
-	h.forwarder.Stop()
+	h.forwarder.Stop(millis(h.Settings.StopMs))
 	shutdownCtx, cancel := context.WithTimeout(context.Background(), millis(h.Settings.StopMs))
 	defer cancel()
 	select {
--- /dev/null
+++ b/launcher/stop_test.go
@@ -0,0 +1,136 @@
+package launcher_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/forwarder"
+)
+
+// rawRequest writes a request over a connection of its own, delay after it was opened, and reads the response.
+func (b *testbed) rawRequest(method, path, id string, delay time.Duration) reply {
+	c, err := b.net.Dialer("caller")(context.Background(), "tcp", callersAddress)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer c.Close()
+	time.Sleep(delay)
+	return rawExchange(c, bufio.NewReader(c), method, path, id)
+}
+
+// rawExchange sends a request over a connection and reads the response.
+func rawExchange(c net.Conn, br *bufio.Reader, method, path, id string) reply {
+	h := forwarder.DefaultHeaders
+	_, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer %s\r\n%s: %s\r\n%s: 20000\r\nContent-Length: 0\r\n\r\n", method, path, apiKey, h.RequestID, id, h.DeadlineMs)
+	if err != nil {
+		return reply{err: err}
+	}
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	body := new(strings.Builder)
+	_, err = bufio.NewReader(resp.Body).WriteTo(body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: body.String(), err: err}
+}
+
+// setDelay makes all upstreams wait for d before they respond.
+func (b *testbed) setDelay(d time.Duration) {
+	for _, s := range b.stages {
+		s.ResponseDelay, s.EventInterval = d, d
+	}
+}
+
+// stopPaths has a route of each kind.
+var stopPaths = []string{"/book/1", "/look/1", "/stream/1", "/stream/once/1"}
+
+// TestStopAnswersLongRequests guards against a planned stop that closes the connections of requests which are still under way
+// at its end, without a response, or that refuses as not run what has run.
+func TestStopAnswersLongRequests(t *testing.T) {
+	runHost(t, 0, func(b *testbed) {
+		b.setDelay(12 * time.Second)
+		b.stop()
+		var wg sync.WaitGroup
+		for _, sentAt := range []time.Duration{0, 100 * time.Millisecond, time.Second, 2400 * time.Millisecond} {
+			for _, path := range stopPaths {
+				wg.Go(func() {
+					is := is.NewRelaxed(t)
+					time.Sleep(sentAt)
+					id := fmt.Sprint(path, sentAt)
+					r := b.rawRequest(http.MethodPost, path, id, 0)
+					is.NoErr(r.err)
+					switch r.status {
+					case http.StatusServiceUnavailable:
+						is.Equal(b.runs(id), 0)
+					default:
+						is.Equal(r.status, http.StatusBadGateway)
+						is.Equal(b.runs(id), 1)
+					}
+				})
+			}
+		}
+		wg.Wait()
+		err := <-b.done
+		b.done <- err // for runHost
+		is.New(t).NoErr(err)
+	})
+}
+
+// TestStopRefusesLateRequests guards against requests that come late in a planned stop, over connections that were opened
+// before, and are passed on.
+func TestStopRefusesLateRequests(t *testing.T) {
+	runHost(t, 0, func(b *testbed) {
+		b.setDelay(100 * time.Millisecond)
+		b.stop()
+		var wg sync.WaitGroup
+		for _, delay := range []time.Duration{2600 * time.Millisecond, 3 * time.Second, 5 * time.Second, 7300 * time.Millisecond} {
+			for _, path := range stopPaths {
+				wg.Go(func() {
+					id := fmt.Sprint(path, delay)
+					if r := b.rawRequest(http.MethodPost, path, id, delay); r.err == nil {
+						is.NewRelaxed(t).Equal(r.status, http.StatusServiceUnavailable)
+					}
+					is.NewRelaxed(t).Equal(b.runs(id), 0)
+				})
+			}
+		}
+		wg.Wait()
+		err := <-b.done
+		b.done <- err // for runHost
+		is.New(t).NoErr(err)
+	})
+}
+
+// TestStopRefusesSlowRoutes guards against a request that is taken in a planned stop although those of its route usually take
+// longer than the rest of the stop.
+func TestStopRefusesSlowRoutes(t *testing.T) {
+	runHost(t, 0, func(b *testbed) {
+		is := is.New(t)
+		b.setDelay(6 * time.Second)
+		slow := []string{"/book/1", "/look/1"}
+		for _, path := range slow {
+			is.Equal(b.rawRequest(http.MethodPost, path, "before"+path, 0).status, http.StatusOK)
+		}
+		b.setDelay(10 * time.Millisecond)
+		is.Equal(b.rawRequest(http.MethodPost, "/stream/1", "before", 0).status, http.StatusOK)
+		b.stop()
+		time.Sleep(2 * time.Second)
+		for _, path := range slow {
+			b.assertRetryLater(b.rawRequest(http.MethodPost, path, "late"+path, 0))
+			is.Equal(b.runs("late"+path), 0)
+			r := b.request(http.MethodPost, path, "short"+path, func(r *http.Request) { r.Header.Set(forwarder.DefaultHeaders.DeadlineMs, "3000") })
+			is.Equal(r.status, http.StatusOK) // its deadline is before the end
+		}
+		is.Equal(b.rawRequest(http.MethodPost, "/stream/1", "late", 0).status, http.StatusOK)
+	})
+}
