forwarder, connector: bound what responses without end take together

What callers saw, by a report of another operator: an upstream sent bytes without end, and all requests of the host that read them ended with its memory. Cause here: each response had a bound, but not all together. 1 MB of each response, and of each event of a stream, needed no reservation, and a head of 64 KB in short lines takes 1 MB once it is parsed (50 heads: 988,397 bytes live and 1.7 MB allocated each). Class: a bound of one that is none of all. Change: a response needs a reservation from 64 KB on, an event of a stream from 16 KB on, out of the eighth of memoryMB that long responses had; a head has at most 512 lines; the answer to an order or a query at most 256 KB. An event is searched for its end in what is new only: 1 MB in reads of 4 KB was searched 256 times over. TestManyHeaderLines: red in 4 of 8 cases without the bound on lines.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -58,8 +58,8 @@
 // errInterim means that interim responses came in place of a response.
 var errInterim = errors.New("only interim responses, or a switch of protocols, in place of a response")
 
-// errHeadTooLarge means that the status line and the headers of a response exceed maxHeadBytes.
-var errHeadTooLarge = fmt.Errorf("head of the response exceeds %d bytes", maxHeadBytes)
+// errHeadTooLarge means that the status line and the headers of a response exceed maxHeadBytes or maxHeadLines.
+var errHeadTooLarge = fmt.Errorf("head of the response exceeds %d bytes or %d lines", maxHeadBytes, maxHeadLines)
 
 // errWithheld means that Request.MaySend returned false.
 var errWithheld = errors.New("upstream wants no request now")
@@ -90,6 +90,8 @@
 	// request that is skipped.
 	maxHeadBytes  = 64 << 10
 	maxStaleBytes = 1 << 20
+	// maxHeadLines bounds the same: a parsed header takes many times the memory of a short line.
+	maxHeadLines = 512
 	// maxInlineBody is the size in bytes of the largest body that is written before the
 	// response is read; it fits the smallest socket buffers.
 	maxInlineBody = 16 << 10
@@ -132,33 +134,6 @@
 	refused  refusedIDs
 }
 
-// headReader reads from a connection, at most left bytes while isDue is set.
-type headReader struct {
-	conn  net.Conn
-	isDue bool
-	left  int
-}
-
-// Read implements io.Reader.
-func (r *headReader) Read(b []byte) (int, error) {
-	if !r.isDue {
-		return r.conn.Read(b)
-	}
-	if r.left == 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := r.conn.Read(b[:min(len(b), r.left)])
-	r.left -= n
-	return n, err
-}
-
-// readHead reads the status line and the headers of the next response.
-func (c *conn) readHead(method string) (*http.Response, error) {
-	c.head.isDue, c.head.left = true, maxHeadBytes
-	defer func() { c.head.isDue = false }()
-	return http.ReadResponse(c.br, &http.Request{Method: method})
-}
-
 // readFinalHead reads past interim responses.
 func (c *conn) readFinalHead(method string) (*http.Response, error) {
 	for range maxInterimResponses + 1 {
--- a/connector/head_test.go
+++ b/connector/head_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -74,3 +75,41 @@
 		assertSent(t, err, true)
 	})
 }
+
+// TestManyHeaderLines guards against a head of short lines, which take many times their size once they are parsed. Its body
+// does not count, nor does an interim response.
+func TestManyHeaderLines(t *testing.T) {
+	const body = "\n\n\n\n"
+	for _, c := range []struct {
+		lines int
+		fails bool
+	}{{1, false}, {400, false}, {600, true}, {9000, true}} {
+		for _, interim := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d lines, interim %t", c.lines, interim), func(t *testing.T) {
+				runScript(t, func(_ int, conn net.Conn, br *bufio.Reader) {
+					for {
+						if _, err := http.ReadRequest(br); err != nil {
+							return
+						}
+						head := ""
+						if interim {
+							head = "HTTP/1.1 103 Early Hints\r\n" + strings.Repeat("b: c\r\n", 400) + "\r\n"
+						}
+						head += "HTTP/1.1 200 OK\r\nId: a\r\n" + contentLength(strings.Repeat(body, 1000)) + strings.Repeat("b:\r\n", c.lines)
+						if _, err := conn.Write([]byte(head + "\r\n" + strings.Repeat(body, 1000))); err != nil {
+							return
+						}
+					}
+				}, func(p *connector.Pool, opened *int) {
+					is := is.NewRelaxed(t)
+					for range 2 {
+						got, err := doRequest(p, "a", false)
+						is.Equal(err != nil, c.fails)
+						is.Equal(len(got) == 1000*len(body), !c.fails)
+					}
+					is.Equal(*opened == 1, !c.fails)
+				})
+			})
+		}
+	}
+}
--- a/forwarder/control.go
+++ b/forwarder/control.go
@@ -9,7 +9,7 @@
 )
 
 // maxControlBytes bounds an order and the answer to one.
-const maxControlBytes = 1 << 20
+const maxControlBytes = 256 << 10
 
 // PoolTransport is an http.RoundTripper for orders and queries to engines, over the kept connections
 // of requests. Like those, an order is sent once, and only over a connection used just now.
--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -356,12 +356,12 @@
 func (k *call) passOnEvents(d *delegation, resp *connector.Response) verdict {
 	ctl := http.NewResponseController(k.w)
 	buf := make([]byte, readBufferSize)
-	var pending []byte
+	buffer := k.newEventBuffer()
+	defer buffer.release()
 	begun := false
 	for {
 		n, err := resp.Read(buf)
-		pending = append(pending, buf[:n]...)
-		events, rest, ids := splitEvents(pending)
+		events, ids, sizeErr := buffer.add(buf[:n])
 		if len(events) > 0 {
 			k.lastDelivery = k.Now()
 			d.lastEvent.Store(int64(k.lastDelivery))
@@ -383,16 +383,15 @@
 				return k.abortForCaller(err)
 			}
 		}
-		pending = append(pending[:0], rest...)
-		if err == nil && len(pending) > maxEventBytes {
-			err = errEventTooLarge
+		if err == nil {
+			err = sizeErr
 		}
 		switch {
-		case errors.Is(err, io.EOF) && len(pending) == 0 && k.isWhole(resp, begun):
+		case errors.Is(err, io.EOF) && buffer.pending() == 0 && k.isWhole(resp, begun):
 			k.writeHeader(resp)
 			return verdictAnswered
 		case err != nil:
-			k.received = responseProgress{head: true, eventBytes: len(pending)}
+			k.received = responseProgress{head: true, eventBytes: buffer.pending()}
 			if k.r.Context().Err() == nil {
 				k.logDelegation(d.host, "broke off after event "+k.lastEventID.text, err)
 			}
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -27,6 +27,73 @@
 	return id.number == last.number+1
 }
 
+// eventBuffer collects the bytes of a stream until they are whole events. Its memory and limit are set before use, and release
+// is called at the end.
+type eventBuffer struct {
+	memory *bufferMemory
+	// limit is the number of bytes that all users of memory may reserve.
+	limit int64
+	// bytes holds the events that add returned last, which are returned bytes long, and those of an event that is not
+	// complete, of which reserved bytes are reserved.
+	bytes    []byte
+	returned int
+	reserved int64
+}
+
+// newEventBuffer returns the buffer for a response to the request.
+func (k *call) newEventBuffer() *eventBuffer {
+	return &eventBuffer{memory: &k.answerMemory, limit: k.answerLimit()}
+}
+
+// pending returns the number of bytes of the event that is not complete.
+func (b *eventBuffer) pending() int { return len(b.bytes) - b.returned }
+
+// add adds bytes and returns the events that are complete now, and their ids. They are valid until the next call. The error
+// means that the event which is not complete is too large.
+func (b *eventBuffer) add(p []byte) (events []byte, ids []eventID, err error) {
+	b.dropReturned()
+	known := max(0, len(b.bytes)-len("\r\n\r"))
+	b.bytes = append(b.bytes, p...)
+	if firstEventLength(b.bytes[known:]) >= 0 {
+		events, _, ids = splitEvents(b.bytes)
+		b.returned = len(events)
+	}
+	return events, ids, b.reserve()
+}
+
+// dropReturned removes the events that were returned, and the memory that a long one took.
+func (b *eventBuffer) dropReturned() {
+	if b.returned == 0 {
+		return
+	}
+	rest := b.bytes[b.returned:]
+	if cap(b.bytes) > eventFree {
+		b.bytes = nil
+		b.release()
+	}
+	b.bytes, b.returned = append(b.bytes[:0], rest...), 0
+}
+
+// reserve reserves memory for the event that is not complete.
+func (b *eventBuffer) reserve() error {
+	if b.pending() > maxEventBytes {
+		return errEventTooLarge
+	}
+	for int64(b.pending()) > eventFree+b.reserved {
+		if !b.memory.reserve(eventStep, b.limit) {
+			return errNoMemory
+		}
+		b.reserved += eventStep
+	}
+	return nil
+}
+
+// release frees the reserved memory.
+func (b *eventBuffer) release() {
+	b.memory.reserved.Add(-b.reserved)
+	b.reserved = 0
+}
+
 // splitEvents splits b after its last complete event; an event ends with an empty line. It
 // returns the complete events, the remaining bytes, and the events' ids in order.
 func splitEvents(b []byte) (events, rest []byte, ids []eventID) {
--- a/forwarder/events_test.go
+++ b/forwarder/events_test.go
@@ -65,6 +65,30 @@
 	})
 }
 
+// FuzzEventBuffer checks that a buffer returns what splitEvents does, in pieces of any size.
+func FuzzEventBuffer(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\r\n\r\nid: 3", 3)
+	f.Add(strings.Repeat("x", 3*eventFree)+"\n\nid: 2\n\n", 1000)
+	f.Fuzz(func(t *testing.T, in string, size int) {
+		is := is.New(t)
+		memory := new(bufferMemory)
+		b := &eventBuffer{memory: memory, limit: maxLongAnswers}
+		var out []byte
+		var ids []eventID
+		for at := 0; at < len(in); at += max(1, size) {
+			events, more, err := b.add([]byte(in[at:min(len(in), at+max(1, size))]))
+			is.NoErr(err)
+			out, ids = append(out, events...), append(ids, more...)
+		}
+		events, rest, want := splitEvents([]byte(in))
+		is.Equal(string(out), string(events))
+		is.Equal(ids, want)
+		is.Equal(b.pending(), len(rest))
+		b.release()
+		is.Equal(memory.reserved.Load(), int64(0))
+	})
+}
+
 func TestFormatPath(t *testing.T) {
 	hops := []balancer.Hop{{Address: "10.1.0.1:80", To: 20}, {Address: "10.2.0.1:80", From: 20, To: 80}}
 	is.New(t).Equal(FormatPath(hops), "10.1.0.1:80=0-20,10.2.0.1:80=20-80")
--- a/forwarder/memory.go
+++ b/forwarder/memory.go
@@ -12,11 +12,14 @@
 	// a stream.
 	maxAnswerBytes = 16 << 20
 	maxEventBytes  = 1 << 20
-	// answerStep is the number of bytes that a response may have without a reservation, and bodyStep the same for a
-	// request body, so that short ones are served beside long ones. Longer ones of unknown length are reserved in parts of
-	// answerStep.
-	answerStep = 1 << 20
+	// answerFree is the number of bytes that a response may have without a reservation, bodyStep the same for a request body
+	// and eventFree for an event of a stream, so that short ones are served beside long ones. Longer ones of unknown length
+	// are reserved in parts of answerStep and eventStep.
+	answerFree = 64 << 10
 	bodyStep   = 64 << 10
+	eventFree  = 16 << 10
+	answerStep = 256 << 10
+	eventStep  = 64 << 10
 	// maxLongAnswers and maxLongBodies bound the bytes reserved by all requests of a host for long responses and bodies, where
 	// the memory of the process has no bound.
 	maxLongAnswers = 64 << 20
@@ -81,13 +84,17 @@
 	return body, release, err
 }
 
+// answerLimit returns the bytes that long responses may take together.
+func (f *Forwarder) answerLimit() int64 {
+	if f.MemoryBytes > 0 {
+		return min(maxLongAnswers, f.MemoryBytes/answerShare)
+	}
+	return maxLongAnswers
+}
+
 // readAnswer reads a response up to maxAnswerBytes.
 func (k *call) readAnswer(r io.Reader) ([]byte, error) {
-	limit := int64(maxLongAnswers)
-	if k.MemoryBytes > 0 {
-		limit = min(limit, k.MemoryBytes/answerShare)
-	}
-	body, release, err := k.answerMemory.read(r, answerStep, maxAnswerBytes, limit)
+	body, release, err := k.answerMemory.read(r, answerFree, maxAnswerBytes, k.answerLimit())
 	k.releaseMemory = append(k.releaseMemory, release)
 	return body, err
 }
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -30,12 +30,12 @@
 func (k *call) relay(ctx context.Context, a *attempt, resp *connector.Response) verdict {
 	ctl := http.NewResponseController(k.w)
 	buf := make([]byte, readBufferSize)
-	var pending []byte
+	buffer := k.newEventBuffer()
+	defer buffer.release()
 	delivered := progress{lastEvent: a.sentAt}
 	for {
 		n, err := resp.Read(buf)
-		pending = append(pending, buf[:n]...)
-		events, rest, ids := splitEvents(pending)
+		events, ids, sizeErr := buffer.add(buf[:n])
 		if len(events) > 0 {
 			if !k.checkOrder(a.lease, ids) {
 				return verdictBroken
@@ -49,17 +49,16 @@
 			}
 			k.recordEvents(a, &delivered)
 		}
-		pending = append(pending[:0], rest...)
-		if err == nil && len(pending) > maxEventBytes {
-			err = errEventTooLarge
+		if err == nil {
+			err = sizeErr
 		}
 		switch {
-		case errors.Is(err, io.EOF) && len(pending) == 0 && k.isWhole(resp, delivered.begun):
+		case errors.Is(err, io.EOF) && buffer.pending() == 0 && k.isWhole(resp, delivered.begun):
 			k.writeHeader(resp)
 			k.recordCompletion(a, delivered.longestGap)
 			return verdictAnswered
 		case err != nil:
-			k.received.eventBytes = len(pending)
+			k.received.eventBytes = buffer.pending()
 			k.recordBreak(ctx, a.lease, err)
 			return verdictBroken
 		}
