faker, soaker, launcher: upstreams that write rejections twice

A stage can now reject a request and write the rejection once more before the next response on its connection; soak seeds from 50000 on draw that for one in eight requests, and their callers send a refused request again with its id. faker.Serve closes connections that a handler has taken, as the end of a process does.

--- a/faker/network.go
+++ b/faker/network.go
@@ -249,15 +249,58 @@
 		return nil, err
 	}
 	s := &http.Server{Handler: h}
+	accepted := &trackingListener{Listener: l, open: make(map[*trackedConn]struct{})}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(accepted); !errors.Is(err, http.ErrServerClosed) {
 			panic(err)
 		}
 	}()
 	return func() {
 		s.Close()
 		<-done
+		accepted.closeAll()
 	}, nil
 }
+
+// trackingListener closes the connections that an http.Server does not know of any more, as a handler has taken them.
+type trackingListener struct {
+	net.Listener
+	mu   sync.Mutex
+	open map[*trackedConn]struct{}
+}
+
+// Accept implements net.Listener.
+func (l *trackingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &trackedConn{conn, l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = struct{}{}
+	return c, nil
+}
+
+func (l *trackingListener) closeAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		c.Conn.Close()
+	}
+}
+
+type trackedConn struct {
+	net.Conn
+	listener *trackingListener
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.open, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/faker/stage.go
+++ b/faker/stage.go
@@ -48,8 +48,16 @@
 	StageFaultNoWholeEvent
 	// StageFaultNoEvent ends a stream as whole before its first event.
 	StageFaultNoEvent
+	// StageFaultCopiedRejection refuses the request as not executed, and writes the refusal again before the next response on
+	// its connection.
+	StageFaultCopiedRejection
 )
 
+// refuses reports whether a request with the fault is not executed.
+func (t StageFault) refuses() bool {
+	return t == StageFaultOverloaded || t == StageFaultCopiedRejection
+}
+
 // Stage is a fake upstream that implements http.Handler. It streams events for paths below
 // /stream/ and answers all other requests with a short text. Exported fields are set before use.
 type Stage struct {
@@ -182,7 +190,7 @@
 	if s.Slots > 0 && s.running >= s.Slots && !rejected {
 		t = StageFaultOverloaded
 	}
-	executed := t != StageFaultOverloaded && !rejected
+	executed := !t.refuses() && !rejected
 	if executed {
 		s.running++
 	}
@@ -233,7 +241,7 @@
 		return
 	}
 	t, retryAfter := s.receive(r, body.String())
-	if t != StageFaultOverloaded && retryAfter == "" {
+	if !t.refuses() && retryAfter == "" {
 		defer s.finish()
 	}
 	if s.Crash != nil && strings.Contains(body.String(), Poison) {
@@ -255,6 +263,8 @@
 	case StageFaultOverloaded:
 		w.Header().Set(h.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
+	case StageFaultCopiedRejection:
+		s.rejectTwice(w, r)
 	case StageFaultReset:
 		panic(http.ErrAbortHandler)
 	case StageFaultSilent:
--- a/launcher/runonce_test.go
+++ b/launcher/runonce_test.go
@@ -165,3 +165,40 @@
 		}
 	}
 }
+
+// TestRunsOnceBesideCopies guards against a request that must not run twice and does, or is refused as not run though it ran,
+// since upstreams write rejections twice and its caller returns with its id.
+func TestRunsOnceBesideCopies(t *testing.T) {
+	for _, hosts := range []int{1, 4, 24} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			runLargeFleet(t, hosts, 3, "/stream/once/1", 30, func(is *is.I, fl *fleet) {
+				for _, s := range fl.stages {
+					rejected := make(map[string]bool)
+					s.SetFaultOf(func(r *http.Request) faker.StageFault {
+						id := r.Header.Get(forwarder.DefaultHeaders.RequestID)
+						if rejected[id] {
+							return faker.StageFaultNone
+						}
+						rejected[id] = true
+						return faker.StageFaultCopiedRejection
+					})
+				}
+				for n := range 20 {
+					id := fmt.Sprint("copied-", n)
+					host := fl.hosts[n%len(fl.hosts)]
+					ip, _, _ := strings.Cut(host.Address, ":")
+					var r reply
+					for range 10 {
+						if r = fl.requestAt(ip+":80", http.MethodPost, "/stream/once/1", id, nil); r.status != http.StatusServiceUnavailable {
+							break
+						}
+						is.Equal(fl.runs(id), 0)
+					}
+					is.NoErr(r.err)
+					is.Equal(r.status, http.StatusOK)
+					is.Equal(fl.runs(id), 1)
+				}
+			})
+		})
+	}
+}
--- a/soaker/once.go
+++ b/soaker/once.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/sardineward/sardineward/faker"
 	"github.com/sardineward/sardineward/matcher"
@@ -17,6 +18,12 @@
 	oncePrefix = "/stream/once/"
 	// onceFaultOdds is one in how many of their runs has a fault.
 	onceFaultOdds = 3
+	// firstCopySeed is the first seed of runs whose upstreams write rejections twice, one in copyOdds requests, and whose
+	// callers send a refused request again with its id, maxReturns times, returnPause after each refusal.
+	firstCopySeed = 50000
+	copyOdds      = 8
+	maxReturns    = 3
+	returnPause   = 20 * time.Millisecond
 )
 
 // onceFaults are the faults of a run. Each ends it before its first event, so that its host still has a status to send.
@@ -44,6 +51,17 @@
 	return onceFaults[rand.IntN(len(onceFaults))]
 }
 
+// hasCopies reports whether upstreams write rejections twice in the run of a seed.
+func hasCopies(seed uint64) bool { return seed >= firstCopySeed }
+
+// copyFault is onceFault for such a run.
+func copyFault(r *http.Request) faker.StageFault {
+	if rankOf(r.URL.Path) < 0 && rand.IntN(copyOdds) == 0 {
+		return faker.StageFaultCopiedRejection
+	}
+	return onceFault(r)
+}
+
 // mustRunOnce reports whether requests to a path must not run twice.
 func mustRunOnce(path string) bool {
 	return strings.HasPrefix(path, "/book/") || strings.HasPrefix(path, oncePrefix) || rankOf(path) >= 0
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -168,6 +168,10 @@
 		c.host, c.fallback = r.pickHost(rnd)
 		r.drawParts(rnd, &c)
 		r.send(client, &c)
+		for n := 0; hasCopies(r.Seed) && n < maxReturns && c.status == http.StatusServiceUnavailable && c.err == nil; n++ {
+			time.Sleep(returnPause)
+			r.send(client, &c)
+		}
 		r.history.addCall(c)
 		time.Sleep(time.Duration(rnd.IntN(20)) * time.Millisecond)
 	}
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -185,7 +185,7 @@
 	c.server = &http.Server{Handler: bufferResponses(c.store), ReadHeaderTimeout: time.Minute}
 	go func() { _ = c.server.Serve(l) }()
 	for _, id := range append([]string{"desk-a", "desk-b", "desk-c", "other-a", "other-b", "model-a", "model-b", "model-c", "pool-a", "pool-b"}, seriesUpstreamIDs(seed)...) {
-		if err := c.addUpstream(id); err != nil {
+		if err := c.addUpstream(id, hasCopies(seed)); err != nil {
 			return nil, err
 		}
 	}
@@ -211,13 +211,16 @@
 
 // addUpstream starts an upstream and lists it in the store. Its id is the name of its service, a
 // hyphen and a letter.
-func (c *cluster) addUpstream(id string) error {
+func (c *cluster) addUpstream(id string, copies bool) error {
 	service := id[:len(id)-2]
 	u := &upstream{
 		stage:         &faker.Stage{ID: id, Headers: &platform.Headers, Events: 20, EventInterval: 50 * time.Millisecond, ResponseDelay: 100 * time.Millisecond},
 		listenAddress: c.freeAddress(),
 	}
 	u.stage.SetFaultOf(onceFault)
+	if copies {
+		u.stage.SetFaultOf(copyFault)
+	}
 	u.link = &Proxy{Target: u.listenAddress}
 	if c.strain.drawn {
 		u.link.QueueOf = c.queueOf
