--- a/connector/refused_test.go
+++ b/connector/refused_test.go
@@ -117,3 +117,46 @@
 		is.New(t).Equal(*opened, 12)
 	})
 }
+
+// TestSecondResponseBetweenOrders guards against a second response to an order, or to a query, that is taken for the one to
+// the next order: none of them has an id.
+func TestSecondResponseBetweenOrders(t *testing.T) {
+	for _, query := range []bool{false, true} {
+		t.Run(fmt.Sprint("after a query ", query), func(t *testing.T) {
+			runScript(t, func(_ int, c net.Conn, br *bufio.Reader) {
+				copied := ""
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					text := fmt.Sprintf("HTTP/1.1 409 Conflict\r\n%s\r\n%s", contentLength(r.URL.Path), r.URL.Path)
+					if _, err := io.WriteString(c, copied+text); err != nil {
+						return
+					}
+					copied = text
+				}
+			}, func(p *connector.Pool, opened *int) {
+				is := is.NewRelaxed(t)
+				do := func(method, target string) {
+					resp, err := p.Do(context.Background(), &connector.Request{
+						Address: address, Method: method, Target: target, Host: "x", Header: http.Header{}, AtMostOnce: method == http.MethodPost, Purpose: connector.PurposeControl,
+					})
+					is.NoErr(err)
+					body, err := io.ReadAll(resp)
+					is.NoErr(err)
+					is.Equal(string(body), target)
+					resp.Done()
+				}
+				method := http.MethodPost
+				if query {
+					method = http.MethodGet
+				}
+				do(method, "/first")
+				do(http.MethodPost, "/second")
+				is.Equal(*opened, 2)
+			})
+		})
+	}
+}
