--- a/connector/connector.go
+++ b/connector/connector.go
@@ -132,8 +132,6 @@
 	// requests counts the requests that were sent over it.
 	requests int
 	refused  refusedIDs
-	// hasUnidentified is set once a request without an id was sent over it.
-	hasUnidentified bool
 }
 
 // readFinalHead reads past interim responses.
@@ -232,7 +230,6 @@
 		}()
 	}
 	want := r.Header.Get(p.RequestIDHeader)
-	c.hasUnidentified = c.hasUnidentified || want == ""
 	for range maxStaleResponses + 1 {
 		h, err := c.readFinalHead(r.Method) //nolint:bodyclose // Response.Done ends its use
 		if err != nil {
@@ -335,7 +332,7 @@
 // began; 0 for an idle one.
 func (p *Pool) getConn(ctx context.Context, r *Request) (c *conn, begunAt time.Duration, err error) {
 	for {
-		c = p.popIdle(r.Address, r.Header.Get(p.RequestIDHeader), r.AtMostOnce)
+		c = p.popIdle(r.Address, r.Header.Get(p.RequestIDHeader))
 		if c == nil {
 			break
 		}
--- a/connector/idle.go
+++ b/connector/idle.go
@@ -12,7 +12,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	i := lastFor(list, id, atMostOnce)
+	i := lastFor(list, id)
 	if i < 0 {
 		return false
 	}
@@ -20,31 +20,22 @@
 	return c.usableUntil > now && (!atMostOnce || now-c.idleSince < maxIdleForOnce)
 }
 
-// lastFor returns the index of the most recently used connection that may carry a request with an id, or -1.
-func lastFor(list []*conn, id string, atMostOnce bool) int {
+// lastFor returns the index of the most recently used connection over which no request with an id was refused, or -1.
+func lastFor(list []*conn, id string) int {
 	for i, c := range slices.Backward(list) {
-		if c.mayCarry(id, atMostOnce) {
+		if !c.refused.contains(id) {
 			return i
 		}
 	}
 	return -1
 }
 
-// mayCarry reports whether a second response to an earlier request can't be taken for the one to a request with an id. A
-// request that has none and may be repeated goes over any connection: its response is at worst an old one.
-func (c *conn) mayCarry(id string, atMostOnce bool) bool {
-	if id == "" {
-		return !atMostOnce || !c.hasUnidentified
-	}
-	return !c.refused.contains(id)
-}
-
 // popIdle removes and returns the connection that lastFor chooses, or nil.
-func (p *Pool) popIdle(address, id string, atMostOnce bool) *conn {
+func (p *Pool) popIdle(address, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	i := lastFor(list, id, atMostOnce)
+	i := lastFor(list, id)
 	if i < 0 {
 		return nil
 	}
