connector: write no request whose context has ended

What callers saw: a request that ended before it was written, at its deadline or at the end of a planned stop, was still written over a kept connection, since closing that takes place in another goroutine. It got 502 or 504 where 503, not run, was possible. Change: the context is asked right before the write; the connection is kept.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -196,6 +196,10 @@
 		p.putBack(c)
 		return nil, &Error{Address: r.Address, Withheld: true, Err: errWithheld}
 	}
+	if err := ctx.Err(); err != nil {
+		p.putBack(c)
+		return nil, &Error{Address: r.Address, Err: err}
+	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	use := ConnUse{Earlier: c.requests}
 	resp, sent, err := p.exchange(c, r, &use)
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -167,6 +167,28 @@
 	})
 }
 
+// TestEndedNotSent guards against a request whose context has ended and that is written over a kept connection.
+func TestEndedNotSent(t *testing.T) {
+	sent := 0
+	for range 50 {
+		runScript(t, func(_ int, c net.Conn, br *bufio.Reader) {
+			for respond(c, br, "", contentLength("ok"), "ok") {
+				sent++
+			}
+		}, func(p *connector.Pool, _ *int) {
+			is := is.NewRelaxed(t)
+			_, err := doRequest(p, "first", true)
+			is.NoErr(err)
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			_, err = p.Do(ctx, &connector.Request{Address: address, Method: http.MethodPost, Target: "/", Host: "x", Header: http.Header{"Id": {"ended"}}, AtMostOnce: true})
+			assertSent(t, err, false)
+			time.Sleep(time.Second)
+		})
+	}
+	is.New(t).Equal(sent, 50)
+}
+
 // TestStaleResponse guards against returning a late response to an earlier request, which comes
 // first on a connection.
 func TestStaleResponse(t *testing.T) {
