connector, forwarder: keep no connection over which an order was refused

What callers saw: nothing is reported. An engine that writes the refusal of an order twice has the next order over that connection count as refused though it was carried out: neither has an id. The same holds for a request of a caller without an id. Change: a refusal without an id closes its connection. A success with another status than 200, which ends an attempt of a begun stream as failed, closes its connection too. Evidence: TestCopiedRefusalOfOrder red before (409 for an order that was taken). Cost: one new connection for each refused order or query.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -176,6 +176,8 @@
 	conn *conn
 	// id is that of the request; empty if it has none, or if another host responds, which does so once.
 	id string
+	// isUnidentified is set if an upstream responds to a request without an id.
+	isUnidentified bool
 	// stop detaches the connection from the request's context; it returns false when the context
 	// has ended.
 	stop func() bool
@@ -243,7 +245,7 @@
 		if got == want || got == "" && r.Purpose == PurposePeer {
 			resp := &Response{Response: h, pool: p, conn: c, writeErr: writeErr}
 			if r.Purpose != PurposePeer {
-				resp.id = want
+				resp.id, resp.isUnidentified = want, want == ""
 			}
 			return resp, true, nil
 		}
@@ -295,8 +297,14 @@
 // to its end.
 func (r *Response) Done() bool {
 	ctxActive := r.stop()
+	isRefused := r.StatusCode >= http.StatusBadRequest
+	if isRefused && r.isUnidentified {
+		// Nothing would tell a copy of the refusal from the next response.
+		r.conn.Close()
+		return r.complete
+	}
 	if r.complete && ctxActive && !r.closesConn() && r.BodyDelimited() && r.requestSent() {
-		if r.StatusCode >= http.StatusBadRequest {
+		if isRefused {
 			r.conn.refused.add(r.id)
 		}
 		r.pool.putIdle(r.conn, r.Header)
--- a/connector/refused_test.go
+++ b/connector/refused_test.go
@@ -117,3 +117,44 @@
 		is.New(t).Equal(*opened, 12)
 	})
 }
+
+// TestCopiedRefusalOfOrder guards against a copy of the refusal of an order, which has no id, that is taken for the response to
+// the next one.
+func TestCopiedRefusalOfOrder(t *testing.T) {
+	runScript(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		copied := ""
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			text := "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+			if r.URL.Path == "/refused" {
+				text = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
+				copied = text
+			} else {
+				text = copied + text
+			}
+			if _, err := io.WriteString(c, text); err != nil {
+				return
+			}
+		}
+	}, func(p *connector.Pool, opened *int) {
+		is := is.NewRelaxed(t)
+		order := func(target string, status int) {
+			resp, err := p.Do(context.Background(), &connector.Request{
+				Address: address, Method: http.MethodPost, Target: target, Host: "x", Header: http.Header{}, Purpose: connector.PurposeControl, AtMostOnce: true,
+			})
+			is.NoErr(err)
+			_, err = io.ReadAll(resp)
+			is.NoErr(err)
+			is.True(resp.Done())
+			is.Equal(resp.StatusCode, status)
+		}
+		order("/refused", http.StatusConflict)
+		order("/taken", http.StatusAccepted)
+		order("/taken", http.StatusAccepted)
+		is.Equal(*opened, 2)
+	})
+}
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -111,7 +111,7 @@
 // endResponse ends the use of a response. A connection is not kept after a success that is no response to the request, as
 // the request may be sent again.
 func endResponse(resp *connector.Response, v verdict) {
-	if v == verdictMayHaveRun || v == verdictBroken {
+	if v == verdictMayHaveRun || v == verdictBroken || v == verdictFailed && resp.StatusCode < http.StatusBadRequest {
 		resp.Discard()
 		return
 	}
