forwarder: tell callers at the end of a stop what has not run

What callers saw: at the end of a planned stop a request that upstreams had only rejected got 502, and one whose body still came got no response, and the process ended with code 1. Both have not run. On real processes bodies that ended at 6.5 s were refused although upstreams need 50 ms, since the time for reading bodies counted as usual duration. Cause: any response counted as sent, also a rejection; a request was registered with the stop only after its body; durations counted from the arrival. Change: a rejected attempt leaves the record of what was sent as it was; a request is registered before its body is read, and the read ends with it; durations count from the end of the body. A body that is still read at the deadline of its request gets 503 too, in place of 400 after 10 s. TestLongBodies passes readBody a context now, its checks are as they were.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -203,6 +203,8 @@
 	// arrivedAt is when the request arrived. firstEventLatency is the time from then to the
 	// first event; 0 before it.
 	arrivedAt, firstEventLatency time.Duration
+	// readAt is when its body was read.
+	readAt time.Duration
 	// avoid lists the upstreams that failed this request, rejecters those of them that rejected it
 	// without running it.
 	avoid, rejecters []string
@@ -275,21 +277,24 @@
 	if delegated {
 		k.readDelegation()
 	}
-	if !k.resolve() || !k.readBody() || k.refuseStopping() {
+	if !k.resolve() {
 		return
 	}
+	ctx, cancel := context.WithTimeout(k.r.Context(), k.deadline-k.Now())
+	defer cancel()
+	ctx, done := k.endWithStop(ctx)
+	defer done()
+	if !k.readBody(ctx) || k.refuseStopping() {
+		return
+	}
+	k.readAt = k.Now()
 	k.fingerprint = fingerprintOf(k)
 	k.parts = isolator.ParseParts(k.partsHeader())
 	if k.route.Kind == matcher.KindStreaming {
 		k.lastEventID = parseEventID(k.r.Header.Get("Last-Event-Id"))
 	}
 	ctl := http.NewResponseController(k.w)
-	left := k.deadline - k.Now()
-	ctl.SetWriteDeadline(time.Now().Add(left + writeGrace))
-	ctx, cancel := context.WithTimeout(k.r.Context(), left)
-	defer cancel()
-	ctx, done := k.endWithStop(ctx)
-	defer done()
+	ctl.SetWriteDeadline(time.Now().Add(k.deadline - k.Now() + writeGrace))
 	if k.refuseIsolated(false) || k.shouldDelegate() && !k.delegate(ctx) {
 		return
 	}
@@ -371,9 +376,9 @@
 	return out
 }
 
-// readBody reads the whole body, so that the request can be sent again. It returns false after
+// readBody reads the whole body, so that the request can be sent again, until ctx ends. It returns false after
 // refusing the request.
-func (k *call) readBody() bool {
+func (k *call) readBody(ctx context.Context) bool {
 	limit := k.table.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
@@ -386,7 +391,12 @@
 	}
 	ctl := http.NewResponseController(k.w)
 	ctl.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	stop := context.AfterFunc(ctx, func() { ctl.SetReadDeadline(time.Now()) })
 	body, err := k.readRequestBody(http.MaxBytesReader(k.w, k.r.Body, limit), k.r.ContentLength)
+	if !stop() {
+		k.refuseExpired()
+		return false
+	}
 	if errors.Is(err, errNoMemory) {
 		k.discardBody(ctl)
 	}
--- a/forwarder/memory_test.go
+++ b/forwarder/memory_test.go
@@ -84,7 +84,7 @@
 			}
 			for range 10 {
 				k, w := send(long)
-				if k.readBody() {
+				if k.readBody(k.r.Context()) {
 					is.Equal(len(k.body), long)
 					taken = append(taken, k)
 					continue
@@ -99,14 +99,14 @@
 			}
 			is.Equal(refused, 7)
 			k, _ := send(short - 1)
-			is.True(k.readBody())
+			is.True(k.readBody(k.r.Context()))
 			for _, k := range taken {
 				k.releaseAll()
 			}
 			bodies, _ := first.HeldBytes()
 			is.Equal(bodies, int64(0))
 			k, _ = send(long)
-			is.True(k.readBody())
+			is.True(k.readBody(k.r.Context()))
 		})
 	}
 }
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -85,7 +85,7 @@
 func (k *call) exchange(ctx context.Context, l *balancer.Lease) (*answer, verdict) {
 	id := l.First.ID
 	k.received = responseProgress{}
-	sent := k.Now()
+	sent, wasSent := k.Now(), k.wasSent
 	ctx, done := k.trackExchange(ctx, sent)
 	defer done()
 	resp, err := k.Pool.Do(ctx, k.upstreamRequest(l))
@@ -104,6 +104,9 @@
 		return nil, verdictMayHaveRun
 	}
 	a, v := k.classifyAnswer(l, &answer{resp.Response, body}, sent)
+	if v == verdictNotRun {
+		k.wasSent = wasSent
+	}
 	endResponse(resp, v)
 	return a, v
 }
@@ -267,7 +270,7 @@
 	}
 	k.Meter.Requests.WithLabelValues(name, k.route.Kind.String()).Inc()
 	k.recordServed()
-	k.durations.record(k.service.Name, k.Now()-k.arrivedAt)
+	k.durations.record(k.service.Name, k.Now()-k.readAt)
 	k.clearStrikes()
 	k.Isolator.RecordAnswer(k.Now(), k.parts)
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -276,12 +276,18 @@
 		req.Header.Set("Last-Event-Id", k.lastEventID.text)
 	}
 	k.received = responseProgress{}
+	wasSent := k.wasSent
 	resp, err := k.Pool.Do(ctx, req)
 	if err != nil {
 		k.recordNoFirstEvent(a)
 		return k.classifyError(ctx, l, err)
 	}
-	defer func() { endResponse(resp, v) }()
+	defer func() {
+		if v == verdictNotRun {
+			k.wasSent = wasSent
+		}
+		endResponse(resp, v)
+	}()
 	k.wasSent, k.received.head, k.connUse = true, true, resp.Use
 	k.observeLimit(l, resp.Response, a.sentAt)
 	k.observeAnnouncements(l, resp.Response)
--- a/launcher/stop_test.go
+++ b/launcher/stop_test.go
@@ -134,3 +134,43 @@
 		is.Equal(b.rawRequest(http.MethodPost, "/stream/1", "late", 0).status, http.StatusOK)
 	})
 }
+
+// TestStopAnswersUnreadBodies guards against a planned stop that closes the connection of a request whose body still comes,
+// without a response.
+func TestStopAnswersUnreadBodies(t *testing.T) {
+	for _, path := range stopPaths {
+		t.Run(path, func(t *testing.T) {
+			runHost(t, 0, func(b *testbed) {
+				is := is.NewRelaxed(t)
+				c, err := b.net.Dialer("caller")(context.Background(), "tcp", callersAddress)
+				is.NoErr(err)
+				h := forwarder.DefaultHeaders
+				b.stop()
+				time.Sleep(time.Second)
+				_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer %s\r\n%s: unread\r\n%s: 20000\r\nContent-Length: 100\r\n\r\n", path, apiKey, h.RequestID, h.DeadlineMs)
+				is.NoErr(err)
+				var sender sync.WaitGroup
+				sender.Go(func() {
+					for range 99 { // 9.4 s
+						if _, err := c.Write([]byte("x")); err != nil {
+							return
+						}
+						time.Sleep(95 * time.Millisecond)
+					}
+				})
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				is.NoErr(err)
+				if err == nil {
+					is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+					resp.Body.Close()
+				}
+				is.Equal(b.runs("unread"), 0)
+				err = <-b.done
+				b.done <- err // for runHost
+				is.NoErr(err)
+				c.Close()
+				sender.Wait()
+			})
+		})
+	}
+}
