launcher: wait for the final responses of a stop that has timed out

What callers saw: on a host that was suspended from 6.8 to 7.6 s after SIGTERM, 19 of 20 requests under way got no answer, twice, and it exited with code 1 after 7.6 and 7.7 s (real process, trials). Cause: the end of the requests, at 7.0 s, and that of the stop, at 7.5 s, come due together, and the process ends before the responses are written. Change: a stop that has timed out waits up to 0.3 s more for the final responses; the platform kills at 8 s. Evidence: TestStopAwaitsLateResponses, 4 of 4 requests without an answer before.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -54,6 +54,8 @@
 	sweepInterval = time.Second
 	// drainPollInterval is the time between two checks whether the last requests have ended.
 	drainPollInterval = 20 * time.Millisecond
+	// finalResponseTimeout bounds the wait for the final responses of a stop that has timed out.
+	finalResponseTimeout = 300 * time.Millisecond
 	// memoryLimitRatio is the fraction of Settings.MemoryMB that is set as the soft memory limit
 	// of the Go runtime, near which it collects garbage more often.
 	memoryLimitRatio = 0.7
@@ -160,7 +162,8 @@
 
 // stop fails the readiness check and keeps serving for Settings.BalancerMs, so that the external
 // load balancer notices. It then closes the listener for callers and waits for the requests in
-// flight. Settings.StopMs bounds both steps together; shortly before, requests still in flight get their final response.
+// flight. Settings.StopMs bounds both steps together; shortly before, requests still in flight get their final response, on a host
+// that is late up to finalResponseTimeout later.
 func (h *Host) stop(callers *http.Server) error {
 	h.Log.Info().Int64("inFlight", h.forwarder.InFlight()).Msg("launcher: stopping")
 	h.forwarder.Stop(millis(h.Settings.StopMs))
@@ -172,6 +175,9 @@
 	}
 	err := callers.Shutdown(shutdownCtx)
 	h.awaitDelegated(shutdownCtx)
+	if shutdownCtx.Err() != nil {
+		err = h.awaitFinalResponses(callers)
+	}
 	inFlight := h.forwarder.InFlight()
 	h.Log.Info().Int64("cut", inFlight).Msg("launcher: stopped")
 	if err != nil && inFlight > 0 {
@@ -180,6 +186,15 @@
 	return nil
 }
 
+// awaitFinalResponses waits for the final responses of a stop that has timed out.
+func (h *Host) awaitFinalResponses(callers *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), finalResponseTimeout)
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	h.awaitDelegated(ctx)
+	return err
+}
+
 // awaitDelegated waits until the requests that this host serves for others have ended, or ctx has.
 func (h *Host) awaitDelegated(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/launcher/stop_test.go
+++ b/launcher/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -9,10 +10,13 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
+	"github.com/sardineward/sardineward/follower"
 	"github.com/sardineward/sardineward/forwarder"
 )
 
@@ -174,3 +178,45 @@
 		})
 	}
 }
+
+// slowLog delays what logs a final response, as a suspension of the host does.
+type slowLog struct{ delay time.Duration }
+
+// Write implements io.Writer.
+func (l slowLog) Write(b []byte) (int, error) {
+	if bytes.Contains(b, []byte("refused: the host stops")) {
+		time.Sleep(l.delay)
+	}
+	return len(b), nil
+}
+
+// TestStopAwaitsLateResponses guards against a planned stop that times out before a host that is late has written the final
+// responses.
+func TestStopAwaitsLateResponses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		b := newTestbed(t)
+		for _, id := range []string{"desk-a", "model-a"} {
+			defer b.startUpstream(id)()
+		}
+		h := b.newHost(follower.Host{Name: "host-a", DataCentre: "here", Address: "10.0.0.1:82"})
+		h.Log = zerolog.New(slowLog{600 * time.Millisecond})
+		ctx, stop := context.WithCancel(context.Background())
+		go func() { b.done <- h.Run(ctx) }()
+		time.Sleep(time.Second)
+		b.setDelay(12 * time.Second)
+		stop()
+		var wg sync.WaitGroup
+		for _, path := range stopPaths {
+			wg.Go(func() {
+				r := b.rawRequest(http.MethodPost, path, "late"+path, 0)
+				is.NoErr(r.err)
+				is.Equal(r.status, http.StatusBadGateway)
+			})
+		}
+		wg.Wait()
+		is.NoErr(<-b.done)
+		b.client.CloseIdleConnections()
+		time.Sleep(20 * time.Second) // the upstreams end
+	})
+}
