forwarder: refuse answers to orders and queries that exceed their bound

What callers saw: nothing is reported. An answer without end to an order or a query was cut off at its bound and passed on as whole: a 202 counted as accepted. Cause: the bound of the reader ends like the answer does. Change: an answer that is larger than the bound is an error, as one that breaks off is. Evidence: TestEndlessControlAnswer, both cases with a body red before.

--- a/forwarder/control.go
+++ b/forwarder/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -11,6 +12,9 @@
 // maxControlBytes bounds an order and the answer to one.
 const maxControlBytes = 256 << 10
 
+// errControlTooLarge means that the answer to an order or query exceeds maxControlBytes.
+var errControlTooLarge = fmt.Errorf("forwarder: answer to an order or query is larger than %d bytes", maxControlBytes)
+
 // PoolTransport is an http.RoundTripper for orders and queries to engines, over the kept connections
 // of requests. Like those, an order is sent once, and only over a connection used just now.
 type PoolTransport struct {
@@ -41,11 +45,14 @@
 	if err != nil {
 		return nil, err
 	}
-	answer, err := io.ReadAll(io.LimitReader(resp, maxControlBytes))
+	answer, err := io.ReadAll(io.LimitReader(resp, maxControlBytes+1))
 	resp.Done()
 	if err != nil {
 		return nil, err
 	}
+	if len(answer) > maxControlBytes {
+		return nil, errControlTooLarge
+	}
 	out := *resp.Response
 	out.Body = io.NopCloser(bytes.NewReader(answer))
 	out.Request = r
