forwarder: take requests in a stop that end in time on average

What callers saw: in a roll of all hosts callers were refused as the stop would end before their request, came back once, and were refused by the next host that stops. Cause: the usual duration of a service was a maximum, which most of its requests do not reach. Change: it is the mean, so that a request is refused only where it is as likely as not to be cut.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -33,8 +33,9 @@
 	BegunAt time.Duration
 	// Withheld is set when Request.MaySend returned false.
 	Withheld bool
-	Use      ConnUse
-	Err      error
+	// Use describes the connection that the request was written to.
+	Use ConnUse
+	Err error
 }
 
 // Error returns the message, with the address and the cause.
@@ -171,6 +172,7 @@
 // Response is a response whose body is still to be read. Done or Discard must be called on each one.
 type Response struct {
 	*http.Response
+	// Use describes the connection that the response came over.
 	Use  ConnUse
 	pool *Pool
 	conn *conn
--- a/connector/head.go
+++ b/connector/head.go
@@ -13,7 +13,7 @@
 	isDue bool
 	left  int
 	lines int
-	// isLineEmpty is set where the line that is being read has no bytes yet, hasEnded after the empty line.
+	// isLineEmpty is set while the line that is being read has no bytes, hasEnded after the empty line.
 	isLineEmpty, hasEnded bool
 }
 
--- a/forwarder/stopping.go
+++ b/forwarder/stopping.go
@@ -17,8 +17,8 @@
 	finalTimeDivisor = 4
 	// maxStopWait is the longest Retry-After of a host that stops: other hosts can serve the request at once.
 	maxStopWait = 100 * time.Millisecond
-	// durationDecay divides the difference by which a shorter request lowers the usual duration.
-	durationDecay = 32
+	// durationWeight divides the difference by which one request changes the mean duration of its service.
+	durationWeight = 32
 )
 
 // errHostStops cancels the requests that are under way when a planned stop ends.
@@ -34,7 +34,7 @@
 }
 
 // Stop starts a planned stop that lasts for left: the host is no longer ready, responses ask callers to close their
-// connections, requests that usually take longer than that are refused, and those that are still under way shortly before
+// connections, requests that take longer than that on average are refused, and those that are still under way shortly before
 // the end get a final response.
 func (f *Forwarder) Stop(left time.Duration) {
 	left -= min(maxFinalTime, left/finalTimeDivisor)
@@ -84,8 +84,8 @@
 	return s.isEnded
 }
 
-// refuseStopping refuses a request that a planned stop would end, by how long those of its service usually take, and reports
-// whether it did.
+// refuseStopping refuses a request that a planned stop would end, by how long those of its service take on average, and reports
+// whether it did. Its caller may have no other try, so that one which is as likely to end in time is taken.
 func (k *call) refuseStopping() bool {
 	if !k.stopping.Load() {
 		return false
@@ -93,7 +93,7 @@
 	k.stop.mu.Lock()
 	left := k.stop.endsAt - k.Now()
 	k.stop.mu.Unlock()
-	if k.deadline-k.Now() <= left || k.durations.usual(k.service.Name) <= left {
+	if k.deadline-k.Now() <= left || k.durations.mean(k.service.Name) <= left {
 		return false
 	}
 	return !k.refuse(admitter.ReasonStopping, "the host stops before the request would end")
@@ -102,26 +102,28 @@
 // stopWait returns the Retry-After of a host that stops.
 func stopWait() time.Duration { return time.Duration(rand.Float64() * float64(maxStopWait)) }
 
-// serviceDurations holds how long the requests of each service usually take at most. The zero value is ready to use.
+// serviceDurations holds how long the requests of each service take on average. The zero value is ready to use.
 type serviceDurations struct {
-	mu   sync.Mutex
-	list map[string]time.Duration
+	mu    sync.Mutex
+	means map[string]time.Duration
 }
 
 // record records how long a request took that was answered in full.
 func (s *serviceDurations) record(service string, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.list == nil {
-		s.list = make(map[string]time.Duration)
+	if s.means == nil {
+		s.means = make(map[string]time.Duration)
 	}
-	usual := s.list[service]
-	s.list[service] = max(d, usual-(usual-d)/durationDecay)
+	if mean, ok := s.means[service]; ok {
+		d = mean + (d-mean)/durationWeight
+	}
+	s.means[service] = d
 }
 
-// usual returns how long the requests of a service take at most, apart from few; 0 if none was answered yet.
-func (s *serviceDurations) usual(service string) time.Duration {
+// mean returns how long the requests of a service take on average; 0 if none was answered yet.
+func (s *serviceDurations) mean(service string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.list[service]
+	return s.means[service]
 }
--- a/launcher/stop_test.go
+++ b/launcher/stop_test.go
@@ -115,8 +115,8 @@
 	})
 }
 
-// TestStopRefusesSlowRoutes guards against a request that is taken in a planned stop although those of its route usually take
-// longer than the rest of the stop.
+// TestStopRefusesSlowRoutes guards against a request that is taken in a planned stop although those of its service take
+// longer than the rest of the stop on average.
 func TestStopRefusesSlowRoutes(t *testing.T) {
 	runHost(t, 0, func(b *testbed) {
 		is := is.New(t)
