soaker: forget the refusal when a caller returns

Cause: a call kept the status of the response before. That also hid violations of calls that broke off then. Change: each try begins without a status. TestReturnWithoutResponse red before.

--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -240,6 +240,7 @@
 // send sends the request of c and records its result in c.
 func (r *Run) send(client *http.Client, c *call) {
 	c.sent = time.Now()
+	c.status, c.retryAfter, c.body, c.err = 0, 0, "", nil
 	h := r.cluster.hosts[c.host]
 	c.earlier = h.runsEarlier(r.Earlier)
 	defer func() {
