forwarder: refuse no request for the time that a stop has left

Cause: the refusal of requests that take longer than the rest of the stop on average. What can't end in the stop gets its final response at the end, as before.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -110,10 +110,9 @@
 	Meter *meter.Meter
 	Log   zerolog.Logger
 
-	stopping  atomic.Bool
-	stop      plannedStop
-	durations serviceDurations
-	inFlight  atomic.Int64
+	stopping atomic.Bool
+	stop     plannedStop
+	inFlight atomic.Int64
 	// lastContact is when any upstream last sent an event or accepted a connection, as
 	// nanoseconds of Now.
 	lastContact atomic.Int64
@@ -203,8 +202,6 @@
 	// arrivedAt is when the request arrived. firstEventLatency is the time from then to the
 	// first event; 0 before it.
 	arrivedAt, firstEventLatency time.Duration
-	// readAt is when its body was read.
-	readAt time.Duration
 	// avoid lists the upstreams that failed this request, rejecters those of them that rejected it
 	// without running it.
 	avoid, rejecters []string
@@ -284,10 +281,9 @@
 	defer cancel()
 	ctx, done := k.endWithStop(ctx)
 	defer done()
-	if !k.readBody(ctx) || k.refuseStopping() {
+	if !k.readBody(ctx) {
 		return
 	}
-	k.readAt = k.Now()
 	k.fingerprint = fingerprintOf(k)
 	k.parts = isolator.ParseParts(k.partsHeader())
 	if k.route.Kind == matcher.KindStreaming {
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -270,7 +270,6 @@
 	}
 	k.Meter.Requests.WithLabelValues(name, k.route.Kind.String()).Inc()
 	k.recordServed()
-	k.durations.record(k.service.Name, k.Now()-k.readAt)
 	k.clearStrikes()
 	k.Isolator.RecordAnswer(k.Now(), k.parts)
 }
