connector: report a reset that a write of the request got

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written. Callers got that part as a whole answer, a stream as one that had ended. Cause: a socket reports a reset to one call only. Where that was the write of the request, which takes place in another goroutine, the next read saw an end, and an end is what completes a body without a length. The outcome of the write was asked for afterwards, and only to decide whether the connection is kept. With a length or chunks the early end shows by itself. Change: a connection keeps the error of its first failed write. A read that sees an end interrupts a write in progress, so that nothing waits for an upstream that does not read on, and returns that error, unless the upstream had ended its side first: then the write fails with EPIPE or is merely interrupted. So a whole answer stays one, also when its connection is reset after its end. Plain requests get 502 or are sent again where they may be, streams are resumed or cut, and what must not run twice ran once. The fake network reports such an end to all calls, so faker.RawUpstream plays it on sockets.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -123,7 +123,7 @@
 
 // conn is a connection with its read buffer.
 type conn struct {
-	net.Conn
+	*resetConn
 	address string
 	br      *bufio.Reader
 	// head bounds what br reads of the connection while the head of a response is due.
@@ -233,7 +233,7 @@
 		writeErr <- nil
 	} else {
 		go func() {
-			_, err := (&net.Buffers{head, r.Body}).WriteTo(c.Conn)
+			_, err := (&net.Buffers{head, r.Body}).WriteTo(c)
 			writeErr <- err
 		}()
 	}
@@ -368,8 +368,9 @@
 		return nil, begunAt, err
 	}
 	now := p.Now()
-	head := &headReader{conn: nc}
-	return &conn{Conn: nc, address: r.Address, br: bufio.NewReaderSize(head, bufferSize), head: head, idleSince: now, usableUntil: now + defaultKeepAlive}, begunAt, nil
+	rc := newResetConn(nc)
+	head := &headReader{conn: rc}
+	return &conn{resetConn: rc, address: r.Address, br: bufio.NewReaderSize(head, bufferSize), head: head, idleSince: now, usableUntil: now + defaultKeepAlive}, begunAt, nil
 }
 
 // keepAliveTimeout returns how long an idle connection may be kept: the timeout in the upstream's
--- /dev/null
+++ b/launcher/brokenanswer_test.go
@@ -0,0 +1,100 @@
+package launcher_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/balancer"
+	"github.com/sardineward/sardineward/faker"
+	"github.com/sardineward/sardineward/follower"
+	"github.com/sardineward/sardineward/forwarder"
+)
+
+// runRawHost starts a host on sockets whose upstreams respond by respond, and calls f with the address for callers.
+func runRawHost(t *testing.T, respond func(c net.Conn, br *bufio.Reader) bool, f func(b *testbed, address string)) {
+	t.Helper()
+	is := is.New(t)
+	b := newTestbed(t)
+	b.cfg.Limits.BodyBytes = 64 << 20
+	b.source.Configure(&b.cfg)
+	for _, id := range []string{"desk-a", "desk-b", "model-a", "model-b"} {
+		u := &faker.RawUpstream{Respond: respond}
+		address, err := u.Start()
+		is.NoErr(err)
+		defer u.Close()
+		service, _, _ := strings.Cut(id, "-")
+		b.source.PutUpstream(balancer.Upstream{ID: id, Service: service, Address: address, DataCentre: "here", Slots: 64, StartedAt: 1})
+	}
+	h := b.newHost(follower.Host{Name: "host-a", DataCentre: "here", Address: "10.0.0.1:82"})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	h.Listen = func(address string) (net.Listener, error) {
+		if address == callersAddress {
+			return l, nil
+		}
+		return b.net.Listen(address)
+	}
+	h.Dial = new(net.Dialer).DialContext
+	b.client = new(http.Client)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { b.done <- h.Run(ctx) }()
+	defer func() { cancel(); <-b.done }()
+	time.Sleep(time.Second)
+	f(b, l.Addr().String())
+}
+
+// assertNoAnswer sends requests of each kind with a body of size bytes, each to upstreams that run it without a sound
+// answer, and checks that callers get none, soon, and that what must not run twice runs once.
+func assertNoAnswer(t *testing.T, size int, respond func(c net.Conn, br *bufio.Reader, text func(r *http.Request) string) bool, answer string) {
+	t.Helper()
+	const requests = 8
+	is := is.NewRelaxed(t)
+	var runs atomic.Int64
+	body := strings.Repeat("x", size)
+	h := forwarder.DefaultHeaders
+	text := func(r *http.Request) string {
+		runs.Add(1)
+		return strings.NewReplacer("{id}", r.Header.Get(h.RequestID), "{headers}", fmt.Sprintf("%s: %s\r\n%s: stamp\r\n", h.RequestID, r.Header.Get(h.RequestID), h.Stamp)).Replace(answer)
+	}
+	runRawHost(t, func(c net.Conn, br *bufio.Reader) bool { return respond(c, br, text) }, func(b *testbed, address string) {
+		for _, path := range []string{"/look/1", "/book/1", "/stream/1", "/stream/once/1"} {
+			taken := 0
+			runs.Store(0)
+			for n := range requests {
+				r := b.requestAt(address, http.MethodPost, path, fmt.Sprint(path, n), func(r *http.Request) {
+					r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(size)
+				})
+				if r.err == nil && r.status != http.StatusBadGateway || r.took > 2*time.Second {
+					t.Logf("%s: status %d, body %q, %v, after %v", path, r.status, r.body, r.header, r.took)
+					taken++
+				}
+			}
+			is.Equal(taken, 0)
+			if path == "/book/1" || path == "/stream/once/1" {
+				is.Equal(runs.Load(), int64(requests))
+			}
+		}
+	})
+}
+
+// TestResetDuringUpload guards against passing on a part of a body as the whole one: its upstream resets the connection
+// while the request is being written.
+func TestResetDuringUpload(t *testing.T) {
+	const uploadSize = 8 << 20
+	respond := func(c net.Conn, br *bufio.Reader, text func(r *http.Request) string) bool {
+		faker.WriteEarly(c, br, text)
+		faker.Reset(c)
+		return false
+	}
+	assertNoAnswer(t, uploadSize, respond, "HTTP/1.1 200 OK\r\n{headers}\r\nid: 1\ndata: event 1\n\n")
+}
