--- a/runner/bench_test.go
+++ b/runner/bench_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -38,6 +39,8 @@
 	seed        uint64
 	// tls is set on every host; nil means plain connections.
 	tls *loader.TLS
+	// dial connects to addresses that are not on net; nil means that there are none.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // testHost is one entry host of a cluster.
@@ -161,7 +164,7 @@
 	log := zerolog.New(b.log).With().Str("at", cfg.Host).Timestamp().Logger()
 	e.checker = &checker.Checker{Log: log, Fail: func(v checker.Violation) { b.t.Errorf("violation on %s: %v", cfg.Host, v) }}
 	e.Host = &runner.Host{
-		Settings: cfg, Log: log, Checker: e.checker, Listen: b.net.Listen, Dial: b.net.Dialer(cfg.DataCentre, fmt.Sprint("peer", i)),
+		Settings: cfg, Log: log, Checker: e.checker, Listen: b.net.Listen, Dial: b.dialer(cfg.DataCentre, fmt.Sprint("peer", i)),
 		Seed: b.seed*100 + uint64(i) + 1,
 	}
 	for _, ep := range []loader.Endpoint{cfg.Callers, cfg.Peer, cfg.Admin} {
@@ -180,6 +183,17 @@
 	return e
 }
 
+// dialer returns how a host at the given locations connects.
+func (b *cluster) dialer(locations ...string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	inMemory := b.net.Dialer(locations...)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if b.dial != nil && strings.HasPrefix(address, "127.0.0.1:") {
+			return b.dial(ctx, network, address)
+		}
+		return inMemory(ctx, network, address)
+	}
+}
+
 // kill ends host i as SIGKILL would: its connections break first. Otherwise a TLS server writes
 // close_notify to each connection while it holds its lock, which stops the virtual clock.
 func (b *cluster) kill(i int) {
--- /dev/null
+++ b/runner/brokenanswer_test.go
@@ -0,0 +1,87 @@
+package runner_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sardineward/sardineward/faker"
+)
+
+// runRawService starts a host whose service desk has instances on sockets that respond by respond, and calls f in real
+// time.
+func runRawService(t *testing.T, respond func(c net.Conn, br *bufio.Reader) bool, f func(b *cluster)) {
+	t.Helper()
+	t.Parallel()
+	cfg := configuration()
+	for i := range cfg.Upstreams {
+		if !strings.Contains(cfg.Upstreams[i].Name, "-desk") {
+			continue
+		}
+		u := &faker.RawUpstream{Respond: respond}
+		address, err := u.Start()
+		is.New(t).NoErr(err)
+		defer u.Close()
+		cfg.Upstreams[i].Address = address
+	}
+	b := newCluster(t, 1, cfg)
+	defer b.environment.Close()
+	b.dial = new(net.Dialer).DialContext
+	b.hosts = b.hosts[:1]
+	b.start(0)
+	defer b.kill(0)
+	b.submit(0, cfg)
+	b.await(10*time.Second, b.allReady)
+	time.Sleep(time.Second)
+	f(b)
+}
+
+// assertNoAnswer sends calls of each kind with a body of about size bytes to instances that respond by write, and checks
+// that callers get no answer, and that what must not run twice runs once.
+func assertNoAnswer(t *testing.T, size int, write func(c net.Conn, br *bufio.Reader) bool) {
+	t.Helper()
+	const calls = 8
+	is := is.NewRelaxed(t)
+	var runs atomic.Int64
+	respond := func(c net.Conn, br *bufio.Reader) bool {
+		if first, err := br.Peek(4); err == nil && string(first) == "GET " {
+			return faker.WriteWhole(c, br, func(*http.Request) string { return "HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n{\"incarnation\":1}" })
+		}
+		runs.Add(1)
+		return write(c, br)
+	}
+	runRawService(t, respond, func(b *cluster) {
+		for _, path := range []string{"/search", "/once", "/bookings"} {
+			taken := 0
+			runs.Store(0)
+			for n := range calls {
+				r := b.post(0, "/services/desk"+path, fmt.Sprintf(`{"id":"%s%d","text":"%s"}`, path, n, strings.Repeat("x", size)), nil)
+				if r.err != nil || r.refusal == nil {
+					t.Logf("%s: status %d, body %q, %v", path, r.status, r.body, r.err)
+					taken++
+				}
+			}
+			is.Equal(taken, 0)
+			if path != "/search" {
+				is.Equal(runs.Load(), int64(calls))
+			}
+		}
+	})
+}
+
+// TestResetDuringUpload guards against passing on a part of a body as the whole one: its instance resets the connection
+// while the call is being written.
+func TestResetDuringUpload(t *testing.T) {
+	assertNoAnswer(t, 1<<20-100, func(c net.Conn, br *bufio.Reader) bool {
+		faker.WriteEarly(c, br, func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\npart" })
+		faker.Reset(c)
+		return false
+	})
+}
--- a/runner/build.go
+++ b/runner/build.go
@@ -96,7 +96,7 @@
 func (h *Host) newTransport() *http.Transport {
 	const maxIdlePerHost = 256
 	return &http.Transport{
-		DialContext:         h.Dial,
+		DialContext:         connector.DetectResets(h.Dial),
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
@@ -108,7 +108,7 @@
 func (h *Host) buildGossiper() {
 	cfg := h.Settings
 	t := h.newTransport()
-	t.DialContext = countingDial(h.Dial, &h.controlBytes)
+	t.DialContext = countingDial(t.DialContext, &h.controlBytes)
 	t.TLSClientConfig = h.peerTLS
 	// Gossip rotates over all hosts, so a kept connection would rarely be used again before it is
 	// closed.
