connector: refuse responses with a status below 100

What callers saw: an upstream sent an answer with status 000. Callers got what followed it as the answer, its body or a response within it, or waited until their deadline and got 504. Cause: each status below 200 was skipped as an interim one. net/http parses three characters as a number and refuses only negative ones, so 000 to 099, -00 and +99 came that far. Change: a head with a status below 100 is an InvalidHeadError: the connection is closed, the request counts as sent without an answer. It is sent again where it may be, else its caller gets 502 at once.

--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -74,7 +74,11 @@
 func contentLength(body string) string { return fmt.Sprintf("Content-Length: %d\r\n", len(body)) }
 
 func doRequest(p *connector.Pool, id string, once bool) (string, error) {
-	resp, err := p.Do(context.Background(), &connector.Request{
+	return doRequestWith(context.Background(), p, id, once)
+}
+
+func doRequestWith(ctx context.Context, p *connector.Pool, id string, once bool) (string, error) {
+	resp, err := p.Do(ctx, &connector.Request{
 		Address: address, Method: http.MethodPost, Target: "/a?b=c", Host: "x", Header: http.Header{"Id": {id}}, Body: []byte("body"), AtMostOnce: once,
 	})
 	if err != nil {
--- a/connector/head.go
+++ b/connector/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
 	"net/http"
 )
@@ -53,5 +54,29 @@
 	defer func() { h.isDue = false }()
 	buffered, _ := c.br.Peek(c.br.Buffered())
 	h.countLines(buffered)
-	return http.ReadResponse(c.br, &http.Request{Method: method})
+	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(resp); err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
+
+// InvalidHeadError means that the head of a response breaks a rule of HTTP that net/http does not check.
+type InvalidHeadError struct {
+	// Detail is what was found and what was expected.
+	Detail string
+}
+
+// Error returns the detail.
+func (e *InvalidHeadError) Error() string { return "connector: invalid response: " + e.Detail }
+
+// checkHead returns an InvalidHeadError unless the head of a response is valid.
+func checkHead(h *http.Response) error {
+	if h.StatusCode < http.StatusContinue {
+		return &InvalidHeadError{fmt.Sprintf("status is %d, expected at least 100", h.StatusCode)}
+	}
+	return nil
 }
--- a/connector/head_test.go
+++ b/connector/head_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -113,3 +116,45 @@
 		}
 	}
 }
+
+// assertNoResponse checks that a request fails as sent, at once, if its upstream writes bytes in place of a response, alone
+// or before a sound response, and keeps the connection open.
+func assertNoResponse(t *testing.T, bytes string) {
+	t.Helper()
+	for _, next := range []string{"", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nother"} {
+		t.Run(fmt.Sprintf("%q", bytes+next), func(t *testing.T) {
+			runScript(t, func(_ int, c net.Conn, br *bufio.Reader) {
+				for {
+					if _, err := http.ReadRequest(br); err != nil {
+						return
+					}
+					if _, err := c.Write([]byte(bytes + next)); err != nil {
+						return
+					}
+				}
+			}, func(p *connector.Pool, opened *int) {
+				is := is.NewRelaxed(t)
+				for n := range 2 {
+					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+					body, err := doRequestWith(ctx, p, "a", false)
+					is.Equal(body, "")
+					var e *connector.Error
+					is.True(errors.As(err, &e) && e.Sent)
+					is.NoErr(ctx.Err())
+					is.Equal(*opened, n+1)
+					cancel()
+				}
+			})
+		})
+	}
+}
+
+// TestStatusBelow100 guards against taking a response with such a status for an interim one, and what follows it for the
+// response.
+func TestStatusBelow100(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "-00", "+99"} {
+		for _, header := range []string{"", "Content-Length: 2\r\n", "Connection: close\r\n"} {
+			assertNoResponse(t, "HTTP/1.1 "+status+" No\r\nId: a\r\n"+header+"\r\n")
+		}
+	}
+}
--- a/launcher/brokenanswer_test.go
+++ b/launcher/brokenanswer_test.go
@@ -98,3 +98,27 @@
 	}
 	assertNoAnswer(t, uploadSize, respond, "HTTP/1.1 200 OK\r\n{headers}\r\nid: 1\ndata: event 1\n\n")
 }
+
+// assertNoAnswerWhole is assertNoAnswer for upstreams that read a short request whole, and close the connection after the
+// answer or keep it.
+func assertNoAnswerWhole(t *testing.T, answer string) {
+	t.Helper()
+	for _, isKept := range []bool{true, false} {
+		t.Run(fmt.Sprintf("%q, kept %t", answer, isKept), func(t *testing.T) {
+			t.Parallel()
+			assertNoAnswer(t, 10, func(c net.Conn, br *bufio.Reader, text func(r *http.Request) string) bool {
+				return faker.WriteWhole(c, br, text) && isKept
+			}, answer)
+		})
+	}
+}
+
+// TestStatusBelow100 guards against passing on what follows a response with such a status, and against waiting for it.
+func TestStatusBelow100(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\n{headers}Content-Length: 21\r\n\r\nid: 1\ndata: event 1\n\n"
+	for _, status := range []string{"000", "099"} {
+		for _, rest := range []string{"{headers}Content-Length: 2\r\n\r\nok", "{headers}\r\n" + answer, "{headers}Content-Length: 0\r\n\r\n" + answer} {
+			assertNoAnswerWhole(t, "HTTP/1.1 "+status+" No\r\n"+rest)
+		}
+	}
+}
