connector, runner: refuse invalid statuses from all upstreams, hosts and the store

What callers saw: sardineward run took a response with status 000, 099 or 101 for an answer. The first two ended the caller's connection without one, as net/http panics at such a status; the last was passed on as a switch of protocols. For a call with a key that status was its recorded outcome. It passes now; calls that must not run twice ran once and are refused as unknown.

--- a/cmd/sardineward/forward.go
+++ b/cmd/sardineward/forward.go
@@ -43,8 +43,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP)
-	client := &http.Client{Transport: &http.Transport{DialContext: connector.DetectResets(new(net.Dialer).DialContext), MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: connector.MaxHeaderBytes}}
-	store := &platform.Store{Address: cfg.Platform, HTTP: client, Timeout: storeTimeout, Log: log}
+	t := &http.Transport{DialContext: connector.DetectResets(new(net.Dialer).DialContext), MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: connector.MaxHeaderBytes}
+	store := &platform.Store{Address: cfg.Platform, HTTP: &http.Client{Transport: &connector.CheckedTransport{Base: t}}, Timeout: storeTimeout, Log: log}
 	engineTransport := new(forwarder.EngineTransport)
 	h := &launcher.Host{
 		Settings:        cfg,
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -369,7 +369,7 @@
 // peerClient returns the client for exchanges with other hosts.
 func (h *Host) peerClient() *http.Client {
 	t := &http.Transport{DialContext: connector.DetectResets(h.Dial), MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: connector.MaxHeaderBytes}
-	return &http.Client{Transport: &connector.BoundedTransport{Base: t, MaxBytes: maxPeerResponseBytes}}
+	return &http.Client{Transport: &connector.BoundedTransport{Base: &connector.CheckedTransport{Base: t}, MaxBytes: maxPeerResponseBytes}}
 }
 
 // rank returns the number of other hosts whose names sort before that of this one.
--- a/runner/brokenanswer_test.go
+++ b/runner/brokenanswer_test.go
@@ -45,7 +45,7 @@
 
 // assertNoAnswer sends calls of each kind with a body of about size bytes to instances that respond by write, and checks
 // that callers get no answer, and that what must not run twice runs once.
-func assertNoAnswer(t *testing.T, size int, write func(c net.Conn, br *bufio.Reader) bool) {
+func assertNoAnswer(t *testing.T, size int, write func(c net.Conn, br *bufio.Reader, text func(*http.Request) string) bool, answer string) {
 	t.Helper()
 	const calls = 8
 	is := is.NewRelaxed(t)
@@ -54,8 +54,7 @@
 		if first, err := br.Peek(4); err == nil && string(first) == "GET " {
 			return faker.WriteWhole(c, br, func(*http.Request) string { return "HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n{\"incarnation\":1}" })
 		}
-		runs.Add(1)
-		return write(c, br)
+		return write(c, br, func(*http.Request) string { runs.Add(1); return answer })
 	}
 	runRawService(t, respond, func(b *cluster) {
 		for _, path := range []string{"/search", "/once", "/bookings"} {
@@ -79,9 +78,19 @@
 // TestResetDuringUpload guards against passing on a part of a body as the whole one: its instance resets the connection
 // while the call is being written.
 func TestResetDuringUpload(t *testing.T) {
-	assertNoAnswer(t, 1<<20-100, func(c net.Conn, br *bufio.Reader) bool {
-		faker.WriteEarly(c, br, func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\npart" })
+	write := func(c net.Conn, br *bufio.Reader, text func(*http.Request) string) bool {
+		faker.WriteEarly(c, br, text)
 		faker.Reset(c)
 		return false
-	})
+	}
+	assertNoAnswer(t, 1<<20-100, write, "HTTP/1.1 200 OK\r\n\r\npart")
+}
+
+// TestInvalidStatus guards against passing on a response with a status that none has, or one that switches protocols.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "101"} {
+		t.Run(status, func(t *testing.T) {
+			assertNoAnswer(t, 10, faker.WriteWhole, "HTTP/1.1 "+status+" No\r\nContent-Length: 2\r\n\r\nok")
+		})
+	}
 }
--- a/runner/build.go
+++ b/runner/build.go
@@ -56,7 +56,7 @@
 	h.sharedTransport = h.newTransport()
 	h.meter = meter.New(meter.LabelValues(admitter.ReasonValues()), meter.LabelValues(streamer.CauseValues()))
 	cfg := h.Settings
-	h.store = &storer.Client{Address: cfg.Platform, HTTP: &http.Client{Transport: &connector.BoundedTransport{Base: h.sharedTransport, MaxBytes: maxStoreResponseBytes}}, Timeout: ms(cfg.Timing.PlatformMs)}
+	h.store = &storer.Client{Address: cfg.Platform, HTTP: boundedClient(h.sharedTransport, maxStoreResponseBytes), Timeout: ms(cfg.Timing.PlatformMs)}
 	h.buildGossiper()
 	h.buildRequestPath()
 	h.buildWatcher()
@@ -105,6 +105,16 @@
 	}
 }
 
+// newClient returns a client of t that takes no invalid response.
+func newClient(t *http.Transport) *http.Client {
+	return &http.Client{Transport: &connector.CheckedTransport{Base: t}}
+}
+
+// boundedClient is newClient with a bound on the body of each response.
+func boundedClient(t *http.Transport, maxBytes int64) *http.Client {
+	return &http.Client{Transport: &connector.BoundedTransport{Base: &connector.CheckedTransport{Base: t}, MaxBytes: maxBytes}}
+}
+
 func (h *Host) buildGossiper() {
 	cfg := h.Settings
 	t := h.newTransport()
@@ -114,7 +124,7 @@
 	// closed.
 	t.MaxIdleConnsPerHost, t.IdleConnTimeout = 1, 5*time.Second
 	h.peerTransport = t
-	client := &http.Client{Transport: &connector.BoundedTransport{Base: t, MaxBytes: maxPeerResponseBytes}}
+	client := boundedClient(t, maxPeerResponseBytes)
 	scheme := "http://"
 	if h.peerTLS != nil {
 		scheme = "https://"
@@ -158,7 +168,7 @@
 		Checker:    h.Checker,
 	}
 	h.tokenStreamer = &streamer.Streamer{
-		Engine:          &streamer.Client{HTTP: &http.Client{Transport: h.sharedTransport}},
+		Engine:          &streamer.Client{HTTP: newClient(h.sharedTransport)},
 		Router:          h.requestRouter,
 		Checker:         h.Checker,
 		Log:             h.Log,
@@ -196,7 +206,7 @@
 	cfg := h.Settings
 	n := announcer{h}
 	h.upstreamProber = &prober.Prober{
-		Upstreams:  &prober.Client{HTTP: &http.Client{Transport: h.sharedTransport}, HostList: cfg.HostList, Refused: isConnectionRefused},
+		Upstreams:  &prober.Client{HTTP: newClient(h.sharedTransport), HostList: cfg.HostList, Refused: isConnectionRefused},
 		Tracker:    h.upstreamTracker,
 		Owns:       func(key string, n int) bool { return h.gossip.Owns(key, cfg.DataCentre, n) },
 		DataCentre: cfg.DataCentre,
@@ -217,7 +227,7 @@
 	cfg := h.Settings
 	h.orderPlanner = &planner.Planner{
 		Store:       h.store,
-		Engines:     &planner.Client{HTTP: &http.Client{Transport: h.sharedTransport}},
+		Engines:     &planner.Client{HTTP: newClient(h.sharedTransport)},
 		Host:        cfg.Host,
 		DataCentre:  cfg.DataCentre,
 		LeaseTTL:    ms(cfg.Timing.LeaseMs),
@@ -240,7 +250,7 @@
 		Router:       h.requestRouter,
 		Streamer:     h.tokenStreamer,
 		Deduplicator: h.dedup,
-		Services:     &server.HTTPServiceClient{Shared: &http.Client{Transport: h.sharedTransport}, Unshared: &http.Client{Transport: unsharedTransport}},
+		Services:     &server.HTTPServiceClient{Shared: newClient(h.sharedTransport), Unshared: newClient(unsharedTransport)},
 		Meter:        h.meter,
 		Checker:      h.Checker,
 		Log:          h.Log,
