--- a/connector/head_test.go
+++ b/connector/head_test.go
@@ -158,3 +158,47 @@
 		}
 	}
 }
+
+// TestInvalidFieldName guards against taking a response for sound that has a field whose name is none: such a field may be
+// its framing or its signature.
+func TestInvalidFieldName(t *testing.T) {
+	for _, line := range []string{
+		"X y: 1", "X : 1", "X\t: 1", "X\ty: 1", " X: 1", "\tX: 1", "X\x01y: 1", "X\x00: 1", "\x7fX: 1", "X\x0b: 1", "X\r: 1", ": 1", "X", "X\u00e9: 1",
+		"Content-Length : 2", " Content-Length: 2", "Transfer-Encoding : chunked", "Connection : close",
+	} {
+		assertNoResponse(t, "HTTP/1.1 200 OK\r\nId: a\r\n"+line+"\r\n\r\n")
+		assertNoResponse(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nId: a\r\nContent-Length: 2\r\n\r\nok")
+		assertNoResponse(t, "HTTP/1.1 103 Early Hints\r\nLink: a\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+// TestOddFields guards against refusing a sound response.
+func TestOddFields(t *testing.T) {
+	for _, line := range []string{
+		"a!#$%&'*+-.^_`|~9: 1", "X:", "X:1", "X: a \t b ", "X: \u00e9", "x: 1\r\nX: 2", "9: 1", "X: 1\nY: 2", "X: 1\r\nY:",
+	} {
+		for _, head := range []string{"HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.1 100 Continue\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK"} {
+			t.Run(fmt.Sprintf("%q", head+line), func(t *testing.T) {
+				runScript(t, func(_ int, c net.Conn, br *bufio.Reader) {
+					for {
+						if _, err := http.ReadRequest(br); err != nil {
+							return
+						}
+						// The body begins like a folded line.
+						if _, err := c.Write([]byte(head + "\r\nId: a\r\n" + line + "\r\nContent-Length: 3\r\n\r\n ok")); err != nil {
+							return
+						}
+					}
+				}, func(p *connector.Pool, opened *int) {
+					is := is.NewRelaxed(t)
+					for range 2 {
+						body, err := doRequest(p, "a", false)
+						is.NoErr(err)
+						is.Equal(body, " ok")
+					}
+					is.Equal(*opened, 1)
+				})
+			})
+		}
+	}
+}
--- a/launcher/brokenanswer_test.go
+++ b/launcher/brokenanswer_test.go
@@ -122,3 +122,15 @@
 		}
 	}
 }
+
+// TestInvalidFieldName guards against passing on a response with a field whose name is none, or a body whose framing is in
+// such a field.
+func TestInvalidFieldName(t *testing.T) {
+	const event = "id: 1\ndata: event 1\n\n"
+	for _, rest := range []string{
+		"X y: 1\r\nContent-Length: 21\r\n\r\n" + event, "X\x01: 1\r\nContent-Length: 21\r\n\r\n" + event, "Content-Length : 21\r\n\r\n" + event + "more",
+		"X: 1\r\n Content-Length: 21\r\n\r\n" + event + "more", "Transfer-Encoding : chunked\r\n\r\n15\r\n" + event + "\r\n0\r\n\r\n",
+	} {
+		assertNoAnswerWhole(t, "HTTP/1.1 200 OK\r\n{headers}"+rest)
+	}
+}
--- a/runner/brokenanswer_test.go
+++ b/runner/brokenanswer_test.go
@@ -94,3 +94,16 @@
 		})
 	}
 }
+
+// TestInvalidFieldName guards against passing on a body whose framing is in a field whose name is none.
+func TestInvalidFieldName(t *testing.T) {
+	for _, rest := range []string{"X y: 1\r\nContent-Length: 2\r\n\r\nok", "X\x01: 1\r\nContent-Length: 2\r\n\r\nok", "Content-Length : 2\r\n\r\nokmore", "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"} {
+		t.Run(fmt.Sprintf("%q", rest), func(t *testing.T) {
+			write := func(c net.Conn, br *bufio.Reader, text func(*http.Request) string) bool {
+				faker.WriteWhole(c, br, text)
+				return false
+			}
+			assertNoAnswer(t, 10, write, "HTTP/1.1 200 OK\r\n"+rest)
+		})
+	}
+}
