--- a/cmd/sardineward/forward.go
+++ b/cmd/sardineward/forward.go
@@ -43,8 +43,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP)
-	t := &http.Transport{DialContext: connector.DetectResets(new(net.Dialer).DialContext), MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: connector.MaxHeaderBytes}
-	store := &platform.Store{Address: cfg.Platform, HTTP: &http.Client{Transport: &connector.CheckedTransport{Base: t}}, Timeout: storeTimeout, Log: log}
+	store := &platform.Store{Address: cfg.Platform, HTTP: storeClient(), Timeout: storeTimeout, Log: log}
 	engineTransport := new(forwarder.EngineTransport)
 	h := &launcher.Host{
 		Settings:        cfg,
@@ -62,6 +61,18 @@
 	return h.Run(ctx)
 }
 
+// storeClient returns the client for calls to the platform's store.
+func storeClient() *http.Client {
+	t := &http.Transport{
+		DialContext:            connector.DetectResets(new(net.Dialer).DialContext),
+		MaxIdleConnsPerHost:    4,
+		IdleConnTimeout:        time.Minute,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: connector.MaxHeaderBytes,
+	}
+	return &http.Client{Transport: &connector.CheckedTransport{Base: t}}
+}
+
 // bootTime returns the time since the machine started. Unlike the monotonic clock of the standard
 // library it includes time in suspension, during which leases expire and keys are revoked.
 func bootTime() time.Duration {
--- a/launcher/brokenanswer_test.go
+++ b/launcher/brokenanswer_test.go
@@ -134,3 +134,45 @@
 		assertNoAnswerWhole(t, "HTTP/1.1 200 OK\r\n{headers}"+rest)
 	}
 }
+
+// TestInvalidHeadOfOtherHost guards against passing on a broken answer that comes by way of another host.
+func TestInvalidHeadOfOtherHost(t *testing.T) {
+	const served, event = "Sardineward-Delegation: served\r\nStamp: stamp\r\n", "id: 1\ndata: event 1\n\n"
+	for _, answer := range []string{
+		"HTTP/1.1 000 No\r\n" + served + "Content-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" + served + "Content-Length: 21\r\n\r\n" + event,
+		"HTTP/1.1 200 OK\r\n" + served + "X y: 1\r\nContent-Length: 21\r\n\r\n" + event,
+		"HTTP/1.1 200 OK\r\n" + served + "Content-Length : 21\r\n\r\n" + event + "more",
+	} {
+		for _, path := range []string{"/book/1", "/stream/once/1"} {
+			t.Run(fmt.Sprintf("%s %q", path, answer), func(t *testing.T) {
+				runCutOff(t, 4, func(is *is.I, fl *fleet, cut follower.Host) {
+					var asked atomic.Int64
+					defer fl.addFakeHost(cut, func(w http.ResponseWriter, r *http.Request) {
+						if r.URL.Path != path {
+							w.Header().Set("Sardineward-Delegation", "served")
+							w.Header().Set(forwarder.DefaultHeaders.Stamp, "stamp")
+							_, _ = io.WriteString(w, events(1, 10))
+							return
+						}
+						asked.Add(1)
+						if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+							_, _ = io.WriteString(c, answer)
+							c.Close()
+						}
+					})()
+					ip, _, _ := strings.Cut(cut.Address, ":")
+					for n := range 20 {
+						before, id := asked.Load(), fmt.Sprint("once-", n)
+						r := fl.requestAt(ip+":80", http.MethodPost, path, id, nil)
+						is.NoErr(r.err)
+						if asked.Load() > before {
+							is.Equal(r.status, http.StatusBadGateway)
+							is.Equal(fl.runs(id), 0)
+						}
+					}
+					is.True(asked.Load() > 0)
+				})
+			})
+		}
+	}
+}
