launcher, runner: count the runs of each request in tests of broken answers

Cause: they asked for as many runs as requests in all, so that one that ran twice beside one that did not run would have passed, and they allowed 2 s and slept for a second in place of asking whether the host is ready, which a busy machine would have turned red.

--- a/faker/raw.go
+++ b/faker/raw.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 )
 
 // RawUpstream is a fake upstream on a socket of this machine that writes bytes of its own in place of a response. Only
@@ -73,3 +74,26 @@
 	_ = c.(*net.TCPConn).SetLinger(0)
 	c.Close()
 }
+
+// RunCounter counts the runs of requests by their ids. The zero value is ready to use.
+type RunCounter struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// Add counts a run of a request.
+func (c *RunCounter) Add(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.runs == nil {
+		c.runs = make(map[string]int)
+	}
+	c.runs[id]++
+}
+
+// Runs returns how often a request has run.
+func (c *RunCounter) Runs(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runs[id]
+}
