--- a/connector/reset.go
+++ b/connector/reset.go
@@ -41,7 +41,7 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	// Ends a Write in progress, which may have got the reset; it need not be read to the end.
+	// Interrupts a Write in progress, which may have got the reset and else lasts until the other end reads on.
 	_ = c.SetWriteDeadline(time.Unix(1, 0))
 	c.writing <- struct{}{}
 	defer func() { <-c.writing }()
@@ -51,8 +51,8 @@
 	return n, err
 }
 
-// isAfterEnd reports whether a Write failed although the other end had ended its side in order: with EPIPE if a reset
-// followed that end.
+// isAfterEnd reports whether a Write failed after the other end had ended its side in order. A reset that follows is
+// EPIPE then, and a Write that Read interrupted has got none.
 func isAfterEnd(err error) bool {
 	return errors.Is(err, syscall.EPIPE) || errors.Is(err, os.ErrDeadlineExceeded)
 }
