--- a/review/world/main.go
+++ b/review/world/main.go
@@ -26,6 +26,7 @@
 	"kill":     playKill,
 	"attempts": playAttempts,
 	"leaving":  playLeaving,
+	"dark":     playDark,
 }
 
 func main() { os.Exit(run()) }
--- a/review/world/poison.go
+++ b/review/world/poison.go
@@ -173,3 +173,27 @@
 	}
 	return w.judge(poisonWord), nil
 }
+
+// playDark lets a request come after which the server that begins to run it goes dark.
+func playDark(w *world) (verdict, error) {
+	const servers, rounds, interval = 12, 5, 6 * time.Second
+	if err := w.begin(func() error {
+		return w.addServers(servers, &server{service: "stock-desk", slots: 6, work: 15 * time.Millisecond, darkens: true})
+	}); err != nil {
+		return verdict{}, err
+	}
+	stop := make(chan struct{})
+	sent, served := w.traffic(check, 20, stop)
+	defer close(stop)
+	time.Sleep(2 * time.Second)
+	if n := sent.Load(); served.Load() < n*9/10 {
+		return verdict{}, errUnserved
+	}
+	q := &request{method: http.MethodGet, path: "/check/" + poisonWord, deadline: 1500 * time.Millisecond, name: "client"}
+	for round := range rounds {
+		w.record("round %d", round+1)
+		w.come(round%2, q)
+		time.Sleep(interval)
+	}
+	return w.judge(poisonWord), nil
+}
--- a/review/world/server.go
+++ b/review/world/server.go
@@ -50,15 +50,17 @@
 	gap    time.Duration
 	// breakShare is the share of streams that are broken off while the world's answers are being lost.
 	breakShare float64
+	// darkens is set if it goes dark where another one would crash.
+	darkens bool
 	// crashAfter is how many pieces of a stream are sent before a poisonous request crashes the server.
 	crashAfter int
 
 	mu       sync.Mutex
-	up       bool
+	up, dark bool
 	born     int64
 	seq      int64
 	running  int
-	listener net.Listener
+	listener *gate
 	conns    map[net.Conn]bool
 	stop     context.CancelFunc
 	// endedAt is when the process ended for good.
@@ -92,11 +94,12 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	g := &gate{Listener: l, over: make(chan struct{})}
 	s.mu.Lock()
-	s.up, s.born, s.seq, s.running, s.listener, s.conns, s.stop = true, time.Now().UnixMilli(), 0, 0, l, make(map[net.Conn]bool), cancel
+	s.up, s.dark, s.born, s.seq, s.running, s.listener, s.conns, s.stop = true, false, time.Now().UnixMilli(), 0, 0, g, make(map[net.Conn]bool), cancel
 	s.mu.Unlock()
 	hs := &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 5 * time.Second, ConnState: s.note, ErrorLog: quiet}
-	go func() { _ = hs.Serve(l) }()
+	go func() { _ = hs.Serve(g) }()
 	go s.beat(ctx)
 	return nil
 }
@@ -139,35 +142,57 @@
 	}
 	s.up = false
 	s.stop()
-	born := s.born
 	_ = s.listener.Close()
 	for c := range s.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
-		_ = c.Close()
+		resetConn(c)
 	}
 	s.mu.Unlock()
 	s.w.record("server %s has crashed", s.id)
+	s.expireEntry()
 	go func() {
-		time.Sleep(expiry)
+		time.Sleep(downFor)
+		s.startAgain()
+	}()
+}
+
+// expireEntry removes the entry of a server that has crashed, unless it is back before.
+func (s *server) expireEntry() {
+	s.mu.Lock()
+	born := s.born
+	s.mu.Unlock()
+	time.AfterFunc(expiry, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.born == born {
 			s.w.store.drop("servers/" + s.id)
 		}
-	}()
-	go func() {
-		time.Sleep(downFor)
-		if err := s.start(); err != nil {
-			s.w.record("server %s can't start again: %v", s.id, err)
-			return
-		}
-		s.w.record("server %s is back", s.id)
-	}()
+	})
+}
+
+func (s *server) startAgain() {
+	if err := s.start(); err != nil {
+		s.w.record("server %s can't start again: %v", s.id, err)
+		return
+	}
+	s.w.record("server %s is back", s.id)
+}
+
+// awaitReset blocks while the server is dark, whose connections are reset at the end of that.
+func (s *server) awaitReset(g *gate) {
+	s.mu.Lock()
+	dark := s.dark && s.listener == g
+	s.mu.Unlock()
+	if dark || g.shut.Load() {
+		<-g.over
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	g := s.listener
+	s.mu.Unlock()
+	s.awaitReset(g)
 	if r.URL.Path == "/api/report" {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -219,11 +244,14 @@
 		s.stream(w, r, a.crashed)
 		return
 	}
-	if a.crashed {
+	if a.crashed && s.darkens {
+		s.goDark()
+	} else if a.crashed {
 		s.crash()
 		panic(http.ErrAbortHandler)
 	}
 	pause(r.Context(), s.work)
+	s.awaitReset(g)
 	_, _ = fmt.Fprintf(w, "answer of %s to %s\n", s.id, id)
 }
 
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -155,7 +155,7 @@
 		}
 		one := &server{
 			w: w, id: fmt.Sprintf("i-%s-%02d", s.service, len(w.servers)), service: s.service, address: address, slots: s.slots,
-			work: s.work, pieces: s.pieces, gap: s.gap, breakShare: s.breakShare, crashAfter: s.crashAfter,
+			work: s.work, pieces: s.pieces, gap: s.gap, breakShare: s.breakShare, darkens: s.darkens, crashAfter: s.crashAfter,
 		}
 		if err := one.start(); err != nil {
 			return err
