review: case 6, an entry of another writer is taken for an upstream

Cause: an entry of the platform's list that lacks most fields is accepted, and a 4xx without a runner's signature is passed on as a success.

--- a/review/world/main.go
+++ b/review/world/main.go
@@ -27,6 +27,7 @@
 	"attempts": playAttempts,
 	"leaving":  playLeaving,
 	"dark":     playDark,
+	"foreign":  playForeign,
 }
 
 func main() { os.Exit(run()) }
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -60,8 +60,10 @@
 	out *os.File
 	// sent and endings hold when client attempts began and ended.
 	sent, endings map[string]time.Time
-	arrivals      []arrival
-	requests      int
+	// statuses counts the answers by status; 0 is none.
+	statuses map[int]int
+	arrivals []arrival
+	requests int
 }
 
 // record writes one line of the record.
@@ -319,6 +321,7 @@
 	a := do(r)
 	w.mu.Lock()
 	w.endings[id] = time.Now()
+	w.countStatus(a.status)
 	w.mu.Unlock()
 	if q.name != "" {
 		w.record("%s: request %s got status %d, whole %t, of %d bytes", q.name, id, a.status, a.whole, len(a.body))
