--- a/review/world/leaving.go
+++ b/review/world/leaving.go
@@ -60,5 +60,5 @@
 		late++
 		last = max(last, a.at.Sub(goneAt))
 	}
-	return verdict{late > 0, fmt.Sprintf("%d requests that hosts in touch took reached a server later than %v after its entry was removed, the last one after %v", late, drain, last.Round(time.Millisecond))}
+	return verdict{late > 0, fmt.Sprintf("%d requests that hosts in touch took reached a server later than %v after the store had acknowledged that it leaves, the last one after %v", late, drain, last.Round(time.Millisecond))}
 }
--- a/review/world/main.go
+++ b/review/world/main.go
@@ -28,6 +28,8 @@
 	"leaving":  playLeaving,
 	"dark":     playDark,
 	"foreign":  playForeign,
+	"late":     playLate,
+	"part":     playPart,
 }
 
 func main() { os.Exit(run()) }
--- a/review/world/poison.go
+++ b/review/world/poison.go
@@ -76,7 +76,10 @@
 
 // judge applies the rule to one request that crashes its servers: "reaches runners in more than three retries, sent by machines
 // in touch later than stable-window-ms after it has crashed the third".
-func (w *world) judge(word string) verdict {
+func (w *world) judge(word string) verdict { return w.judgeAfter(word, toleratedCrashes) }
+
+// judgeAfter is judge for another number of crashes.
+func (w *world) judgeAfter(word string, tolerated int) verdict {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	crashes, late := 0, 0
@@ -89,14 +92,14 @@
 			late++
 		}
 		if a.crashed {
-			if crashes++; crashes == toleratedCrashes {
+			if crashes++; crashes == tolerated {
 				third = a.at
 			}
 		}
 	}
 	return verdict{
 		broken: late > maxRetries,
-		detail: fmt.Sprintf("%s has crashed %d servers, and reached servers %d times later than %v after the third crash (%d are allowed)", word, crashes, late, stableWindow, maxRetries),
+		detail: fmt.Sprintf("%s has crashed %d servers, and reached servers %d times later than %v after crash %d (%d are allowed)", word, crashes, late, stableWindow, tolerated, maxRetries),
 	}
 }
 
@@ -197,3 +200,32 @@
 	}
 	return w.judge(poisonWord), nil
 }
+
+// playPart lets requests come, no two alike, with a part in their prompts that crashes each server 1.2 s after it has begun to
+// answer. The rule for them stands in issue 56 and not in RULES.md.
+func playPart(w *world) (verdict, error) {
+	const servers, tolerated = 12, 5
+	if err := w.begin(func() error {
+		return w.addServers(servers, &server{service: "yard-assistant", slots: 192, pieces: 43, gap: 50 * time.Millisecond, crashAfter: 24})
+	}); err != nil {
+		return verdict{}, err
+	}
+	const shared = "5c1e07a2:40,"
+	draft := func(n int) *request {
+		return &request{method: http.MethodPost, path: "/draft/2f", body: fmt.Sprintf("draft %d", n), prefix: fmt.Sprintf("%s%08x:720", shared, n+1), tokens: "760,172", deadline: 20 * time.Second}
+	}
+	stop := make(chan struct{})
+	sent, served := w.traffic(draft, 10, stop)
+	defer close(stop)
+	time.Sleep(6 * time.Second)
+	if n := sent.Load() - 40; served.Load() < n*9/10 {
+		return verdict{}, errUnserved
+	}
+	for n := range 20 {
+		q := draft(1000 + n)
+		q.prefix, q.name = fmt.Sprintf("%s%s:200,%08x:520", shared, poisonPart, 1000+n), "client"
+		go w.come(n%2, q)
+		time.Sleep(1500 * time.Millisecond)
+	}
+	return w.judgeAfter(poisonPart, tolerated), nil
+}
--- a/review/world/server.go
+++ b/review/world/server.go
@@ -26,12 +26,15 @@
 // poisonWord marks the body or the path of a request that crashes its server.
 const poisonWord = "poison"
 
+// poisonPart is a part of prompts that crashes the server of each request.
+const poisonPart = "dead0001"
+
 // arrival is a request that reached a server.
 type arrival struct {
 	at     time.Time
 	server string
 	id     string
-	// what is the path with the body, which stay the same when the request comes again.
+	// what is the path with the body, which stay the same when the request comes again, and the parts of its prompt.
 	what string
 	// crashed is set if it crashed the server, refused if the server did not run it.
 	crashed, refused bool
@@ -58,6 +61,7 @@
 	mu       sync.Mutex
 	up, dark bool
 	born     int64
+	state    string
 	seq      int64
 	running  int
 	listener *gate
@@ -96,6 +100,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &gate{Listener: l, over: make(chan struct{})}
 	s.mu.Lock()
+	s.state = "ready"
 	s.up, s.dark, s.born, s.seq, s.running, s.listener, s.conns, s.stop = true, false, time.Now().UnixMilli(), 0, 0, g, make(map[net.Conn]bool), cancel
 	s.mu.Unlock()
 	hs := &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 5 * time.Second, ConnState: s.note, ErrorLog: quiet}
@@ -117,14 +122,19 @@
 	}
 }
 
+// entry returns what the server says of itself; s.mu is held.
+func (s *server) entry() map[string]any {
+	return map[string]any{
+		"service": s.service, "address": s.address, "zone": zone, "version": "v1", "slots": s.slots, "state": s.state,
+		"cold-remaining-ms": 0, "seq": s.seq, "born": s.born,
+	}
+}
+
 // beat writes the entry of the server until ctx ends.
 func (s *server) beat(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.mu.Lock()
-		entry := map[string]any{
-			"service": s.service, "address": s.address, "zone": zone, "version": "v1", "slots": s.slots, "state": "ready",
-			"cold-remaining-ms": 0, "seq": s.seq, "born": s.born,
-		}
+		entry := s.entry()
 		s.seq++
 		s.mu.Unlock()
 		s.w.store.put("servers/"+s.id, entry)
@@ -214,14 +224,14 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	a := arrival{at: time.Now(), server: s.id, id: id, what: r.Method + " " + r.URL.Path + " " + string(body)}
+	a := arrival{at: time.Now(), server: s.id, id: id, what: r.Method + " " + r.URL.Path + " " + string(body) + " " + r.Header.Get("X-Sardineward-Prompt-Prefix")}
 	full := false
 	s.mu.Lock()
 	if full = id == "" || s.running >= s.slots; !full {
 		s.running++
 	}
 	s.mu.Unlock()
-	isPoison := strings.Contains(a.what, poisonWord)
+	isPoison := strings.Contains(a.what, poisonWord) || strings.Contains(a.what, poisonPart)
 	a.refused = full
 	a.crashed = isPoison && !full && s.w.crashes
 	s.w.arrived(a)
