review: a case ends after 115 seconds

Cause: a case has 120 seconds, and nothing ended one that takes longer. Change: review/world gives it up, ends its hosts and exits with 2.

--- a/review/world/main.go
+++ b/review/world/main.go
@@ -32,8 +32,29 @@
 	"part":     playPart,
 }
 
+// longest is the time after which a case is given up.
+const longest = 115 * time.Second
+
+// errTooLong means that a case took longer.
+var errTooLong = fmt.Errorf("the case took longer than %v", longest)
+
 func main() { os.Exit(run()) }
 
+// playInTime plays a case, for longest at most.
+func playInTime(w *world, play func(w *world) (verdict, error)) (v verdict, err error) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		v, err = play(w)
+	}()
+	select {
+	case <-done:
+		return v, err
+	case <-time.After(longest):
+		return verdict{}, errTooLong
+	}
+}
+
 func run() int {
 	name := flag.String("case", "", "the case to play")
 	binary := flag.String("binary", "target/sardineward", "the program of the hosts")
@@ -62,7 +83,7 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	w := &world{trouble: trouble, crashes: trouble, binary: *binary, dir: dir, started: time.Now(), out: out, sent: make(map[string]time.Time), endings: make(map[string]time.Time)}
-	v, err := play(w)
+	v, err := playInTime(w, play)
 	for _, h := range w.hosts {
 		h.kill()
 	}
