--- a/review/world/leaving.go
+++ b/review/world/leaving.go
@@ -28,15 +28,15 @@
 	if n := sent.Load(); served.Load() < n*9/10 {
 		return verdict{}, errUnserved
 	}
-	silentAt := time.Now()
 	if w.trouble {
 		w.record("%d open connections to the store go silent, new ones work", w.proxy.silence())
 	}
+	silentAt := time.Now()
 	time.Sleep(300 * time.Millisecond)
-	goneAt := time.Now()
 	for n := range leaving {
 		w.servers[n].leave(serving)
 	}
+	goneAt := time.Now()
 	time.Sleep(serving + time.Second)
 	close(stop)
 	time.Sleep(time.Second)
--- a/review/world/main.go
+++ b/review/world/main.go
@@ -22,14 +22,12 @@
 
 // cases are the cases by name.
 var cases = map[string]func(w *world) (verdict, error){
-	"begun":    playBegun,
-	"kill":     playKill,
-	"attempts": playAttempts,
-	"leaving":  playLeaving,
-	"dark":     playDark,
-	"foreign":  playForeign,
-	"late":     playLate,
-	"part":     playPart,
+	"begun":   playBegun,
+	"kill":    playKill,
+	"leaving": playLeaving,
+	"foreign": playForeign,
+	"late":    playLate,
+	"part":    playPart,
 }
 
 // longest is the time after which a case is given up.
@@ -82,7 +80,7 @@
 		fmt.Println(dir)
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
-	w := &world{trouble: trouble, crashes: trouble, binary: *binary, dir: dir, started: time.Now(), out: out, sent: make(map[string]time.Time), endings: make(map[string]time.Time)}
+	w := &world{trouble: trouble, crashes: trouble, binary: *binary, dir: dir, started: time.Now(), out: out, sent: make(map[string]time.Time)}
 	v, err := playInTime(w, play)
 	for _, h := range w.hosts {
 		h.kill()
