archiver: keep strikes against requests in the store

Cause: strikes were in the memory of the hosts only, and a caller's second attempt at another host comes before the next exchange. Ruled out: strikes that expire or are cleared (the request stays refused where only the kills are left out).

Change: strikes are stored with the isolated parts. Strikes that coincide with the loss of other upstreams are not stored, those that an answer clears are removed.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -1,6 +1,6 @@
-// Package archiver keeps the isolated parts of prompts in the platform's store, so that hosts which
-// all start anew know them. The store is not needed to decide on a request: while it is out of reach, hosts
-// go on with what they know and tell each other.
+// Package archiver keeps the isolated parts of prompts, and the strikes against requests that were in flight
+// when upstreams crashed, in the platform's store, so that hosts which all start anew know them. The store is not
+// needed to decide on a request: while it is out of reach, hosts go on with what they know and tell each other.
 package archiver
 
 import (
@@ -18,6 +18,7 @@
 
 	"github.com/sardineward/sardineward/isolator"
 	"github.com/sardineward/sardineward/storer"
+	"github.com/sardineward/sardineward/tracker"
 )
 
 // Key is the key in the store.
@@ -36,6 +37,8 @@
 // record is the value of Key.
 type record struct {
 	Parts []storedPart `json:"parts"`
+	// Requests holds maxStoredRequests at most.
+	Requests []storedRequest `json:"requests,omitempty"`
 }
 
 // storedPart is an isolated part.
@@ -63,6 +66,11 @@
 			return fmt.Errorf("workspace of stored part %q: %w", p.Part, err)
 		}
 	}
+	for i := range r.Requests {
+		if err := r.Requests[i].check(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -78,6 +86,8 @@
 type Archiver struct {
 	Store    storer.Store
 	Isolator *isolator.Isolator
+	// Suspects keeps the strikes; nil means that none are stored.
+	Suspects *tracker.Suspects
 	// Now is the clock of the host, Clock the time of day; nil means time.Now.
 	Now   func() time.Duration
 	Clock func() time.Time
@@ -92,11 +102,15 @@
 
 	mu sync.Mutex
 	// stored holds the parts that this host has stored.
-	stored map[isolator.Part]bool
+	stored   map[isolator.Part]bool
+	requests requests
 }
 
 // Init makes Changed usable.
-func (a *Archiver) Init() { a.changes = make(chan isolator.State, maxStored) }
+func (a *Archiver) Init() {
+	a.changes = make(chan isolator.State, maxStored)
+	a.requests.wake = make(chan struct{}, 1)
+}
 
 // Loaded reports whether the stored parts are known, or were not to be had within maxLoadWait.
 func (a *Archiver) Loaded() bool { return a.loaded.Load() || a.Now()-a.Started > maxLoadWait }
@@ -148,11 +162,17 @@
 		list = append(list, isolator.State{Part: p.Part, Workspace: workspace, Confirmed: p.Confirmed, IsolatedAt: at, Samples: p.Samples, RequestedAt: now})
 	}
 	a.Isolator.Merge(a.Now(), list)
-	a.Log.Info().Int("parts", len(list)).Msg("archiver: isolated parts read from the store")
+	a.learnStrikes(&r)
+	a.Log.Info().Int("parts", len(list)).Int("requests", len(r.Requests)).Msg("archiver: isolated parts and strikes read from the store")
 }
 
 // Run stores changes until ctx ends.
 func (a *Archiver) Run(ctx context.Context) {
+	if a.Suspects != nil {
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		wg.Go(func() { a.storeStrikes(ctx) })
+	}
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -177,58 +197,80 @@
 	return r
 }
 
-// read returns the stored parts with their entry.
-func (a *Archiver) read(ctx context.Context) (record, storer.Entry, error) {
+// maxUpdateAttempts bounds the writes of one update that meet a write of another host.
+const maxUpdateAttempts = 3
+
+// update changes the record in the store. change returns false if the record, as it is stored now, needs no change; it is
+// called again if another host has written meanwhile.
+func (a *Archiver) update(ctx context.Context, change func(r *record) bool) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	e, err := a.Store.Get(ctx, Key)
-	if errors.Is(err, storer.ErrNotFound) {
-		return record{}, storer.Entry{}, nil
-	}
-	if err != nil {
-		return record{}, e, err
+	var e storer.Entry
+	var conflict *storer.ConflictError
+	for range maxUpdateAttempts {
+		if conflict != nil {
+			e = conflict.Current
+		} else if read, err := a.Store.Get(ctx, Key); err == nil || errors.Is(err, storer.ErrNotFound) {
+			e = read
+		} else {
+			return err
+		}
+		r := a.decode(e.Value)
+		if !change(&r) {
+			return nil
+		}
+		value, err := json.Marshal(r)
+		if err != nil {
+			return fmt.Errorf("encoding the record: %w", err)
+		}
+		_, err = a.Store.Swap(ctx, storer.Write{Key: Key, Value: value, Expect: e.Revision, Era: e.Era})
+		if !errors.Is(err, storer.ErrConflict) {
+			return err
+		}
+		if !errors.As(err, &conflict) {
+			conflict = nil
+		}
 	}
-	return a.decode(e.Value), e, nil
+	return storer.ErrConflict
 }
 
 // store writes one part, or removes it where it is released, and reports whether it could.
 func (a *Archiver) store(ctx context.Context, s isolator.State) bool {
-	r, e, err := a.read(ctx)
-	if err != nil {
-		a.Log.Warn().Err(err).Str("part", string(s.Part)).Msg("archiver: storing a part failed, trying again")
-		return false
-	}
-	at := slices.IndexFunc(r.Parts, func(p storedPart) bool { return p.Part == s.Part })
 	next := storedPart{Part: s.Part, IsolatedAtMs: a.clock().Add(s.IsolatedAt - a.Isolator.Time(a.Now())).UnixMilli(), Confirmed: s.Confirmed, Samples: s.Samples}
 	if s.Workspace != 0 {
 		next.Workspace = strconv.FormatUint(s.Workspace, 16)
 	}
+	parts, written := 0, false
+	err := a.update(ctx, func(r *record) bool {
+		written = r.setPart(&next, s.IsIsolated())
+		parts = len(r.Parts)
+		return written
+	})
+	if err != nil || written {
+		a.Log.Info().Err(err).Str("part", string(s.Part)).Bool("isolated", s.IsIsolated()).Int("parts", parts).Msg("archiver: isolated parts written to the store")
+	}
+	if err == nil && (written || !s.IsIsolated()) {
+		a.setStored(s.Part, s.IsIsolated())
+	}
+	return err == nil
+}
+
+// setPart adds or removes a part and reports whether that changes the record.
+func (r *record) setPart(next *storedPart, isolated bool) bool {
+	at := slices.IndexFunc(r.Parts, func(p storedPart) bool { return p.Part == next.Part })
 	switch {
-	case at < 0 && !s.IsIsolated():
-		a.setStored(s.Part, false)
-		return true
-	case at >= 0 && s.IsIsolated() && r.Parts[at].Workspace == next.Workspace && r.Parts[at].Confirmed == next.Confirmed:
-		return true // another host isolated it as well
+	case at < 0 && !isolated:
+		return false
+	case at >= 0 && isolated && r.Parts[at].Workspace == next.Workspace && r.Parts[at].Confirmed == next.Confirmed:
+		return false // another host isolated it as well
 	case at >= 0:
 		r.Parts = slices.Delete(r.Parts, at, at+1)
 	}
-	if s.IsIsolated() {
-		r.Parts = append(r.Parts, next)
+	if isolated {
+		r.Parts = append(r.Parts, *next)
 		r.Parts = r.Parts[max(0, len(r.Parts)-maxStored):]
 	}
-	value, err := json.Marshal(r)
-	if err != nil {
-		a.Log.Error().Err(err).Msg("archiver: encoding isolated parts failed")
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	_, err = a.Store.Swap(ctx, storer.Write{Key: Key, Value: value, Expect: e.Revision, Era: e.Era})
-	a.Log.Info().Err(err).Str("part", string(s.Part)).Bool("isolated", s.IsIsolated()).Int("parts", len(r.Parts)).Msg("archiver: isolated parts written to the store")
-	if err == nil {
-		a.setStored(s.Part, s.IsIsolated())
-	}
-	return err == nil
+	return true
 }
 
 func (a *Archiver) clock() time.Time {
--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -15,12 +15,14 @@
 	"github.com/sardineward/sardineward/faker"
 	"github.com/sardineward/sardineward/isolator"
 	"github.com/sardineward/sardineward/storer"
+	"github.com/sardineward/sardineward/tracker"
 )
 
 // host is what one host knows of crashing parts, and its clock, which starts anew with it.
 type host struct {
 	isolator.Isolator
 	archiver *archiver.Archiver
+	suspects tracker.Suspects
 	now      func() time.Duration
 	// loadedBefore is whether it knew the stored parts before it read them.
 	loadedBefore bool
@@ -30,7 +32,7 @@
 func startHost(store storer.Store) (h *host, stop func()) {
 	started := time.Now()
 	h = &host{now: func() time.Duration { return time.Since(started) }}
-	h.archiver = &archiver.Archiver{Store: store, Isolator: &h.Isolator, Now: h.now, Log: zerolog.Nop()}
+	h.archiver = &archiver.Archiver{Store: store, Isolator: &h.Isolator, Suspects: &h.suspects, Now: h.now, Log: zerolog.Nop()}
 	h.archiver.Init()
 	changed := func(s isolator.State, learned bool) {
 		if !learned {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -91,6 +91,9 @@
 	Assessor assessor.Assessor
 	// Suspects records which requests were in flight when upstreams crashed.
 	Suspects *tracker.Suspects
+	// KeepStrikes makes the strikes against a request outlast the hosts and learns those that other hosts know, within
+	// a short time; nil means that they are kept in memory only.
+	KeepStrikes func(ctx context.Context, fingerprint uint64)
 	// Isolator decides which parts of prompts crash upstreams.
 	Isolator isolator.Isolator
 	// PartsKnown reports whether this host has learned which parts are isolated; until then it is not ready. nil
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -107,6 +107,14 @@
 		Msg("forwarder: in flight at a crash")
 }
 
+// keepStrikes stores the strikes against a request, so that neither the kill of all hosts nor another host, which the caller
+// turns to next, has it crash further upstreams. The wait is short; it is over before the caller gets an answer.
+func (k *call) keepStrikes(ctx context.Context) {
+	if k.KeepStrikes != nil && len(k.Suspects.Active(time.Now(), k.fingerprint)) > 0 {
+		k.KeepStrikes(ctx, k.fingerprint)
+	}
+}
+
 // clearStrikes removes the strikes against a request that was served.
 func (k *call) clearStrikes() { k.Suspects.Clear(time.Now(), k.fingerprint) }
 
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -120,6 +120,7 @@
 	} else {
 		k.runs++
 	}
+	k.keepStrikes(ctx)
 	if !mayRepeat(k.route, v) {
 		k.Meter.NotRepeated.WithLabelValues(v.String()).Inc()
 		return k.refuse(admitter.ReasonOutcomeUnknown, "may have run")
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -257,8 +257,9 @@
 	i := &h.forwarder.Isolator
 	i.Started, i.Rank = h.startedAt, h.rank
 	i.OnIsolate, i.OnRelease, i.OnWithhold = h.handleIsolated, h.handleReleased, h.forwarder.LogWithheld
-	h.archiver = &archiver.Archiver{Store: h.Store, Isolator: i, Now: h.Now, Started: h.startedAt, Log: h.Log}
+	h.archiver = &archiver.Archiver{Store: h.Store, Isolator: i, Suspects: suspects, Now: h.Now, Started: h.startedAt, Log: h.Log}
 	h.archiver.Init()
+	h.forwarder.KeepStrikes = h.archiver.KeepStrikes
 	h.follower.OnLoad = func(ch *follower.Changes) { h.archiver.Load(ch.Parts) }
 	h.forwarder.PartsKnown = func() bool { return cfg.FirstStart || h.archiver.Loaded() }
 	suspects.WentDown, suspects.Explained = h.forwarder.WentDown, h.forwarder.ExplainsCrash
--- a/tracker/suspects.go
+++ b/tracker/suspects.go
@@ -141,9 +141,14 @@
 	}
 }
 
+// Attributable returns the strikes that count against a fingerprint now and that the request probably caused.
+func (s *Suspects) Attributable(now time.Time, fingerprint uint64) []Strike {
+	return s.attributable(s.Active(now, fingerprint))
+}
+
 // Quarantined reports whether requests with a fingerprint are refused now, and for how long.
 func (s *Suspects) Quarantined(now time.Time, fingerprint uint64) (time.Duration, bool) {
-	strikes := s.attributable(s.Active(now, fingerprint))
+	strikes := s.Attributable(now, fingerprint)
 	if len(strikes) < soleStrikeThreshold || len(strikes) < strikeThreshold && s.hasOtherCause(now, fingerprint, strikes) {
 		return 0, false
 	}
