--- a/forwarder/controlendless_test.go
+++ b/forwarder/controlendless_test.go
@@ -5,21 +5,15 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
-	"github.com/rs/zerolog"
 
-	"github.com/sardineward/sardineward/balancer"
 	"github.com/sardineward/sardineward/connector"
-	"github.com/sardineward/sardineward/forwarder"
-	"github.com/sardineward/sardineward/meter"
 )
 
 // TestEndlessControlAnswer guards against an answer to an order or query that is cut off at the bound and passed on as whole.
@@ -51,12 +45,7 @@
 				}()
 				return near, nil
 			}
-			started := time.Now()
-			now := func() time.Duration { return time.Since(started) + time.Minute }
-			pool := &connector.Pool{Dial: dial, Now: now, RequestIDHeader: "Id"}
-			b := &balancer.Balancer{Rand: rand.New(rand.NewPCG(1, 1))}
-			fwd := &forwarder.Forwarder{Balancer: b, Pool: pool, Headers: forwarder.DefaultHeaders, Meter: meter.New(nil, nil), Now: now, Log: zerolog.Nop()}
-			client := &http.Client{Transport: &forwarder.EngineTransport{Forwarder: fwd}}
+			client := engineClient(dial)
 			r, err := http.NewRequestWithContext(t.Context(), c.method, "http://10.1.0.1:80/api/x", http.NoBody)
 			is.NoErr(err)
 			resp, err := client.Do(r)
