follower: tell the number of a removed entry with its removal

Upstreams would see: requests to one that left, from a host that gets changes from others, falls back to the source, and reads an entry there that was carried out late.

Such a host is told of an entry only when it changes, so its last known number may be lower than that of the late entry.

TestLateEntryAfterUpdate failed before (red with the call of NoteRemovedEntries taken out).

--- a/balancer/entryorder.go
+++ b/balancer/entryorder.go
@@ -27,6 +27,38 @@
 	outdatedCount                       int
 }
 
+// RemovedEntry is the last entry of an upstream that was removed.
+type RemovedEntry struct {
+	ID        string `json:"id"`
+	StartedAt int64  `json:"born"`
+	Sequence  int64  `json:"sequence"`
+}
+
+// RemovedEntries returns the last entries of those among ids that were removed and had a number.
+func (b *Balancer) RemovedEntries(ids []string) []RemovedEntry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []RemovedEntry
+	for _, id := range ids {
+		if last := b.lastEntries[id]; last.isRemoved() && last.sequence > 0 {
+			out = append(out, RemovedEntry{id, last.startedAt, last.sequence})
+		}
+	}
+	return out
+}
+
+// NoteRemovedEntries learns from another host the last entries of upstreams that are removed here too. A host that gets
+// only changes does not know how far the numbers of unchanged entries had come.
+func (b *Balancer) NoteRemovedEntries(list []RemovedEntry) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range list {
+		if last := b.lastEntries[r.ID]; last.isRemoved() && last.sequence > 0 && last.startedAt == r.StartedAt {
+			last.sequence = max(last.sequence, r.Sequence)
+		}
+	}
+}
+
 // OutdatedEntry is an entry that arrived after a later one of its upstream.
 type OutdatedEntry struct {
 	Upstream            string
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -597,6 +597,8 @@
 	}
 	u.Listed, u.Removed = f.updateUpstreams(u.Listed, u.Removed)
 	u.Listed = withReturned(u.Listed, f.Balancer.Listed(returned))
+	f.Balancer.NoteRemovedEntries(u.RemovedEntries)
+	u.RemovedEntries = f.Balancer.RemovedEntries(u.Removed)
 	f.position = u.Position
 	f.history.add(u)
 	f.readAt.Store(max(f.readAt.Load(), int64(at)))
--- a/follower/update.go
+++ b/follower/update.go
@@ -14,11 +14,13 @@
 	After Position `json:"from"`
 	Position
 	// Removed is applied before Listed: an upstream that was removed and added again is in both.
-	Removed      []string            `json:"gone,omitempty"`
-	Listed       []balancer.Upstream `json:"listed,omitempty"`
-	RemovedHosts []string            `json:"hostsGone,omitempty"`
-	Hosts        []Host              `json:"hosts,omitempty"`
-	Duties       []Duty              `json:"duties,omitempty"`
+	Removed []string            `json:"gone,omitempty"`
+	Listed  []balancer.Upstream `json:"listed,omitempty"`
+	// RemovedEntries holds the last entries of upstreams in Removed.
+	RemovedEntries []balancer.RemovedEntry `json:"goneEntries,omitempty"`
+	RemovedHosts   []string                `json:"hostsGone,omitempty"`
+	Hosts          []Host                  `json:"hosts,omitempty"`
+	Duties         []Duty                  `json:"duties,omitempty"`
 }
 
 // Check returns an error if an update received from a peer is invalid.
@@ -49,12 +51,14 @@
 	hosts                 map[string]Host
 	removed, removedHosts map[string]bool
 	duties                map[string]string
+	removedEntries        map[string]balancer.RemovedEntry
 }
 
 func newUpdateMerger() *updateMerger {
 	return &updateMerger{
 		listed: make(map[string]balancer.Upstream), hosts: make(map[string]Host),
 		removed: make(map[string]bool), removedHosts: make(map[string]bool), duties: make(map[string]string),
+		removedEntries: make(map[string]balancer.RemovedEntry),
 	}
 }
 
@@ -64,6 +68,9 @@
 		delete(m.listed, id)
 		m.removed[id] = true
 	}
+	for _, r := range u.RemovedEntries {
+		m.removedEntries[r.ID] = r
+	}
 	for i := range u.Listed {
 		m.listed[u.Listed[i].ID] = u.Listed[i]
 	}
@@ -86,6 +93,9 @@
 	for _, id := range slices.Sorted(maps.Keys(m.listed)) {
 		out.Listed = append(out.Listed, m.listed[id])
 	}
+	for _, id := range slices.Sorted(maps.Keys(m.removedEntries)) {
+		out.RemovedEntries = append(out.RemovedEntries, m.removedEntries[id])
+	}
 	for _, name := range slices.Sorted(maps.Keys(m.hosts)) {
 		out.Hosts = append(out.Hosts, m.hosts[name])
 	}
--- a/follower/update_test.go
+++ b/follower/update_test.go
@@ -100,3 +100,27 @@
 		is.Equal(len(fol.State(at).Update.Hosts), 2) // others are told of both
 	})
 }
+
+// TestLateEntryAfterUpdate guards against a host that takes an entry which the source carried out late, since it learned of
+// the removal from a peer and does not know how far the numbers of the entry had come.
+func TestLateEntryAfterUpdate(t *testing.T) {
+	run(t, func(src *faker.Directory, fol *follower.Follower, b *balancer.Balancer) {
+		is := is.New(t)
+		entry := balancer.Upstream{ID: "two", Address: "2", StartedAt: 1, Sequence: 3}
+		src.PutUpstream(entry)
+		time.Sleep(time.Second)
+		at := fol.Position()
+		update := &follower.Update{After: at, Position: plus(at, 1), Removed: []string{"two"}, RemovedEntries: []balancer.RemovedEntry{{ID: "two", StartedAt: 1, Sequence: 9}}}
+		fol.ApplyPeerState(fol.Now(), &follower.State{Version: 3, Position: plus(at, 1), Update: update})
+		is.Equal(fol.State(at).Update.RemovedEntries, update.RemovedEntries) // passed on
+		src.DeleteUpstream("two")
+		entry.Sequence = 8
+		src.PutUpstream(entry)
+		time.Sleep(time.Second)
+		is.True(!isListed(b, "two"))
+		entry.Sequence = 10
+		src.PutUpstream(entry)
+		time.Sleep(time.Second)
+		is.True(isListed(b, "two"))
+	})
+}
