--- a/archiver/strikes.go
+++ b/archiver/strikes.go
@@ -101,7 +101,7 @@
 	if q.pending == nil {
 		q.pending, q.waiting = make(map[uint64]bool), make(chan struct{})
 	}
-	if len(q.pending) >= maxStoredRequests {
+	if !q.pending[fingerprint] && len(q.pending) >= maxStoredRequests {
 		return nil, false
 	}
 	q.pending[fingerprint] = true
