--- a/launcher/lateentry_test.go
+++ b/launcher/lateentry_test.go
@@ -68,3 +68,26 @@
 		}
 	}
 }
+
+// TestStartAgainAfterLeave guards against a host that takes the entries of an upstream which starts again under its id for
+// late ones.
+func TestStartAgainAfterLeave(t *testing.T) {
+	for _, hosts := range []int{1, 4, 24} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			runStoreFleet(t, hosts, func(is *is.I, r *restoreFleet) {
+				time.Sleep(3 * time.Second)
+				r.leaveBy(true, "desk-a", "a")
+				time.Sleep(2500 * time.Millisecond)
+				r.store.DeleteUpstream("desk-a")
+				time.Sleep(time.Second)
+				e := r.entry("desk-a", "a", false)
+				e.StartedAt, e.Sequence = 2, 1
+				r.store.PutUpstream(e)
+				startedAt := time.Now()
+				time.Sleep(3 * time.Second)
+				is.True(r.served("desk-a", startedAt) > 0)
+				is.Equal(r.count(http.StatusOK), r.totalRequests())
+			})
+		})
+	}
+}
