--- a/faker/network.go
+++ b/faker/network.go
@@ -111,8 +111,8 @@
 	}
 }
 
-// Silence lets every open connection to or from a location go silent for good: what is sent is lost, and neither end is
-// told. New connections work.
+// Silence lets every open connection to or from a location go silent for good: what is sent is lost, and neither end gets
+// an error. New connections work.
 func (n *Network) Silence(place string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/launcher/forgotten_test.go
+++ b/launcher/forgotten_test.go
@@ -68,8 +68,8 @@
 	fl.restartAll()
 }
 
-// come sends a request that crashes upstreams as a caller does: to a host, and once more to another one unless it is told
-// that the request has not run.
+// come sends a request that crashes upstreams as a caller does: to a host, and once more to another one unless the answer
+// says that the request has not run.
 func (fl *killedFleet) come(first int) {
 	for n := range 2 {
 		fl.sent++
